--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,3 @@
+//! The agent process.
+
+pub mod settings;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decision cores and message types of peridotfold.
+//!
+//! Nothing in this crate opens a socket, reads a clock, sleeps or uses a global random number
+//! generator. Each core takes the current time and an input, and returns the actions to perform.
+
+pub mod config;
+pub mod hash;
+pub mod id;
+pub mod message;
+pub mod resources;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/message/entry.rs
@@ -0,0 +1,53 @@
+//! Messages between entries.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{AgentId, CellId, ConfigVersion, EntryId, Incarnation, ServiceId};
+use crate::message::announce::ConfigUpdate;
+
+/// Asks whether the receiver dispatched a key to an upstream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Probe {
+    pub service: ServiceId,
+    pub key: Bytes,
+}
+
+/// Answer to [`Probe`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProbeReply {
+    /// Not dispatched within the retention of this process, which covers the time since `incarnation` started.
+    NotDispatched { entry: EntryId, incarnation: Incarnation },
+    /// Dispatched to this holder; the outcome may be anything but a certain `not run`.
+    Dispatched { agent: AgentId, incarnation: Incarnation },
+}
+
+/// Asks a peer entry for a newer configuration.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConfigRequest {
+    pub version: ConfigVersion,
+}
+
+/// Answer to [`ConfigRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConfigReply {
+    pub update: ConfigUpdate,
+}
+
+/// A job operation for the owner of a cell, as received over HTTP.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Forward {
+    pub cell: CellId,
+    pub method: String,
+    pub path: String,
+    pub team: Option<String>,
+    pub operator: bool,
+    pub body: Bytes,
+}
+
+/// Answer to [`Forward`], to be passed on as an HTTP response.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ForwardReply {
+    pub status: u16,
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,3 @@
+//! The entry process.
+
+pub mod settings;
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and upstreams, for tests and the demo.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value store.
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,53 @@
+//! Length-prefixed `bincode` frames.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Largest frame accepted or sent.
+pub const FRAME_LIMIT: usize = 1024 * 1024 + 64 * 1024;
+const PREFIX_BYTES: usize = 4;
+
+/// Encodes `message` as one frame.
+///
+/// # Errors
+///
+/// Fails when the message exceeds [`FRAME_LIMIT`] or cannot be encoded.
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, String> {
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(|error| error.to_string())?;
+    if body.len() > FRAME_LIMIT {
+        return Err(format!("frame of {} bytes exceeds {FRAME_LIMIT}", body.len()));
+    }
+    let mut frame = BytesMut::with_capacity(PREFIX_BYTES + body.len());
+    frame.put_u32_le(body.len() as u32);
+    frame.put_slice(&body);
+    Ok(frame.freeze())
+}
+
+/// Takes one frame from the front of `buffer`; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Fails when the frame is too long, has trailing bytes, or is not a `T`.
+pub fn decode<T: DeserializeOwned>(buffer: &mut BytesMut) -> Result<Option<T>, String> {
+    if buffer.len() < PREFIX_BYTES {
+        return Ok(None);
+    }
+    let length = (&buffer[..PREFIX_BYTES]).get_u32_le() as usize;
+    if length > FRAME_LIMIT {
+        return Err(format!("frame of {length} bytes exceeds {FRAME_LIMIT}"));
+    }
+    if buffer.len() < PREFIX_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(PREFIX_BYTES);
+    let body = buffer.split_to(length);
+    let config = bincode::config::standard().with_limit::<FRAME_LIMIT>();
+    let (message, used) =
+        bincode::serde::decode_from_slice(&body, config).map_err(|error| error.to_string())?;
+    match used == length {
+        true => Ok(Some(message)),
+        false => Err(format!("{} trailing bytes in a frame", length - used)),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http_client.rs
@@ -0,0 +1,201 @@
+//! HTTP client with kept-alive connections, for upstreams, the platform and the operators' client.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body::{Body as _, Frame};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use parking_lot::Mutex;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::body::Body;
+use crate::error::{Step, WireError};
+use crate::runtime;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_PER_ADDRESS: usize = 64;
+/// Largest body that [`HttpClient::exchange`] reads.
+pub const EXCHANGE_LIMIT: usize = 4 * 1024 * 1024;
+
+/// A pool of HTTP/1.1 connections.
+#[derive(Debug, Clone, Default)]
+pub struct HttpClient {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+}
+
+impl HttpClient {
+    /// Sends a request and returns the head of the response with its body still arriving.
+    ///
+    /// # Errors
+    ///
+    /// A [`Step::Connect`] error means that nothing of the request was sent.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<PooledBody>, WireError> {
+        let peer = address.to_string();
+        let mut request = request;
+        loop {
+            let (mut sender, reused) = match self.take_idle(address) {
+                Some(sender) => (sender, true),
+                None => (connect(address).await?, false),
+            };
+            if reused && sender.ready().await.is_err() {
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    let (head, incoming) = response.into_parts();
+                    let body =
+                        PooledBody { incoming, lease: Some((self.clone(), address, sender)) };
+                    return Ok(Response::from_parts(head, body.released_if_ended()));
+                }
+                Err(mut error) => match error.take_message() {
+                    // The idle connection was closed before anything was written.
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(WireError::new(Step::Connect, peer, error.error())),
+                    None => return Err(WireError::new(Step::Receive, peer, error.error())),
+                },
+            }
+        }
+    }
+
+    /// Sends a request with a whole body and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange takes longer than `limit` or the response exceeds
+    /// [`EXCHANGE_LIMIT`].
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, WireError> {
+        let peer = address.to_string();
+        runtime::timeout(limit, &peer, async {
+            let (head, body) = self.send(address, request).await?.into_parts();
+            let whole = Limited::new(body, EXCHANGE_LIMIT)
+                .collect()
+                .await
+                .map_err(|error| WireError::new(Step::Receive, peer.as_str(), error))?;
+            Ok(Response::from_parts(head, whole.to_bytes()))
+        })
+        .await
+    }
+
+    /// Sends a small request without headers of its own; see [`HttpClient::exchange`].
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::exchange`].
+    pub async fn simple(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: impl Into<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, WireError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Body::full(body))
+            .map_err(|error| WireError::new(Step::Connect, address.to_string(), error))?;
+        self.exchange(address, request, limit).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock();
+        let senders = idle.get_mut(&address)?;
+        senders.retain(|sender| !sender.is_closed());
+        senders.pop()
+    }
+
+    fn put_idle(&self, address: SocketAddr, sender: SendRequest<Body>) {
+        let mut idle = self.idle.lock();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < IDLE_PER_ADDRESS {
+            senders.push(sender);
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, WireError> {
+    let peer = address.to_string();
+    let fail = |error: String| WireError::new(Step::Connect, peer.as_str(), error);
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.map_err(|e| fail(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| fail(e.to_string()))?;
+        let (sender, connection) =
+            http1::handshake(FuturesIo::new(stream)).await.map_err(|e| fail(e.to_string()))?;
+        runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "connection_closed", peer = %address, %error);
+            }
+        })
+        .detach();
+        Ok(sender)
+    };
+    runtime::timeout(CONNECT_TIMEOUT, &peer, connecting)
+        .await
+        .map_err(|error| WireError { step: Step::Connect, ..error })
+}
+
+/// Body of a response. Its connection is used again only after the body was read to its end.
+#[derive(Debug)]
+pub struct PooledBody {
+    incoming: Incoming,
+    lease: Option<(HttpClient, SocketAddr, SendRequest<Body>)>,
+}
+
+impl PooledBody {
+    fn released_if_ended(mut self) -> Self {
+        if self.incoming.is_end_stream() {
+            self.release();
+        }
+        self
+    }
+
+    fn release(&mut self) {
+        if let Some((client, address, sender)) = self.lease.take() {
+            client.put_idle(address, sender);
+        }
+    }
+}
+
+impl http_body::Body for PooledBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.incoming).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) || this.incoming.is_end_stream() {
+            this.release();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http_server.rs
@@ -0,0 +1,113 @@
+//! HTTP server for callers and operators.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::body::Body;
+use crate::runtime;
+use crate::shutdown::Shutdown;
+
+/// Largest request head accepted, in bytes.
+pub const HEAD_LIMIT: usize = 32 * 1024;
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers HTTP requests.
+pub trait HttpService: Send + Sync + 'static {
+    /// Answers one request.
+    fn call(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Accepts HTTP/1.1 connections.
+#[derive(Debug)]
+pub struct HttpServer {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl HttpServer {
+    /// Listens on `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(HttpServer { listener, address })
+    }
+
+    /// Address with the port that is in use.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until the signal, then lets open requests end.
+    pub async fn serve<S: HttpService>(self, service: Arc<S>, shutdown: Shutdown) {
+        let mut connections = Vec::new();
+        loop {
+            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
+                shutdown.wait().await;
+                None
+            });
+            match accepted.await {
+                None => break,
+                Some(Err(error)) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    runtime::sleep(Duration::from_millis(50)).await;
+                }
+                Some(Ok((stream, peer))) => {
+                    let task = connection(stream, peer, service.clone(), shutdown.clone());
+                    connections.retain(|task: &smol::Task<()>| !task.is_finished());
+                    connections.push(runtime::spawn(task));
+                }
+            }
+        }
+        for task in connections {
+            task.await;
+        }
+    }
+}
+
+async fn connection<S: HttpService>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    service: Arc<S>,
+    shutdown: Shutdown,
+) {
+    let _ = stream.set_nodelay(true);
+    let answer = service_fn(move |request| {
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(service.call(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT)
+        .serve_connection(FuturesIo::new(stream), answer);
+    let mut connection = std::pin::pin!(connection);
+    let ended = future::or(async { Some(connection.as_mut().await) }, async {
+        shutdown.wait().await;
+        None
+    });
+    let result = match ended.await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(event = "connection_closed", %peer, %error);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,298 @@
+//! Client side of the message streams.
+
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_compat::Compat;
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use h2::{RecvStream, SendStream};
+use http::{Method, Request, StatusCode};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use smol::net::TcpStream;
+
+use crate::error::{Step, WireError};
+use crate::frame;
+use crate::runtime;
+
+/// Time allowed for a TCP connection and the `h2` handshake.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const STREAM_WINDOW: u32 = 256 * 1024;
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+const MAX_STREAMS: u32 = 4096;
+
+/// Connections to other processes, one for each address, opened on first use.
+#[derive(Debug, Default)]
+pub struct Peers {
+    connections: Mutex<HashMap<String, SendRequest<Bytes>>>,
+}
+
+impl Peers {
+    /// Opens a stream for a message of the given kind and sends its first frame.
+    ///
+    /// # Errors
+    ///
+    /// A [`Step::Connect`] error means that the message certainly was not sent.
+    pub async fn open<T: Serialize>(
+        &self,
+        address: &str,
+        kind: &str,
+        message: &T,
+    ) -> Result<(FrameSender, PendingReceiver), WireError> {
+        let frame = frame::encode(message)
+            .map_err(|error| WireError::new(Step::Connect, address, error))?;
+        let mut client = self.ready(address).await?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}/v1/{kind}"))
+            .body(())
+            .map_err(|error| WireError::new(Step::Connect, address, error))?;
+        let (response, stream) = match client.send_request(request, false) {
+            Ok(pair) => pair,
+            Err(error) => {
+                self.forget(address);
+                return Err(WireError::new(Step::Connect, address, error));
+            }
+        };
+        let mut sender = FrameSender { stream, peer: address.to_owned() };
+        sender.send_bytes(frame, false).await?;
+        Ok((sender, PendingReceiver { response, peer: address.to_owned() }))
+    }
+
+    /// Sends one message and returns the one that answers it.
+    ///
+    /// # Errors
+    ///
+    /// Any error but one of [`Step::Connect`] leaves open whether the peer received the message.
+    pub async fn call<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        kind: &str,
+        message: &T,
+        limit: Duration,
+    ) -> Result<R, WireError> {
+        let exchange = async {
+            let (mut sender, pending) = self.open(address, kind, message).await?;
+            sender.finish()?;
+            let mut receiver = pending.receiver().await?;
+            match receiver.next().await? {
+                Some(reply) => Ok(reply),
+                None => Err(WireError::new(Step::Receive, address, "stream ended without a reply")),
+            }
+        };
+        let result = runtime::timeout(limit, address, exchange).await;
+        if matches!(&result, Err(error) if error.step == Step::Timeout) {
+            // The connection may be dead without a TCP reset, as after the loss of a VM.
+            self.forget(address);
+        }
+        result
+    }
+
+    /// Drops the connection to `address`; the next use opens a new one.
+    pub fn forget(&self, address: &str) {
+        self.connections.lock().remove(address);
+    }
+
+    async fn ready(&self, address: &str) -> Result<SendRequest<Bytes>, WireError> {
+        let known = self.connections.lock().get(address).cloned();
+        if let Some(client) = known {
+            let ready = runtime::timeout(CONNECT_TIMEOUT, address, async {
+                client.ready().await.map_err(|e| WireError::new(Step::Connect, address, e))
+            });
+            match ready.await {
+                Ok(client) => return Ok(client),
+                Err(_) => self.forget(address),
+            }
+        }
+        let client =
+            connect(address).await.map_err(|error| WireError { step: Step::Connect, ..error })?;
+        self.connections.lock().insert(address.to_owned(), client.clone());
+        client.ready().await.map_err(|error| WireError::new(Step::Connect, address, error))
+    }
+}
+
+async fn connect(address: &str) -> Result<SendRequest<Bytes>, WireError> {
+    let fail = |error: String| WireError::new(Step::Connect, address, error);
+    let target: SocketAddr = address.parse().map_err(|_| fail("not an IP and port".into()))?;
+    runtime::timeout(CONNECT_TIMEOUT, address, async {
+        let stream = TcpStream::connect(target).await.map_err(|e| fail(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| fail(e.to_string()))?;
+        let (client, connection) = h2::client::Builder::new()
+            .initial_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_concurrent_streams(MAX_STREAMS)
+            .handshake(Compat::new(stream))
+            .await
+            .map_err(|e| fail(e.to_string()))?;
+        let peer = address.to_owned();
+        runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "connection_closed", peer, %error);
+            }
+        })
+        .detach();
+        Ok(client)
+    })
+    .await
+}
+
+/// A stream whose answer has not begun.
+#[derive(Debug)]
+pub struct PendingReceiver {
+    response: h2::client::ResponseFuture,
+    peer: String,
+}
+
+impl PendingReceiver {
+    /// Waits for the answer to begin.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream is reset or the peer refuses the message.
+    pub async fn receiver(self) -> Result<FrameReceiver, WireError> {
+        let response = self
+            .response
+            .await
+            .map_err(|error| WireError::new(Step::Receive, self.peer.as_str(), error))?;
+        let status = response.status();
+        let mut receiver = FrameReceiver::new(response.into_body(), self.peer);
+        if status == StatusCode::OK {
+            return Ok(receiver);
+        }
+        let detail = receiver.rest().await;
+        Err(WireError::new(Step::Receive, receiver.peer, format!("status {status}: {detail}")))
+    }
+}
+
+/// Sends frames on a stream.
+#[derive(Debug)]
+pub struct FrameSender {
+    stream: SendStream<Bytes>,
+    peer: String,
+}
+
+impl FrameSender {
+    pub(crate) fn new(stream: SendStream<Bytes>, peer: String) -> Self {
+        FrameSender { stream, peer }
+    }
+
+    /// Sends one frame, waiting for window space.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream is closed or the message is too large.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), WireError> {
+        let frame = frame::encode(message)
+            .map_err(|error| WireError::new(Step::Send, self.peer.as_str(), error))?;
+        self.send_bytes(frame, false).await
+    }
+
+    /// Ends the stream after what was sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream is closed already.
+    pub fn finish(&mut self) -> Result<(), WireError> {
+        self.stream
+            .send_data(Bytes::new(), true)
+            .map_err(|error| WireError::new(Step::Send, self.peer.as_str(), error))
+    }
+
+    /// Resets the stream, so that the receiver sees that it was cut.
+    pub fn abort(&mut self) {
+        self.stream.send_reset(h2::Reason::CANCEL);
+    }
+
+    async fn send_bytes(&mut self, mut frame: Bytes, end: bool) -> Result<(), WireError> {
+        while !frame.is_empty() {
+            self.stream.reserve_capacity(frame.len());
+            let room = match self.stream.capacity() {
+                0 => self.wait_capacity().await?,
+                room => room,
+            };
+            let part = frame.split_to(room.min(frame.len()));
+            let last = end && frame.is_empty();
+            self.stream
+                .send_data(part, last)
+                .map_err(|error| WireError::new(Step::Send, self.peer.as_str(), error))?;
+        }
+        Ok(())
+    }
+
+    async fn wait_capacity(&mut self) -> Result<usize, WireError> {
+        match poll_fn(|context| self.stream.poll_capacity(context)).await {
+            Some(Ok(room)) => Ok(room),
+            Some(Err(error)) => Err(WireError::new(Step::Send, self.peer.as_str(), error)),
+            None => Err(WireError::new(Step::Send, self.peer.as_str(), "stream closed")),
+        }
+    }
+}
+
+/// Receives frames from a stream.
+#[derive(Debug)]
+pub struct FrameReceiver {
+    stream: RecvStream,
+    buffer: BytesMut,
+    peer: String,
+}
+
+impl FrameReceiver {
+    pub(crate) fn new(stream: RecvStream, peer: String) -> Self {
+        FrameReceiver { stream, buffer: BytesMut::new(), peer }
+    }
+
+    /// Address of the other side.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Returns the next frame, or `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream is reset, ends within a frame, or the frame is not a `T`.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, WireError> {
+        loop {
+            let decoded = frame::decode(&mut self.buffer)
+                .map_err(|error| WireError::new(Step::Decode, self.peer.as_str(), error))?;
+            if decoded.is_some() {
+                return Ok(decoded);
+            }
+            match self.stream.data().await {
+                Some(Ok(part)) => self.take(part),
+                Some(Err(error)) => {
+                    return Err(WireError::new(Step::Receive, self.peer.as_str(), error));
+                }
+                None if self.buffer.is_empty() => return Ok(None),
+                None => {
+                    return Err(WireError::new(
+                        Step::Receive,
+                        self.peer.as_str(),
+                        "stream ended within a frame",
+                    ));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, part: Bytes) {
+        // The window was granted by this side; giving it back fails only on a closed stream.
+        let _ = self.stream.flow_control().release_capacity(part.len());
+        self.buffer.extend_from_slice(&part);
+    }
+
+    async fn rest(&mut self) -> String {
+        const TEXT_LIMIT: usize = 1024;
+        while self.buffer.len() < TEXT_LIMIT {
+            match self.stream.data().await {
+                Some(Ok(part)) => self.take(part),
+                _ => break,
+            }
+        }
+        String::from_utf8_lossy(&self.buffer).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/runtime.rs
@@ -0,0 +1,92 @@
+//! The pool of threads that runs all tasks of a process, and its signals.
+
+use std::future::Future;
+use std::sync::OnceLock;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_executor::{Executor, Task};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+
+use crate::error::{Step, WireError};
+use crate::shutdown::Shutdown;
+
+static EXECUTOR: Executor<'static> = Executor::new();
+static START: OnceLock<Instant> = OnceLock::new();
+
+/// Runs `main` on a pool of `threads` threads and returns its result.
+pub fn run<T>(threads: usize, main: impl Future<Output = T>) -> T {
+    now();
+    start_threads(threads.max(1));
+    smol::block_on(main)
+}
+
+/// Adds threads to the pool. They run until the process ends.
+pub fn start_threads(threads: usize) {
+    for index in 0..threads {
+        let name = format!("worker-{index}");
+        let run = || smol::block_on(EXECUTOR.run(future::pending::<()>()));
+        if let Err(error) = thread::Builder::new().name(name).spawn(run) {
+            tracing::error!(event = "thread_start_failed", %error);
+        }
+    }
+}
+
+/// Starts a task on the pool.
+pub fn spawn<T: Send + 'static>(task: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    EXECUTOR.spawn(task)
+}
+
+/// Returns the monotonic time since the start of the process.
+pub fn now() -> Duration {
+    START.get_or_init(Instant::now).elapsed()
+}
+
+/// Waits for `duration`.
+pub async fn sleep(duration: Duration) {
+    smol::Timer::after(duration).await;
+}
+
+/// Waits for `duration` or the signal; tells whether the signal came.
+pub async fn sleep_or_shutdown(duration: Duration, shutdown: &Shutdown) -> bool {
+    future::or(
+        async {
+            sleep(duration).await;
+            false
+        },
+        async {
+            shutdown.wait().await;
+            true
+        },
+    )
+    .await
+}
+
+/// Runs `task` for at most `limit`.
+///
+/// # Errors
+///
+/// Returns a [`Step::Timeout`] error that names `peer` when the limit passes first.
+pub async fn timeout<T>(
+    limit: Duration,
+    peer: &str,
+    task: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
+    future::or(task, async {
+        sleep(limit).await;
+        Err(WireError::new(Step::Timeout, peer, format!("no result within {limit:?}")))
+    })
+    .await
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the signal handlers cannot be installed.
+pub async fn terminated() -> std::io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    signals.next().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,201 @@
+//! Server side of the message streams.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_compat::Compat;
+use bytes::Bytes;
+use futures_lite::future;
+use h2::server::SendResponse;
+use h2::RecvStream;
+use http::{Request, Response, StatusCode};
+use serde::Serialize;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::error::{Step, WireError};
+use crate::peer::{FrameReceiver, FrameSender};
+use crate::runtime;
+use crate::shutdown::Shutdown;
+
+const STREAM_WINDOW: u32 = 256 * 1024;
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+const MAX_STREAMS: u32 = 4096;
+const HEADER_LIMIT: u32 = 16 * 1024;
+
+/// Handles the streams that arrive at a [`MessageServer`].
+pub trait Handler: Send + Sync + 'static {
+    /// Handles one stream. An error is logged and closes the stream.
+    fn handle(&self, stream: Stream) -> impl Future<Output = Result<(), WireError>> + Send;
+}
+
+/// One incoming stream.
+#[derive(Debug)]
+pub struct Stream {
+    /// Kind of the message: the last part of the path.
+    pub kind: String,
+    pub receiver: FrameReceiver,
+    pub responder: Responder,
+}
+
+/// Begins the answer to a stream.
+#[derive(Debug)]
+pub struct Responder {
+    response: SendResponse<Bytes>,
+    peer: String,
+}
+
+impl Responder {
+    /// Begins the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream was reset by the other side.
+    pub fn start(mut self) -> Result<FrameSender, WireError> {
+        let stream = self
+            .response
+            .send_response(Response::new(()), false)
+            .map_err(|error| WireError::new(Step::Send, self.peer.as_str(), error))?;
+        Ok(FrameSender::new(stream, self.peer))
+    }
+
+    /// Sends one message as the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream was reset by the other side.
+    pub async fn reply<T: Serialize>(self, message: &T) -> Result<(), WireError> {
+        let mut sender = self.start()?;
+        sender.send(message).await?;
+        sender.finish()
+    }
+
+    /// Refuses the message with a status and a text for the peer's log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream was reset by the other side.
+    pub fn refuse(mut self, status: StatusCode, detail: String) -> Result<(), WireError> {
+        let fail = |error: h2::Error| WireError::new(Step::Send, self.peer.as_str(), error);
+        let mut head = Response::new(());
+        *head.status_mut() = status;
+        let mut stream = self.response.send_response(head, false).map_err(fail)?;
+        stream.send_data(Bytes::from(detail), true).map_err(fail)
+    }
+}
+
+/// Accepts connections of other processes.
+#[derive(Debug)]
+pub struct MessageServer {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl MessageServer {
+    /// Listens on `address`; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(MessageServer { listener, address })
+    }
+
+    /// Address with the port that is in use.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until the signal, then lets open streams end.
+    pub async fn serve<H: Handler>(self, handler: Arc<H>, shutdown: Shutdown) {
+        let mut connections = Vec::new();
+        loop {
+            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
+                shutdown.wait().await;
+                None
+            });
+            match accepted.await {
+                None => break,
+                Some(Err(error)) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    // Accept fails without pause when file descriptors have run out.
+                    runtime::sleep(std::time::Duration::from_millis(50)).await;
+                }
+                Some(Ok((stream, peer))) => {
+                    let task = connection(stream, peer, handler.clone(), shutdown.clone());
+                    connections.retain(|task: &smol::Task<()>| !task.is_finished());
+                    connections.push(runtime::spawn(task));
+                }
+            }
+        }
+        for task in connections {
+            task.await;
+        }
+    }
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<H>,
+    shutdown: Shutdown,
+) {
+    let peer = peer.to_string();
+    let _ = stream.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(HEADER_LIMIT)
+        .handshake::<_, Bytes>(Compat::new(stream));
+    let mut connection = match handshake.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::warn!(event = "handshake_failed", step = "decode", peer, %error);
+            return;
+        }
+    };
+    let mut draining = false;
+    loop {
+        let next = future::or(async { Some(connection.accept().await) }, async {
+            match draining {
+                true => future::pending().await,
+                false => shutdown.wait().await,
+            }
+            None
+        });
+        match next.await {
+            None => {
+                draining = true;
+                connection.graceful_shutdown();
+            }
+            Some(None) => return,
+            Some(Some(Err(error))) => {
+                tracing::debug!(event = "connection_closed", peer, %error);
+                return;
+            }
+            Some(Some(Ok((request, response)))) => {
+                let stream = incoming(request, response, &peer);
+                runtime::spawn(handle(stream, handler.clone(), peer.clone())).detach();
+            }
+        }
+    }
+}
+
+fn incoming(request: Request<RecvStream>, response: SendResponse<Bytes>, peer: &str) -> Stream {
+    let kind = request.uri().path().rsplit('/').next().unwrap_or_default().to_owned();
+    Stream {
+        kind,
+        receiver: FrameReceiver::new(request.into_body(), peer.to_owned()),
+        responder: Responder { response, peer: peer.to_owned() },
+    }
+}
+
+async fn handle<H: Handler>(stream: Stream, handler: Arc<H>, peer: String) {
+    let kind = stream.kind.clone();
+    if let Err(error) = handler.handle(stream).await {
+        tracing::warn!(event = "stream_failed", kind, step = %error.step, peer, detail = error.detail);
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! Command line of peridotfold.
+
+fn main() {
+    println!("peridotfold {}", env!("CARGO_PKG_VERSION"));
+}
