--- /dev/null
+++ b/crates/agent/src/batch.rs
@@ -0,0 +1,1 @@
+//! Batch tasks on this VM.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,3 +1,4 @@
 //! The agent process.
 
+pub mod batch;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Request slots, connections and the queue of one upstream.
--- /dev/null
+++ b/crates/core/src/cell.rs
@@ -0,0 +1,1 @@
+//! Batch lifecycle and placement of one cell.
--- /dev/null
+++ b/crates/core/src/colocation.rs
@@ -0,0 +1,1 @@
+//! Throttling, eviction and restoration of batch tasks beside a service.
--- /dev/null
+++ b/crates/core/src/key_table.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys at the holder of their bucket.
--- /dev/null
+++ b/crates/core/src/keys.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys at an entry: bucket ownership and dispatch.
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Capacity of one VM.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Liveness of entries.
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,1 @@
+//! Upstreams known to an entry, and the choice between them.
--- /dev/null
+++ b/crates/core/src/tasks.rs
@@ -0,0 +1,1 @@
+//! Attempts on one VM.
--- /dev/null
+++ b/crates/entry/src/cells.rs
@@ -0,0 +1,1 @@
+//! Ownership of cells.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,3 +1,4 @@
 //! The entry process.
 
+pub mod cells;
 pub mod settings;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,5 @@
 //! Stand-ins for the platform and upstreams, for tests and the demo.
+
+pub mod store;
+pub mod upstream;
+pub mod worker;
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,1 @@
+//! Stand-in for the platform's key-value store.
--- /dev/null
+++ b/crates/standins/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Stand-in for an upstream service.
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,1 @@
+//! Stand-in for the worker API of the platform.
