--- /dev/null
+++ b/crates/bench/src/colocation.rs
@@ -0,0 +1,10 @@
+//! Colocation policy beside baselines, through a closing.
+
+/// Runs the measurement and prints its table.
+///
+/// # Errors
+///
+/// Fails when the measurement cannot be taken.
+pub fn run() -> eyre::Result<()> {
+    eyre::bail!("not measured yet")
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,41 @@
+//! Measurements of the decisions and of the whole path. Development only.
+
+mod colocation;
+mod path;
+mod recovery;
+mod requests;
+mod scale;
+
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Usage: peridotfold-bench <MEASUREMENT>
+
+  requests    request policy beside baselines, under overload and failures
+  colocation  colocation policy beside baselines, through a closing
+  recovery    time until all jobs run again after losses
+  scale       cost of a placement, a heartbeat and of state, by fleet size
+  path        latency that entry and agent add to a direct call
+";
+
+fn main() -> ExitCode {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let result = match name.as_str() {
+        "requests" => requests::run(),
+        "colocation" => colocation::run(),
+        "recovery" => recovery::run(),
+        "scale" => scale::run(),
+        "path" => path::run(),
+        _ => {
+            eprint!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/recovery.rs
@@ -0,0 +1,10 @@
+//! Time until all jobs run again after losses.
+
+/// Runs the measurement and prints its table.
+///
+/// # Errors
+///
+/// Fails when the measurement cannot be taken.
+pub fn run() -> eyre::Result<()> {
+    eyre::bail!("not measured yet")
+}
--- /dev/null
+++ b/crates/bench/src/requests.rs
@@ -0,0 +1,10 @@
+//! Request policy beside baselines, under overload and failures.
+
+/// Runs the measurement and prints its table.
+///
+/// # Errors
+///
+/// Fails when the measurement cannot be taken.
+pub fn run() -> eyre::Result<()> {
+    eyre::bail!("not measured yet")
+}
--- /dev/null
+++ b/crates/standins/src/demo.rs
@@ -0,0 +1,180 @@
+//! The whole path as separate processes, with failures; see `scripts/demo`.
+
+mod checks;
+mod cluster;
+mod feed;
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre, WrapErr};
+use peridotfold_wire::runtime;
+
+use crate::load::Load;
+use cluster::Cluster;
+use feed::Feed;
+
+const THREADS: usize = 4;
+const LOOKUPS_PER_SECOND: u32 = 200;
+const BIDS_PER_SECOND: u32 = 20;
+/// Bound for anything that the design promises within seconds.
+const SOON: Duration = Duration::from_secs(10);
+const JOBS_LIMIT: Duration = Duration::from_secs(40);
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// Fails when a process cannot be started, or when anything was lost, cut short or done twice.
+pub fn run(mut parser: lexopt::Parser) -> eyre::Result<()> {
+    let mut program = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("program") => program = Some(PathBuf::from(parser.value()?)),
+            arg => return Err(arg.unexpected().into()),
+        }
+    }
+    let program = program.ok_or_else(|| eyre!("--program is required"))?;
+    let directory = tempfile::tempdir()?;
+    runtime::start_threads(THREADS);
+    let result = play(&program, directory.path());
+    if result.is_err() {
+        // The logs explain the failure; they are lost with the directory otherwise.
+        let kept = directory.keep();
+        eprintln!("logs are kept in {}", kept.display());
+    }
+    result
+}
+
+fn play(program: &std::path::Path, directory: &std::path::Path) -> eyre::Result<()> {
+    let begin = Instant::now();
+    let step = |text: &str| println!("{:>5.1}s  {text}", begin.elapsed().as_secs_f64());
+
+    let mut cluster = Cluster::start(program, directory)?;
+    step("started the store, 2 entries and 3 VMs (worker, upstream, agent)");
+    configure(&cluster)?;
+    step("patch with a closing period applied; stale, future and invalid patches refused");
+    cluster.wait_ready(SOON)?;
+    step("all upstreams known at both entries");
+
+    let load = Load::new(&cluster.entry_addresses(), cluster::SERVICE, cluster::TOKEN);
+    let feed = Feed::open(&cluster, 2)?;
+    step("feed opened through entry-2 on vm-3");
+    let tasks = load.start(LOOKUPS_PER_SECOND, BIDS_PER_SECOND);
+    let jobs = submit_jobs(&cluster)?;
+    step("load started, jobs submitted");
+    runtime_sleep(2.0);
+
+    cluster.kill_agent(0)?;
+    step("killed the agent of vm-1");
+    runtime_sleep(1.5);
+    cluster.start_agent(0)?;
+    step("agent of vm-1 restarted");
+    runtime_sleep(2.0);
+
+    cluster.kill_entry(0)?;
+    step("killed entry-1");
+    runtime_sleep(2.0);
+    cluster.start_entry(0)?;
+    load.set_entry(0, cluster.entry_addresses()[0]);
+    step("entry-1 restarted");
+    runtime_sleep(2.0);
+
+    cluster.stop_agent(1)?;
+    step("stopped the agent of vm-2 gracefully under load");
+    cluster.start_agent(1)?;
+    runtime_sleep(1.0);
+
+    cluster.set_store_down(true)?;
+    step("store down");
+    runtime_sleep(2.0);
+    let refused = cluster.operator(&["config", "patch", "--base", "1", "-"], cluster::SECOND_PATCH)?;
+    ensure!(!refused.success, "a patch was accepted while the store was down: {}", refused.text);
+    cluster.set_store_down(false)?;
+    step("store up; the patch sent meanwhile was refused");
+    patch_when_back(&cluster)?;
+    step("second patch applied");
+
+    load.stop();
+    for task in tasks {
+        smol::block_on(task);
+    }
+    step("load ended");
+    let views = wait_jobs(&cluster, &jobs)?;
+    step("jobs ended");
+    let lines = feed.finish()?;
+    let report = checks::Report::collect(&cluster, &load, &views, lines)?;
+    cluster.stop()?;
+    step("all processes stopped gracefully");
+    report.print();
+    report.verdict()
+}
+
+fn runtime_sleep(seconds: f64) {
+    std::thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+fn configure(cluster: &Cluster) -> eyre::Result<()> {
+    let patch = |base: &str, text: &str| {
+        cluster.operator(&["config", "patch", "--base", base, "-"], text)
+    };
+    let first = cluster.first_patch();
+    let applied = patch("0", &first)?;
+    ensure!(applied.success, "first patch refused: {}", applied.text);
+    let stale = patch("0", cluster::SECOND_PATCH)?;
+    ensure!(!stale.success, "a stale patch was accepted");
+    println!("        stale patch: {}", stale.text.lines().next().unwrap_or_default());
+    let future = patch("7", cluster::SECOND_PATCH)?;
+    ensure!(!future.success, "a patch against a future version was accepted");
+    let invalid = patch("1", r#"{"closings":{"bad":{"services":["none"]}}}"#)?;
+    ensure!(!invalid.success, "an invalid patch was accepted");
+    Ok(())
+}
+
+fn submit_jobs(cluster: &Cluster) -> eyre::Result<Vec<String>> {
+    let jobs = [("rebuild-ct1", 6, 4000), ("rebuild-nova", 4, 6000), ("report-lots", 3, 2500)];
+    for (id, tasks, work) in jobs {
+        let spec = serde_json::json!({
+            "id": id, "class": "rebuild", "tasks": tasks, "cell": cluster::CELL,
+            "need": {"cpu_milli": 2000, "memory_mib": 2048, "accelerators": 0},
+            "command": format!("work_ms={work}"),
+        });
+        let answer = cluster.submit(&spec.to_string())?;
+        ensure!(answer.success, "job {id} refused: {}", answer.text);
+    }
+    let impossible = serde_json::json!({
+        "id": "too-large", "class": "rebuild", "tasks": 1, "cell": cluster::CELL,
+        "need": {"cpu_milli": 900_000, "memory_mib": 1, "accelerators": 0}, "command": "work_ms=1",
+    });
+    cluster.submit(&impossible.to_string())?;
+    Ok(jobs.iter().map(|(id, _, _)| (*id).to_owned()).collect())
+}
+
+fn patch_when_back(cluster: &Cluster) -> eyre::Result<()> {
+    let begin = Instant::now();
+    loop {
+        let base = cluster.version(1)?.to_string();
+        let answer = cluster
+            .operator(&["config", "patch", "--base", &base, "-"], cluster::SECOND_PATCH)
+            .wrap_err("patch after the outage")?;
+        if answer.success {
+            return cluster.wait_version(base.parse::<u64>()? + 1, SOON);
+        }
+        ensure!(begin.elapsed() < SOON, "no patch accepted after the outage: {}", answer.text);
+        runtime_sleep(0.2);
+    }
+}
+
+fn wait_jobs(cluster: &Cluster, jobs: &[String]) -> eyre::Result<Vec<serde_json::Value>> {
+    let begin = Instant::now();
+    loop {
+        let views: Vec<_> =
+            jobs.iter().map(|job| cluster.job(job)).collect::<eyre::Result<_>>().unwrap_or_default();
+        let done = |view: &serde_json::Value| view["state"] == "completed";
+        if views.len() == jobs.len() && views.iter().all(done) {
+            return Ok(views);
+        }
+        ensure!(begin.elapsed() < JOBS_LIMIT, "jobs did not end: {views:#?}");
+        runtime_sleep(0.3);
+    }
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,120 @@
+//! `peridotfold entry`.
+
+use peridotfold_entry::settings::Settings;
+use peridotfold_wire::runtime;
+
+use super::CommandError;
+use crate::logging;
+use crate::options::{Help, Opt, Values};
+
+const OPTIONS: &[Opt] = &[
+    Opt {
+        flag: "id",
+        value: "NAME",
+        help: "Name of this entry, kept across restarts",
+        default: None,
+    },
+    Opt { flag: "data-centre", value: "NAME", help: "Data centre of this VM", default: None },
+    Opt {
+        flag: "http",
+        value: "IP:PORT",
+        help: "Address for callers and operators; port 0 lets the kernel choose",
+        default: Some("0.0.0.0:8080"),
+    },
+    Opt {
+        flag: "internal",
+        value: "IP:PORT",
+        help: "Address for agents and other entries, as they reach it",
+        default: None,
+    },
+    Opt {
+        flag: "store",
+        value: "IP:PORT",
+        help: "Address of the platform's key-value store",
+        default: None,
+    },
+    Opt {
+        flag: "peers",
+        value: "IP:PORT,...",
+        help: "Internal addresses of other entries, asked for the configuration at start",
+        default: None,
+    },
+    Opt {
+        flag: "operator-digest",
+        value: "HEX",
+        help: "SHA-256 digest of the operators' token",
+        default: None,
+    },
+    Opt {
+        flag: "outage-hold",
+        value: "DURATION",
+        help: "Time without the store after which authority over cells and keys ends",
+        default: Some("10min"),
+    },
+    Opt {
+        flag: "dead-after",
+        value: "DURATION",
+        help: "Time without heartbeats after which another entry is dead",
+        default: Some("6s"),
+    },
+    Opt { flag: "threads", value: "N", help: "Threads of the pool", default: Some("2") },
+    Opt {
+        flag: "log",
+        value: "FILTER",
+        help: "Log filter, such as info or debug",
+        default: Some("info"),
+    },
+];
+
+pub const HELP: Help = Help {
+    usage: "peridotfold entry [OPTIONS]",
+    about: "Serves callers and operators, routes requests to agents and schedules batch work.\n\
+            Prints `listening http=IP:PORT internal=IP:PORT` once it serves; stops on SIGTERM.",
+    options: &[OPTIONS],
+};
+
+/// Settings of the process and of its runtime.
+#[derive(Debug)]
+pub struct Parsed {
+    settings: Settings,
+    threads: usize,
+    log: String,
+}
+
+/// Reads and checks all settings.
+///
+/// # Errors
+///
+/// Returns every problem at once. `Ok(None)` means that help was printed.
+pub fn parse(parser: lexopt::Parser) -> Result<Option<Parsed>, CommandError> {
+    let Some(mut values) = Values::read(parser, &HELP) else { return Ok(None) };
+    let settings = Settings {
+        id: values.name("id"),
+        data_centre: values.name("data-centre"),
+        http: values.address("http"),
+        internal: values.address("internal"),
+        store: values.address("store"),
+        peers: values.addresses("peers"),
+        operator_digest: values.digest("operator-digest"),
+        outage_hold: values.duration("outage-hold"),
+        dead_after: values.duration("dead-after"),
+    };
+    let threads = values.number("threads") as usize;
+    let log = values.text("log");
+    if !(1..=256).contains(&threads) {
+        values.problem("--threads: not between 1 and 256");
+    }
+    values.finish()?;
+    Ok(Some(Parsed { settings, threads, log }))
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails on invalid settings, or when the process cannot serve.
+pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
+    let Some(parsed) = parse(parser)? else { return Ok(()) };
+    logging::start(&parsed.log).map_err(|e| CommandError::usage(format!("--log: {e}")))?;
+    Ok(runtime::run(parsed.threads, peridotfold_entry::run(parsed.settings))?)
+}
