--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,10 +1,18 @@
 //! The operators' configuration document.
 
+pub mod patch;
+pub mod state;
+pub mod validate;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::patch::{apply_patch, decode_document, encode_document, merge_patch};
+pub use self::state::{ConfigState, UpdateError};
+pub use self::validate::{validate, Problem};
+
 use crate::id::{CellId, DataCentreId, ServiceId, TeamId};
 use crate::resources::Resources;
 
@@ -129,3 +137,18 @@
 fn default_lead_s() -> u64 {
     600
 }
+
+impl Closing {
+    /// Returns the start and the end.
+    ///
+    /// # Errors
+    ///
+    /// Names the field whose text is malformed.
+    pub fn period(&self) -> Result<(SystemTime, SystemTime), Problem> {
+        let parse = |field: &str, text: &str| {
+            humantime::parse_rfc3339(text)
+                .map_err(|error| Problem::new(field, format!("{text:?} is not RFC 3339: {error}")))
+        };
+        Ok((parse("start", &self.start)?, parse("end", &self.end)?))
+    }
+}
