--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,187 @@
+//! The platform's store over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use peridotfold_wire::error::Step;
+use peridotfold_wire::http_client::HttpClient;
+use serde::Deserialize;
+
+use crate::{PutOutcome, Store, StoreError, Versioned, VALUE_LIMIT};
+
+const VERSION_HEADER: &str = "x-version";
+
+/// Client of the store at one address.
+#[derive(Debug, Clone)]
+pub struct HttpStore {
+    client: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Listed {
+    key: String,
+    version: u64,
+    length: usize,
+}
+
+impl HttpStore {
+    /// Builds a client whose calls take at most `timeout`, in addition to the wait of a watch.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        HttpStore { client: HttpClient::default(), address, timeout }
+    }
+
+    fn error(&self, step: Step, detail: impl std::fmt::Display) -> StoreError {
+        StoreError::new(step, self.address.to_string(), detail)
+    }
+
+    fn decode_error(&self, detail: impl std::fmt::Display) -> StoreError {
+        self.error(Step::Decode, detail)
+    }
+
+    fn unexpected(&self, response: &Response<Bytes>) -> StoreError {
+        let text = String::from_utf8_lossy(&response.body()[..response.body().len().min(200)]);
+        self.error(Step::Receive, format!("status {}: {text}", response.status()))
+    }
+
+    async fn call(
+        &self,
+        kind: &'static str,
+        method: Method,
+        path: String,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let result = match is_plain(&path) {
+            true => self.client.simple(self.address, method, &path, body, limit).await,
+            // Such a key would need escapes, and the project's names need none.
+            false => {
+                count(kind, "invalid");
+                return Err(self.error(Step::Connect, format!("key with other characters: {path}")));
+            }
+        };
+        let label = match &result {
+            Ok(response) if response.status() == StatusCode::CONFLICT => "conflict",
+            Ok(response) if response.status().is_server_error() => "refused",
+            Ok(_) => "ok",
+            Err(error) if error.step == Step::Timeout => "timeout",
+            Err(_) => "failed",
+        };
+        count(kind, label);
+        Ok(result?)
+    }
+
+    fn versioned(&self, response: Response<Bytes>) -> Result<Versioned, StoreError> {
+        let version = response
+            .headers()
+            .get(VERSION_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| self.decode_error("the version is missing"))?;
+        Ok(Versioned { version, value: response.into_body() })
+    }
+}
+
+fn count(kind: &'static str, result: &'static str) {
+    metrics::counter!("store_calls_total", "kind" => kind, "result" => result).increment(1);
+}
+
+fn is_plain(path: &str) -> bool {
+    path.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"/-_.~:@?=&".contains(&byte))
+}
+
+fn is_key(key: &str) -> bool {
+    !key.is_empty() && !key.contains(['?', '&', '='])
+}
+
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let path = format!("/kv/{key}");
+        let response = self.call("get", Method::GET, path, Bytes::new(), self.timeout).await?;
+        match response.status() {
+            StatusCode::OK => self.versioned(response).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(self.unexpected(&response)),
+        }
+    }
+
+    async fn put(&self, key: &str, expect: u64, value: Bytes) -> Result<PutOutcome, StoreError> {
+        match value.len() {
+            _ if !is_key(key) => return Err(self.error(Step::Connect, "malformed key")),
+            length if length > VALUE_LIMIT => {
+                return Err(self.error(Step::Connect, format!("value of {length} bytes")))
+            }
+            _ => {}
+        }
+        let path = format!("/kv/{key}?expect={expect}");
+        let response = self.call("put", Method::PUT, path, value, self.timeout).await?;
+        let version = || {
+            let body: Result<Written, _> = serde_json::from_slice(response.body());
+            body.map(|body| body.version).map_err(|error| self.decode_error(error))
+        };
+        match response.status() {
+            StatusCode::OK => Ok(PutOutcome::Written(version()?)),
+            StatusCode::CONFLICT => Ok(PutOutcome::Conflict(version()?)),
+            _ => Err(self.unexpected(&response)),
+        }
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), StoreError> {
+        let path = format!("/kv/{key}");
+        let response =
+            self.call("delete", Method::DELETE, path, Bytes::new(), self.timeout).await?;
+        match response.status() {
+            // The body is parsed so that a cut response is not taken for success.
+            StatusCode::OK => serde_json::from_slice::<serde_json::Value>(response.body())
+                .map(|_| ())
+                .map_err(|error| self.decode_error(error)),
+            _ => Err(self.unexpected(&response)),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<(String, Versioned)>, StoreError> {
+        let path = format!("/list/{prefix}");
+        let response = self.call("list", Method::GET, path, Bytes::new(), self.timeout).await?;
+        if response.status() != StatusCode::OK {
+            return Err(self.unexpected(&response));
+        }
+        let mut values = response.into_body();
+        let line = values.iter().position(|byte| *byte == b'\n');
+        let line = line.ok_or_else(|| self.decode_error("the index is missing"))?;
+        let index = values.split_to(line + 1);
+        let index: Vec<Listed> =
+            serde_json::from_slice(&index).map_err(|error| self.decode_error(error))?;
+        let mut found = Vec::with_capacity(index.len());
+        for Listed { key, version, length } in index {
+            if values.len() < length {
+                return Err(self.decode_error("a value is cut"));
+            }
+            found.push((key, Versioned { version, value: values.split_to(length) }));
+        }
+        Ok(found)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        let path = format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
+        let limit = self.timeout + wait;
+        let response = self.call("watch", Method::GET, path, Bytes::new(), limit).await?;
+        match response.status() {
+            StatusCode::OK => self.versioned(response).map(Some),
+            StatusCode::NO_CONTENT => Ok(None),
+            _ => Err(self.unexpected(&response)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/journal/format.rs
@@ -0,0 +1,115 @@
+//! Values that a journal keeps in the store.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::journal::JournalError;
+
+/// First byte of each value, so that a later format can be told from this one.
+const FORMAT: u8 = 1;
+
+/// Records that were committed by one write.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Batch {
+    pub writer: u64,
+    pub number: u64,
+    pub records: Vec<Bytes>,
+}
+
+/// Writer and number of the batch whose first record has this sequence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Tag {
+    pub first: u64,
+    pub writer: u64,
+    pub number: u64,
+}
+
+/// Value of `<name>/log`: the batches since the last rotation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Log {
+    /// Sequence of the first record.
+    pub first: u64,
+    pub batches: Vec<Batch>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { first: 1, batches: Vec::new() }
+    }
+}
+
+impl Log {
+    /// Sequence of the last record, or of the one before `first`.
+    pub fn last(&self) -> u64 {
+        let count: usize = self.batches.iter().map(|batch| batch.records.len()).sum();
+        self.first + count as u64 - 1
+    }
+
+    /// Returns all records with their sequences.
+    pub fn records(&self) -> impl Iterator<Item = (u64, &Bytes)> {
+        (self.first..).zip(self.batches.iter().flat_map(|batch| &batch.records))
+    }
+
+    /// Returns the tag of each batch.
+    pub fn tags(&self) -> impl Iterator<Item = Tag> + '_ {
+        self.batches.iter().scan(self.first, |next, batch| {
+            let first = *next;
+            *next += batch.records.len() as u64;
+            Some(Tag { first, writer: batch.writer, number: batch.number })
+        })
+    }
+}
+
+/// Value of `<name>/snap`: the state after the record `sequence`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Snap {
+    pub sequence: u64,
+    /// Encoded state; empty for the default state.
+    pub state: Bytes,
+    /// Tags of the last batches up to `sequence`.
+    pub recent: Vec<Tag>,
+    /// First sequence of each archived segment, in order.
+    pub segments: Vec<u64>,
+}
+
+/// Value of `<name>/archive/<first>`: a former log and the state before it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Segment {
+    pub base: Bytes,
+    pub log: Log,
+}
+
+pub(crate) fn encode<T: Serialize>(key: &str, value: &T) -> Result<Bytes, JournalError> {
+    let mut buffer = BytesMut::new().writer();
+    buffer.get_mut().put_u8(FORMAT);
+    bincode::serde::encode_into_std_write(value, &mut buffer, bincode::config::standard())
+        .map_err(|error| JournalError::Corrupt { key: key.into(), detail: error.to_string() })?;
+    Ok(buffer.into_inner().freeze())
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, JournalError> {
+    let corrupt = |detail: String| JournalError::Corrupt { key: key.into(), detail };
+    let content = match value.split_first() {
+        Some((&FORMAT, content)) => content,
+        Some((format, _)) => return Err(corrupt(format!("unknown format {format}"))),
+        None => return Err(corrupt("empty value".into())),
+    };
+    let (decoded, length) = bincode::serde::decode_from_slice(content, bincode::config::standard())
+        .map_err(|error| corrupt(error.to_string()))?;
+    match length == content.len() {
+        true => Ok(decoded),
+        false => Err(corrupt(format!("{} bytes after the end", content.len() - length))),
+    }
+}
+
+/// Decodes a state; an empty text is the default one.
+pub(crate) fn decode_state<R>(key: &str, state: &[u8]) -> Result<R, JournalError>
+where
+    R: DeserializeOwned + Default,
+{
+    match state.is_empty() {
+        true => Ok(R::default()),
+        false => decode(key, state),
+    }
+}
--- /dev/null
+++ b/crates/store/src/repository.rs
@@ -0,0 +1,286 @@
+//! Numbered configuration versions in the journal `config`.
+
+mod history;
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::RwLock;
+use peridotfold_core::config::{apply_patch, encode_document, ConfigState, Document, Problem};
+use peridotfold_core::id::ConfigVersion;
+use peridotfold_core::message::announce::ConfigUpdate;
+use peridotfold_wire::runtime;
+use smol::lock::Mutex;
+
+use self::history::{Change, History};
+use crate::journal::{archive, Journal, JournalError};
+use crate::Store;
+
+/// Name of the journal.
+pub const JOURNAL: &str = "config";
+/// Rounds of one submission that may lose to a log rewrite without new versions.
+const ROUNDS: usize = 8;
+/// Attempts to find out what became of a write, and the pause after the first one.
+const RESOLVE_TRIES: u32 = 3;
+const RESOLVE_PAUSE: Duration = Duration::from_millis(50);
+const AUTHOR_LIMIT: usize = 256;
+
+/// A patch that was not accepted, or may not have been.
+#[derive(Debug)]
+pub enum SubmitError {
+    /// Another patch won on the base version; `author` sent the winner, which is version base + 1.
+    /// `author` is empty if that version is no longer kept.
+    Stale { current: ConfigVersion, author: String },
+    /// The base version does not exist yet.
+    Future { current: ConfigVersion },
+    /// The patch or its result is faulty.
+    Invalid(Vec<Problem>),
+    /// The patch was not applied.
+    Unavailable(JournalError),
+    /// The patch may have been applied; the base version tells once the store answers again.
+    Unknown(JournalError),
+}
+
+impl fmt::Display for SubmitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SubmitError::Stale { current, author } => {
+                write!(f, "the base is outdated: {author} was first; version {current} is current")
+            }
+            SubmitError::Future { current } => {
+                write!(f, "the base does not exist; version {current} is current")
+            }
+            SubmitError::Invalid(problems) => {
+                let texts: Vec<String> = problems.iter().map(Problem::to_string).collect();
+                write!(f, "invalid: {}", texts.join("; "))
+            }
+            SubmitError::Unavailable(error) => write!(f, "not applied: {error}"),
+            SubmitError::Unknown(error) => write!(f, "may have been applied: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for SubmitError {}
+
+/// The configuration versions, as one process knows them.
+#[derive(Debug, Clone)]
+pub struct ConfigRepository<S: Store> {
+    shared: Arc<Shared<S>>,
+}
+
+/// Lock order: journal, state. The journal's lock is asynchronous and held during its calls of the
+/// store; the state's is never held across an await.
+#[derive(Debug)]
+struct Shared<S: Store> {
+    store: S,
+    journal: Mutex<Journal<S, History>>,
+    state: RwLock<ConfigState>,
+}
+
+impl<S: Store> ConfigRepository<S> {
+    /// Reads the current version. `writer` must be different for each process and start.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer or holds something malformed.
+    pub async fn open(store: S, writer: u64) -> Result<Self, JournalError> {
+        let journal = Journal::open(store.clone(), JOURNAL, writer).await?.with_archive();
+        let state = RwLock::new(ConfigState::default());
+        publish(&state, &journal);
+        Ok(ConfigRepository {
+            shared: Arc::new(Shared { store, journal: Mutex::new(journal), state }),
+        })
+    }
+
+    /// Returns the newest version known to this process. It never falls.
+    pub fn current(&self) -> (ConfigVersion, Arc<Document>) {
+        let state = self.shared.state.read();
+        (state.version, state.document.clone())
+    }
+
+    /// Returns what a process at `version` lacks.
+    pub fn update_since(&self, version: ConfigVersion) -> ConfigUpdate {
+        let state = self.shared.state.read().clone();
+        state.update_since(version)
+    }
+
+    /// Returns the last versions with their authors, oldest first.
+    pub async fn recent(&self) -> Vec<(ConfigVersion, String)> {
+        let journal = self.shared.journal.lock().await;
+        journal.state().recent().map(|(version, c)| (version, c.author.clone())).collect()
+    }
+
+    /// Returns the document of a version as JSON, or `None` if the version does not exist or is no
+    /// longer kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the version is not the current one and the store does not answer.
+    pub async fn document_at(&self, version: ConfigVersion) -> Result<Option<Bytes>, JournalError> {
+        let state = self.shared.state.read().clone();
+        if state.version == version {
+            return Ok(Some(state.encoded()));
+        }
+        let found = archive::past::<S, History>(&self.shared.store, JOURNAL, version).await?;
+        let Some((history, _)) = found else { return Ok(None) };
+        let document = history.document().map_err(|problems| corrupt(version, &problems))?;
+        Ok(Some(encode_document(&document)))
+    }
+
+    /// Applies a patch to the version `base` if that is still the current one.
+    ///
+    /// # Errors
+    ///
+    /// See [`SubmitError`]. All of them but [`SubmitError::Unknown`] mean that the patch was not
+    /// and will not be applied.
+    pub async fn submit(
+        &self,
+        base: ConfigVersion,
+        patch: Bytes,
+        author: &str,
+    ) -> Result<ConfigVersion, SubmitError> {
+        if author.len() > AUTHOR_LIMIT {
+            let detail = format!("the author's name exceeds {AUTHOR_LIMIT} bytes");
+            return Err(SubmitError::Invalid(vec![Problem::new("", detail)]));
+        }
+        let mut journal = self.shared.journal.lock().await;
+        let result = self.submit_locked(&mut journal, base, patch, author).await;
+        publish(&self.shared.state, &journal);
+        drop(journal);
+        match result {
+            Err(SubmitError::Stale { current, .. }) => {
+                let author = self.author_of(base + 1).await;
+                Err(SubmitError::Stale { current, author })
+            }
+            result => result,
+        }
+    }
+
+    async fn submit_locked(
+        &self,
+        journal: &mut Journal<S, History>,
+        base: ConfigVersion,
+        patch: Bytes,
+        author: &str,
+    ) -> Result<ConfigVersion, SubmitError> {
+        // An earlier submission must not be continued by this one, even if it is the same patch.
+        journal.resolve().await.map_err(SubmitError::Unavailable)?;
+        for _ in 0..ROUNDS {
+            if base > journal.sequence() {
+                journal.refresh().await.map_err(SubmitError::Unavailable)?;
+            }
+            let current = journal.sequence();
+            if base > current {
+                return Err(SubmitError::Future { current });
+            }
+            if base < current {
+                return Err(SubmitError::Stale { current, author: String::new() });
+            }
+            let document = journal.state().document().map_err(SubmitError::Invalid)?;
+            apply_patch(&document, &patch).map_err(SubmitError::Invalid)?;
+            let change = Change { author: author.to_owned(), patch: patch.clone() };
+            match journal.append(vec![change]).await {
+                Ok(()) => return Ok(base + 1),
+                Err(JournalError::Fenced) => {
+                    journal.refresh().await.map_err(SubmitError::Unavailable)?;
+                }
+                Err(JournalError::Undetermined) => {
+                    return Err(SubmitError::Unknown(JournalError::Undetermined))
+                }
+                Err(error) if journal.is_unresolved() => {
+                    if resolve(journal, error).await? {
+                        return Ok(base + 1);
+                    }
+                }
+                Err(error) => return Err(SubmitError::Unavailable(error)),
+            }
+        }
+        Err(SubmitError::Unavailable(JournalError::Fenced))
+    }
+
+    async fn author_of(&self, version: ConfigVersion) -> String {
+        let recent = self.recent().await;
+        if let Some((_, author)) = recent.into_iter().find(|(number, _)| *number == version) {
+            return author;
+        }
+        match archive::past::<S, History>(&self.shared.store, JOURNAL, version).await {
+            Ok(Some((_, Some(change)))) => change.author,
+            Ok(_) => String::new(),
+            Err(error) => {
+                tracing::warn!(event = "author_not_found", version, %error);
+                String::new()
+            }
+        }
+    }
+
+    /// Waits up to `wait` for a version higher than `after`, and adopts it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer or holds something malformed.
+    pub async fn wait_for_change(
+        &self,
+        after: ConfigVersion,
+        wait: Duration,
+    ) -> Result<Option<(ConfigVersion, Arc<Document>)>, JournalError> {
+        let end = runtime::now() + wait;
+        loop {
+            let log_version = {
+                let journal = self.shared.journal.lock().await;
+                // A submission may have been dropped before it published its version.
+                publish(&self.shared.state, &journal);
+                journal.log_version()
+            };
+            let current = self.current();
+            if current.0 > after {
+                return Ok(Some(current));
+            }
+            let left = end.saturating_sub(runtime::now());
+            let key = archive::log_key(JOURNAL);
+            let changed = self.shared.store.watch(&key, log_version, left).await;
+            if changed.map_err(JournalError::Unavailable)?.is_none() {
+                return Ok(None);
+            }
+            let mut journal = self.shared.journal.lock().await;
+            journal.refresh().await?;
+        }
+    }
+}
+
+fn corrupt(version: ConfigVersion, problems: &[Problem]) -> JournalError {
+    let texts: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    JournalError::Corrupt { key: format!("{JOURNAL} version {version}"), detail: texts.join("; ") }
+}
+
+/// Finds out whether an append was committed after the store failed to tell.
+async fn resolve<S: Store>(
+    journal: &mut Journal<S, History>,
+    first_error: JournalError,
+) -> Result<bool, SubmitError> {
+    let mut last = first_error;
+    for attempt in 0..RESOLVE_TRIES {
+        runtime::sleep(RESOLVE_PAUSE * 2_u32.pow(attempt)).await;
+        match journal.resolve().await {
+            Ok(true) => return Ok(true),
+            Ok(false) => return Err(SubmitError::Unavailable(last)),
+            Err(JournalError::Undetermined) => {
+                return Err(SubmitError::Unknown(JournalError::Undetermined))
+            }
+            Err(error) => last = error,
+        }
+    }
+    Err(SubmitError::Unknown(last))
+}
+
+/// Makes the journal's version the one in effect. A document that this release cannot read is
+/// skipped: the process keeps the last one that it understood.
+fn publish<S: Store>(state: &RwLock<ConfigState>, journal: &Journal<S, History>) {
+    let history = journal.state();
+    let mut state = state.write();
+    let update = history.update_since(state.version);
+    if let Err(error) = state.apply_update(&update) {
+        tracing::error!(event = "config_not_applied", version = history.version, %error);
+    }
+}
