--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -173,7 +173,8 @@
         self.range(field("queue"), service.queue.into(), 0, QUEUE_LIMIT.into());
         self.range(field("timeout_ms"), service.timeout_ms, 1, TIMEOUT_LIMIT_MS);
         self.range(field("target_ms"), service.target_ms, 1, TIMEOUT_LIMIT_MS);
-        if service.connections < service.slots && service.connections > 0 {
+        let is_in_range = service.connections > 0 && service.slots <= SLOT_LIMIT;
+        if is_in_range && service.connections < service.slots {
             self.report(field("connections"), "is less than slots; a request takes a connection");
         }
     }
