--- a/crates/store/src/repository.rs
+++ b/crates/store/src/repository.rs
@@ -165,12 +165,10 @@
         patch: Bytes,
         author: &str,
     ) -> Result<ConfigVersion, SubmitError> {
-        // An earlier submission must not be continued by this one, even if it is the same patch.
-        journal.resolve().await.map_err(SubmitError::Unavailable)?;
         for _ in 0..ROUNDS {
-            if base > journal.sequence() {
-                journal.refresh().await.map_err(SubmitError::Unavailable)?;
-            }
+            // This settles an earlier submission, which must not be continued by this one even if
+            // it is the same patch. While the store is down, it tells so before anything is sent.
+            journal.refresh().await.map_err(SubmitError::Unavailable)?;
             let current = journal.sequence();
             if base > current {
                 return Err(SubmitError::Future { current });
@@ -183,9 +181,7 @@
             let change = Change { author: author.to_owned(), patch: patch.clone() };
             match journal.append(vec![change]).await {
                 Ok(()) => return Ok(base + 1),
-                Err(JournalError::Fenced) => {
-                    journal.refresh().await.map_err(SubmitError::Unavailable)?;
-                }
+                Err(JournalError::Fenced) => {}
                 Err(JournalError::Undetermined) => {
                     return Err(SubmitError::Unknown(JournalError::Undetermined))
                 }
--- /dev/null
+++ b/crates/store/tests/suite/faults.rs
@@ -0,0 +1,203 @@
+//! A store whose writes fail by a script.
+
+use std::collections::HashMap;
+use std::future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use peridotfold_store::{HttpStore, PutOutcome, Store, StoreError, Versioned};
+use peridotfold_wire::error::Step;
+use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
+
+/// What happens to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It takes effect, but its response is lost.
+    Lost,
+    /// It has no effect, and the caller cannot know.
+    Refused,
+    /// It certainly did not reach the store.
+    NotSent,
+    /// It seems lost and takes effect just before the next write does.
+    Late,
+    /// It takes effect, and the writer ends.
+    CrashAfter,
+    /// The writer ends before it takes effect.
+    CrashBefore,
+    /// It waits for [`Script::release`].
+    Paused,
+}
+
+#[derive(Debug)]
+pub struct Script {
+    faults: HashMap<usize, Fault>,
+    puts: usize,
+    failing_gets: usize,
+    gets_after_fault: usize,
+    late: Vec<(String, u64, Bytes)>,
+    late_outcomes: Vec<PutOutcome>,
+    signals: [(Trigger, Shutdown); 3],
+}
+
+/// A store that obeys a script. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Scripted {
+    inner: HttpStore,
+    script: Arc<Mutex<Script>>,
+}
+
+const CRASHED: usize = 0;
+const PAUSED: usize = 1;
+const RELEASED: usize = 2;
+
+impl Scripted {
+    /// `faults` names writes by their number, from 0.
+    pub fn new(inner: HttpStore, faults: impl IntoIterator<Item = (usize, Fault)>) -> Self {
+        let script = Script {
+            faults: faults.into_iter().collect(),
+            puts: 0,
+            failing_gets: 0,
+            gets_after_fault: 0,
+            late: Vec::new(),
+            late_outcomes: Vec::new(),
+            signals: [shutdown::channel(), shutdown::channel(), shutdown::channel()],
+        };
+        Scripted { inner, script: Arc::new(Mutex::new(script)) }
+    }
+
+    /// Number of writes so far.
+    pub fn puts(&self) -> usize {
+        self.script.lock().puts
+    }
+
+    /// Makes the next reads fail.
+    pub fn fail_gets(&self, count: usize) {
+        self.script.lock().failing_gets = count;
+    }
+
+    /// Adds a fault for the write that follows `after` further ones.
+    pub fn fail_put(&self, after: usize, fault: Fault) {
+        let mut script = self.script.lock();
+        let number = script.puts + after;
+        script.faults.insert(number, fault);
+    }
+
+    /// Adds a fault for the next write, and lets the reads that follow it fail.
+    pub fn fail_put_then_gets(&self, fault: Fault, gets: usize) {
+        self.fail_put(0, fault);
+        self.script.lock().gets_after_fault = gets;
+    }
+
+    /// Returns once the writer has ended by a fault.
+    pub async fn crashed(&self) {
+        self.wait(CRASHED).await;
+    }
+
+    /// Returns once a write is paused.
+    pub async fn paused(&self) {
+        self.wait(PAUSED).await;
+    }
+
+    /// Lets a paused write go on.
+    pub fn release(&self) {
+        self.fire(RELEASED);
+    }
+
+    /// Performs the late writes; returns the outcomes of all so far.
+    pub async fn deliver_late(&self) -> Vec<PutOutcome> {
+        let late = std::mem::take(&mut self.script.lock().late);
+        for (key, expect, value) in late {
+            let outcome = self.inner.put(&key, expect, value).await.unwrap();
+            self.script.lock().late_outcomes.push(outcome);
+        }
+        self.script.lock().late_outcomes.clone()
+    }
+
+    async fn wait(&self, signal: usize) {
+        let signal = self.script.lock().signals[signal].1.clone();
+        signal.wait().await;
+    }
+
+    fn fire(&self, signal: usize) {
+        self.script.lock().signals[signal].0.fire();
+    }
+
+    fn error(&self, step: Step) -> StoreError {
+        StoreError::new(step, "script", "scripted fault")
+    }
+}
+
+impl Store for Scripted {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let is_failing = {
+            let mut script = self.script.lock();
+            let is_failing = script.failing_gets > 0;
+            script.failing_gets = script.failing_gets.saturating_sub(1);
+            is_failing
+        };
+        match is_failing {
+            true => Err(self.error(Step::Receive)),
+            false => self.inner.get(key).await,
+        }
+    }
+
+    async fn put(&self, key: &str, expect: u64, value: Bytes) -> Result<PutOutcome, StoreError> {
+        let fault = {
+            let mut script = self.script.lock();
+            script.puts += 1;
+            let number = script.puts - 1;
+            let fault = script.faults.get(&number).copied();
+            if fault.is_some() {
+                script.failing_gets += std::mem::take(&mut script.gets_after_fault);
+            }
+            fault
+        };
+        self.deliver_late().await;
+        match fault {
+            None => self.inner.put(key, expect, value).await,
+            Some(Fault::Lost) => {
+                self.inner.put(key, expect, value).await?;
+                Err(self.error(Step::Receive))
+            }
+            Some(Fault::Refused) => Err(self.error(Step::Receive)),
+            Some(Fault::NotSent) => Err(self.error(Step::Connect)),
+            Some(Fault::Late) => {
+                self.script.lock().late.push((key.to_owned(), expect, value));
+                Err(self.error(Step::Timeout))
+            }
+            Some(Fault::CrashAfter) => {
+                self.inner.put(key, expect, value).await?;
+                self.fire(CRASHED);
+                future::pending().await
+            }
+            Some(Fault::CrashBefore) => {
+                self.fire(CRASHED);
+                future::pending().await
+            }
+            Some(Fault::Paused) => {
+                self.fire(PAUSED);
+                self.wait(RELEASED).await;
+                self.inner.put(key, expect, value).await
+            }
+        }
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), StoreError> {
+        self.inner.delete(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<(String, Versioned)>, StoreError> {
+        self.inner.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        self.inner.watch(key, after, wait).await
+    }
+}
--- /dev/null
+++ b/crates/store/tests/suite/journal.rs
@@ -0,0 +1,286 @@
+//! Guards against records that are lost, committed twice or out of order, and against an owner
+//! that commits after it was fenced off, whatever write fails.
+
+use peridotfold_store::journal::{archive, Journal, JournalError, Replay};
+use peridotfold_store::HttpStore;
+use serde::{Deserialize, Serialize};
+use smol::future::or;
+
+use crate::faults::{Fault, Scripted};
+use crate::{run, start};
+
+/// Records in the order of their application. Padding makes the log rotate every few records.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct Values(Vec<u32>);
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Added {
+    value: u32,
+    padding: String,
+}
+
+impl Replay for Values {
+    type Record = Added;
+
+    fn apply(&mut self, record: &Added) {
+        self.0.push(record.value);
+    }
+}
+
+type Log<S> = Journal<S, Values>;
+
+fn added(value: u32) -> Vec<Added> {
+    vec![Added { value, padding: "x".repeat(6000) }]
+}
+
+const RECORDS: u32 = 14;
+
+fn expected() -> Vec<u32> {
+    (0..RECORDS).collect()
+}
+
+async fn replayed(store: &HttpStore) -> Vec<u32> {
+    let journal = Log::open(store.clone(), "j", 99).await.unwrap();
+    assert_eq!(journal.sequence(), journal.state().0.len() as u64);
+    journal.state().0.clone()
+}
+
+async fn open(store: &Scripted, writer: u64) -> Log<Scripted> {
+    Log::open(store.clone(), "j", writer).await.unwrap().with_archive()
+}
+
+/// Appends each value, repeating it while the store is unavailable.
+async fn append_all(journal: &mut Log<Scripted>, values: impl Iterator<Item = u32>) {
+    for value in values {
+        loop {
+            match journal.append(added(value)).await {
+                Ok(()) => break,
+                Err(JournalError::Unavailable(_)) => {}
+                Err(error) => panic!("{value}: {error}"),
+            }
+        }
+    }
+}
+
+async fn writes_of_undisturbed_run() -> usize {
+    let (_stand_in, store) = start().await;
+    let scripted = Scripted::new(store.clone(), []);
+    append_all(&mut open(&scripted, 1).await, 0..RECORDS).await;
+    assert_eq!(replayed(&store).await, expected());
+    // At least two rotations, each with an archived segment and a snapshot.
+    assert!(scripted.puts() >= RECORDS as usize + 4, "{}", scripted.puts());
+    scripted.puts()
+}
+
+#[test]
+fn each_fault_at_each_write_commits_each_record_once() {
+    run(async {
+        let writes = writes_of_undisturbed_run().await;
+        let faults = [Fault::Lost, Fault::Refused, Fault::NotSent, Fault::Late];
+        let pairs = faults.iter().flat_map(|a| faults.iter().map(|b| vec![*a, *b]));
+        let sequences: Vec<Vec<Fault>> =
+            faults.iter().map(|fault| vec![*fault]).chain(pairs).collect();
+        for faults in &sequences {
+            for at in 0..writes {
+                for failing_gets in [0, 1] {
+                    let (_stand_in, store) = start().await;
+                    let script = faults.iter().enumerate().map(|(i, fault)| (at + i, *fault));
+                    let scripted = Scripted::new(store.clone(), script);
+                    let mut journal = open(&scripted, 1).await;
+                    for value in 0..RECORDS {
+                        if scripted.puts() <= at && failing_gets > 0 {
+                            scripted.fail_gets(failing_gets);
+                        }
+                        append_all(&mut journal, value..value + 1).await;
+                    }
+                    scripted.deliver_late().await;
+                    let case = format!("{faults:?} at write {at}, {failing_gets} failing reads");
+                    assert_eq!(journal.state().0, expected(), "{case}");
+                    assert_eq!(replayed(&store).await, expected(), "{case}");
+                }
+            }
+        }
+    });
+}
+
+/// Covers in particular the crash between the snapshot and the clearing of the log.
+#[test]
+fn a_crash_at_each_write_loses_and_repeats_nothing() {
+    run(async {
+        let writes = writes_of_undisturbed_run().await;
+        for at in 0..writes {
+            for fault in [Fault::CrashBefore, Fault::CrashAfter] {
+                let (_stand_in, store) = start().await;
+                let scripted = Scripted::new(store.clone(), [(at, fault)]);
+                let mut journal = open(&scripted, 1).await;
+                or(append_all(&mut journal, 0..RECORDS), scripted.crashed()).await;
+                let committed = journal.sequence() as u32;
+                drop(journal);
+                let mut successor = open(&scripted, 2).await;
+                let found = successor.state().0.len() as u32;
+                let case = format!("{fault:?} at write {at}");
+                assert!(found >= committed && found <= committed + 1, "{case}: {found}");
+                append_all(&mut successor, found..RECORDS).await;
+                assert_eq!(replayed(&store).await, expected(), "{case}");
+                for sequence in 0..=u64::from(RECORDS) {
+                    let past = archive::past::<_, Values>(&store, "j", sequence).await.unwrap();
+                    let state = past.unwrap_or_else(|| panic!("{case}: no state {sequence}")).0;
+                    assert_eq!(state.0, expected()[..sequence as usize], "{case}");
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn an_owner_paused_at_any_write_is_fenced_off() {
+    run(async {
+        let writes = writes_of_undisturbed_run().await;
+        for at in 0..writes {
+            for successors in [1, 9] {
+                let (_stand_in, store) = start().await;
+                let scripted = Scripted::new(store.clone(), [(at, Fault::Paused)]);
+                let plain = Scripted::new(store.clone(), []);
+                let mut old = open(&scripted, 1).await;
+                let takeover = async {
+                    scripted.paused().await;
+                    let mut new = open(&plain, 2).await;
+                    append_all(&mut new, 100..100 + successors).await;
+                    scripted.release();
+                    new
+                };
+                let appends = async {
+                    for value in 0..RECORDS {
+                        if let Err(error) = old.append(added(value)).await {
+                            assert!(matches!(error, JournalError::Fenced), "{error}");
+                            return old.sequence() as u32;
+                        }
+                    }
+                    panic!("never fenced off");
+                };
+                let (mut new, kept) = smol::future::zip(takeover, appends).await;
+                append_all(&mut new, 200..205).await;
+                let case = format!("paused at write {at}, {successors} records after");
+                let expected: Vec<u32> =
+                    (0..kept).chain(100..100 + successors).chain(200..205).collect();
+                assert_eq!(new.state().0, expected, "{case}");
+                assert_eq!(replayed(&store).await, expected, "{case}");
+                // The fenced owner can follow again, and appends only on top of what it has read.
+                assert!(matches!(old.append(added(1)).await, Err(JournalError::Fenced)));
+                assert!(old.refresh().await.unwrap());
+                assert_eq!(old.state().0, expected, "{case}");
+            }
+        }
+    });
+}
+
+#[test]
+fn an_unknown_outcome_is_resolved_for_good() {
+    run(async {
+        for (fault, is_committed) in
+            [(Fault::Lost, true), (Fault::Refused, false), (Fault::Late, false)]
+        {
+            let (_stand_in, store) = start().await;
+            let scripted = Scripted::new(store.clone(), []);
+            let mut journal = open(&scripted, 1).await;
+            append_all(&mut journal, 0..3).await;
+            scripted.fail_put(0, fault);
+            scripted.fail_gets(2);
+            let error = journal.append(added(3)).await.unwrap_err();
+            assert!(matches!(error, JournalError::Unavailable(_)), "{error}");
+            assert!(journal.is_unresolved());
+            assert!(journal.resolve().await.is_err(), "the store is still down");
+            assert!(journal.is_unresolved());
+            // A late write lands during the resolution itself; either outcome may be found, but
+            // it has to be the final one.
+            let found = journal.resolve().await.unwrap();
+            assert!(found == is_committed || fault == Fault::Late, "{fault:?}");
+            scripted.deliver_late().await;
+            let kept = 3 + u32::from(found);
+            assert_eq!(replayed(&store).await, (0..kept).collect::<Vec<_>>(), "{fault:?}");
+            append_all(&mut journal, kept..6).await;
+            assert_eq!(replayed(&store).await, (0..6).collect::<Vec<_>>(), "{fault:?}");
+        }
+    });
+}
+
+#[test]
+fn a_write_that_arrives_after_the_resolution_has_no_effect() {
+    run(async {
+        let (_stand_in, store) = start().await;
+        let scripted = Scripted::new(store.clone(), []);
+        let mut journal = open(&scripted, 1).await;
+        append_all(&mut journal, 0..3).await;
+        scripted.fail_put(0, Fault::Paused);
+        let abandoned = async { journal.append(added(3)).await.map(|()| false) };
+        let is_paused = or(abandoned, async {
+            scripted.paused().await;
+            Ok(true)
+        });
+        assert!(is_paused.await.unwrap());
+        // The caller gave up while its write was under way: its content is sent again later.
+        let held = peridotfold_store::Store::get(&store, "j/log").await.unwrap().unwrap();
+        assert!(journal.is_unresolved());
+        assert!(!journal.resolve().await.unwrap());
+        let late = peridotfold_store::Store::put(&store, "j/log", held.version, held.value).await;
+        assert!(matches!(late.unwrap(), peridotfold_store::PutOutcome::Conflict(_)));
+        assert_eq!(replayed(&store).await, [0, 1, 2]);
+    });
+}
+
+/// The response of a commit is lost, and others rotate the log before the writer can ask.
+#[test]
+fn a_lost_response_is_resolved_after_rotations_by_others() {
+    run(async {
+        for (fault, others) in
+            [(Fault::Lost, 1), (Fault::Lost, 20), (Fault::Refused, 1), (Fault::Refused, 20)]
+        {
+            let (_stand_in, store) = start().await;
+            let scripted = Scripted::new(store.clone(), []);
+            let mut journal = open(&scripted, 1).await;
+            append_all(&mut journal, 0..2).await;
+            scripted.fail_put(0, fault);
+            scripted.fail_gets(1);
+            assert!(journal.append(added(2)).await.is_err());
+            let mut other = open(&Scripted::new(store.clone(), []), 2).await;
+            append_all(&mut other, 100..100 + others).await;
+            assert_eq!(
+                journal.resolve().await.unwrap(),
+                fault == Fault::Lost,
+                "{fault:?} {others}"
+            );
+            assert_eq!(journal.state(), other.state());
+            let copies = other.state().0.iter().filter(|value| **value == 2).count();
+            assert_eq!(copies, usize::from(fault == Fault::Lost));
+        }
+    });
+}
+
+#[test]
+fn records_that_fit_no_value_are_refused_whole() {
+    run(async {
+        let (_stand_in, store) = start().await;
+        let mut journal = open(&Scripted::new(store.clone(), []), 1).await;
+        append_all(&mut journal, 0..2).await;
+        let huge = Added { value: 2, padding: "x".repeat(2 * 1024 * 1024) };
+        let both = vec![added(7).remove(0), huge];
+        assert!(matches!(journal.append(both).await, Err(JournalError::TooLarge)));
+        append_all(&mut journal, 2..3).await;
+        assert_eq!(replayed(&store).await, [0, 1, 2]);
+    });
+}
+
+#[test]
+fn malformed_values_are_reported_with_their_key() {
+    run(async {
+        for value in ["", "\u{1}", "\u{9}abc", "\u{1}\u{1}\u{0}trailing"] {
+            let (_stand_in, store) = start().await;
+            let value = bytes::Bytes::copy_from_slice(value.as_bytes());
+            peridotfold_store::Store::put(&store, "j/log", 0, value).await.unwrap();
+            match Log::open(store, "j", 1).await {
+                Err(JournalError::Corrupt { key, .. }) => assert_eq!(key, "j/log"),
+                other => panic!("{other:?}"),
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/store/tests/suite/main.rs
@@ -0,0 +1,40 @@
+//! The store client, the journal and the configuration repository against the stand-in.
+
+mod contract;
+mod faults;
+mod journal;
+mod racing;
+mod repository;
+
+use std::future::Future;
+use std::sync::Once;
+use std::time::Duration;
+
+use peridotfold_standins::store::{Options, Store as StandIn};
+use peridotfold_store::HttpStore;
+use peridotfold_wire::runtime;
+
+/// Longer than any pause of a busy machine; tests that wait for a time-out choose their own.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Runs a test on threads that all tests share.
+fn run<T>(test: impl Future<Output = T>) -> T {
+    static THREADS: Once = Once::new();
+    THREADS.call_once(|| runtime::start_threads(3));
+    smol::block_on(test)
+}
+
+async fn start() -> (StandIn, HttpStore) {
+    let stand_in = StandIn::start(Options::default()).await.unwrap();
+    let store = HttpStore::new(stand_in.address(), TIMEOUT);
+    (stand_in, store)
+}
+
+/// Waits until `is_true` holds.
+async fn eventually(what: &str, is_true: impl Fn() -> bool) {
+    let end = runtime::now() + TIMEOUT;
+    while !is_true() {
+        assert!(runtime::now() < end, "still not the case: {what}");
+        runtime::sleep(Duration::from_millis(2)).await;
+    }
+}
