Add the request side of the agent

Serves request and cancel streams, calls the upstream over HTTP, announces the agent to its home entries, takes configuration from replies, drains on SIGTERM, and answers health, metrics and status. FrameSender::closed lets a server notice that the entry reset a stream.

--- /dev/null
+++ b/crates/agent/src/announce.rs
@@ -0,0 +1,140 @@
+//! Announcements to the home entries.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use peridotfold_core::message::announce::{AgentState, Announce, AnnounceReply, ServiceLoad};
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::peer::Peers;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::shared::Shared;
+
+/// Time between announcements.
+pub const PERIOD: Duration = Duration::from_secs(1);
+/// Time allowed for one announcement. Shorter than the period, so that a silent entry does not
+/// pile up announcements.
+const LIMIT: Duration = Duration::from_millis(900);
+/// Rounds without any answer after which the entries of the settings are asked again.
+const LOST_ROUNDS: u32 = 3;
+
+/// Sends announcements.
+#[derive(Debug)]
+pub struct Announcer {
+    shared: Arc<Shared>,
+    /// Used for announcements only, so that these have their own connection to each entry.
+    peers: Peers,
+    sequence: AtomicU64,
+    /// Announcements in flight for each address.
+    open: Mutex<HashMap<String, u32>>,
+    /// Rounds since the last answer.
+    unanswered: Mutex<u32>,
+}
+
+impl Announcer {
+    /// Builds an announcer that has sent nothing.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Announcer {
+            shared,
+            peers: Peers::default(),
+            sequence: AtomicU64::new(0),
+            open: Mutex::default(),
+            unanswered: Mutex::default(),
+        }
+    }
+
+    /// Announces each second, and at once when the agent begins to leave, until `shutdown`.
+    pub async fn run(self: Arc<Self>, shutdown: Shutdown) {
+        let mut told = false;
+        while !shutdown.is_set() {
+            let leaving = self.shared.leaving.is_set();
+            self.clone().round(leaving && !told);
+            told = leaving;
+            match told {
+                true => runtime::sleep_or_shutdown(PERIOD, &shutdown).await,
+                false => runtime::sleep_or_shutdown(PERIOD, &self.shared.leaving).await,
+            };
+        }
+    }
+
+    /// Starts one announcement to each home entry. Skips entries that have not answered the last
+    /// one, unless `urgent`.
+    fn round(self: Arc<Self>, urgent: bool) {
+        for address in self.targets() {
+            let busy = self.open.lock().get(&address).copied().unwrap_or_default() > 0;
+            if !busy || urgent {
+                *self.open.lock().entry(address.clone()).or_default() += 1;
+                let announcer = self.clone();
+                runtime::spawn(async move { announcer.announce(address).await }).detach();
+            }
+        }
+    }
+
+    fn targets(&self) -> Vec<String> {
+        let mut targets = self.shared.view.homes();
+        let mut unanswered = self.unanswered.lock();
+        *unanswered = unanswered.saturating_add(1);
+        if *unanswered > LOST_ROUNDS {
+            let known = targets.clone();
+            let others = self.shared.view.bootstrap().into_iter().filter(|a| !known.contains(a));
+            targets.extend(others);
+        }
+        targets
+    }
+
+    async fn announce(self: Arc<Self>, address: String) {
+        let message = self.message();
+        let reply: Result<AnnounceReply, _> =
+            self.peers.call(&address, "announce", &message, LIMIT).await;
+        {
+            let mut open = self.open.lock();
+            match open.get_mut(&address) {
+                Some(count) if *count > 1 => *count -= 1,
+                _ => drop(open.remove(&address)),
+            }
+        }
+        match reply {
+            Ok(reply) => {
+                *self.unanswered.lock() = 0;
+                self.shared.learn(reply);
+            }
+            Err(error) => {
+                metrics::counter!("peridotfold_announce_failures_total").increment(1);
+                let WireError { step, peer, detail } = error;
+                tracing::debug!(event = "announce_failed", %step, peer, detail);
+            }
+        }
+    }
+
+    fn message(&self) -> Announce {
+        let shared = &self.shared;
+        let settings = &shared.settings;
+        let load = shared.gate.load();
+        let services = match shared.view.service() {
+            None => Vec::new(),
+            Some(_) => vec![ServiceLoad {
+                service: settings.service.clone(),
+                slots: load.slots,
+                running: load.running,
+                queued: load.queued,
+                latency: load.latency,
+            }],
+        };
+        Announce {
+            agent: settings.id.clone(),
+            incarnation: shared.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            rack: settings.rack.clone(),
+            data_centre: settings.data_centre.clone(),
+            cell: settings.cell.clone(),
+            address: shared.address.to_string(),
+            state: if shared.leaving.is_set() { AgentState::Leaving } else { AgentState::Ready },
+            services,
+            config_version: shared.view.version(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gate.rs
@@ -0,0 +1,230 @@
+//! The admission core with the requests that wait on it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use parking_lot::Mutex;
+use peridotfold_core::admission::{Action, Admission, Ending, Limits, Load, Offer, Refusal};
+use peridotfold_core::message::request::{CancelReply, RefuseReason, RequestId};
+use peridotfold_core::time::Time;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
+
+/// Result of a request for admission that was not granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// Certainly not run.
+    Refused(Refusal),
+    /// The id was used before; its first copy may have run.
+    Repeated,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    decision: Sender<Option<Refusal>>,
+    abort: Trigger,
+}
+
+#[derive(Debug)]
+struct State {
+    admission: Admission,
+    waiting: HashMap<RequestId, Waiting>,
+}
+
+/// Admission of the requests to one upstream.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    state: Arc<Mutex<State>>,
+}
+
+/// A started request. Dropping it without [`Permit::end`] counts as a failure.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Gate,
+    id: RequestId,
+    aborted: Shutdown,
+    ending: Ending,
+}
+
+impl Gate {
+    /// Builds the admission of an upstream without requests.
+    pub fn new(limits: Limits) -> Self {
+        let state = State { admission: Admission::new(limits), waiting: HashMap::new() };
+        Gate { state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Waits for a slot until the deadline, or until `gone` returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not started.
+    pub async fn admit(
+        &self,
+        id: &RequestId,
+        deadline: Time,
+        gone: impl std::future::Future<Output = ()>,
+    ) -> Result<Permit, Rejection> {
+        let (permit, decision) = {
+            let mut state = self.state.lock();
+            let offer = state.admission.offer(runtime::now(), id, deadline);
+            let (permit, decision) = match offer {
+                Offer::Refused(refusal) => return Err(Rejection::Refused(refusal)),
+                Offer::Repeated => return Err(Rejection::Repeated),
+                Offer::Start | Offer::Queued => self.register(&mut state, id),
+            };
+            match offer {
+                Offer::Start => return Ok(permit),
+                _ => (permit, decision),
+            }
+        };
+        self.wait(permit, decision, deadline, gone).await
+    }
+
+    /// Admits a request that uses neither slot nor connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not admitted.
+    pub fn join(&self, id: &RequestId) -> Result<Permit, Rejection> {
+        let mut state = self.state.lock();
+        match state.admission.join(runtime::now(), id) {
+            Offer::Refused(refusal) => Err(Rejection::Refused(refusal)),
+            Offer::Repeated => Err(Rejection::Repeated),
+            Offer::Start | Offer::Queued => Ok(self.register(&mut state, id).0),
+        }
+    }
+
+    /// Refuses a request for a reason found elsewhere.
+    pub fn refuse(&self, id: &RequestId, reason: RefuseReason) -> Rejection {
+        match self.state.lock().admission.refuse(runtime::now(), id, reason) {
+            Offer::Refused(refusal) => Rejection::Refused(refusal),
+            Offer::Start | Offer::Queued | Offer::Repeated => Rejection::Repeated,
+        }
+    }
+
+    /// Gives up a request.
+    pub fn cancel(&self, id: &RequestId) -> CancelReply {
+        let mut state = self.state.lock();
+        let (reply, actions) = state.admission.cancel(runtime::now(), id);
+        state.perform(actions);
+        reply
+    }
+
+    /// Changes the limits.
+    pub fn set_limits(&self, limits: Limits) {
+        let mut state = self.state.lock();
+        let actions = state.admission.set_limits(runtime::now(), limits);
+        state.perform(actions);
+    }
+
+    /// Refuses new requests from now on.
+    pub fn leave(&self) {
+        self.state.lock().admission.leave();
+    }
+
+    /// Tells whether no request is queued or running.
+    pub fn is_idle(&self) -> bool {
+        self.state.lock().admission.is_idle()
+    }
+
+    /// Load as announced to entries.
+    pub fn load(&self) -> Load {
+        self.state.lock().admission.load(runtime::now())
+    }
+
+    fn register(&self, state: &mut State, id: &RequestId) -> (Permit, Receiver<Option<Refusal>>) {
+        let (sender, decision) = async_channel::bounded(1);
+        let (abort, aborted) = shutdown::channel();
+        state.waiting.insert(id.clone(), Waiting { decision: sender, abort });
+        let permit = Permit { gate: self.clone(), id: id.clone(), aborted, ending: Ending::Failed };
+        (permit, decision)
+    }
+
+    async fn wait(
+        &self,
+        permit: Permit,
+        decision: Receiver<Option<Refusal>>,
+        deadline: Time,
+        gone: impl std::future::Future<Output = ()>,
+    ) -> Result<Permit, Rejection> {
+        let id = permit.id.clone();
+        let expire = async {
+            runtime::sleep(deadline.saturating_sub(runtime::now())).await;
+            self.tick();
+            future::pending().await
+        };
+        let leave = async {
+            gone.await;
+            self.cancel(&id);
+            future::pending().await
+        };
+        match future::or(decision.recv(), future::or(expire, leave)).await {
+            Ok(None) => Ok(permit),
+            Ok(Some(refusal)) => Err(Rejection::Refused(refusal)),
+            // The sender is kept until the permit is dropped.
+            Err(_) => Err(Rejection::Repeated),
+        }
+    }
+
+    fn tick(&self) {
+        let mut state = self.state.lock();
+        let actions = state.admission.tick(runtime::now());
+        state.perform(actions);
+    }
+}
+
+impl State {
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, decision) = match action {
+                Action::Start(id) => (id, None),
+                Action::Refuse(id, refusal) => (id, Some(refusal)),
+                Action::Abort(id) => {
+                    if let Some(waiting) = self.waiting.get(&id) {
+                        waiting.abort.fire();
+                    }
+                    continue;
+                }
+            };
+            if let Some(waiting) = self.waiting.get(&id) {
+                // One decision is made for each queued request, and the channel has room for it.
+                let _ = waiting.decision.try_send(decision);
+            }
+        }
+    }
+}
+
+impl Permit {
+    /// Returns the signal that the entry gave the request up.
+    pub fn aborted(&self) -> Shutdown {
+        self.aborted.clone()
+    }
+
+    /// Gives back the slot while the response stays open.
+    pub fn detach(&self) {
+        let mut state = self.gate.state.lock();
+        let actions = state.admission.detach(runtime::now(), &self.id);
+        state.perform(actions);
+    }
+
+    /// Ends the request.
+    pub fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.gate.state.lock();
+        state.waiting.remove(&self.id);
+        if state.admission.is_queued(&self.id) {
+            // Nobody is left to take the slot.
+            state.admission.cancel(runtime::now(), &self.id);
+            return;
+        }
+        let actions = state.admission.finish(runtime::now(), &self.id, self.ending);
+        state.perform(actions);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/keyed.rs
@@ -0,0 +1,89 @@
+//! The key table with the duplicates that wait for a running request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use parking_lot::Mutex;
+use peridotfold_core::key_table::{Answer, Claim, KeyTable, Outcome};
+use peridotfold_wire::runtime;
+
+#[derive(Debug, Default)]
+struct State {
+    table: KeyTable,
+    joined: HashMap<Bytes, Vec<Sender<Outcome>>>,
+}
+
+/// Idempotency keys of this agent.
+#[derive(Debug, Clone, Default)]
+pub struct Keys {
+    state: Arc<Mutex<State>>,
+}
+
+/// What to do with a request that has a key.
+#[derive(Debug)]
+pub enum Entered {
+    Run(KeyRun),
+    /// Yields the outcome of the running request.
+    Join(Receiver<Outcome>),
+    Replay(Arc<Answer>),
+    Unknown,
+    Full,
+}
+
+/// The one run of a key. Dropping it without [`KeyRun::settle`] leaves the outcome unknown.
+#[derive(Debug)]
+pub struct KeyRun {
+    keys: Keys,
+    key: Bytes,
+    outcome: Outcome,
+}
+
+impl Keys {
+    /// Decides about a request with `key`.
+    pub fn enter(&self, key: &Bytes) -> Entered {
+        let mut state = self.state.lock();
+        match state.table.claim(runtime::now(), key) {
+            Claim::Run => {
+                let key = key.clone();
+                Entered::Run(KeyRun { keys: self.clone(), key, outcome: Outcome::Unknown })
+            }
+            Claim::Join => {
+                let (sender, receiver) = async_channel::bounded(1);
+                state.joined.entry(key.clone()).or_default().push(sender);
+                Entered::Join(receiver)
+            }
+            Claim::Replay(answer) => Entered::Replay(answer),
+            Claim::Unknown => Entered::Unknown,
+            Claim::Full => Entered::Full,
+        }
+    }
+
+    /// Number of keys in the table.
+    pub fn len(&self) -> usize {
+        self.state.lock().table.len()
+    }
+
+    /// Tells whether the table has no keys.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl KeyRun {
+    /// Ends the run.
+    pub fn settle(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for KeyRun {
+    fn drop(&mut self) {
+        let mut state = self.keys.state.lock();
+        state.table.settle(runtime::now(), &self.key, self.outcome.clone());
+        for joined in state.joined.remove(&self.key).unwrap_or_default() {
+            let _ = joined.try_send(self.outcome.clone());
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,4 +1,162 @@
-//! The agent process.
+//! The agent process: admission of requests to the upstream beside it, and batch tasks of its VM.
 
+pub mod announce;
 pub mod batch;
+pub mod gate;
+pub mod http;
+pub mod keyed;
+mod placeholder;
+pub mod relay;
+pub mod request;
+pub mod serve;
 pub mod settings;
+pub mod shared;
+pub mod upstream;
+pub mod view;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures_lite::future;
+use peridotfold_wire::http_server::HttpServer;
+use peridotfold_wire::runtime;
+use peridotfold_wire::server::MessageServer;
+use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
+use smol::Task;
+
+use crate::announce::Announcer;
+use crate::batch::Batch;
+use crate::http::StatusPages;
+use crate::serve::Messages;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// Time allowed to hand back batch tasks.
+const BATCH_DRAIN_LIMIT: Duration = Duration::from_secs(20);
+/// Time allowed to close connections after all requests have ended.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two looks at whether the requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Runs an agent until SIGTERM, then drains it.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or signals cannot be received.
+pub async fn run(settings: Settings) -> eyre::Result<()> {
+    let agent = Agent::start(settings).await?;
+    println!("listening http={} internal={}", agent.http(), agent.internal());
+    runtime::terminated().await.wrap_err("step=signals")?;
+    agent.drain().await;
+    Ok(())
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+    batch: Batch,
+    http: SocketAddr,
+    leaving: Trigger,
+    close_feeds: Trigger,
+    stop: Trigger,
+    tasks: Vec<Task<()>>,
+}
+
+impl Agent {
+    /// Binds the addresses and starts to serve and to announce.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(settings: Settings) -> eyre::Result<Self> {
+        let (leaving, left) = shutdown::channel();
+        let (close_feeds, feeds_closed) = shutdown::channel();
+        let (stop, stopped) = shutdown::channel();
+        let messages = MessageServer::bind(settings.internal)
+            .await
+            .wrap_err_with(|| format!("step=bind field=internal address={}", settings.internal))?;
+        let pages = HttpServer::bind(settings.http)
+            .await
+            .wrap_err_with(|| format!("step=bind field=http address={}", settings.http))?;
+        let http = pages.address();
+        let shared = Arc::new(Shared::new(settings, messages.address(), left, feeds_closed));
+        tracing::info!(
+            event = "agent_started",
+            agent = shared.settings.id,
+            incarnation = shared.incarnation,
+            internal = %shared.address,
+            %http,
+        );
+        let batch = Batch::new(&shared.settings, shared.incarnation, shared.peers.clone());
+        let handler = Arc::new(Messages::new(shared.clone()));
+        let status = Arc::new(StatusPages::new(shared.clone()));
+        let announcer = Arc::new(Announcer::new(shared.clone()));
+        let tasks = vec![
+            runtime::spawn(messages.serve(handler, stopped.clone())),
+            runtime::spawn(pages.serve(status, stopped.clone())),
+            runtime::spawn(announcer.run(stopped.clone())),
+            runtime::spawn(run_batch(batch.clone(), shared.clone(), stopped)),
+        ];
+        Ok(Agent { shared, batch, http, leaving, close_feeds, stop, tasks })
+    }
+
+    /// Address for health and metrics.
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Address for messages.
+    pub fn internal(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// State of the agent.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Takes nothing new, finishes what runs, hands back batch tasks and stops.
+    pub async fn drain(self) {
+        tracing::info!(event = "drain_started", agent = self.shared.settings.id);
+        self.shared.gate.leave();
+        self.leaving.fire();
+        let grace = runtime::sleep(self.shared.settings.drain_grace);
+        let feeds = async {
+            grace.await;
+            self.close_feeds.fire();
+            future::pending().await
+        };
+        future::or(self.idle(), feeds).await;
+        tracing::info!(event = "requests_drained", agent = self.shared.settings.id);
+        self.batch.drain(BATCH_DRAIN_LIMIT).await;
+        self.stop.fire();
+        let close = async {
+            for task in self.tasks {
+                task.await;
+            }
+        };
+        future::or(close, runtime::sleep(CLOSE_LIMIT)).await;
+        tracing::info!(event = "drain_ended", agent = self.shared.settings.id);
+    }
+
+    async fn idle(&self) {
+        while !self.shared.gate.is_idle() {
+            runtime::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+async fn run_batch(batch: Batch, shared: Arc<Shared>, shutdown: Shutdown) {
+    let (document, owner, latency) = (shared.clone(), shared.clone(), shared);
+    batch
+        .run(
+            move || document.view.document(),
+            move || owner.view.owner(),
+            move || latency.gate.load().latency,
+            shutdown,
+        )
+        .await;
+}
--- /dev/null
+++ b/crates/agent/src/request.rs
@@ -0,0 +1,325 @@
+//! One request of an entry: checks, admission, the call of the upstream, the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use futures_lite::future;
+use http::{Response, StatusCode};
+use peridotfold_core::admission::{Ending, Refusal};
+use peridotfold_core::key_table::{Answer, Outcome};
+use peridotfold_core::message::request::{
+    BodyFrame, RefuseReason, RequestHead, ResponseHead, TraceContext,
+};
+use peridotfold_core::time::Time;
+use peridotfold_wire::body::{Body, BodySender};
+use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::http_client::PooledBody;
+use peridotfold_wire::peer::{FrameReceiver, FrameSender};
+use peridotfold_wire::runtime;
+use peridotfold_wire::server::Stream;
+use tracing::Instrument;
+
+use crate::gate::{Permit, Rejection};
+use crate::keyed::{Entered, KeyRun};
+use crate::relay::{Kept, Relay};
+use crate::shared::Shared;
+use crate::upstream::forwarded_headers;
+
+/// Least time that a non-idempotent request is given, since giving it up loses its outcome.
+const NON_IDEMPOTENT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Serves one `request` stream.
+///
+/// # Errors
+///
+/// Fails when the entry resets the stream or sends something else than a request.
+pub async fn serve(shared: &Arc<Shared>, mut stream: Stream) -> Result<(), WireError> {
+    let Some(head) = stream.receiver.next::<RequestHead>().await? else {
+        return stream.responder.refuse(StatusCode::BAD_REQUEST, "no message".into());
+    };
+    let trace = TraceContext { trace: head.trace.trace, span: fastrand::u64(1..) };
+    let span = tracing::info_span!(
+        "request",
+        trace = format!("{:032x}", trace.trace),
+        parent = format!("{:016x}", head.trace.span),
+        span = format!("{:016x}", trace.span),
+        service = head.service,
+        entry = head.id.entry,
+        number = head.id.number,
+    );
+    let deadline = runtime::now() + head.timeout;
+    let (receiver, sink) = (Some(stream.receiver), stream.responder.start()?);
+    let exchange = Exchange { shared: shared.clone(), head, trace, deadline, receiver, sink };
+    exchange.run().instrument(span).await
+}
+
+struct Exchange {
+    shared: Arc<Shared>,
+    head: RequestHead,
+    trace: TraceContext,
+    deadline: Time,
+    /// Taken by the upload of a body with several parts.
+    receiver: Option<FrameReceiver>,
+    sink: FrameSender,
+}
+
+/// What is left to do for the entry after the request ended.
+enum Finish {
+    /// A whole answer went out, except for its end.
+    End,
+    /// The answer was cut.
+    Cut,
+    Head(ResponseHead),
+}
+
+impl Exchange {
+    async fn run(mut self) -> Result<(), WireError> {
+        if let Some(reason) = self.shared.objection(&self.head).await {
+            let rejection = self.shared.gate.refuse(&self.head.id, reason);
+            return conclude(self.sink, rejected(rejection)).await;
+        }
+        let Some(key) = self.head.key.clone() else {
+            let (finish, permit, _) = self.execute(false).await;
+            return complete(self.sink, finish, permit).await;
+        };
+        match self.shared.keys.enter(&key) {
+            Entered::Run(run) => self.run_key(run).await,
+            Entered::Join(outcome) => self.join(outcome).await,
+            Entered::Replay(answer) => self.replay(Outcome::Answered(answer)).await,
+            Entered::Unknown => self.replay(Outcome::Unknown).await,
+            Entered::Full => {
+                let reason = RefuseReason::KeyUnavailable;
+                let rejection = self.shared.gate.refuse(&self.head.id, reason);
+                conclude(self.sink, rejected(rejection)).await
+            }
+        }
+    }
+
+    async fn run_key(mut self, run: KeyRun) -> Result<(), WireError> {
+        let (finish, permit, outcome) = self.execute(true).await;
+        // Settled before the caller sees the end, so that a retry after it finds the answer.
+        run.settle(outcome);
+        complete(self.sink, finish, permit).await
+    }
+
+    /// Waits for the outcome of the running request with the same key.
+    async fn join(mut self, outcome: Receiver<Outcome>) -> Result<(), WireError> {
+        let permit = match self.shared.gate.join(&self.head.id) {
+            Ok(permit) => permit,
+            Err(rejection) => return conclude(self.sink, rejected(rejection)).await,
+        };
+        let left = self.deadline.saturating_sub(runtime::now());
+        let late = async {
+            future::or(runtime::sleep(left), self.sink.closed()).await;
+            Outcome::Unknown
+        };
+        let joined = async { outcome.recv().await.unwrap_or(Outcome::Unknown) };
+        let outcome = future::or(joined, late).await;
+        let ending = if outcome == Outcome::NotRun { Ending::NotRun } else { Ending::Answered };
+        permit.end(ending);
+        respond(self.sink, outcome).await
+    }
+
+    async fn replay(self, outcome: Outcome) -> Result<(), WireError> {
+        match self.shared.gate.join(&self.head.id) {
+            Ok(permit) => permit.end(Ending::Answered),
+            Err(rejection) => return conclude(self.sink, rejected(rejection)).await,
+        }
+        metrics::counter!("peridotfold_replays_total").increment(1);
+        respond(self.sink, outcome).await
+    }
+
+    /// Admits and runs the request. With `keep`, the answer is kept and read to its end also when
+    /// the entry has gone.
+    async fn execute(&mut self, keep: bool) -> (Finish, Option<(Permit, Ending)>, Outcome) {
+        let body = match self.body().await {
+            Ok(body) => body,
+            Err(_) => {
+                let rejection =
+                    self.shared.gate.refuse(&self.head.id, RefuseReason::DeadlinePassed);
+                return (Finish::Head(rejected(rejection)), None, Outcome::NotRun);
+            }
+        };
+        let admitted =
+            self.shared.gate.admit(&self.head.id, self.deadline, self.sink.closed()).await;
+        let permit = match admitted {
+            Ok(permit) => permit,
+            Err(rejection) => {
+                return (Finish::Head(rejected(rejection)), None, Outcome::NotRun);
+            }
+        };
+        match self.call(&permit, body).await {
+            Ok(response) => self.relay(permit, response, keep).await,
+            Err(error) => failed(permit, error),
+        }
+    }
+
+    /// Reads the start of the request's body and leaves the rest to a task.
+    async fn body(&mut self) -> Result<Body, WireError> {
+        let left = self.deadline.saturating_sub(runtime::now());
+        let peer = self.head.id.entry.clone();
+        let cut = || WireError::new(Step::Receive, peer.as_str(), "request body was cut");
+        let mut receiver = self.receiver.take().ok_or_else(cut)?;
+        match runtime::timeout(left, &peer, receiver.next::<BodyFrame>()).await? {
+            Some(BodyFrame::End) => Ok(Body::empty()),
+            Some(BodyFrame::Data(part)) => {
+                let (sender, body) = Body::parts();
+                runtime::spawn(upload(receiver, sender, part)).detach();
+                Ok(body)
+            }
+            None => Err(cut()),
+        }
+    }
+
+    async fn call(
+        &mut self,
+        permit: &Permit,
+        body: Body,
+    ) -> Result<Response<PooledBody>, WireError> {
+        let left = self.deadline.saturating_sub(runtime::now());
+        let peer = self.shared.settings.upstream.to_string();
+        let call = self.shared.upstream.call(&self.head, self.trace, body);
+        if !self.is_idempotent() {
+            return runtime::timeout(left.max(NON_IDEMPOTENT_LIMIT), &peer, call).await;
+        }
+        let aborted = permit.aborted();
+        let gone = async {
+            future::or(self.sink.closed(), aborted.wait()).await;
+            Err(WireError::new(Step::Receive, peer.as_str(), "given up by the entry"))
+        };
+        runtime::timeout(left, &peer, future::or(call, gone)).await
+    }
+
+    async fn relay(
+        &mut self,
+        permit: Permit,
+        response: Response<PooledBody>,
+        keep: bool,
+    ) -> (Finish, Option<(Permit, Ending)>, Outcome) {
+        let (head, body) = response.into_parts();
+        let failed = head.status.is_server_error();
+        let headers = forwarded_headers(head.headers);
+        let status = head.status.as_u16();
+        let answer = ResponseHead::Answer { status, headers: headers.clone(), replayed: false };
+        let reachable = self.sink.send(&answer).await.is_ok();
+        let relay = Relay::new(body, &mut self.sink, &permit, &self.shared.close_feeds);
+        let whole = match keep {
+            true => relay.run_kept(reachable).await,
+            false if reachable => relay.run().await.map(|()| Kept::TooLarge),
+            false => None,
+        };
+        let ending = match whole {
+            Some(_) if !failed => Ending::Answered,
+            _ => Ending::Failed,
+        };
+        let (finish, outcome) = match whole {
+            None => (Finish::Cut, Outcome::Unknown),
+            Some(Kept::TooLarge) => (Finish::End, Outcome::Unknown),
+            Some(Kept::Whole(body)) => {
+                (Finish::End, Outcome::Answered(Arc::new(Answer { status, headers, body })))
+            }
+        };
+        (finish, Some((permit, ending)), outcome)
+    }
+
+    fn is_idempotent(&self) -> bool {
+        let idempotent = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
+        self.head.key.is_none() && idempotent.contains(&self.head.method.as_str())
+    }
+}
+
+/// Passes the rest of a request's body on. The body is cut when the stream is.
+async fn upload(mut receiver: FrameReceiver, mut sender: BodySender, first: Bytes) {
+    let mut part = first;
+    loop {
+        if sender.send(part).await.is_err() {
+            return;
+        }
+        match receiver.next::<BodyFrame>().await {
+            Ok(Some(BodyFrame::Data(next))) => part = next,
+            Ok(Some(BodyFrame::End)) => return sender.finish(),
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
+
+fn failed(permit: Permit, error: WireError) -> (Finish, Option<(Permit, Ending)>, Outcome) {
+    let WireError { step, peer, detail } = &error;
+    tracing::warn!(event = "upstream_failed", %step, peer, detail);
+    metrics::counter!("peridotfold_upstream_failures_total").increment(1);
+    if error.is_not_sent() {
+        let reason = RefuseReason::UpstreamUnreachable;
+        let head = ResponseHead::NotRun { reason, retry_after: Duration::from_secs(1) };
+        return (Finish::Head(head), Some((permit, Ending::NotRun)), Outcome::NotRun);
+    }
+    let head = ResponseHead::Unknown { detail: error.to_string() };
+    (Finish::Head(head), Some((permit, Ending::Failed)), Outcome::Unknown)
+}
+
+fn rejected(rejection: Rejection) -> ResponseHead {
+    match rejection {
+        Rejection::Refused(Refusal { reason, retry_after }) => {
+            metrics::counter!("peridotfold_refusals_total", "reason" => format!("{reason:?}"))
+                .increment(1);
+            ResponseHead::NotRun { reason, retry_after }
+        }
+        Rejection::Repeated => {
+            ResponseHead::Unknown { detail: "the request id was used before".into() }
+        }
+    }
+}
+
+/// Sends the end of an answer, then gives back what the request holds: an agent that drains waits
+/// for that before it closes its connections.
+async fn complete(
+    mut sink: FrameSender,
+    finish: Finish,
+    permit: Option<(Permit, Ending)>,
+) -> Result<(), WireError> {
+    let result = match finish {
+        Finish::Head(head) => conclude(sink, head).await,
+        Finish::End => end(&mut sink).await,
+        Finish::Cut => {
+            sink.abort();
+            Ok(())
+        }
+    };
+    if let Some((permit, ending)) = permit {
+        permit.end(ending);
+    }
+    result
+}
+
+async fn conclude(mut sink: FrameSender, head: ResponseHead) -> Result<(), WireError> {
+    sink.send(&head).await?;
+    sink.finish()
+}
+
+async fn end(sink: &mut FrameSender) -> Result<(), WireError> {
+    sink.send(&BodyFrame::End).await?;
+    sink.finish()
+}
+
+/// Answers a duplicate of a key with its outcome.
+async fn respond(mut sink: FrameSender, outcome: Outcome) -> Result<(), WireError> {
+    let answer = match outcome {
+        Outcome::Answered(answer) => answer,
+        Outcome::Unknown => {
+            let detail = "the key was used before and its answer is not known".into();
+            return conclude(sink, ResponseHead::Unknown { detail }).await;
+        }
+        Outcome::NotRun => {
+            let reason = RefuseReason::KeyUnavailable;
+            let retry_after = Duration::from_millis(100);
+            return conclude(sink, ResponseHead::NotRun { reason, retry_after }).await;
+        }
+    };
+    let headers = answer.headers.clone();
+    sink.send(&ResponseHead::Answer { status: answer.status, headers, replayed: true }).await?;
+    if !answer.body.is_empty() {
+        sink.send(&BodyFrame::Data(answer.body.clone())).await?;
+    }
+    end(&mut sink).await
+}
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,44 @@
+//! Messages of entries to this agent.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use peridotfold_core::message::request::Cancel;
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::server::{Handler, Stream};
+
+use crate::request;
+use crate::shared::Shared;
+
+/// Handles the message streams of entries.
+#[derive(Debug)]
+pub struct Messages {
+    shared: Arc<Shared>,
+}
+
+impl Messages {
+    /// Builds a handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Messages { shared }
+    }
+
+    async fn cancel(&self, mut stream: Stream) -> Result<(), WireError> {
+        match stream.receiver.next::<Cancel>().await? {
+            Some(cancel) => stream.responder.reply(&self.shared.gate.cancel(&cancel.id)).await,
+            None => stream.responder.refuse(StatusCode::BAD_REQUEST, "no message".into()),
+        }
+    }
+}
+
+impl Handler for Messages {
+    async fn handle(&self, stream: Stream) -> Result<(), WireError> {
+        match stream.kind.as_str() {
+            "request" => request::serve(&self.shared, stream).await,
+            "cancel" => self.cancel(stream).await,
+            kind => {
+                let detail = format!("unknown kind {kind}");
+                stream.responder.refuse(StatusCode::NOT_FOUND, detail)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shared.rs
@@ -0,0 +1,78 @@
+//! State that the tasks of an agent share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use peridotfold_core::admission::Limits;
+use peridotfold_core::id::Incarnation;
+use peridotfold_core::message::announce::AnnounceReply;
+use peridotfold_core::message::request::{RefuseReason, RequestHead};
+use peridotfold_wire::peer::Peers;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::gate::Gate;
+use crate::keyed::Keys;
+use crate::settings::Settings;
+use crate::upstream::Upstream;
+use crate::view::View;
+
+/// State that the tasks of an agent share. Lock order: view, gate; the others are never
+/// held together.
+#[derive(Debug)]
+pub struct Shared {
+    pub settings: Settings,
+    pub incarnation: Incarnation,
+    /// Address for messages, with the port that is in use.
+    pub address: SocketAddr,
+    pub view: View,
+    pub gate: Gate,
+    pub keys: Keys,
+    pub upstream: Upstream,
+    /// Connections to entries for anything but announcements.
+    pub peers: Arc<Peers>,
+    /// The agent takes no new requests.
+    pub leaving: Shutdown,
+    /// Responses without a known end are closed.
+    pub close_feeds: Shutdown,
+}
+
+impl Shared {
+    /// Builds the state of an agent that listens on `address`.
+    pub fn new(
+        settings: Settings,
+        address: SocketAddr,
+        leaving: Shutdown,
+        close_feeds: Shutdown,
+    ) -> Self {
+        // Nothing is admitted before the configuration sets the limits.
+        let gate = Gate::new(Limits { slots: 0, connections: 0, queue: 0 });
+        Shared {
+            incarnation: fastrand::u64(1..),
+            address,
+            view: View::new(settings.clone(), gate.clone()),
+            gate,
+            keys: Keys::default(),
+            upstream: Upstream::new(settings.upstream),
+            peers: Arc::default(),
+            settings,
+            leaving,
+            close_feeds,
+        }
+    }
+
+    /// Takes the answer to an announcement.
+    pub fn learn(&self, reply: AnnounceReply) {
+        self.view.learn(reply);
+    }
+
+    /// Returns why a request must not be run here, if anything speaks against it.
+    pub async fn objection(&self, head: &RequestHead) -> Option<RefuseReason> {
+        if head.agent_incarnation != self.incarnation {
+            return Some(RefuseReason::WrongIncarnation);
+        }
+        if head.service != self.settings.service {
+            return Some(RefuseReason::UnknownService);
+        }
+        self.view.require(head.config_version, &head.id.entry, &self.peers).await.err()
+    }
+}
--- /dev/null
+++ b/crates/agent/src/view.rs
@@ -0,0 +1,178 @@
+//! What the agent knows from entries: configuration, live entries and the owner of its cell.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use peridotfold_core::admission::Limits;
+use peridotfold_core::config::{Document, Service};
+use peridotfold_core::hash;
+use peridotfold_core::id::{ConfigVersion, EntryId};
+use peridotfold_core::message::announce::{AnnounceReply, CellOwner, ConfigUpdate, EntryAddress};
+use peridotfold_core::message::entry::{ConfigReply, ConfigRequest};
+use peridotfold_core::message::request::RefuseReason;
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::peer::Peers;
+
+use crate::gate::Gate;
+use crate::placeholder::ConfigState;
+use crate::settings::Settings;
+
+/// Entries that an agent announces itself to.
+pub const HOME_ENTRIES: usize = 8;
+/// Time allowed for the configuration that a request needs.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+struct State {
+    config: ConfigState,
+    entries: Vec<EntryAddress>,
+    owner: Option<CellOwner>,
+}
+
+/// What the agent knows from entries.
+#[derive(Debug)]
+pub struct View {
+    settings: Settings,
+    /// Its limits change together with the configuration.
+    gate: Gate,
+    state: Mutex<State>,
+    /// Lets one request at a time fetch the configuration.
+    catch_up: smol::lock::Mutex<()>,
+}
+
+impl View {
+    /// Builds a view without configuration.
+    pub fn new(settings: Settings, gate: Gate) -> Self {
+        View { settings, gate, state: Mutex::default(), catch_up: smol::lock::Mutex::new(()) }
+    }
+
+    /// Version in effect; 0 while there is none.
+    pub fn version(&self) -> ConfigVersion {
+        self.state.lock().config.version
+    }
+
+    /// Document in effect.
+    pub fn document(&self) -> Option<Arc<Document>> {
+        let state = self.state.lock();
+        (state.config.version > 0).then(|| state.config.document.clone())
+    }
+
+    /// Configuration of the service of this agent.
+    pub fn service(&self) -> Option<Service> {
+        self.document()?.services.get(&self.settings.service).cloned()
+    }
+
+    /// Owner of the agent's cell with the highest epoch heard of.
+    pub fn owner(&self) -> Option<CellOwner> {
+        self.state.lock().owner.clone()
+    }
+
+    /// Entries heard of last.
+    pub fn entries(&self) -> Vec<EntryAddress> {
+        self.state.lock().entries.clone()
+    }
+
+    /// Addresses to announce to: the home entries, or those in the settings while none are known.
+    pub fn homes(&self) -> Vec<String> {
+        let entries = self.entries();
+        if entries.is_empty() {
+            return self.bootstrap();
+        }
+        let agent = self.settings.id.as_bytes();
+        let mut ranked: Vec<_> = entries
+            .into_iter()
+            .map(|entry| {
+                let own = entry.data_centre == self.settings.data_centre;
+                (own, hash::rendezvous(agent, entry.entry.as_bytes()), entry.address)
+            })
+            .collect();
+        ranked.sort_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(HOME_ENTRIES).map(|(_, _, address)| address).collect()
+    }
+
+    /// Addresses in the settings.
+    pub fn bootstrap(&self) -> Vec<String> {
+        self.settings.entries.iter().take(HOME_ENTRIES).map(ToString::to_string).collect()
+    }
+
+    /// Takes the answer to an announcement.
+    pub fn learn(&self, reply: AnnounceReply) {
+        self.apply(&reply.config, &reply.entry);
+        let mut state = self.state.lock();
+        if !reply.entries.is_empty() {
+            state.entries = reply.entries;
+        }
+        let known = state.owner.as_ref().map(|owner| owner.epoch);
+        match reply.owner {
+            Some(owner) if known.is_none_or(|epoch| owner.epoch >= epoch) => {
+                state.owner = Some(owner);
+            }
+            _ => {}
+        }
+    }
+
+    /// Checks that the agent can serve a request that was routed with `version`, and fetches the
+    /// configuration from the entry when it is behind.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request cannot be served.
+    pub async fn require(
+        &self,
+        version: ConfigVersion,
+        entry: &EntryId,
+        peers: &Peers,
+    ) -> Result<(), RefuseReason> {
+        if self.version() < version {
+            let _one = self.catch_up.lock().await;
+            if self.version() < version {
+                self.fetch(entry, peers).await;
+            }
+        }
+        match self.version() {
+            own if own == 0 || own < version => Err(RefuseReason::NoConfig),
+            _ if self.service().is_none() => Err(RefuseReason::UnknownService),
+            _ => Ok(()),
+        }
+    }
+
+    async fn fetch(&self, entry: &EntryId, peers: &Peers) {
+        let known = self.entries().into_iter().find(|address| address.entry == *entry);
+        let Some(EntryAddress { address, .. }) = known else {
+            return;
+        };
+        let request = ConfigRequest { version: self.version() };
+        let reply: Result<ConfigReply, _> =
+            peers.call(&address, "config", &request, CATCH_UP_LIMIT).await;
+        match reply {
+            Ok(reply) => self.apply(&reply.update, entry),
+            Err(error) => {
+                let WireError { step, peer, detail } = error;
+                tracing::warn!(event = "config_fetch_failed", %step, peer, detail);
+            }
+        }
+    }
+
+    fn apply(&self, update: &ConfigUpdate, entry: &EntryId) {
+        let mut state = self.state.lock();
+        match state.config.apply_update(update) {
+            Ok(false) => {}
+            Ok(true) => {
+                tracing::info!(event = "config_applied", version = state.config.version, entry);
+                let service = state.config.document.services.get(&self.settings.service);
+                self.gate.set_limits(limits(service));
+            }
+            Err(error) => tracing::warn!(event = "config_rejected", entry, detail = ?error),
+        }
+    }
+}
+
+fn limits(service: Option<&Service>) -> Limits {
+    match service {
+        Some(service) => {
+            Limits { slots: service.slots, connections: service.connections, queue: service.queue }
+        }
+        None => Limits { slots: 0, connections: 0, queue: 0 },
+    }
+}
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -256,6 +256,11 @@
         self.queue.iter().map(|queued| queued.deadline).min()
     }
 
+    /// Tells whether the request waits for a slot.
+    pub fn is_queued(&self, id: &RequestId) -> bool {
+        self.queue.iter().any(|queued| queued.id == *id)
+    }
+
     /// Tells whether no request is queued or running.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.running.is_empty()
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -207,6 +207,11 @@
         self.stream.send_reset(h2::Reason::CANCEL);
     }
 
+    /// Returns once the other side reset the stream or the connection was lost.
+    pub async fn closed(&mut self) {
+        let _ = poll_fn(|context| self.stream.poll_reset(context)).await;
+    }
+
     async fn send_bytes(&mut self, mut frame: Bytes, end: bool) -> Result<(), WireError> {
         while !frame.is_empty() {
             self.stream.reserve_capacity(frame.len());
