Test admission, the key table and the agent's request side

The tests showed that a feed which the entry does not read kept its slot and was never closed; a part that waits a second now gives the slot back.

--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -24,6 +24,9 @@
 /// the entry has to take what was sent.
 const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time within which the entry has to take a part of a finite response, once the agent drains and
+/// the grace period is over. Without a bound a stalled caller would hold up the stop for ever.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
 /// Time allowed for the body of an answer to a request with a key. Such a request is not given up
 /// when its entry goes, so nothing else ends the wait for an upstream that stopped halfway.
 const KEPT_LIMIT: Duration = Duration::from_secs(60);
@@ -167,23 +170,30 @@
         future::or(frame, future::or(gone, timer)).await
     }
 
-    /// Sends one part, and gives up when the entry does not take it while feeds are closed.
+    /// Sends one part. Gives the slot back when the entry is slow to take it, and gives up when it
+    /// does not take it while the agent drains.
     async fn send(&mut self, part: Bytes) -> Option<()> {
         if part.is_empty() {
             return Some(());
         }
         self.at_line_end = part.ends_with(b"\n");
+        let stall_limit = if self.endless { CLOSE_LIMIT } else { STALL_LIMIT };
         let aborted = self.permit.aborted();
         let stuck = async {
-            future::or(aborted.wait(), async {
-                self.close_feeds.wait().await;
-                runtime::sleep(CLOSE_LIMIT).await;
-            })
-            .await;
+            self.close_feeds.wait().await;
+            runtime::sleep(stall_limit).await;
+        };
+        let slow = async {
+            runtime::sleep(FEED_AFTER).await;
+            self.permit.detach();
+            future::pending().await
+        };
+        let given_up = async {
+            future::or(aborted.wait(), future::or(stuck, slow)).await;
             None
         };
         let frame = BodyFrame::Data(part);
         let sent = async { self.sink.send(&frame).await.ok() };
-        future::or(sent, stuck).await
+        future::or(sent, given_up).await
     }
 }
--- /dev/null
+++ b/crates/agent/tests/requests/keys.rs
@@ -0,0 +1,74 @@
+//! Guards against an idempotency key that runs twice.
+
+use peridotfold_core::message::request::RefuseReason;
+
+use crate::support::{run, service, wait_until, Got, Plan, Setup};
+
+#[test]
+fn duplicates_join_the_running_request_and_replay_its_answer() {
+    run(async {
+        let setup = Setup::start(Plan { service: Some(service(1, 1)), ..Plan::default() }).await;
+        setup.behave(300.0);
+        let first = setup.spawn(setup.bid("k1"), "100");
+        wait_until("first runs", || setup.upstream.running() == 1).await;
+        // More than fit in the queue: duplicates take no place.
+        let joined: Vec<_> = (0..5).map(|_| setup.spawn(setup.bid("k1"), "100")).collect();
+        let first = first.await.whole();
+        for task in joined {
+            let expected = Got::Whole { status: 200, body: first.clone(), replayed: true };
+            assert_eq!(task.await, expected);
+        }
+        assert_eq!(setup.send(&setup.bid("k1"), "100").await.whole(), first);
+        assert_eq!(setup.upstream.executions().len(), 1);
+        assert_eq!(setup.upstream.executions()[0].key.as_deref(), Some("k1"));
+        assert_ne!(setup.send(&setup.bid("k2"), "100").await.whole(), first);
+        assert_eq!(setup.upstream.executions().len(), 2);
+    });
+}
+
+#[test]
+fn answer_outlives_the_entry_that_asked_first() {
+    run(async {
+        let setup = Setup::start(Plan::default()).await;
+        setup.behave(200.0);
+        let (mut sender, receiver) = setup.open(&setup.bid("k1"), "100").await;
+        wait_until("first runs", || setup.upstream.running() == 1).await;
+        sender.abort();
+        drop(receiver);
+        let got = setup.send(&setup.bid("k1"), "100").await;
+        assert!(matches!(got, Got::Whole { status: 200, replayed: true, .. }), "{got:?}");
+        assert_eq!(setup.upstream.executions().len(), 1);
+    });
+}
+
+#[test]
+fn answer_too_large_to_keep_is_unknown_to_duplicates() {
+    run(async {
+        let setup = Setup::start(Plan::default()).await;
+        let large = |setup: &Setup| {
+            let mut head = setup.bid("k1");
+            head.path = "/bid?answer_bytes=40000".into();
+            head
+        };
+        assert_eq!(setup.send(&large(&setup), "100").await.whole().len(), 40_000);
+        let got = setup.send(&large(&setup), "100").await;
+        assert!(matches!(got, Got::Unknown(_)), "{got:?}");
+        assert_eq!(setup.upstream.executions().len(), 1);
+    });
+}
+
+#[test]
+fn refused_key_is_free_again() {
+    run(async {
+        let setup = Setup::start(Plan { service: Some(service(1, 0)), ..Plan::default() }).await;
+        setup.behave(200.0);
+        let slow = setup.spawn(setup.head("GET", "/slot/1"), "");
+        setup.wait_load(1, 0).await;
+        let got = setup.send(&setup.bid("k1"), "100").await;
+        assert_eq!(got.reason(), RefuseReason::Overloaded);
+        slow.await.whole();
+        setup.wait_load(0, 0).await;
+        setup.send(&setup.bid("k1"), "100").await.whole();
+        assert_eq!(setup.upstream.executions().len(), 1);
+    });
+}
--- /dev/null
+++ b/crates/core/tests/key_table.rs
@@ -0,0 +1,148 @@
+//! Guards against an idempotency key that runs twice, and against a duplicate that receives
+//! another answer than the first request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peridotfold_core::key_table::{
+    Answer, Claim, KeyTable, Outcome, ANSWER_LIMIT, KEY_LIMIT, RETENTION, STORED_LIMIT,
+};
+use peridotfold_core::time::Time;
+
+const SCHEDULES: u64 = 3_000;
+const STEPS: usize = 300;
+const KEYS: usize = 12;
+
+fn key(number: usize) -> Bytes {
+    Bytes::from(format!("team/key-{number}"))
+}
+
+fn answer(body: Vec<u8>) -> Arc<Answer> {
+    let headers = vec![(Bytes::from_static(b"a"), Bytes::from_static(b"b"))];
+    Arc::new(Answer { status: 200, headers, body: Bytes::from(body) })
+}
+
+/// What a duplicate of a key may be told.
+#[derive(Debug, Clone)]
+enum Expected {
+    Running,
+    Answered(Arc<Answer>),
+    Unknown,
+}
+
+struct Model {
+    rng: fastrand::Rng,
+    now: Time,
+    table: KeyTable,
+    /// Expected state of each key, and when it ends.
+    keys: HashMap<Bytes, (Expected, Option<Time>)>,
+    executions: HashMap<Bytes, u32>,
+}
+
+impl Model {
+    fn claim(&mut self, key: &Bytes) {
+        let now = self.now;
+        self.keys.retain(|_, (_, end)| end.is_none_or(|end| end > now));
+        let expected = self.keys.get(key).map(|(expected, _)| expected.clone());
+        match (self.table.claim(now, key), expected) {
+            (Claim::Run, None) => {
+                *self.executions.entry(key.clone()).or_default() += 1;
+                self.keys.insert(key.clone(), (Expected::Running, None));
+            }
+            (Claim::Join, Some(Expected::Running)) => {}
+            (Claim::Replay(replayed), Some(Expected::Answered(first))) => {
+                assert_eq!(replayed, first);
+            }
+            (Claim::Unknown, Some(Expected::Unknown)) => {}
+            (claim, expected) => panic!("{claim:?} for {expected:?}"),
+        }
+    }
+
+    fn settle(&mut self, key: &Bytes) {
+        let body = vec![self.rng.u8(..); self.rng.usize(0..64)];
+        let outcome = match self.rng.u32(0..10) {
+            0..=4 => Outcome::Answered(answer(body)),
+            5 => Outcome::Answered(answer(vec![7; ANSWER_LIMIT + 1])),
+            6..=7 => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        };
+        self.table.settle(self.now, key, outcome.clone());
+        if !matches!(self.keys.get(key), Some((Expected::Running, _))) {
+            return;
+        }
+        let end = Some(self.now + RETENTION);
+        match outcome {
+            Outcome::NotRun => drop(self.keys.remove(key)),
+            Outcome::Answered(answer) if answer.body.len() <= ANSWER_LIMIT => {
+                self.keys.insert(key.clone(), (Expected::Answered(answer), end));
+            }
+            _ => drop(self.keys.insert(key.clone(), (Expected::Unknown, end))),
+        }
+    }
+
+    fn step(&mut self) {
+        let key = key(self.rng.usize(0..KEYS));
+        match self.rng.u32(0..10) {
+            0..=4 => self.claim(&key),
+            5..=7 => self.settle(&key),
+            8 => self.now += Duration::from_secs(self.rng.u64(0..30)),
+            _ if self.rng.u32(0..20) == 0 => self.now += RETENTION,
+            _ => {}
+        }
+        assert!(self.table.len() <= KEYS);
+        assert!(self.table.stored() <= KEYS * (ANSWER_LIMIT + 2));
+    }
+}
+
+#[test]
+fn random_schedules_run_each_key_at_most_once() {
+    let mut executions = 0;
+    for seed in 0..SCHEDULES {
+        let result = std::panic::catch_unwind(|| {
+            let mut model = Model {
+                rng: fastrand::Rng::with_seed(seed),
+                now: Time::ZERO,
+                table: KeyTable::default(),
+                keys: HashMap::new(),
+                executions: HashMap::new(),
+            };
+            for _ in 0..STEPS {
+                model.step();
+            }
+            model.executions.values().sum::<u32>()
+        });
+        executions += result.unwrap_or_else(|_| panic!("seed {seed}"));
+    }
+    assert!(u64::from(executions) > SCHEDULES, "the schedules hardly ran anything");
+}
+
+#[test]
+fn full_table_refuses_new_keys_and_keeps_the_old() {
+    let mut table = KeyTable::default();
+    for number in 0..KEY_LIMIT {
+        assert_eq!(table.claim(Time::ZERO, &key(number)), Claim::Run);
+        table.settle(Time::ZERO, &key(number), Outcome::Unknown);
+    }
+    assert_eq!(table.claim(Time::ZERO, &key(KEY_LIMIT)), Claim::Full);
+    assert_eq!(table.claim(Time::ZERO, &key(0)), Claim::Unknown);
+    assert_eq!(table.claim(RETENTION, &key(KEY_LIMIT)), Claim::Run);
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn answer_dropped_for_space_is_not_run_again() {
+    let mut table = KeyTable::default();
+    let count = STORED_LIMIT / ANSWER_LIMIT + 100;
+    for number in 0..count {
+        assert_eq!(table.claim(Time::ZERO, &key(number)), Claim::Run);
+        table.settle(Time::ZERO, &key(number), Outcome::Answered(answer(vec![1; ANSWER_LIMIT])));
+        assert!(table.stored() <= STORED_LIMIT);
+    }
+    assert_eq!(table.claim(Time::ZERO, &key(0)), Claim::Unknown);
+    let last = table.claim(Time::ZERO, &key(count - 1));
+    assert!(matches!(last, Claim::Replay(_)));
+    assert_eq!(table.claim(RETENTION, &key(0)), Claim::Run);
+    assert_eq!((table.len(), table.stored()), (1, 0));
+}
