--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod gate;
 pub mod http;
 pub mod keyed;
-mod placeholder;
 pub mod relay;
 pub mod request;
 pub mod serve;
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::Mutex;
 use peridotfold_core::admission::Limits;
-use peridotfold_core::config::{Document, Service};
+use peridotfold_core::config::{ConfigState, Document, Service};
 use peridotfold_core::hash;
 use peridotfold_core::id::{ConfigVersion, EntryId};
 use peridotfold_core::message::announce::{AnnounceReply, CellOwner, ConfigUpdate, EntryAddress};
@@ -15,7 +15,6 @@
 use peridotfold_wire::peer::Peers;
 
 use crate::gate::Gate;
-use crate::placeholder::ConfigState;
 use crate::settings::Settings;
 
 /// Entries that an agent announces itself to.
@@ -163,7 +162,7 @@
                 let service = state.config.document.services.get(&self.settings.service);
                 self.gate.set_limits(limits(service));
             }
-            Err(error) => tracing::warn!(event = "config_rejected", entry, detail = ?error),
+            Err(error) => tracing::warn!(event = "config_rejected", entry, detail = %error),
         }
     }
 }
