--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -1,1 +1,3 @@
 //! Attempts on one VM.
+
+pub mod worker;
