--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -1,1 +1,315 @@
-//! Batch tasks on this VM.
+//! Batch tasks on this VM: keeps the worker in line with the orders of the cell's owner.
+//!
+//! Two loops share the state. One lists the worker's tasks and performs the actions that are due;
+//! the other reports to the owner and takes its orders. The lock of the state is never held across
+//! an await.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use parking_lot::Mutex;
+use peridotfold_core::colocation::{calendar, ClassLoad, Colocation, Decision, Sample};
+use peridotfold_core::config::Document;
+use peridotfold_core::id::{Incarnation, ServiceId};
+use peridotfold_core::message::announce::CellOwner;
+use peridotfold_core::message::report::Orders;
+use peridotfold_core::tasks::{Action, Effect, Identity, Tasks};
+use peridotfold_core::time::Time;
+use peridotfold_wire::peer::Peers;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
+
+use crate::settings::Settings;
+
+mod log;
+pub mod worker_client;
+
+use worker_client::WorkerClient;
+
+/// Pause between two lists while tasks are there, and while there are none.
+const POLL_BUSY: Duration = Duration::from_millis(250);
+const POLL_IDLE: Duration = Duration::from_secs(1);
+/// Requests to the worker at a time.
+const ACTIONS_AT_ONCE: usize = 8;
+const CONTROL_PERIOD: Duration = Duration::from_secs(1);
+/// Assumed lag of the worker's usage and of the smoothed latency.
+const MEASUREMENT_LAG: Duration = Duration::from_secs(2);
+/// The owner holds a reply for up to 1 s.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shortest pause between two reports: after orders, and otherwise. Keeps an owner that replies at
+/// once from being called in a tight loop.
+const REPORT_PAUSE_ORDERS: Duration = Duration::from_millis(20);
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+const REPORT_RETRY: Duration = Duration::from_millis(250);
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// Batch tasks of a VM.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    worker: WorkerClient,
+    peers: Arc<Peers>,
+    service: ServiceId,
+    drain_grace: Duration,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+    close: Trigger,
+    closed: Shutdown,
+}
+
+#[derive(Debug)]
+struct State {
+    tasks: Tasks,
+    colocation: Colocation,
+    next_control: Time,
+    worker_ok: bool,
+    owner_ok: bool,
+}
+
+impl Batch {
+    /// Builds the state; nothing is contacted before [`Batch::run`].
+    pub fn new(settings: &Settings, incarnation: Incarnation, peers: Arc<Peers>) -> Batch {
+        let identity = Identity {
+            agent: settings.id.clone(),
+            incarnation,
+            cell: settings.cell.clone(),
+            rack: settings.rack.clone(),
+        };
+        let target = Duration::from_millis(50);
+        let state = State {
+            tasks: Tasks::new(identity, MEASUREMENT_LAG),
+            colocation: Colocation::new(settings.service.clone(), MEASUREMENT_LAG, target),
+            next_control: Duration::ZERO,
+            worker_ok: true,
+            owner_ok: true,
+        };
+        let (wake, woken) = async_channel::bounded(1);
+        let (close, closed) = shutdown::channel();
+        let shared = Shared {
+            state: Mutex::new(state),
+            worker: WorkerClient::new(settings.worker),
+            peers,
+            service: settings.service.clone(),
+            drain_grace: settings.drain_grace,
+            wake,
+            woken,
+            close,
+            closed,
+        };
+        Batch { shared: Arc::new(shared) }
+    }
+
+    /// Runs tasks until the batch work is drained. The signal starts a drain with the grace period
+    /// of the settings, unless [`Batch::drain`] has ended before.
+    pub async fn run(
+        &self,
+        document: impl Fn() -> Option<Arc<Document>> + Send + Sync + 'static,
+        owner: impl Fn() -> Option<CellOwner> + Send + Sync + 'static,
+        latency: impl Fn() -> Duration + Send + Sync + 'static,
+        shutdown: Shutdown,
+    ) {
+        let shared = &self.shared;
+        let tasks = shared.worker_loop(document, latency);
+        let reports = shared.report_loop(owner);
+        let drained = async {
+            shutdown.wait().await;
+            self.drain(shared.drain_grace).await;
+        };
+        future::or(future::or(tasks, reports), future::or(shared.closed.wait(), drained)).await;
+    }
+
+    /// Takes checkpoints of all tasks, stops them and hands them back, for at most `limit`; then
+    /// ends [`Batch::run`].
+    pub async fn drain(&self, limit: Duration) {
+        let deadline = runtime::now() + limit;
+        self.shared.state.lock().tasks.drain();
+        self.shared.wake_worker_loop();
+        while runtime::now() < deadline && !self.shared.closed.is_set() {
+            if self.shared.state.lock().tasks.is_drained() {
+                break;
+            }
+            runtime::sleep(DRAIN_CHECK).await;
+        }
+        let left = self.shared.state.lock().tasks.attempt_count();
+        tracing::info!(event = "batch_drained", attempts_left = left);
+        self.shared.close.fire();
+    }
+}
+
+impl Shared {
+    fn wake_worker_loop(&self) {
+        // A full channel means that the loop is about to run anyway.
+        let _ = self.wake.try_send(());
+    }
+
+    async fn worker_loop(
+        self: &Arc<Self>,
+        document: impl Fn() -> Option<Arc<Document>>,
+        latency: impl Fn() -> Duration,
+    ) {
+        loop {
+            let asked_at = runtime::now();
+            match self.worker.list().await {
+                Ok(list) => {
+                    let mut state = self.state.lock();
+                    state.tasks.listed(asked_at, runtime::now(), &list);
+                    log::worker_reachable(&mut state.worker_ok);
+                }
+                Err(error) => log::worker_failed(&mut self.state.lock().worker_ok, &error),
+            }
+            let actions = self.decide(document(), latency());
+            self.perform_all(actions).await;
+            let busy = {
+                let mut state = self.state.lock();
+                log::transitions(&mut state.tasks);
+                log::gauges(&state.tasks, &state.colocation);
+                state.tasks.attempt_count() > 0
+            };
+            self.pause(if busy { POLL_BUSY } else { POLL_IDLE }).await;
+        }
+    }
+
+    async fn pause(&self, duration: Duration) {
+        let woken = async {
+            let _ = self.woken.recv().await;
+        };
+        future::or(runtime::sleep(duration), woken).await;
+    }
+
+    fn decide(&self, document: Option<Arc<Document>>, latency: Duration) -> Vec<Action> {
+        let mut state = self.state.lock();
+        let now = runtime::now();
+        if let Some(document) = document {
+            let limits = calendar::limits(&document, &self.service, SystemTime::now());
+            state.tasks.set_limits(limits);
+            if now >= state.next_control {
+                state.next_control = now + CONTROL_PERIOD;
+                state.control(now, &document, &self.service, latency);
+            }
+        }
+        state.tasks.actions(now)
+    }
+
+    /// Performs actions in order, several at a time. Ends early when the worker does not answer:
+    /// the rest is due again after the next list.
+    async fn perform_all(self: &Arc<Self>, actions: Vec<Action>) {
+        for group in actions.chunks(ACTIONS_AT_ONCE) {
+            let started: Vec<smol::Task<bool>> = group
+                .iter()
+                .map(|action| {
+                    let (shared, action) = (self.clone(), action.clone());
+                    runtime::spawn(async move { shared.perform(action).await })
+                })
+                .collect();
+            let mut answered = true;
+            for task in started {
+                answered &= task.await;
+            }
+            if !answered {
+                return;
+            }
+        }
+    }
+
+    /// Performs one action; tells whether the worker answered.
+    async fn perform(&self, action: Action) -> bool {
+        // The clock is read here, after any pause since the decision.
+        if !self.state.lock().tasks.begin(runtime::now(), &action) {
+            return true;
+        }
+        let (effect, checkpoint, error) = self.worker.perform(&action).await;
+        if let Some(error) = error {
+            log::action_failed(&action, &error);
+        }
+        let answered = matches!(effect, Effect::Done | Effect::Refused(_));
+        let mut state = self.state.lock();
+        state.tasks.performed(runtime::now(), &action, effect);
+        if let (Action::Checkpoint(id), Some(taken)) = (&action, checkpoint) {
+            state.tasks.checkpointed(id, taken.checkpoint.into());
+        }
+        answered
+    }
+
+    async fn report_loop(&self, owner: impl Fn() -> Option<CellOwner>) {
+        loop {
+            let pause = match owner() {
+                Some(owner) => self.report(&owner).await,
+                None => REPORT_RETRY,
+            };
+            runtime::sleep(pause).await;
+        }
+    }
+
+    /// Sends one report and obeys the reply; returns the pause before the next one.
+    async fn report(&self, owner: &CellOwner) -> Duration {
+        let report = {
+            let mut state = self.state.lock();
+            let pressure = state.colocation.pressure_percent();
+            // The lease counts from this time, which is before the report is sent.
+            state.tasks.report(runtime::now(), pressure)
+        };
+        let Some(report) = report else { return REPORT_PAUSE };
+        let reply =
+            self.peers.call::<_, Orders>(&owner.address, "report", &report, REPORT_TIMEOUT).await;
+        match reply {
+            Ok(orders) => {
+                let ordered = has_orders(&orders);
+                let mut state = self.state.lock();
+                log::owner_reachable(&mut state.owner_ok);
+                state.tasks.obey(runtime::now(), orders);
+                log::transitions(&mut state.tasks);
+                drop(state);
+                self.wake_worker_loop();
+                if ordered {
+                    REPORT_PAUSE_ORDERS
+                } else {
+                    REPORT_PAUSE
+                }
+            }
+            Err(error) => {
+                log::report_failed(&mut self.state.lock().owner_ok, &error);
+                REPORT_RETRY
+            }
+        }
+    }
+}
+
+impl State {
+    fn control(&mut self, now: Time, document: &Document, service: &str, latency: Duration) {
+        if let Some(service) = document.services.get(service) {
+            self.colocation.set_target(service.target());
+        }
+        let sample = Sample { latency, classes: self.class_loads(document) };
+        if let Some(decision) = self.colocation.observe(now, &sample) {
+            log::decision(&decision, &self.colocation);
+            if let Decision::Evict { class } = &decision {
+                self.tasks.evict_newest(class);
+            }
+        }
+        self.tasks.set_colocation(self.colocation.speeds(), self.colocation.held(now));
+    }
+
+    fn class_loads(&self, document: &Document) -> BTreeMap<String, ClassLoad> {
+        let mut loads = BTreeMap::new();
+        for (_, class, usage) in self.tasks.running() {
+            let urgent = document.classes.get(class).is_some_and(|class| class.urgent);
+            let fresh = ClassLoad { tasks: 0, cpu_milli: 0, urgent };
+            let load = loads.entry(class.to_owned()).or_insert(fresh);
+            load.tasks += 1;
+            load.cpu_milli += usage.cpu_milli;
+        }
+        loads
+    }
+}
+
+fn has_orders(orders: &Orders) -> bool {
+    !(orders.starts.is_empty() && orders.stops.is_empty() && orders.acknowledged.is_empty())
+}
--- /dev/null
+++ b/crates/agent/src/batch/worker_client.rs
@@ -0,0 +1,125 @@
+//! Client of the platform's worker API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use peridotfold_core::message::report::AttemptId;
+use peridotfold_core::tasks::worker::{
+    task_path_id, Checkpoint, CheckpointTask, RenewTasks, StopTask, ThrottleTask, WorkerList,
+};
+use peridotfold_core::tasks::{Action, Effect};
+use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::http_client::HttpClient;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// The worker is on the same VM; a longer silence means that it is paused or gone.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Client of the worker API at one address.
+#[derive(Debug, Clone)]
+pub struct WorkerClient {
+    address: SocketAddr,
+    http: HttpClient,
+}
+
+impl WorkerClient {
+    /// Builds a client that connects on first use.
+    pub fn new(address: SocketAddr) -> Self {
+        WorkerClient { address, http: HttpClient::default() }
+    }
+
+    /// Address of the worker API.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Lists the worker's tasks and results.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the worker does not answer in time or not as agreed.
+    pub async fn list(&self) -> Result<WorkerList, WireError> {
+        let response = self.send(Method::GET, "/v1/tasks", Bytes::new()).await?;
+        match response.status() {
+            StatusCode::OK => self.decode(response.body()),
+            status => Err(self.error(Step::Receive, format!("status {status}"))),
+        }
+    }
+
+    /// Performs an action. Returns its effect, and the checkpoint if one was taken; the error is
+    /// for the log.
+    pub async fn perform(
+        &self,
+        action: &Action,
+    ) -> (Effect, Option<Checkpoint>, Option<WireError>) {
+        match self.request(action).await {
+            Ok(response) if response.status().is_success() => {
+                let wanted = matches!(action, Action::Checkpoint(_));
+                let checkpoint = wanted.then(|| self.decode(response.body()));
+                match checkpoint.transpose() {
+                    Ok(checkpoint) => (Effect::Done, checkpoint, None),
+                    Err(error) => (Effect::Unknown, None, Some(error)),
+                }
+            }
+            Ok(response) => {
+                let detail = String::from_utf8_lossy(response.body()).into_owned();
+                let status = response.status();
+                let error = self.error(Step::Receive, format!("status {status}: {detail}"));
+                match status.is_client_error() {
+                    true => (Effect::Refused(detail), None, Some(error)),
+                    false => (Effect::Unknown, None, Some(error)),
+                }
+            }
+            Err(error) if error.is_not_sent() => (Effect::NotSent, None, Some(error)),
+            Err(error) => (Effect::Unknown, None, Some(error)),
+        }
+    }
+
+    async fn request(&self, action: &Action) -> Result<Response<Bytes>, WireError> {
+        let path = |id: &AttemptId, verb: &str| format!("/v1/tasks/{}{verb}", task_path_id(id));
+        match action {
+            Action::Start(start) => self.post("/v1/tasks", start).await,
+            Action::Renew { instance, leases, .. } => {
+                let renew = RenewTasks { instance: *instance, leases: leases.clone() };
+                self.post("/v1/renew", &renew).await
+            }
+            Action::Checkpoint(id) => {
+                self.post(&path(id, "/checkpoint"), &CheckpointTask { stop: true }).await
+            }
+            Action::Stop(id) => {
+                self.post(&path(id, "/stop"), &StopTask { attempt: id.clone() }).await
+            }
+            Action::Throttle(id, speed_percent) => {
+                let throttle = ThrottleTask { speed_percent: *speed_percent };
+                self.post(&path(id, "/throttle"), &throttle).await
+            }
+            Action::Remove(id) => self.send(Method::DELETE, &path(id, ""), Bytes::new()).await,
+        }
+    }
+
+    async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<Response<Bytes>, WireError> {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| self.error(Step::Connect, error.to_string()))?;
+        self.send(Method::POST, path, body.into()).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, WireError> {
+        self.http.simple(self.address, method, path, body, TIMEOUT).await
+    }
+
+    fn decode<T: DeserializeOwned>(&self, body: &Bytes) -> Result<T, WireError> {
+        serde_json::from_slice(body).map_err(|error| self.error(Step::Decode, error.to_string()))
+    }
+
+    fn error(&self, step: Step, detail: String) -> WireError {
+        WireError::new(step, self.address.to_string(), detail)
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/batch.rs
@@ -0,0 +1,186 @@
+//! Batch work from the owner's order to its result, over the real codecs.
+
+mod batch_support;
+
+use std::time::Duration;
+
+use batch_support::{attempt, run, start_order, until, Agent, Owner};
+use peridotfold_core::message::report::{Outcome, StopOrder};
+use peridotfold_core::resources::Resources;
+use peridotfold_standins::worker::simulation::Switches;
+use peridotfold_standins::worker::{Options, Worker};
+
+/// Guards against orders that get lost on the way to the worker or results on the way back.
+#[test]
+fn ordered_task_runs_and_its_result_is_removed_after_the_acknowledgement() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("job/1 ä", 1, 1);
+        owner.state.lock().starts.push(start_order(id.clone(), "work_ms=300"));
+        until("completed", || owner.outcome(&id) == Some(Outcome::Completed)).await;
+        let client = peridotfold_agent::batch::worker_client::WorkerClient::new(worker.address());
+        loop {
+            if client.list().await.unwrap().tasks.is_empty() {
+                break;
+            }
+            peridotfold_wire::runtime::sleep(Duration::from_millis(20)).await;
+        }
+        let history = worker.history();
+        assert_eq!((history.len(), history[0].end.as_str()), (1, "completed"));
+        agent.kill().await;
+    });
+}
+
+/// Guards against results that are dropped while the owner cannot commit them.
+#[test]
+fn result_is_repeated_until_it_is_acknowledged() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        owner.state.lock().acknowledges = false;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("j", 1, 1);
+        owner.state.lock().starts.push(start_order(id.clone(), "work_ms=10 fail=1"));
+        let repeats = || {
+            let state = owner.state.lock();
+            let has = |results: &[peridotfold_core::message::report::TaskResult]| {
+                results.iter().any(|result| result.attempt == id)
+            };
+            state.reports.iter().filter(|report| has(&report.results)).count()
+        };
+        until("repeated", || repeats() >= 3).await;
+        assert!(matches!(owner.outcome(&id), Some(Outcome::Failed { .. })));
+        owner.state.lock().acknowledges = true;
+        until("dropped", || owner.state.lock().reports.last().unwrap().results.is_empty()).await;
+        agent.kill().await;
+    });
+}
+
+/// Guards against a restarted agent that loses running tasks or admits over them.
+#[test]
+fn restarted_agent_adopts_running_tasks_before_it_reports() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("j", 1, 1);
+        let mut order = start_order(id.clone(), "work_ms=3000");
+        order.need = Resources::new(5_000, 1_000, 0);
+        owner.state.lock().starts.push(order);
+        until("running", || worker.history().len() == 1).await;
+        agent.kill().await;
+        owner.state.lock().reports.clear();
+
+        let agent = Agent::start(worker.address(), owner.address, 2);
+        until("reported", || !owner.state.lock().reports.is_empty()).await;
+        let first = owner.state.lock().reports[0].clone();
+        assert_eq!((first.incarnation, first.epoch), (2, 1));
+        assert_eq!(first.running.len(), 1);
+        let second = attempt("k", 1, 2);
+        let mut order = start_order(second.clone(), "work_ms=10");
+        order.need = Resources::new(2_000, 1_000, 0);
+        owner.state.lock().starts.push(order);
+        until("refused", || matches!(owner.outcome(&second), Some(Outcome::Refused { .. }))).await;
+        until("completed", || owner.outcome(&id) == Some(Outcome::Completed)).await;
+        assert_eq!(worker.history().len(), 1);
+        agent.kill().await;
+    });
+}
+
+/// Guards against tasks that run on after the owner may have started them elsewhere.
+#[test]
+fn worker_ends_a_task_whose_lease_is_not_renewed() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        owner.state.lock().lease = Duration::from_secs(2);
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("j", 1, 1);
+        owner.state.lock().starts.push(start_order(id.clone(), "work_ms=60000"));
+        until("running", || owner.is_running(&id) && worker.history().len() == 1).await;
+        owner.state.lock().lease = Duration::ZERO;
+        until("ended", || matches!(owner.outcome(&id), Some(Outcome::Evicted { .. }))).await;
+        let history = worker.history();
+        let ran = history[0].end_us.unwrap() - history[0].start_us;
+        // One renewal may have been granted just before the leases ended.
+        assert!(ran < 5_000_000, "ran for {ran} us");
+        agent.kill().await;
+    });
+}
+
+/// Guards against stops that drop work, and against a resumption that repeats or skips work.
+#[test]
+fn stopped_task_resumes_from_its_checkpoint() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("j", 1, 1);
+        owner.state.lock().starts.push(start_order(id.clone(), "work_ms=2000"));
+        until("progress", || worker.history().first().is_some_and(|i| i.progress_end > 200.0))
+            .await;
+        let stop = StopOrder { attempt: id.clone(), checkpoint: true };
+        owner.state.lock().stops.push(stop);
+        until("stopped", || owner.outcome(&id).is_some()).await;
+        let Some(Outcome::Stopped { checkpoint: Some(checkpoint) }) = owner.outcome(&id) else {
+            panic!("no checkpoint: {:?}", owner.outcome(&id));
+        };
+        let next = attempt("j", 1, 2);
+        let mut order = start_order(next.clone(), "work_ms=2000");
+        order.checkpoint = Some(checkpoint);
+        owner.state.lock().starts.push(order);
+        until("completed", || owner.outcome(&next) == Some(Outcome::Completed)).await;
+        let history = worker.history();
+        assert_eq!(history.len(), 2);
+        assert_eq!(history[0].progress_end, history[1].progress_start);
+        assert!(history[0].end_us.unwrap() <= history[1].start_us);
+        agent.kill().await;
+    });
+}
+
+/// Guards against a planned stop that leaves tasks to the end of their leases.
+#[test]
+fn drain_hands_all_tasks_back_and_ends() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        let owner = Owner::start().await;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let ids = [attempt("j", 1, 1), attempt("k", 1, 2)];
+        for id in &ids {
+            owner.state.lock().starts.push(start_order(id.clone(), "work_ms=60000"));
+        }
+        until("running", || worker.history().len() == 2).await;
+        agent.trigger.fire();
+        agent.running.await;
+        for id in &ids {
+            let outcome = owner.outcome(id);
+            assert!(
+                matches!(outcome, Some(Outcome::Evicted { checkpoint: Some(_) })),
+                "{outcome:?}"
+            );
+        }
+        assert!(worker.history().iter().all(|interval| interval.end == "stopped"));
+    });
+}
+
+/// Guards against an agent that takes work which its worker fails or does not answer to.
+#[test]
+fn faulty_worker_is_reported() {
+    run(async {
+        let worker = Worker::start(Options::default()).await.unwrap();
+        worker.set_switches(Switches { fail_all: true, ..Switches::default() });
+        let owner = Owner::start().await;
+        let agent = Agent::start(worker.address(), owner.address, 1);
+        let id = attempt("j", 1, 1);
+        owner.state.lock().starts.push(start_order(id.clone(), "work_ms=5000"));
+        until("failed", || matches!(owner.outcome(&id), Some(Outcome::Failed { .. }))).await;
+        worker.set_switches(Switches { delay_ms: 1_500, ..Switches::default() });
+        let refused = attempt("k", 1, 2);
+        peridotfold_wire::runtime::sleep(Duration::from_millis(6_500)).await;
+        owner.state.lock().starts.push(start_order(refused.clone(), "work_ms=5000"));
+        until("refused", || matches!(owner.outcome(&refused), Some(Outcome::Refused { .. }))).await;
+        agent.kill().await;
+    });
+}
--- /dev/null
+++ b/crates/agent/tests/worker_contract.rs
@@ -0,0 +1,195 @@
+//! Contract of the platform's worker API, checked against the stand-in through the agent's client.
+
+mod batch_support;
+
+use std::time::Duration;
+
+use batch_support::{attempt, run};
+use peridotfold_agent::batch::worker_client::WorkerClient;
+use peridotfold_core::message::report::AttemptId;
+use peridotfold_core::resources::Resources;
+use peridotfold_core::tasks::worker::{StartTask, TaskLease, WorkerList, WorkerOutcome};
+use peridotfold_core::tasks::{Action, Effect};
+use peridotfold_standins::worker::{Options, Worker};
+use peridotfold_wire::runtime;
+
+struct Api {
+    worker: Worker,
+    client: WorkerClient,
+}
+
+impl Api {
+    async fn start(options: Options) -> Api {
+        let worker = Worker::start(options).await.unwrap();
+        let client = WorkerClient::new(worker.address());
+        Api { worker, client }
+    }
+
+    async fn list(&self) -> WorkerList {
+        self.client.list().await.unwrap()
+    }
+
+    async fn perform(&self, action: Action) -> Effect {
+        self.client.perform(&action).await.0
+    }
+
+    async fn start_task(&self, id: AttemptId, lease_ms: u64, command: &str) -> Effect {
+        let list = self.list().await;
+        self.perform(Action::Start(StartTask {
+            instance: list.instance,
+            valid_until_ms: list.now_ms + lease_ms,
+            attempt: id,
+            team: "t".into(),
+            class: "c".into(),
+            need: Resources::new(1_000, 500, 0),
+            urgent: false,
+            command: command.into(),
+            checkpoint: None,
+            speed_percent: 100,
+        }))
+        .await
+    }
+
+    async fn ended(&self, id: &AttemptId) -> WorkerOutcome {
+        for _ in 0..1_000 {
+            let list = self.list().await;
+            let task = list.tasks.into_iter().find(|task| task.attempt == *id).unwrap();
+            if let Some(outcome) = task.outcome {
+                return outcome;
+            }
+            runtime::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("{id:?} does not end");
+    }
+}
+
+/// Guards against an old attempt that starts after a newer one, or after its own stop.
+#[test]
+fn old_and_stopped_tokens_do_not_start() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        assert_eq!(api.start_task(attempt("j", 2, 5), 10_000, "work_ms=20").await, Effect::Done);
+        let older = api.start_task(attempt("j", 2, 4), 10_000, "work_ms=20").await;
+        assert!(matches!(older, Effect::Refused(_)));
+        let epoch = api.start_task(attempt("j", 1, 9), 10_000, "work_ms=20").await;
+        assert!(matches!(epoch, Effect::Refused(_)));
+        let barred = attempt("k", 1, 1);
+        assert_eq!(api.perform(Action::Stop(barred.clone())).await, Effect::Done);
+        let late = api.start_task(barred, 10_000, "work_ms=20").await;
+        assert!(matches!(late, Effect::Refused(_)));
+        assert_eq!(api.worker.history().len(), 1);
+    });
+}
+
+/// Guards against a repeated start that runs a task twice.
+#[test]
+fn repeated_start_has_no_effect() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        let id = attempt("j", 1, 1);
+        for _ in 0..3 {
+            assert_eq!(api.start_task(id.clone(), 10_000, "work_ms=50").await, Effect::Done);
+        }
+        assert_eq!(api.ended(&id).await, WorkerOutcome::Completed);
+        assert_eq!(api.start_task(id, 10_000, "work_ms=50").await, Effect::Done);
+        assert_eq!(api.worker.history().len(), 1);
+    });
+}
+
+/// Guards against requests that were delayed beyond the lease and start or revive a task.
+#[test]
+fn lease_ends_a_task_and_cannot_be_revived() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        let id = attempt("j", 1, 1);
+        let stale = api.list().await;
+        assert_eq!(api.start_task(id.clone(), 100, "work_ms=60000").await, Effect::Done);
+        assert!(matches!(api.ended(&id).await, WorkerOutcome::Expired { checkpoint: Some(_) }));
+        let lease = TaskLease { attempt: id.clone(), valid_until_ms: stale.now_ms + 60_000 };
+        let renew =
+            Action::Renew { instance: stale.instance, leases: vec![lease], until: Vec::new() };
+        assert_eq!(api.perform(renew).await, Effect::Done);
+        assert!(matches!(api.ended(&id).await, WorkerOutcome::Expired { .. }));
+        let late = api.start_task(attempt("k", 1, 1), 0, "work_ms=10").await;
+        assert!(matches!(late, Effect::Refused(_)));
+        let interval = &api.worker.history()[0];
+        assert!(interval.end_us.unwrap() - interval.start_us <= 102_000);
+    });
+}
+
+/// Guards against a client that takes an instance's reply for that of its successor.
+#[test]
+fn requests_for_another_instance_are_refused() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        let instance = api.list().await.instance.wrapping_add(1);
+        let leases = Vec::new();
+        let renew = Action::Renew { instance, leases, until: Vec::new() };
+        assert!(matches!(api.perform(renew).await, Effect::Refused(_)));
+    });
+}
+
+/// Guards against throttles, measurements and checkpoints that do not mean what the agent assumes.
+#[test]
+fn throttle_usage_and_checkpoint_follow_the_contract() {
+    run(async {
+        let options = Options {
+            usage_lag: Duration::from_millis(100),
+            usage_factor: 3.0,
+            ..Options::default()
+        };
+        let api = Api::start(options).await;
+        let id = attempt("j", 1, 1);
+        assert_eq!(api.start_task(id.clone(), 60_000, "work_ms=60000").await, Effect::Done);
+        let task = api.list().await.tasks.remove(0);
+        assert!(task.usage.is_zero(), "usage is reported without its lag");
+        assert_eq!(api.perform(Action::Throttle(id.clone(), 50)).await, Effect::Done);
+        let expected = Resources::new(1_500, 1_500, 0);
+        for _ in 0..1_000 {
+            if api.list().await.tasks[0].usage == expected {
+                break;
+            }
+            runtime::sleep(Duration::from_millis(10)).await;
+        }
+        let task = api.list().await.tasks.remove(0);
+        assert_eq!((task.usage, task.speed_percent), (expected, 50));
+        let (effect, checkpoint, _) = api.client.perform(&Action::Checkpoint(id.clone())).await;
+        assert_eq!(effect, Effect::Done);
+        let checkpoint = checkpoint.map(|checkpoint| checkpoint.checkpoint);
+        assert_eq!(api.ended(&id).await, WorkerOutcome::Stopped { checkpoint });
+        let repeated = api.perform(Action::Checkpoint(id.clone())).await;
+        assert!(matches!(repeated, Effect::Refused(_)));
+    });
+}
+
+/// Guards against results that disappear before the agent removes them, or stay afterwards.
+#[test]
+fn results_stay_until_they_are_removed() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        let id = attempt("j", 1, 1);
+        assert_eq!(api.start_task(id.clone(), 60_000, "work_ms=5000").await, Effect::Done);
+        let early = api.perform(Action::Remove(id.clone())).await;
+        assert!(matches!(early, Effect::Refused(_)));
+        assert_eq!(api.perform(Action::Stop(id.clone())).await, Effect::Done);
+        assert_eq!(api.ended(&id).await, WorkerOutcome::Stopped { checkpoint: None });
+        assert_eq!(api.perform(Action::Remove(id)).await, Effect::Done);
+        assert!(api.list().await.tasks.is_empty());
+    });
+}
+
+/// Guards against a stop that is taken as done before the worker confirms it.
+#[test]
+fn stopping_task_stays_listed_until_it_is_gone() {
+    run(async {
+        let options = Options { stop_time: Duration::from_millis(200), ..Options::default() };
+        let api = Api::start(options).await;
+        let id = attempt("j", 1, 1);
+        assert_eq!(api.start_task(id.clone(), 60_000, "work_ms=5000").await, Effect::Done);
+        assert_eq!(api.perform(Action::Stop(id.clone())).await, Effect::Done);
+        assert!(api.list().await.tasks[0].outcome.is_none());
+        assert_eq!(api.ended(&id).await, WorkerOutcome::Stopped { checkpoint: None });
+        let interval = &api.worker.history()[0];
+        assert!(interval.end_us.unwrap() - interval.start_us >= 200_000);
+    });
+}
--- /dev/null
+++ b/crates/core/src/colocation/calendar.rs
@@ -0,0 +1,53 @@
+//! The closings that concern a VM.
+
+use std::time::{Duration, SystemTime};
+
+use crate::config::{Closing, Document};
+use crate::ledger::{ClosingLimit, Limits};
+
+/// Part of the lead time, before the start, in which running tasks are also reduced. Earlier only
+/// new starts are refused, so that most tasks end by themselves.
+const ENFORCE_PART: u32 = 4;
+
+/// Returns the limits of a VM of `service` at `wall`.
+pub fn limits(document: &Document, service: &str, wall: SystemTime) -> Limits {
+    let classes = document.classes.iter().map(|(name, class)| (name.clone(), class.limit));
+    Limits {
+        service: document.services.get(service).map(|service| service.limit).unwrap_or_default(),
+        classes: classes.collect(),
+        closing: document
+            .closings
+            .values()
+            .filter(|closing| closing.services.iter().any(|name| name == service))
+            .filter_map(|closing| closing_limit(closing, wall))
+            .reduce(strictest),
+    }
+}
+
+/// Returns the limit of a closing, or `None` outside it and its lead time.
+fn closing_limit(closing: &Closing, wall: SystemTime) -> Option<ClosingLimit> {
+    let start = humantime::parse_rfc3339(&closing.start).ok()?;
+    let end = humantime::parse_rfc3339(&closing.end).ok()?;
+    let lead = Duration::from_secs(closing.lead_s);
+    let prepare = start.checked_sub(lead).unwrap_or(SystemTime::UNIX_EPOCH);
+    let enforce = start.checked_sub(lead / ENFORCE_PART).unwrap_or(SystemTime::UNIX_EPOCH);
+    (prepare <= wall && wall < end).then(|| ClosingLimit {
+        batch: closing.batch_limit,
+        classes: closing.classes.clone(),
+        enforced: enforce <= wall,
+    })
+}
+
+/// Combines closings whose lead times overlap.
+fn strictest(one: ClosingLimit, other: ClosingLimit) -> ClosingLimit {
+    let classes = match (one.classes.is_empty(), other.classes.is_empty()) {
+        (true, _) => other.classes,
+        (_, true) => one.classes,
+        _ => one.classes.into_iter().chain(other.classes).collect(),
+    };
+    ClosingLimit {
+        batch: one.batch.min(&other.batch),
+        classes,
+        enforced: one.enforced || other.enforced,
+    }
+}
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -1,1 +1,361 @@
 //! Capacity of one VM.
+//!
+//! The ledger is the only authority on what a VM holds. It reserves the limit of the VM's service
+//! first, and for each batch task the larger of its declared need and its measured usage. A task
+//! holds its reservation until the worker has confirmed that it is gone.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::message::report::AttemptId;
+use crate::resources::Resources;
+use crate::time::Time;
+
+/// Speed of a task whose usage outgrew the VM, in percent.
+const GROWTH_SPEED: u8 = 50;
+
+/// Limits from the configuration in effect.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Limits {
+    /// Reserved for the VM's service.
+    pub service: Resources,
+    /// Most that each class may take from the VM.
+    pub classes: BTreeMap<String, Resources>,
+    pub closing: Option<ClosingLimit>,
+}
+
+/// Limit of a closing that has begun or is being prepared.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClosingLimit {
+    pub batch: Resources,
+    /// Classes that may start; all if empty.
+    pub classes: Vec<String>,
+    /// Also frees what running tasks hold above the limit.
+    pub enforced: bool,
+}
+
+/// Why a start does not fit.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Refusal {
+    NoConfiguration,
+    UnknownClass,
+    /// Running tasks exceed what the VM holds.
+    Relieving,
+    NotInClosing,
+    ClassLimit {
+        need: Resources,
+        room: Resources,
+    },
+    Capacity {
+        need: Resources,
+        room: Resources,
+    },
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let amounts =
+            |f: &mut fmt::Formatter<'_>, text: &str, need: &Resources, room: &Resources| {
+                write!(
+                    f,
+                    "{text}: needs cpu_milli={} memory_mib={} accelerators={}, \
+                 free cpu_milli={} memory_mib={} accelerators={}",
+                    need.cpu_milli,
+                    need.memory_mib,
+                    need.accelerators,
+                    room.cpu_milli,
+                    room.memory_mib,
+                    room.accelerators
+                )
+            };
+        match self {
+            Refusal::NoConfiguration => f.write_str("no configuration yet"),
+            Refusal::UnknownClass => f.write_str("class is not configured"),
+            Refusal::Relieving => f.write_str("running tasks exceed the VM's capacity"),
+            Refusal::NotInClosing => f.write_str("class does not belong to the closing"),
+            Refusal::ClassLimit { need, room } => amounts(f, "class limit", need, room),
+            Refusal::Capacity { need, room } => amounts(f, "capacity", need, room),
+        }
+    }
+}
+
+/// What to do about usage above a limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Relief {
+    Throttle(AttemptId),
+    Evict(AttemptId),
+    /// The task may run at full speed again.
+    Restore(AttemptId),
+}
+
+/// A task as the ledger sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    pub class: String,
+    pub need: Resources,
+    pub urgent: bool,
+    /// Last known usage, here or of an earlier attempt.
+    pub measured: Resources,
+}
+
+#[derive(Debug, Clone)]
+struct Reservation {
+    held: Held,
+    /// Order of admission.
+    order: u64,
+    /// Usage at full speed, as last measured.
+    full: Resources,
+    stopping: bool,
+    throttled_at: Option<Time>,
+    restored_at: Option<Time>,
+}
+
+impl Reservation {
+    fn amount(&self) -> Resources {
+        self.held.need.max(&self.held.measured)
+    }
+}
+
+/// Reservations of one VM.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    capacity: Resources,
+    limits: Option<Limits>,
+    /// Time for an effect to become visible in measurements.
+    settle: Time,
+    tasks: BTreeMap<AttemptId, Reservation>,
+    next_order: u64,
+}
+
+impl Ledger {
+    /// Builds an empty ledger. `lag` is the lag of usage measurements.
+    pub fn new(capacity: Resources, lag: Time) -> Self {
+        Ledger { capacity, limits: None, settle: lag * 2, tasks: BTreeMap::new(), next_order: 0 }
+    }
+
+    /// Sets the size of the VM.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+    }
+
+    /// Sets the limits in effect. Without limits nothing is admitted.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = Some(limits);
+    }
+
+    /// Capacity of the VM without what is reserved for its service and closed to batch work.
+    pub fn batch_capacity(&self) -> Resources {
+        let Some(limits) = &self.limits else { return Resources::default() };
+        let room = self.capacity.minus(&limits.service);
+        limits.closing.as_ref().map_or(room, |closing| room.min(&closing.batch))
+    }
+
+    /// Sum of the reservations.
+    pub fn reserved(&self) -> Resources {
+        sum(self.tasks.values())
+    }
+
+    /// Part of the batch capacity that is not reserved.
+    pub fn free(&self) -> Resources {
+        self.batch_capacity().minus(&self.reserved())
+    }
+
+    /// Tells whether running tasks hold more than is allowed.
+    pub fn is_over(&self) -> bool {
+        self.excess(|_| true).is_some()
+    }
+
+    /// Tells whether the ledger holds a reservation for the attempt.
+    pub fn holds(&self, attempt: &AttemptId) -> bool {
+        self.tasks.contains_key(attempt)
+    }
+
+    /// Speed that the ledger allows a task, in percent.
+    pub fn speed(&self, attempt: &AttemptId) -> u8 {
+        match self.tasks.get(attempt) {
+            Some(task) if task.throttled_at.is_some() => GROWTH_SPEED,
+            _ => 100,
+        }
+    }
+
+    /// Reserves room for a new attempt.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what does not fit, and everything while running tasks hold too much.
+    pub fn admit(&mut self, attempt: AttemptId, task: Held) -> Result<(), Refusal> {
+        let limits = self.limits.as_ref().ok_or(Refusal::NoConfiguration)?;
+        let class_limit = limits.classes.get(&task.class).ok_or(Refusal::UnknownClass)?;
+        if let Some(closing) = &limits.closing {
+            if !closing.classes.is_empty() && !closing.classes.contains(&task.class) {
+                return Err(Refusal::NotInClosing);
+            }
+        }
+        if self.is_over() {
+            return Err(Refusal::Relieving);
+        }
+        let need = task.need.max(&task.measured);
+        let used = sum(self.tasks.values().filter(|other| other.held.class == task.class));
+        if !used.plus(&need).fits_in(class_limit) {
+            return Err(Refusal::ClassLimit { need, room: class_limit.minus(&used) });
+        }
+        if !self.reserved().plus(&need).fits_in(&self.batch_capacity()) {
+            return Err(Refusal::Capacity { need, room: self.free() });
+        }
+        self.adopt(attempt, task);
+        Ok(())
+    }
+
+    /// Records a task that runs already, whether it fits or not.
+    pub fn adopt(&mut self, attempt: AttemptId, task: Held) {
+        let order = self.next_order;
+        self.next_order += 1;
+        let full = task.measured;
+        let reservation = Reservation {
+            held: task,
+            order,
+            full,
+            stopping: false,
+            throttled_at: None,
+            restored_at: None,
+        };
+        self.tasks.entry(attempt).or_insert(reservation);
+    }
+
+    /// Records measured usage. Zero means that none is known yet.
+    pub fn measure(&mut self, now: Time, attempt: &AttemptId, usage: Resources) {
+        let settle = self.settle;
+        match self.tasks.get_mut(attempt) {
+            Some(task) if !usage.is_zero() => {
+                // Measurements lag: just after a restore they still show the throttled usage.
+                let settling = task.restored_at.is_some_and(|at| now < at + settle);
+                let usage = if settling { task.held.measured.max(&usage) } else { usage };
+                task.held.measured = usage;
+                task.full = match task.throttled_at {
+                    Some(_) => task.full.max(&usage),
+                    None => usage,
+                };
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that a task is being stopped. It keeps its reservation.
+    pub fn mark_stopping(&mut self, attempt: &AttemptId) {
+        if let Some(task) = self.tasks.get_mut(attempt) {
+            task.stopping = true;
+        }
+    }
+
+    /// Frees the reservation of an attempt that is confirmed gone.
+    pub fn release(&mut self, attempt: &AttemptId) {
+        self.tasks.remove(attempt);
+    }
+
+    /// Decides what to do about usage above a limit: throttles the newest task, and evicts it if
+    /// the usage is still too high once the throttle should be visible in the measurements.
+    pub fn relieve(&mut self, now: Time) -> Vec<Relief> {
+        let mut reliefs = Vec::new();
+        while let Some((class, over)) = self.excess(|task| !task.stopping) {
+            let Some(victim) = self.newest(class.as_deref(), &over) else { break };
+            let settle = self.settle;
+            let Some(task) = self.tasks.get_mut(&victim) else { break };
+            match task.throttled_at {
+                None => {
+                    task.throttled_at = Some(now);
+                    reliefs.push(Relief::Throttle(victim));
+                    break;
+                }
+                Some(at) if now < at + settle => break,
+                Some(_) => {
+                    task.stopping = true;
+                    reliefs.push(Relief::Evict(victim));
+                }
+            }
+        }
+        if reliefs.is_empty() && !self.is_over() {
+            reliefs.extend(self.restore(now));
+        }
+        reliefs
+    }
+
+    /// Restores the oldest throttled task whose usage at full speed fits.
+    fn restore(&mut self, now: Time) -> Option<Relief> {
+        let settle = self.settle;
+        let fits = |attempt: &AttemptId, task: &Reservation| {
+            let due = task.throttled_at.is_some_and(|at| now >= at + settle);
+            due && !task.stopping && self.fits_at_full_speed(attempt, task)
+        };
+        let oldest = self
+            .tasks
+            .iter()
+            .filter(|(attempt, task)| fits(attempt, task))
+            .min_by_key(|(_, task)| task.order)
+            .map(|(attempt, _)| attempt.clone())?;
+        let task = self.tasks.get_mut(&oldest)?;
+        task.throttled_at = None;
+        task.restored_at = Some(now);
+        // Reserved until measured again, so that nothing else takes the room meanwhile.
+        task.held.measured = task.held.measured.max(&task.full);
+        Some(Relief::Restore(oldest))
+    }
+
+    fn fits_at_full_speed(&self, attempt: &AttemptId, task: &Reservation) -> bool {
+        let Some(limits) = &self.limits else { return false };
+        let full = task.held.need.max(&task.full);
+        let others = self.tasks.iter().filter(|(other, _)| *other != attempt);
+        let class = others.clone().filter(|(_, other)| other.held.class == task.held.class);
+        let class_fits = limits
+            .classes
+            .get(&task.held.class)
+            .is_none_or(|limit| sum(class.map(|(_, other)| other)).plus(&full).fits_in(limit));
+        class_fits
+            && sum(others.map(|(_, other)| other)).plus(&full).fits_in(&self.enforced_capacity())
+    }
+
+    fn enforced_capacity(&self) -> Resources {
+        let Some(limits) = &self.limits else { return self.capacity };
+        let room = self.capacity.minus(&limits.service);
+        match &limits.closing {
+            Some(closing) if closing.enforced => room.min(&closing.batch),
+            _ => room,
+        }
+    }
+
+    /// Returns what the counted tasks hold above a limit, with the class if it is a class's.
+    fn excess(
+        &self,
+        counted: impl Fn(&Reservation) -> bool,
+    ) -> Option<(Option<String>, Resources)> {
+        let tasks = || self.tasks.values().filter(|task| counted(task));
+        let over = sum(tasks()).minus(&self.enforced_capacity());
+        if !over.is_zero() {
+            return Some((None, over));
+        }
+        let classes = &self.limits.as_ref()?.classes;
+        classes.iter().find_map(|(class, limit)| {
+            let over = sum(tasks().filter(|task| task.held.class == *class)).minus(limit);
+            (!over.is_zero()).then(|| (Some(class.clone()), over))
+        })
+    }
+
+    /// Newest task that holds some of what is exceeded. Work outside a closing goes first, urgent
+    /// work last.
+    fn newest(&self, class: Option<&str>, over: &Resources) -> Option<AttemptId> {
+        let closing = self.limits.as_ref().and_then(|limits| limits.closing.as_ref());
+        let belongs = |task: &Reservation| {
+            closing.is_some_and(|closing| closing.classes.contains(&task.held.class))
+        };
+        self.tasks
+            .iter()
+            .filter(|(_, task)| !task.stopping)
+            .filter(|(_, task)| class.is_none_or(|class| class == task.held.class))
+            .filter(|(_, task)| !over.min(&task.amount()).is_zero())
+            .max_by_key(|(_, task)| (!task.held.urgent, !belongs(task), task.order))
+            .map(|(attempt, _)| attempt.clone())
+    }
+}
+
+fn sum<'a>(tasks: impl Iterator<Item = &'a Reservation>) -> Resources {
+    tasks.fold(Resources::default(), |sum, task| sum.plus(&task.amount()))
+}
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -1,3 +1,437 @@
 //! Attempts on one VM.
+//!
+//! The caller performs the actions that [`Tasks::actions`] returns, asks [`Tasks::begin`] just
+//! before each effect, and hands back what came of it with [`Tasks::performed`]. It lists the
+//! worker's tasks with [`Tasks::listed`], and sends [`Tasks::report`] to the cell's owner, whose
+//! reply goes to [`Tasks::obey`].
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::id::{AgentId, CellId, Epoch, Incarnation, JobId, TaskIndex};
+use crate::ledger::{Ledger, Limits};
+use crate::message::announce::AgentState;
+use crate::message::report::{
+    AttemptId, Outcome, Report, RunningTask, StartOrder, TaskResult, Token,
+};
+use crate::resources::Resources;
+use crate::tasks::worker::{StartTask, TaskLease};
+use crate::time::Time;
+
+mod effects;
+mod listing;
+mod orders;
 pub mod worker;
+
+/// Age of the worker's last list above which nothing is admitted.
+const LIST_MAX_AGE: Duration = Duration::from_secs(5);
+/// Time for which tokens and usage of ended tasks are remembered.
+const MEMORY: Duration = Duration::from_secs(15 * 60);
+/// Time after which an unconfirmed stop is repeated.
+const STOP_REPEAT: Duration = Duration::from_secs(1);
+/// Results, and bytes of their checkpoints, in one report. The rest follows in later reports.
+const RESULTS_PER_REPORT: usize = 512;
+const RESULT_BYTES_PER_REPORT: usize = 512 * 1024;
+
+/// A task, whichever attempt runs it.
+pub type TaskKey = (JobId, TaskIndex);
+
+/// Who reports.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    pub agent: AgentId,
+    pub incarnation: Incarnation,
+    pub cell: CellId,
+    pub rack: String,
+}
+
+/// An effect on the worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Start(StartTask),
+    Renew {
+        instance: u64,
+        leases: Vec<TaskLease>,
+        /// Ends of the leases on the agent's clock.
+        until: Vec<Time>,
+    },
+    /// Takes a checkpoint and ends the task there.
+    Checkpoint(AttemptId),
+    Stop(AttemptId),
+    Throttle(AttemptId, u8),
+    /// Removes an acknowledged result.
+    Remove(AttemptId),
+}
+
+/// What came of an action.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    Done,
+    /// The worker refused it; it had no effect.
+    Refused(String),
+    /// It certainly did not reach the worker.
+    NotSent,
+    /// It may or may not have had an effect, now or later.
+    Unknown,
+}
+
+/// A transition, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    pub name: &'static str,
+    pub attempt: Option<AttemptId>,
+    pub detail: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// The owner ordered it, or a newer attempt waits.
+    Ordered,
+    /// The agent decided it.
+    Evicted,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Admitted; `sent` once a start may have reached the worker.
+    Starting {
+        sent: bool,
+    },
+    Running,
+    Stopping {
+        cause: Cause,
+        checkpoint: bool,
+        /// Last try, and whether the worker accepted a stop.
+        tried: Option<Time>,
+        accepted: Option<Time>,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    order: Option<StartOrder>,
+    class: String,
+    phase: Phase,
+    lease_until: Time,
+    /// End of the lease that the worker has confirmed.
+    renewed_until: Time,
+    /// Set once the worker has confirmed that the task exists.
+    confirmed: Option<Time>,
+    checkpoint: Option<Bytes>,
+    measured: Resources,
+    worker_speed: u8,
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    order: StartOrder,
+    lease_until: Time,
+}
+
+#[derive(Debug, Clone)]
+struct Memory {
+    token: Token,
+    measured: Resources,
+    touched: Time,
+}
+
+/// The report whose reply is awaited.
+#[derive(Debug, Clone)]
+struct Outstanding {
+    sequence: u64,
+    sent_at: Time,
+    attempts: BTreeSet<AttemptId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WorkerClock {
+    instance: u64,
+    now_ms: u64,
+    received_at: Time,
+}
+
+impl WorkerClock {
+    /// Translates a time to the worker's clock, never to a later moment.
+    fn translate(&self, at: Time) -> u64 {
+        let ahead = at.saturating_sub(self.received_at).as_millis() as u64;
+        let behind = self.received_at.saturating_sub(at).as_millis() as u64;
+        (self.now_ms + ahead).saturating_sub(behind)
+    }
+}
+
+/// All attempts on one VM.
+#[derive(Debug)]
+pub struct Tasks {
+    identity: Identity,
+    ledger: Ledger,
+    /// Highest epoch of the cell that was seen.
+    epoch: Epoch,
+    sequence: u64,
+    outstanding: Option<Outstanding>,
+    clock: Option<WorkerClock>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    /// Newer attempts that wait until an older one is gone.
+    waiting: BTreeMap<TaskKey, Waiting>,
+    results: BTreeMap<AttemptId, Outcome>,
+    /// Committed by the owner, but still kept by the worker.
+    acknowledged: BTreeSet<AttemptId>,
+    removable: BTreeSet<AttemptId>,
+    memory: BTreeMap<TaskKey, Memory>,
+    /// Speed and admission of classes, as decided by colocation.
+    class_speeds: BTreeMap<String, u8>,
+    held_classes: BTreeSet<String>,
+    draining: bool,
+    events: Vec<Event>,
+}
+
+impl Tasks {
+    /// Builds the state of an agent that knows nothing of its worker yet. `lag` is the lag of
+    /// usage measurements.
+    pub fn new(identity: Identity, lag: Duration) -> Self {
+        Tasks {
+            identity,
+            ledger: Ledger::new(Resources::default(), lag),
+            epoch: 0,
+            sequence: 0,
+            outstanding: None,
+            clock: None,
+            attempts: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            results: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            removable: BTreeSet::new(),
+            memory: BTreeMap::new(),
+            class_speeds: BTreeMap::new(),
+            held_classes: BTreeSet::new(),
+            draining: false,
+            events: Vec::new(),
+        }
+    }
+
+    /// Highest epoch of the cell that was seen.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The capacity ledger.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Tells whether the worker's tasks are known, so that reports and starts are allowed.
+    pub fn is_adopted(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Tells whether all attempts have ended and all results are acknowledged.
+    pub fn is_drained(&self) -> bool {
+        self.attempts.is_empty() && self.waiting.is_empty() && self.results.is_empty()
+    }
+
+    /// Number of attempts that run or are being started or stopped.
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Number of results that are not acknowledged yet.
+    pub fn result_count(&self) -> usize {
+        self.results.len()
+    }
+
+    /// Running attempts with class, urgency and measured usage.
+    pub fn running(&self) -> impl Iterator<Item = (&AttemptId, &str, &Resources)> {
+        self.attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.phase == Phase::Running)
+            .map(|(id, attempt)| (id, attempt.class.as_str(), &attempt.measured))
+    }
+
+    /// Takes the transitions since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Sets the limits in effect.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.ledger.set_limits(limits);
+    }
+
+    /// Sets the speed of classes (100 if absent) and the classes that are not admitted.
+    pub fn set_colocation(&mut self, speeds: BTreeMap<String, u8>, held: BTreeSet<String>) {
+        self.class_speeds = speeds;
+        self.held_classes = held;
+    }
+
+    /// Evicts the newest running task of a class; tells whether there was one.
+    pub fn evict_newest(&mut self, class: &str) -> bool {
+        let newest = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.phase == Phase::Running && attempt.class == class)
+            .max_by_key(|(_, attempt)| attempt.confirmed)
+            .map(|(id, _)| id.clone());
+        match newest {
+            Some(id) => {
+                self.stop_attempt(&id, Cause::Evicted, true, "interference");
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Refuses new starts and hands all attempts back with a checkpoint.
+    pub fn drain(&mut self) {
+        if !self.draining {
+            self.draining = true;
+            self.event("drain_started", None, format!("attempts={}", self.attempts.len()));
+        }
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            self.refuse(waiting.order.attempt, "the agent is leaving".into());
+        }
+        let ids: Vec<AttemptId> = self.attempts.keys().cloned().collect();
+        for id in ids {
+            self.stop_attempt(&id, Cause::Evicted, true, "drain");
+        }
+    }
+
+    /// Builds the next report, to be sent at once; the lease in its reply counts from `now`.
+    /// `None` while the worker's tasks are not known: a report without them would tell the owner
+    /// that they are gone.
+    pub fn report(&mut self, now: Time, pressure_percent: u32) -> Option<Report> {
+        self.clock?;
+        self.sequence += 1;
+        let (results, delayed) = self.reported_results();
+        let mut running: Vec<RunningTask> =
+            self.attempts.iter().map(|(id, attempt)| self.running_task(id, attempt)).collect();
+        let waiting = self.waiting.values().map(|waiting| &waiting.order.attempt);
+        // A result that does not fit yet is reported as running, so that it is not taken as lost.
+        running.extend(waiting.chain(&delayed).map(|id| RunningTask {
+            attempt: id.clone(),
+            measured: Resources::default(),
+            speed_percent: 0,
+        }));
+        self.outstanding = Some(Outstanding {
+            sequence: self.sequence,
+            sent_at: now,
+            attempts: running.iter().map(|task| task.attempt.clone()).collect(),
+        });
+        Some(Report {
+            agent: self.identity.agent.clone(),
+            incarnation: self.identity.incarnation,
+            cell: self.identity.cell.clone(),
+            rack: self.identity.rack.clone(),
+            sequence: self.sequence,
+            state: if self.draining { AgentState::Leaving } else { AgentState::Ready },
+            epoch: self.epoch,
+            batch_capacity: self.ledger.batch_capacity(),
+            free: self.ledger.free(),
+            running,
+            results,
+            pressure_percent,
+        })
+    }
+
+    fn running_task(&self, id: &AttemptId, attempt: &Attempt) -> RunningTask {
+        RunningTask {
+            attempt: id.clone(),
+            measured: attempt.measured,
+            speed_percent: attempt.worker_speed,
+        }
+    }
+
+    fn reported_results(&self) -> (Vec<TaskResult>, Vec<AttemptId>) {
+        let mut bytes = 0;
+        let mut results = Vec::new();
+        let mut delayed = Vec::new();
+        for (id, outcome) in &self.results {
+            bytes += outcome_bytes(outcome);
+            let first = results.is_empty();
+            match results.len() < RESULTS_PER_REPORT && (first || bytes <= RESULT_BYTES_PER_REPORT)
+            {
+                true => results.push(TaskResult { attempt: id.clone(), outcome: outcome.clone() }),
+                false => delayed.push(id.clone()),
+            }
+        }
+        (results, delayed)
+    }
+
+    fn event(&mut self, name: &'static str, attempt: Option<&AttemptId>, detail: String) {
+        self.events.push(Event { name, attempt: attempt.cloned(), detail });
+    }
+
+    fn refuse(&mut self, id: AttemptId, reason: String) {
+        self.event("start_refused", Some(&id), reason.clone());
+        self.results.entry(id).or_insert(Outcome::Refused { reason });
+    }
+
+    /// Ends an attempt that certainly does not run and will not run.
+    fn finish(&mut self, now: Time, id: &AttemptId, outcome: Outcome) {
+        self.ledger.release(id);
+        if let Some(attempt) = self.attempts.remove(id) {
+            self.remember(now, id, attempt.measured);
+        }
+        self.event("attempt_ended", Some(id), outcome_name(&outcome).into());
+        if !self.acknowledged.contains(id) {
+            self.results.entry(id.clone()).or_insert(outcome);
+        }
+    }
+
+    fn remember(&mut self, now: Time, id: &AttemptId, measured: Resources) {
+        let fresh = Memory { token: id.token, measured: Resources::default(), touched: now };
+        let memory = self.memory.entry((id.job.clone(), id.task)).or_insert(fresh);
+        memory.token = memory.token.max(id.token);
+        memory.touched = now;
+        if !measured.is_zero() {
+            memory.measured = measured;
+        }
+    }
+
+    /// Begins to stop an attempt; a start that was not sent yet ends at once.
+    fn stop_attempt(&mut self, id: &AttemptId, cause: Cause, checkpoint: bool, reason: &str) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        match &mut attempt.phase {
+            Phase::Starting { sent: false } => {
+                let checkpoint = attempt.checkpoint.clone();
+                self.attempts.remove(id);
+                self.ledger.release(id);
+                self.event("attempt_ended", Some(id), format!("not started: {reason}"));
+                self.results.entry(id.clone()).or_insert(Outcome::Stopped { checkpoint });
+            }
+            Phase::Stopping { cause: known, .. } if cause == Cause::Ordered => *known = cause,
+            Phase::Stopping { .. } => {}
+            phase => {
+                *phase = Phase::Stopping { cause, checkpoint, tried: None, accepted: None };
+                self.ledger.mark_stopping(id);
+                self.event("attempt_stopping", Some(id), reason.into());
+            }
+        }
+    }
+
+    /// Attempts of the same task with an older token.
+    fn older_attempts(&self, id: &AttemptId) -> Vec<AttemptId> {
+        let first = AttemptId { job: id.job.clone(), task: id.task, token: Token::default() };
+        self.attempts.range(first..id.clone()).map(|(older, _)| older.clone()).collect()
+    }
+}
+
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Completed => "completed",
+        Outcome::Evicted { .. } => "evicted",
+        Outcome::Failed { .. } => "failed",
+        Outcome::Stopped { .. } => "stopped",
+        Outcome::Refused { .. } => "refused",
+    }
+}
+
+fn outcome_bytes(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Evicted { checkpoint } | Outcome::Stopped { checkpoint } => {
+            checkpoint.as_ref().map_or(0, Bytes::len)
+        }
+        Outcome::Failed { reason } | Outcome::Refused { reason } => reason.len(),
+        Outcome::Completed => 0,
+    }
+}
--- /dev/null
+++ b/crates/core/src/tasks/effects.rs
@@ -0,0 +1,236 @@
+//! Effects on the worker.
+
+use bytes::Bytes;
+
+use crate::ledger::Relief;
+use crate::message::report::{AttemptId, Outcome};
+use crate::tasks::worker::{StartTask, TaskLease};
+use crate::time::Time;
+
+use super::{Action, Attempt, Cause, Effect, Phase, Tasks, WorkerClock, STOP_REPEAT};
+
+impl Tasks {
+    /// Returns the effects that are due. Those that fail are returned again by later calls.
+    pub fn actions(&mut self, now: Time) -> Vec<Action> {
+        let Some(clock) = self.clock else { return Vec::new() };
+        self.admit_waiting(now);
+        self.expire(now);
+        for relief in self.ledger.relieve(now) {
+            self.relieve(relief);
+        }
+        // Leases first: a slow worker must not let them end.
+        let mut actions: Vec<Action> = self.renew_action(now, &clock).into_iter().collect();
+        for (id, attempt) in &self.attempts {
+            actions.extend(self.stop_action(now, id, attempt));
+        }
+        for (id, attempt) in &self.attempts {
+            actions.extend(self.throttle_action(id, attempt));
+            actions.extend(self.start_action(now, &clock, id, attempt));
+        }
+        actions.extend(self.removable.iter().cloned().map(Action::Remove));
+        actions
+    }
+
+    /// Tells whether an action may still be performed, and records that it is about to be.
+    /// Called just before the effect, because the process may have been paused since the
+    /// decision.
+    pub fn begin(&mut self, now: Time, action: &Action) -> bool {
+        match action {
+            Action::Start(start) => match self.attempts.get_mut(&start.attempt) {
+                Some(attempt) if now < attempt.lease_until => match &mut attempt.phase {
+                    Phase::Starting { sent } => {
+                        *sent = true;
+                        true
+                    }
+                    _ => false,
+                },
+                _ => false,
+            },
+            Action::Renew { leases, .. } => leases.iter().any(|lease| {
+                self.attempts.get(&lease.attempt).is_some_and(|attempt| now < attempt.lease_until)
+            }),
+            Action::Checkpoint(id) | Action::Stop(id) => match self.attempts.get_mut(id) {
+                Some(attempt) => {
+                    if let Phase::Stopping { tried, .. } = &mut attempt.phase {
+                        *tried = Some(now);
+                    }
+                    true
+                }
+                None => false,
+            },
+            Action::Throttle(id, _) => self.attempts.contains_key(id),
+            Action::Remove(id) => self.acknowledged.contains(id),
+        }
+    }
+
+    /// Takes the result of an action. A checkpoint is given with [`Tasks::checkpointed`].
+    pub fn performed(&mut self, now: Time, action: &Action, effect: Effect) {
+        match (action, effect) {
+            (Action::Start(start), Effect::Done) => self.started(now, &start.attempt),
+            (Action::Start(start), Effect::Refused(reason)) => {
+                self.start_refused(now, &start.attempt, reason);
+            }
+            (Action::Renew { leases, until, .. }, Effect::Done) => self.renewed(leases, until),
+            (Action::Stop(id), Effect::Done) => self.stop_accepted(now, id),
+            // Without a checkpoint the task is stopped plainly, which also bars a late start.
+            (Action::Checkpoint(id), Effect::Refused(_)) => self.checkpoint_failed(id),
+            (Action::Throttle(id, percent), Effect::Done) => {
+                if let Some(attempt) = self.attempts.get_mut(id) {
+                    attempt.worker_speed = *percent;
+                }
+                self.event("attempt_throttled", Some(id), format!("speed_percent={percent}"));
+            }
+            (Action::Remove(id), Effect::Done) => {
+                self.removable.remove(id);
+            }
+            _ => {}
+        }
+    }
+
+    /// Records the checkpoint at which the worker ends a task.
+    pub fn checkpointed(&mut self, id: &AttemptId, checkpoint: Bytes) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.checkpoint = Some(checkpoint);
+        }
+    }
+
+    fn started(&mut self, now: Time, id: &AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        attempt.confirmed.get_or_insert(now);
+        if let Phase::Starting { .. } = attempt.phase {
+            attempt.phase = Phase::Running;
+            self.event("attempt_started", Some(id), String::new());
+        }
+    }
+
+    fn start_refused(&mut self, now: Time, id: &AttemptId, reason: String) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        // An earlier try may have started it, and the task may have ended since.
+        if attempt.confirmed.is_some() {
+            return;
+        }
+        let checkpoint = attempt.checkpoint.clone();
+        let outcome = match attempt.phase {
+            Phase::Stopping { .. } => Outcome::Stopped { checkpoint },
+            _ => Outcome::Refused { reason: format!("worker: {reason}") },
+        };
+        self.finish(now, id, outcome);
+    }
+
+    fn renewed(&mut self, leases: &[TaskLease], until: &[Time]) {
+        for (lease, until) in leases.iter().zip(until) {
+            if let Some(attempt) = self.attempts.get_mut(&lease.attempt) {
+                attempt.renewed_until = attempt.renewed_until.max(*until);
+            }
+        }
+    }
+
+    fn stop_accepted(&mut self, now: Time, id: &AttemptId) {
+        let phase = self.attempts.get_mut(id).map(|attempt| &mut attempt.phase);
+        if let Some(Phase::Stopping { accepted, .. }) = phase {
+            accepted.get_or_insert(now);
+        }
+    }
+
+    fn checkpoint_failed(&mut self, id: &AttemptId) {
+        let phase = self.attempts.get_mut(id).map(|attempt| &mut attempt.phase);
+        if let Some(Phase::Stopping { checkpoint, tried, .. }) = phase {
+            *checkpoint = false;
+            *tried = None;
+        }
+    }
+
+    /// Ends starts whose lease ran out before they were sent, and stops what the worker should
+    /// have stopped by itself.
+    fn expire(&mut self, now: Time) {
+        let expired: Vec<(AttemptId, Phase)> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.lease_until <= now)
+            .map(|(id, attempt)| (id.clone(), attempt.phase))
+            .collect();
+        for (id, phase) in expired {
+            match phase {
+                Phase::Starting { sent: false } => {
+                    let reason = "the lease ended before the start".to_owned();
+                    self.finish(now, &id, Outcome::Refused { reason });
+                }
+                Phase::Running => self.stop_attempt(&id, Cause::Evicted, true, "lease ended"),
+                _ => {}
+            }
+        }
+    }
+
+    fn relieve(&mut self, relief: Relief) {
+        match relief {
+            Relief::Evict(id) => {
+                self.stop_attempt(&id, Cause::Evicted, true, "usage exceeds the VM's capacity");
+            }
+            Relief::Throttle(id) => self.event("growth_throttled", Some(&id), String::new()),
+            Relief::Restore(id) => self.event("growth_restored", Some(&id), String::new()),
+        }
+    }
+
+    fn speed(&self, id: &AttemptId, attempt: &Attempt) -> u8 {
+        let class = self.class_speeds.get(&attempt.class).copied().unwrap_or(100);
+        class.min(self.ledger.speed(id))
+    }
+
+    fn stop_action(&self, now: Time, id: &AttemptId, attempt: &Attempt) -> Option<Action> {
+        match attempt.phase {
+            Phase::Stopping { tried: Some(at), .. } if now < at + STOP_REPEAT => None,
+            Phase::Stopping { checkpoint: true, .. } => Some(Action::Checkpoint(id.clone())),
+            Phase::Stopping { .. } => Some(Action::Stop(id.clone())),
+            _ => None,
+        }
+    }
+
+    fn renew_action(&self, now: Time, clock: &WorkerClock) -> Option<Action> {
+        let due = |attempt: &Attempt| {
+            attempt.phase == Phase::Running
+                && attempt.lease_until > attempt.renewed_until
+                && attempt.lease_until > now
+        };
+        let due = self.attempts.iter().filter(|(_, attempt)| due(attempt));
+        let (leases, until): (Vec<TaskLease>, Vec<Time>) = due
+            .map(|(id, attempt)| {
+                let valid_until_ms = clock.translate(attempt.lease_until);
+                (TaskLease { attempt: id.clone(), valid_until_ms }, attempt.lease_until)
+            })
+            .unzip();
+        let instance = clock.instance;
+        (!leases.is_empty()).then_some(Action::Renew { instance, leases, until })
+    }
+
+    fn throttle_action(&self, id: &AttemptId, attempt: &Attempt) -> Option<Action> {
+        let speed = self.speed(id, attempt);
+        (attempt.phase == Phase::Running && attempt.worker_speed != speed)
+            .then(|| Action::Throttle(id.clone(), speed))
+    }
+
+    fn start_action(
+        &self,
+        now: Time,
+        clock: &WorkerClock,
+        id: &AttemptId,
+        attempt: &Attempt,
+    ) -> Option<Action> {
+        let starting = matches!(attempt.phase, Phase::Starting { .. });
+        let order = attempt.order.as_ref().filter(|_| starting && now < attempt.lease_until)?;
+        Some(Action::Start(StartTask {
+            instance: clock.instance,
+            valid_until_ms: clock.translate(attempt.lease_until),
+            attempt: id.clone(),
+            team: order.team.clone(),
+            class: order.class.clone(),
+            need: order.need,
+            urgent: order.urgent,
+            command: String::from_utf8_lossy(&order.command).into_owned(),
+            checkpoint: order
+                .checkpoint
+                .as_ref()
+                .map(|checkpoint| String::from_utf8_lossy(checkpoint).into_owned()),
+            speed_percent: self.speed(id, attempt),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/core/src/tasks/listing.rs
@@ -0,0 +1,205 @@
+//! Comparison of the attempts with what the worker lists.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+
+use crate::ledger::Held;
+use crate::message::report::{AttemptId, Outcome};
+use crate::resources::Resources;
+use crate::tasks::worker::{WorkerList, WorkerOutcome, WorkerTask};
+use crate::time::Time;
+
+use super::{Attempt, Cause, Phase, Tasks, WorkerClock, MEMORY};
+
+impl Tasks {
+    /// Takes a list of the worker that was asked for at `asked_at` and arrived at `now`.
+    pub fn listed(&mut self, asked_at: Time, now: Time, list: &WorkerList) {
+        let restarted = self.clock.is_some_and(|clock| clock.instance != list.instance);
+        if restarted {
+            self.event("worker_restarted", None, format!("instance={}", list.instance));
+        }
+        self.clock =
+            Some(WorkerClock { instance: list.instance, now_ms: list.now_ms, received_at: now });
+        self.ledger.set_capacity(list.capacity);
+        for task in &list.tasks {
+            self.epoch = self.epoch.max(task.attempt.token.epoch);
+            self.remember(now, &task.attempt, task.usage);
+            match &task.outcome {
+                Some(outcome) => self.listed_result(now, &task.attempt, outcome),
+                None => self.listed_running(asked_at, now, list.now_ms, task),
+            }
+        }
+        let present: BTreeSet<&AttemptId> = list.tasks.iter().map(|task| &task.attempt).collect();
+        self.end_absent(asked_at, now, restarted, &present);
+        self.acknowledged.retain(|id| present.contains(id));
+        self.removable = list
+            .tasks
+            .iter()
+            .filter(|task| task.outcome.is_some() && self.acknowledged.contains(&task.attempt))
+            .map(|task| task.attempt.clone())
+            .collect();
+        self.stop_superseded();
+        self.forget(now);
+    }
+
+    fn listed_result(&mut self, now: Time, id: &AttemptId, outcome: &WorkerOutcome) {
+        let known = self.acknowledged.contains(id) || self.results.contains_key(id);
+        match self.attempts.get(id) {
+            Some(attempt) => {
+                let outcome = translate(outcome, attempt);
+                self.finish(now, id, outcome);
+            }
+            None if known => {}
+            None => {
+                let outcome = translate_adopted(outcome);
+                self.event("result_adopted", Some(id), String::new());
+                self.results.insert(id.clone(), outcome);
+            }
+        }
+    }
+
+    fn listed_running(&mut self, asked_at: Time, now: Time, worker_ms: u64, task: &WorkerTask) {
+        let id = &task.attempt;
+        if !self.attempts.contains_key(id) {
+            self.adopt(asked_at, now, worker_ms, task);
+        }
+        self.ledger.measure(now, id, task.usage);
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        attempt.worker_speed = task.speed_percent;
+        attempt.confirmed.get_or_insert(now);
+        if !task.usage.is_zero() {
+            attempt.measured = task.usage;
+        }
+        if let Phase::Starting { .. } = attempt.phase {
+            attempt.phase = Phase::Running;
+            self.event("attempt_started", Some(id), "listed".into());
+        }
+    }
+
+    /// Takes over a task that this process did not start.
+    fn adopt(&mut self, asked_at: Time, now: Time, worker_ms: u64, task: &WorkerTask) {
+        let id = &task.attempt;
+        let left = task.valid_until_ms.saturating_sub(worker_ms);
+        // The worker read its clock after `asked_at`, so this is not later than the lease's end.
+        let lease_until = asked_at + Time::from_millis(left);
+        let held = Held {
+            class: task.class.clone(),
+            need: task.need,
+            urgent: task.urgent,
+            measured: task.usage,
+        };
+        self.ledger.adopt(id.clone(), held);
+        let attempt = Attempt {
+            order: None,
+            class: task.class.clone(),
+            phase: Phase::Running,
+            lease_until,
+            renewed_until: lease_until,
+            confirmed: Some(now),
+            checkpoint: task.checkpoint.clone().map(Bytes::from),
+            measured: Resources::default(),
+            worker_speed: task.speed_percent,
+        };
+        self.attempts.insert(id.clone(), attempt);
+        self.event("attempt_adopted", Some(id), format!("lease_left_ms={left}"));
+        if self.draining {
+            self.stop_attempt(id, Cause::Evicted, true, "drain");
+        }
+        if self.results.contains_key(id) || self.acknowledged.contains(id) {
+            self.stop_attempt(id, Cause::Ordered, false, "reported as ended");
+        }
+    }
+
+    /// Ends attempts that the worker certainly does not have and will not get.
+    fn end_absent(
+        &mut self,
+        asked_at: Time,
+        now: Time,
+        restarted: bool,
+        present: &BTreeSet<&AttemptId>,
+    ) {
+        let gone: Vec<(AttemptId, Outcome)> = self
+            .attempts
+            .iter()
+            .filter(|(id, _)| !present.contains(id))
+            .filter_map(|(id, attempt)| {
+                absent_outcome(asked_at, restarted, attempt).map(|outcome| (id.clone(), outcome))
+            })
+            .collect();
+        for (id, outcome) in gone {
+            self.finish(now, &id, outcome);
+        }
+    }
+
+    /// Stops all but the newest of several attempts at one task.
+    fn stop_superseded(&mut self) {
+        let ids: Vec<AttemptId> = self.attempts.keys().cloned().collect();
+        for pair in ids.windows(2) {
+            if (&pair[0].job, pair[0].task) == (&pair[1].job, pair[1].task) {
+                self.stop_attempt(&pair[0], Cause::Ordered, false, "superseded");
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        let held: BTreeSet<_> = self
+            .attempts
+            .keys()
+            .chain(self.results.keys())
+            .chain(&self.acknowledged)
+            .map(|id| (id.job.clone(), id.task))
+            .chain(self.waiting.keys().cloned())
+            .collect();
+        self.memory.retain(|key, memory| held.contains(key) || now < memory.touched + MEMORY);
+    }
+}
+
+/// Returns how an attempt ended that a list does not contain, or `None` if it may still exist.
+fn absent_outcome(asked_at: Time, restarted: bool, attempt: &Attempt) -> Option<Outcome> {
+    let checkpoint = attempt.checkpoint.clone();
+    let lost = attempt.confirmed.is_some_and(|at| at <= asked_at);
+    match attempt.phase {
+        Phase::Stopping { cause: Cause::Ordered, accepted, .. } => {
+            let gone = lost || restarted || accepted.is_some_and(|at| at <= asked_at);
+            gone.then_some(Outcome::Stopped { checkpoint })
+        }
+        Phase::Stopping { accepted, .. } => {
+            let gone = lost || restarted || accepted.is_some_and(|at| at <= asked_at);
+            gone.then_some(Outcome::Evicted { checkpoint })
+        }
+        Phase::Running => (lost || restarted).then_some(Outcome::Evicted { checkpoint }),
+        // The worker refuses a start that arrives after the end of its lease.
+        Phase::Starting { sent: true } if asked_at > attempt.lease_until => {
+            Some(Outcome::Refused { reason: "the worker did not confirm the start".into() })
+        }
+        // A start carries the worker's instance; the new instance refuses it.
+        Phase::Starting { sent: true } if restarted => Some(Outcome::Evicted { checkpoint }),
+        Phase::Starting { .. } => None,
+    }
+}
+
+fn translate(outcome: &WorkerOutcome, attempt: &Attempt) -> Outcome {
+    let ordered = matches!(attempt.phase, Phase::Stopping { cause: Cause::Ordered, .. });
+    match outcome {
+        WorkerOutcome::Stopped { checkpoint } | WorkerOutcome::Expired { checkpoint } => {
+            let own = checkpoint.clone().map(Bytes::from);
+            let checkpoint = own.or_else(|| attempt.checkpoint.clone());
+            match ordered {
+                true => Outcome::Stopped { checkpoint },
+                false => Outcome::Evicted { checkpoint },
+            }
+        }
+        other => translate_adopted(other),
+    }
+}
+
+fn translate_adopted(outcome: &WorkerOutcome) -> Outcome {
+    match outcome {
+        WorkerOutcome::Completed => Outcome::Completed,
+        WorkerOutcome::Failed { reason } => Outcome::Failed { reason: reason.clone() },
+        WorkerOutcome::Stopped { checkpoint } | WorkerOutcome::Expired { checkpoint } => {
+            Outcome::Evicted { checkpoint: checkpoint.clone().map(Bytes::from) }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/tasks/orders.rs
@@ -0,0 +1,165 @@
+//! Orders of the cell's owner.
+
+use crate::ledger::Held;
+use crate::message::report::{AttemptId, Orders, Outcome, StartOrder, StopOrder};
+use crate::resources::Resources;
+use crate::time::Time;
+
+use super::{Attempt, Cause, Phase, Tasks, Waiting, LIST_MAX_AGE};
+
+impl Tasks {
+    /// Obeys the reply to the last report. Each report is answered once: duplicates, replies to
+    /// earlier reports and replies of an old epoch have no effect.
+    pub fn obey(&mut self, now: Time, orders: Orders) {
+        if orders.epoch < self.epoch {
+            let detail = format!("epoch={} seen={}", orders.epoch, self.epoch);
+            self.event("old_epoch_refused", None, detail);
+            return;
+        }
+        let answered =
+            self.outstanding.take_if(|outstanding| outstanding.sequence == orders.sequence);
+        let Some(answered) = answered else {
+            let detail = format!("sequence={} last={}", orders.sequence, self.sequence);
+            self.event("late_orders_refused", None, detail);
+            return;
+        };
+        if orders.epoch > self.epoch {
+            self.event("epoch_raised", None, format!("epoch={}", orders.epoch));
+            self.epoch = orders.epoch;
+        }
+        for id in &orders.acknowledged {
+            self.acknowledge(id);
+        }
+        for stop in &orders.stops {
+            self.obey_stop(now, stop);
+        }
+        let lease_until = answered.sent_at + orders.lease;
+        if lease_until <= now {
+            return;
+        }
+        for id in &answered.attempts {
+            self.extend_lease(id, lease_until);
+        }
+        for start in orders.starts {
+            self.obey_start(now, start, lease_until);
+        }
+    }
+
+    fn acknowledge(&mut self, id: &AttemptId) {
+        if self.results.remove(id).is_some() {
+            // Kept until a later list shows that the worker has no result of it.
+            self.acknowledged.insert(id.clone());
+        }
+    }
+
+    fn obey_stop(&mut self, now: Time, stop: &StopOrder) {
+        let key = (stop.attempt.job.clone(), stop.attempt.task);
+        match self.waiting.get(&key) {
+            Some(waiting) if waiting.order.attempt == stop.attempt => {
+                let checkpoint = waiting.order.checkpoint.clone();
+                self.waiting.remove(&key);
+                self.finish(now, &stop.attempt, Outcome::Stopped { checkpoint });
+            }
+            _ => self.stop_attempt(&stop.attempt, Cause::Ordered, stop.checkpoint, "ordered"),
+        }
+    }
+
+    fn extend_lease(&mut self, id: &AttemptId, until: Time) {
+        match self.attempts.get_mut(id) {
+            Some(attempt) if !matches!(attempt.phase, Phase::Stopping { .. }) => {
+                attempt.lease_until = attempt.lease_until.max(until);
+            }
+            _ => {}
+        }
+        match self.waiting.get_mut(&(id.job.clone(), id.task)) {
+            Some(waiting) if waiting.order.attempt == *id => {
+                waiting.lease_until = waiting.lease_until.max(until);
+            }
+            _ => {}
+        }
+    }
+
+    fn obey_start(&mut self, now: Time, order: StartOrder, lease_until: Time) {
+        let id = order.attempt.clone();
+        let key = (id.job.clone(), id.task);
+        let known = self.memory.get(&key).map(|memory| memory.token);
+        let held = self.attempts.contains_key(&id)
+            || self.results.contains_key(&id)
+            || self.acknowledged.contains(&id);
+        match known {
+            _ if held => return self.event("duplicate_start_ignored", Some(&id), String::new()),
+            Some(token) if token == id.token => {
+                return self.event("duplicate_start_ignored", Some(&id), String::new());
+            }
+            Some(token) if token > id.token => {
+                let reason =
+                    format!("token is older than epoch={} number={}", token.epoch, token.number);
+                return self.refuse(id, reason);
+            }
+            _ => {}
+        }
+        self.remember(now, &id, Resources::default());
+        if self.draining {
+            return self.refuse(id, "the agent is leaving".into());
+        }
+        for older in self.older_attempts(&id) {
+            self.stop_attempt(&older, Cause::Ordered, false, "a newer attempt waits");
+        }
+        match self.older_attempts(&id).is_empty() {
+            true => self.admit(now, order, lease_until),
+            false => {
+                self.event("start_waiting", Some(&id), String::new());
+                let replaced = self.waiting.insert(key, Waiting { order, lease_until });
+                if let Some(replaced) = replaced {
+                    self.refuse(replaced.order.attempt, "a newer attempt replaced it".into());
+                }
+            }
+        }
+    }
+
+    /// Admits what waited for an older attempt that is now gone.
+    pub(super) fn admit_waiting(&mut self, now: Time) {
+        for (key, waiting) in std::mem::take(&mut self.waiting) {
+            let id = &waiting.order.attempt;
+            match (waiting.lease_until > now, self.older_attempts(id).is_empty()) {
+                (false, _) => self.refuse(id.clone(), "the lease ended before the start".into()),
+                (true, true) => self.admit(now, waiting.order, waiting.lease_until),
+                (true, false) => {
+                    self.waiting.insert(key, waiting);
+                }
+            }
+        }
+    }
+
+    fn admit(&mut self, now: Time, order: StartOrder, lease_until: Time) {
+        let id = order.attempt.clone();
+        let age = self.clock.map(|clock| now.saturating_sub(clock.received_at));
+        if age.is_none_or(|age| age > LIST_MAX_AGE) {
+            return self.refuse(id, "the worker does not respond".into());
+        }
+        if self.held_classes.contains(&order.class) {
+            return self.refuse(id, "class slows the VM's service".into());
+        }
+        let key = (id.job.clone(), id.task);
+        // Usage of an earlier attempt corrects a wrong declaration.
+        let measured = self.memory.get(&key).map(|memory| memory.measured).unwrap_or_default();
+        let held =
+            Held { class: order.class.clone(), need: order.need, urgent: order.urgent, measured };
+        if let Err(refusal) = self.ledger.admit(id.clone(), held) {
+            return self.refuse(id, refusal.to_string());
+        }
+        self.event("start_admitted", Some(&id), format!("class={}", order.class));
+        let attempt = Attempt {
+            class: order.class.clone(),
+            phase: Phase::Starting { sent: false },
+            lease_until,
+            renewed_until: lease_until,
+            confirmed: None,
+            checkpoint: order.checkpoint.clone(),
+            measured: Resources::default(),
+            worker_speed: 100,
+            order: Some(order),
+        };
+        self.attempts.insert(id, attempt);
+    }
+}
