Add routing, key and membership cores of the entry

Routing keeps upstreams by announcement and chooses by power of two choices. Keys decides where a request with an idempotency key may go and plans the moves of buckets.

--- /dev/null
+++ b/crates/core/src/keys/dispatch.rs
@@ -0,0 +1,95 @@
+//! Keys that an entry has dispatched.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::id::ServiceId;
+use crate::keys::{Holder, RETENTION};
+use crate::time::Time;
+
+/// A dispatch of a key by this entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatched {
+    pub holder: Holder,
+    /// Dispatches whose result is not known yet.
+    open: u32,
+    /// A dispatch ended with anything but a certain `not run`.
+    settled: bool,
+    last: Time,
+}
+
+type Key = (ServiceId, Bytes);
+
+/// Table of dispatched keys. A key is entered before its request is sent, and removed early only
+/// when each of its dispatches was certainly not run.
+#[derive(Debug, Default)]
+pub struct DispatchTable {
+    keys: HashMap<Key, Dispatched>,
+    ages: VecDeque<(Time, Key)>,
+}
+
+impl DispatchTable {
+    /// Records a dispatch.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key was dispatched to another holder: the caller has to ask first.
+    pub fn begin(&mut self, now: Time, service: &str, key: &Bytes, holder: &Holder) {
+        let id = (service.to_owned(), key.clone());
+        self.ages.push_back((now, id.clone()));
+        let dispatched = self.keys.entry(id).or_insert_with(|| Dispatched {
+            holder: holder.clone(),
+            open: 0,
+            settled: false,
+            last: now,
+        });
+        assert_eq!(dispatched.holder, *holder, "a key was dispatched to a second holder");
+        dispatched.open += 1;
+        dispatched.last = now;
+    }
+
+    /// Records the end of a dispatch. `not_run` is set only with proof.
+    pub fn end(&mut self, now: Time, service: &str, key: &Bytes, not_run: bool) {
+        let id = (service.to_owned(), key.clone());
+        let Some(dispatched) = self.keys.get_mut(&id) else { return };
+        dispatched.open = dispatched.open.saturating_sub(1);
+        dispatched.settled |= !not_run;
+        dispatched.last = now;
+        match dispatched.open == 0 && !dispatched.settled {
+            true => {
+                self.keys.remove(&id);
+            }
+            // The retention counts from the end: a long request may still be retried after it.
+            false => self.ages.push_back((now, id)),
+        }
+    }
+
+    /// Forgets keys after the retention.
+    pub fn prune(&mut self, now: Time) {
+        while self.ages.front().is_some_and(|(at, _)| now.saturating_sub(*at) >= RETENTION) {
+            let Some((_, id)) = self.ages.pop_front() else { return };
+            let expired = self.keys.get(&id).is_some_and(|dispatched| {
+                dispatched.open == 0 && now.saturating_sub(dispatched.last) >= RETENTION
+            });
+            if expired {
+                self.keys.remove(&id);
+            }
+        }
+    }
+
+    /// Returns the dispatch of a key.
+    pub fn get(&self, service: &str, key: &Bytes) -> Option<&Dispatched> {
+        self.keys.get(&(service.to_owned(), key.clone()))
+    }
+
+    /// Returns the number of remembered keys.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Tells whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/keys/plan.rs
@@ -0,0 +1,181 @@
+//! Plans the moves of buckets.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::hash;
+use crate::id::ServiceId;
+use crate::keys::{Bucket, BucketIndex, Generation, Holder, KeyMap, Phase, Witness, BUCKETS};
+use crate::membership::{EntryRecord, EntryView};
+use crate::time::{self, Time};
+
+/// Time for which a holder has to be missing before its buckets move, in addition to the expiry of
+/// its announcements. Covers an entry that has just started and an agent that reconnects.
+const MISSING_GRACE: Duration = Duration::from_secs(2);
+/// Time between the first upstream of a service and the assignment of its buckets. Upstreams that
+/// start together then share the buckets.
+const FIRST_GRACE: Duration = Duration::from_secs(3);
+
+/// What the planner looks at for one service.
+///
+/// `map` has to be read from the store before `records` are listed: an entry that is not among the
+/// records then reads this map, or a later one, before it dispatches anything.
+#[derive(Debug)]
+pub struct View<'a> {
+    pub service: &'a str,
+    pub map: &'a KeyMap,
+    /// Holders that take new work, in a stable order.
+    pub live: &'a [Holder],
+    /// Records of all entries, with the time since their last heartbeat.
+    pub records: &'a [(EntryRecord, Duration)],
+    /// Moves that have been open for the whole retention.
+    pub settled: &'a [Generation],
+}
+
+/// Plans the moves of buckets as seen by one entry.
+#[derive(Debug)]
+pub struct Planner {
+    outage_hold: Duration,
+    missing: HashMap<(ServiceId, Holder), Time>,
+    first: HashMap<ServiceId, Time>,
+}
+
+/// Returns the entry that moves the buckets of `service`. Entries that disagree about who is
+/// alive may both try; the compare-and-swap on the map lets one of them win.
+pub fn mover<'a>(service: &str, alive: &'a [EntryView]) -> Option<&'a EntryView> {
+    alive.iter().max_by_key(|view| hash::rendezvous(service.as_bytes(), view.entry.as_bytes()))
+}
+
+impl Planner {
+    /// Builds a planner that has seen nothing.
+    pub fn new(outage_hold: Duration) -> Self {
+        Planner { outage_hold, missing: HashMap::new(), first: HashMap::new() }
+    }
+
+    /// Returns the next map, to be written by compare-and-swap, or `None` when nothing is to do.
+    pub fn plan(&mut self, now: Time, view: &View<'_>) -> Option<KeyMap> {
+        self.watch(now, view);
+        if view.map.buckets.is_empty() {
+            return self.assign(now, view);
+        }
+        let gone = self.gone(now, view);
+        let mut map = view.map.clone();
+        let changed = match gone.is_empty() || view.live.is_empty() {
+            false => begin_moves(&mut map, view, &gone),
+            true if map.is_moving() => self.open_moves(&mut map, view),
+            true => settle(&mut map, view.settled),
+        };
+        map.drop_unused();
+        changed.then_some(map)
+    }
+
+    /// Updates the times since which holders are missing and services have upstreams.
+    fn watch(&mut self, now: Time, view: &View<'_>) {
+        match view.live.is_empty() {
+            true => self.first.remove(view.service),
+            false => Some(*self.first.entry(view.service.to_owned()).or_insert(now)),
+        };
+        self.missing.retain(|(service, holder), _| {
+            service != view.service
+                || (!view.live.contains(holder)
+                    && view.map.buckets.iter().any(|bucket| bucket.holder == *holder))
+        });
+        for bucket in view.map.buckets.iter().filter(|b| !view.live.contains(&b.holder)) {
+            let key = (view.service.to_owned(), bucket.holder.clone());
+            self.missing.entry(key).or_insert(now);
+        }
+    }
+
+    fn assign(&self, now: Time, view: &View<'_>) -> Option<KeyMap> {
+        let first = self.first.get(view.service)?;
+        if now.saturating_sub(*first) < FIRST_GRACE {
+            return None;
+        }
+        let generation = view.map.generation + 1;
+        // No entry dispatches keys of a service without a map, so there is nobody to wait for.
+        let buckets = (0..BUCKETS)
+            .map(|index| {
+                let holder = target(view, index)?;
+                Some(Bucket { holder, phase: Phase::Open, generation })
+            })
+            .collect::<Option<Vec<_>>>()?;
+        Some(KeyMap { generation, buckets, moves: Default::default() })
+    }
+
+    fn gone(&self, now: Time, view: &View<'_>) -> Vec<BucketIndex> {
+        let is_gone = |holder: &Holder| {
+            let restarted = view.live.iter().any(|live| live.agent == holder.agent);
+            let missing = self.missing.get(&(view.service.to_owned(), holder.clone()));
+            missing.is_some_and(|at| restarted || now.saturating_sub(*at) >= MISSING_GRACE)
+        };
+        let buckets = view.map.buckets.iter().enumerate();
+        buckets.filter(|(_, bucket)| is_gone(&bucket.holder)).map(|(index, _)| index).collect()
+    }
+
+    fn open_moves(&self, map: &mut KeyMap, view: &View<'_>) -> bool {
+        let mut changed = false;
+        for bucket in map.buckets.iter_mut().filter(|bucket| bucket.phase == Phase::Moving) {
+            let generation = bucket.generation;
+            if view
+                .records
+                .iter()
+                .all(|(r, silent)| self.acknowledged(view, r, *silent, generation))
+            {
+                bucket.phase = Phase::Open;
+                map.moves.insert(generation, witnesses(view.records));
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Tells whether an entry certainly no longer dispatches to the holders before `generation`.
+    fn acknowledged(
+        &self,
+        view: &View<'_>,
+        record: &EntryRecord,
+        silent: Duration,
+        generation: Generation,
+    ) -> bool {
+        record.stopped
+            || record.adopted.get(view.service).is_some_and(|adopted| *adopted >= generation)
+            || silent >= time::lease_wait(self.outage_hold)
+    }
+}
+
+fn begin_moves(map: &mut KeyMap, view: &View<'_>, gone: &[BucketIndex]) -> bool {
+    map.generation += 1;
+    map.moves.insert(map.generation, witnesses(view.records));
+    for index in gone {
+        if let Some(holder) = target(view, *index) {
+            map.buckets[*index] =
+                Bucket { holder, phase: Phase::Moving, generation: map.generation };
+        }
+    }
+    true
+}
+
+fn settle(map: &mut KeyMap, settled: &[Generation]) -> bool {
+    let before = map.moves.len();
+    map.moves.retain(|generation, _| !settled.contains(generation));
+    map.moves.len() != before
+}
+
+fn target(view: &View<'_>, index: BucketIndex) -> Option<Holder> {
+    let key = format!("{}/{index}", view.service);
+    let weight = |holder: &&Holder| hash::rendezvous(key.as_bytes(), holder.agent.as_bytes());
+    view.live.iter().max_by_key(weight).cloned()
+}
+
+fn witnesses(records: &[(EntryRecord, Duration)]) -> Vec<Witness> {
+    let mut witnesses: Vec<_> = records
+        .iter()
+        .map(|(record, _)| Witness {
+            entry: record.entry.clone(),
+            incarnation: record.incarnation,
+            complete: record.complete && !record.stopped,
+        })
+        .collect();
+    witnesses.sort_by(|a, b| a.entry.cmp(&b.entry));
+    witnesses
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,1 +1,7 @@
-//! Upstreams known to an entry, and the choice between them.
+//! Table of upstreams, choice of an upstream and retry budget of an entry.
+
+pub mod budget;
+pub mod table;
+
+pub use budget::RetryBudget;
+pub use table::{Feedback, Table, Target, UpstreamView};
--- /dev/null
+++ b/crates/core/src/routing/table.rs
@@ -0,0 +1,368 @@
+//! Upstreams as announced by their agents.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::id::{AgentId, DataCentreId, Incarnation, ServiceId};
+use crate::message::announce::{AgentState, Announce, ServiceLoad};
+use crate::time::Time;
+
+/// Time after the last announcement at which an upstream receives no more work.
+pub const EXPIRY: Duration = Duration::from_secs(3);
+/// Time for which the last sequence of a silent agent is kept, so that a delayed announcement
+/// cannot bring it back.
+const RETENTION: Duration = Duration::from_secs(60);
+/// An unused latency estimate halves in this time, so that a slow upstream is tried again.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
+/// The error penalty halves in this time.
+const ERROR_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Share of a new sample in the smoothed latency.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Cost factor for each recent error. An error that returns in 1 ms must not look better than an
+/// answer in 50 ms.
+const ERROR_COST: f64 = 20.0;
+/// Floor of the latency estimate; below it, differences are measurement noise.
+const LATENCY_FLOOR: f64 = 0.000_5;
+/// Random draws before the eligible upstreams are enumerated.
+const DRAWS: usize = 8;
+
+/// An upstream that was chosen for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    pub agent: AgentId,
+    pub incarnation: Incarnation,
+    pub address: String,
+}
+
+/// How a request to an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Feedback {
+    /// The head of an answer without a server error arrived after this time.
+    Answered(Duration),
+    /// A server error, a refusal or an unknown outcome.
+    Failed,
+    /// The connection failed; the upstream is demoted until its next announcement.
+    Unreachable,
+    /// The caller gave up; says nothing about the upstream.
+    Abandoned,
+}
+
+/// An upstream as shown to operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct UpstreamView {
+    pub agent: AgentId,
+    pub incarnation: Incarnation,
+    pub address: String,
+    pub data_centre: DataCentreId,
+    pub state: &'static str,
+    pub services: Vec<ServiceId>,
+    pub in_flight: u32,
+    pub config_version: u64,
+    pub heard_ms: u64,
+}
+
+#[derive(Debug)]
+struct Usage {
+    load: ServiceLoad,
+    /// Requests of this entry in flight.
+    in_flight: u32,
+    /// Requests of other entries at the last announcement.
+    others: u32,
+    /// Smoothed latency in seconds, as of `updated`.
+    latency: f64,
+    updated: Time,
+    errors: f64,
+    failed: Time,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    announce: Announce,
+    heard: Time,
+    demoted: bool,
+    usage: HashMap<ServiceId, Usage>,
+}
+
+/// Upstreams known to an entry.
+#[derive(Debug, Default)]
+pub struct Table {
+    upstreams: HashMap<AgentId, Upstream>,
+    services: HashMap<ServiceId, Vec<AgentId>>,
+}
+
+impl Table {
+    /// Takes an announcement; tells whether it was newer than what is known.
+    pub fn announce(&mut self, now: Time, announce: Announce) -> bool {
+        if self.upstreams.get(&announce.agent).is_some_and(|known| known.outdates(now, &announce)) {
+            return false;
+        }
+        let agent = announce.agent.clone();
+        let mut usage = match self.upstreams.remove(&agent) {
+            Some(known) if known.announce.incarnation == announce.incarnation => known.usage,
+            _ => HashMap::new(),
+        };
+        usage.retain(|service, _| announce.services.iter().any(|load| load.service == *service));
+        for load in &announce.services {
+            match usage.get_mut(&load.service) {
+                Some(usage) => usage.refresh(load),
+                None => {
+                    usage.insert(load.service.clone(), Usage::new(now, load));
+                }
+            }
+        }
+        self.index(&agent, &announce);
+        self.upstreams.insert(agent, Upstream { announce, heard: now, demoted: false, usage });
+        true
+    }
+
+    /// Drops agents that have been silent for a long time.
+    pub fn prune(&mut self, now: Time) {
+        self.upstreams.retain(|_, upstream| now.saturating_sub(upstream.heard) < RETENTION);
+        let upstreams = &self.upstreams;
+        for agents in self.services.values_mut() {
+            agents.retain(|agent| upstreams.contains_key(agent));
+        }
+        self.services.retain(|_, agents| !agents.is_empty());
+    }
+
+    /// Records that a request of this entry is sent to `target`.
+    pub fn begin(&mut self, target: &Target, service: &str) {
+        if let Some(usage) = self.usage_mut(target, service) {
+            usage.in_flight += 1;
+        }
+    }
+
+    /// Records the result of the request, as soon as it is known.
+    pub fn learn(&mut self, now: Time, target: &Target, service: &str, feedback: Feedback) {
+        if let Some(usage) = self.usage_mut(target, service) {
+            usage.learn(now, feedback);
+        }
+        match self.upstreams.get_mut(&target.agent) {
+            Some(upstream)
+                if feedback == Feedback::Unreachable
+                    && upstream.announce.incarnation == target.incarnation =>
+            {
+                upstream.demoted = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that the request of this entry is no longer in flight.
+    pub fn end(&mut self, target: &Target, service: &str) {
+        if let Some(usage) = self.usage_mut(target, service) {
+            usage.in_flight = usage.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Chooses the cheaper of two random eligible upstreams of `service` that are not in `tried`.
+    pub fn choose(
+        &self,
+        now: Time,
+        service: &str,
+        tried: &[AgentId],
+        rng: &mut fastrand::Rng,
+    ) -> Option<Target> {
+        let agents = self.services.get(service)?;
+        let first = self.draw(now, agents, tried, None, rng)?;
+        let second = self.draw(now, agents, tried, Some(first), rng);
+        let best = match second {
+            Some(second) if self.cost(now, second, service) < self.cost(now, first, service) => {
+                second
+            }
+            _ => first,
+        };
+        self.target(best)
+    }
+
+    /// Returns the given incarnation of an agent if it may receive work of `service`.
+    pub fn holder(
+        &self,
+        now: Time,
+        agent: &str,
+        incarnation: Incarnation,
+        service: &str,
+    ) -> Option<Target> {
+        let upstream = self.upstreams.get(agent)?;
+        let fits = upstream.announce.incarnation == incarnation
+            && upstream.usage.contains_key(service)
+            && upstream.is_eligible(now);
+        fits.then(|| self.target(agent)).flatten()
+    }
+
+    /// Returns the eligible agents of each service with their incarnation.
+    pub fn eligible(&self, now: Time) -> HashMap<ServiceId, Vec<(AgentId, Incarnation)>> {
+        let mut result: HashMap<_, Vec<_>> = HashMap::new();
+        for (agent, upstream) in self.upstreams.iter().filter(|(_, u)| u.is_live(now)) {
+            for service in upstream.usage.keys() {
+                let entry = (agent.clone(), upstream.announce.incarnation);
+                result.entry(service.clone()).or_default().push(entry);
+            }
+        }
+        result
+    }
+
+    /// Lists the upstreams for operators.
+    pub fn views(&self, now: Time) -> Vec<UpstreamView> {
+        let mut views: Vec<_> = self.upstreams.values().map(|u| u.view(now)).collect();
+        views.sort_by(|a, b| a.agent.cmp(&b.agent));
+        views
+    }
+
+    fn index(&mut self, agent: &AgentId, announce: &Announce) {
+        for (service, agents) in &mut self.services {
+            if !announce.services.iter().any(|load| load.service == *service) {
+                agents.retain(|known| known != agent);
+            }
+        }
+        for load in &announce.services {
+            let agents = self.services.entry(load.service.clone()).or_default();
+            if !agents.contains(agent) {
+                agents.push(agent.clone());
+            }
+        }
+    }
+
+    fn draw<'a>(
+        &self,
+        now: Time,
+        agents: &'a [AgentId],
+        tried: &[AgentId],
+        other: Option<&str>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<&'a AgentId> {
+        let fits = |agent: &AgentId| {
+            other != Some(agent.as_str())
+                && !tried.contains(agent)
+                && self.upstreams.get(agent).is_some_and(|upstream| upstream.is_eligible(now))
+        };
+        for _ in 0..DRAWS {
+            let agent = &agents[rng.usize(..agents.len())];
+            if fits(agent) {
+                return Some(agent);
+            }
+        }
+        let eligible: Vec<_> = agents.iter().filter(|agent| fits(agent)).collect();
+        rng.choice(eligible)
+    }
+
+    fn cost(&self, now: Time, agent: &str, service: &str) -> f64 {
+        match self.upstreams.get(agent).and_then(|upstream| upstream.usage.get(service)) {
+            Some(usage) => usage.cost(now),
+            None => f64::INFINITY,
+        }
+    }
+
+    fn target(&self, agent: &str) -> Option<Target> {
+        let announce = &self.upstreams.get(agent)?.announce;
+        Some(Target {
+            agent: announce.agent.clone(),
+            incarnation: announce.incarnation,
+            address: announce.address.clone(),
+        })
+    }
+
+    fn usage_mut(&mut self, target: &Target, service: &str) -> Option<&mut Usage> {
+        let upstream = self.upstreams.get_mut(&target.agent)?;
+        match upstream.announce.incarnation == target.incarnation {
+            true => upstream.usage.get_mut(service),
+            false => None,
+        }
+    }
+}
+
+impl Upstream {
+    /// Tells whether `announce` is older than what is known. A lower incarnation counts as older
+    /// only while the known one is live, so that a clock set back on a replaced VM delays it by no
+    /// more than the expiry.
+    fn outdates(&self, now: Time, announce: &Announce) -> bool {
+        let known = &self.announce;
+        match announce.incarnation.cmp(&known.incarnation) {
+            std::cmp::Ordering::Greater => false,
+            std::cmp::Ordering::Equal => announce.sequence <= known.sequence,
+            std::cmp::Ordering::Less => now.saturating_sub(self.heard) < EXPIRY,
+        }
+    }
+
+    fn is_live(&self, now: Time) -> bool {
+        self.announce.state == AgentState::Ready && now.saturating_sub(self.heard) < EXPIRY
+    }
+
+    fn is_eligible(&self, now: Time) -> bool {
+        self.is_live(now) && !self.demoted
+    }
+
+    fn view(&self, now: Time) -> UpstreamView {
+        let silent = now.saturating_sub(self.heard);
+        let state = match self.announce.state {
+            AgentState::Leaving => "leaving",
+            AgentState::Ready if silent >= EXPIRY => "expired",
+            AgentState::Ready if self.demoted => "unreachable",
+            AgentState::Ready => "ready",
+        };
+        UpstreamView {
+            agent: self.announce.agent.clone(),
+            incarnation: self.announce.incarnation,
+            address: self.announce.address.clone(),
+            data_centre: self.announce.data_centre.clone(),
+            state,
+            services: self.announce.services.iter().map(|load| load.service.clone()).collect(),
+            in_flight: self.usage.values().map(|usage| usage.in_flight).sum(),
+            config_version: self.announce.config_version,
+            heard_ms: silent.as_millis() as u64,
+        }
+    }
+}
+
+impl Usage {
+    fn new(now: Time, load: &ServiceLoad) -> Self {
+        Usage {
+            load: load.clone(),
+            in_flight: 0,
+            others: load.running + load.queued,
+            latency: load.latency.as_secs_f64(),
+            updated: now,
+            errors: 0.0,
+            failed: now,
+        }
+    }
+
+    fn refresh(&mut self, load: &ServiceLoad) {
+        self.others = (load.running + load.queued).saturating_sub(self.in_flight);
+        self.load = load.clone();
+    }
+
+    fn learn(&mut self, now: Time, feedback: Feedback) {
+        match feedback {
+            Feedback::Answered(latency) => {
+                let known = self.latency_at(now);
+                let sample = latency.as_secs_f64();
+                self.latency = known + SAMPLE_WEIGHT * (sample - known);
+                self.updated = now;
+            }
+            Feedback::Failed | Feedback::Unreachable => {
+                self.errors = 1.0 + self.errors_at(now);
+                self.failed = now;
+            }
+            Feedback::Abandoned => {}
+        }
+    }
+
+    fn latency_at(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.updated).as_secs_f64();
+        self.latency * 0.5_f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
+    }
+
+    fn errors_at(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.failed).as_secs_f64();
+        self.errors * 0.5_f64.powf(age / ERROR_HALF_LIFE.as_secs_f64())
+    }
+
+    fn cost(&self, now: Time) -> f64 {
+        let waiting = f64::from(self.in_flight + self.others) + 1.0;
+        let latency = self.latency_at(now).max(LATENCY_FLOOR);
+        waiting * latency * (1.0 + ERROR_COST * self.errors_at(now))
+    }
+}
