Add the request path of the entry, not yet wired

Callers' requests run in a task of their own, so that a lost caller still cancels its request at the agent and settles its idempotency key. Peers can connect without sending, which proves that a request was not sent when the deadline passes first.

--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -25,6 +25,8 @@
 const ERROR_COST: f64 = 20.0;
 /// Floor of the latency estimate; below it, differences are measurement noise.
 const LATENCY_FLOOR: f64 = 0.000_5;
+/// Earlier incarnations of an agent that are remembered.
+const REPLACED_KEPT: usize = 4;
 /// Random draws before the eligible upstreams are enumerated.
 const DRAWS: usize = 8;
 
@@ -82,6 +84,8 @@
     announce: Announce,
     heard: Time,
     demoted: bool,
+    /// Earlier incarnations of the agent, the latest last.
+    replaced: Vec<Incarnation>,
     usage: HashMap<ServiceId, Usage>,
 }
 
@@ -99,9 +103,12 @@
             return false;
         }
         let agent = announce.agent.clone();
-        let mut usage = match self.upstreams.remove(&agent) {
-            Some(known) if known.announce.incarnation == announce.incarnation => known.usage,
-            _ => HashMap::new(),
+        let (mut usage, replaced) = match self.upstreams.remove(&agent) {
+            Some(known) if known.announce.incarnation == announce.incarnation => {
+                (known.usage, known.replaced)
+            }
+            Some(known) => (HashMap::new(), known.replaced_with(announce.incarnation)),
+            None => (HashMap::new(), Vec::new()),
         };
         usage.retain(|service, _| announce.services.iter().any(|load| load.service == *service));
         for load in &announce.services {
@@ -113,7 +120,7 @@
             }
         }
         self.index(&agent, &announce);
-        self.upstreams.insert(agent, Upstream { announce, heard: now, demoted: false, usage });
+        self.upstreams.insert(agent, Upstream { announce, heard: now, demoted: false, replaced, usage });
         true
     }
 
@@ -274,16 +281,27 @@
 }
 
 impl Upstream {
-    /// Tells whether `announce` is older than what is known. A lower incarnation counts as older
-    /// only while the known one is live, so that a clock set back on a replaced VM delays it by no
-    /// more than the expiry.
+    /// Tells whether `announce` is older than what is known. Incarnations have no order: one is
+    /// older if it was replaced here before. While the known incarnation is silent, a replaced one
+    /// is taken all the same, so that a wrong order of arrival is corrected within the expiry.
     fn outdates(&self, now: Time, announce: &Announce) -> bool {
-        let known = &self.announce;
-        match announce.incarnation.cmp(&known.incarnation) {
-            std::cmp::Ordering::Greater => false,
-            std::cmp::Ordering::Equal => announce.sequence <= known.sequence,
-            std::cmp::Ordering::Less => now.saturating_sub(self.heard) < EXPIRY,
+        match announce.incarnation == self.announce.incarnation {
+            true => announce.sequence <= self.announce.sequence,
+            false => {
+                self.replaced.contains(&announce.incarnation)
+                    && now.saturating_sub(self.heard) < EXPIRY
+            }
+        }
+    }
+
+    fn replaced_with(self, next: Incarnation) -> Vec<Incarnation> {
+        let mut replaced = self.replaced;
+        replaced.retain(|known| *known != next);
+        replaced.push(self.announce.incarnation);
+        if replaced.len() > REPLACED_KEPT {
+            replaced.remove(0);
         }
+        replaced
     }
 
     fn is_live(&self, now: Time) -> bool {
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,137 @@
+//! State that the parts of an entry share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use peridotfold_core::config::Document;
+use peridotfold_core::id::{ConfigVersion, Incarnation, RequestNumber};
+use peridotfold_core::keys::Gate;
+use peridotfold_core::membership::{EntryView, Members};
+use peridotfold_core::message::request::RequestId;
+use peridotfold_core::routing::{RetryBudget, Table};
+use peridotfold_store::{ConfigRepository, Store};
+use peridotfold_wire::peer::Peers;
+use peridotfold_wire::runtime;
+
+use crate::cells::Cells;
+use crate::settings::Settings;
+
+/// A version of the configuration.
+#[derive(Debug, Clone)]
+pub struct Current {
+    pub version: ConfigVersion,
+    pub document: Arc<Document>,
+}
+
+/// State of an entry.
+///
+/// Locks are taken in the order of the fields: `config`, `repository`, `upstreams`, `budget`,
+/// `keys`, `members`. No lock is held across an await.
+pub struct Context<S: Store> {
+    pub settings: Settings,
+    pub incarnation: Incarnation,
+    pub http: SocketAddr,
+    pub internal: SocketAddr,
+    pub store: S,
+    pub peers: Arc<Peers>,
+    pub cells: Cells<S>,
+    pub config: RwLock<Option<Current>>,
+    pub repository: RwLock<Option<Arc<ConfigRepository<S>>>>,
+    pub upstreams: Mutex<Table>,
+    pub budget: Mutex<RetryBudget>,
+    pub keys: Mutex<Gate>,
+    pub members: Mutex<Members>,
+    /// Time of the last heartbeat that the store took, in milliseconds since the start.
+    contact: AtomicU64,
+    numbers: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl<S: Store> Context<S> {
+    /// Builds the state of an entry that knows nothing yet.
+    pub fn new(settings: Settings, http: SocketAddr, internal: SocketAddr, store: S) -> Self {
+        let incarnation = fastrand::u64(1..);
+        let gate = Gate::new(settings.id.clone(), incarnation, settings.outage_hold);
+        Context {
+            incarnation,
+            http,
+            internal,
+            peers: Arc::new(Peers::default()),
+            cells: Cells::new(store.clone(), &settings, incarnation, internal),
+            config: RwLock::new(None),
+            repository: RwLock::new(None),
+            upstreams: Mutex::new(Table::default()),
+            budget: Mutex::new(RetryBudget::default()),
+            keys: Mutex::new(gate),
+            members: Mutex::new(Members::new(settings.dead_after)),
+            contact: AtomicU64::new(0),
+            numbers: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            settings,
+            store,
+        }
+    }
+
+    /// Returns the configuration in effect, if any is known.
+    pub fn current(&self) -> Option<Current> {
+        self.config.read().clone()
+    }
+
+    /// Returns the document in effect, or the empty one.
+    pub fn document(&self) -> Arc<Document> {
+        self.current().map(|current| current.document).unwrap_or_default()
+    }
+
+    /// Puts a version into effect if it is higher than the one in effect.
+    pub fn install(&self, version: ConfigVersion, document: Arc<Document>) {
+        let mut config = self.config.write();
+        if config.as_ref().is_none_or(|current| current.version < version) {
+            tracing::info!(event = "config_in_effect", version);
+            *config = Some(Current { version, document });
+        }
+    }
+
+    /// Returns the entries that are alive, this one included.
+    pub fn alive(&self) -> Vec<EntryView> {
+        let mut alive = self.members.lock().alive();
+        if !alive.iter().any(|view| view.entry == self.settings.id) {
+            alive.push(EntryView {
+                entry: self.settings.id.clone(),
+                incarnation: self.incarnation,
+                address: self.internal.to_string(),
+                data_centre: self.settings.data_centre.clone(),
+            });
+        }
+        alive
+    }
+
+    /// Returns the time since the store last took a heartbeat.
+    pub fn store_silence(&self) -> Duration {
+        let contact = Duration::from_millis(self.contact.load(Ordering::Relaxed));
+        runtime::now().saturating_sub(contact)
+    }
+
+    /// Records a heartbeat that was sent at `at`.
+    pub fn record_contact(&self, at: Duration) {
+        self.contact.store(at.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Draws the identity of a dispatch.
+    pub fn next_request(&self) -> RequestId {
+        let number: RequestNumber = self.numbers.fetch_add(1, Ordering::Relaxed);
+        RequestId { entry: self.settings.id.clone(), incarnation: self.incarnation, number }
+    }
+
+    /// Tells whether the entry is shutting down.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Marks the entry as shutting down.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/proxy.rs
@@ -0,0 +1,167 @@
+//! Callers' requests.
+
+pub mod attempt;
+pub mod call;
+pub mod keyed;
+pub mod unkeyed;
+pub mod upload;
+
+use std::sync::Arc;
+
+use async_channel::Sender;
+use futures_lite::future;
+use http::header::HeaderValue;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use peridotfold_core::message::request::{BodyFrame, TraceContext};
+use peridotfold_store::Store;
+use peridotfold_wire::body::{Body, BodySender};
+use peridotfold_wire::peer::FrameReceiver;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::{self, Shutdown};
+use smol::lock::Mutex;
+use tracing::Instrument;
+
+use crate::context::Context;
+use crate::proxy::attempt::{Answer, Outcome};
+use crate::proxy::call::Call;
+use crate::proxy::upload::Upload;
+use crate::{headers, reply, trace};
+
+/// Answers a caller's request.
+///
+/// The exchange runs in a task of its own, which goes on when this future is dropped with the
+/// caller's connection: it then cancels the request and records the outcome of its key.
+pub async fn serve<S: Store>(
+    context: Arc<Context<S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let trace = trace::context(request.headers());
+    let id = format!("{:032x}", trace.trace);
+    let span = tracing::info_span!("request", trace = %id, path = request.uri().path());
+    let (sender, receiver) = async_channel::bounded(1);
+    let (_caller, gone) = shutdown::channel();
+    runtime::spawn(exchange(context, request, trace, gone, sender).instrument(span)).detach();
+    let mut response = match receiver.recv().await {
+        Ok(response) => response,
+        Err(_) => reply::unknown(StatusCode::BAD_GATEWAY, reply::ErrorText::new("task ended")),
+    };
+    if let Ok(value) = HeaderValue::from_str(&trace::format(&trace)) {
+        response.headers_mut().insert(trace::HEADER, value);
+    }
+    response
+}
+
+async fn exchange<S: Store>(
+    context: Arc<Context<S>>,
+    request: Request<Incoming>,
+    trace: TraceContext,
+    gone: Shutdown,
+    sender: Sender<Response<Body>>,
+) {
+    let (parts, incoming) = request.into_parts();
+    let call = match Call::check(&context, &parts, trace) {
+        Ok(call) => call,
+        Err(response) => {
+            let _ = sender.send(*response).await;
+            return;
+        }
+    };
+    let upload = Arc::new(Mutex::new(Upload::new(incoming)));
+    let (outcome, in_flight) = match &call.key {
+        Some(key) => keyed::run(&context, &call, key, &upload, &gone).await,
+        None => unkeyed::run(&context, &call, &upload, &gone).await,
+    };
+    record(&call, &outcome);
+    match outcome {
+        Outcome::Abandoned { .. } => {}
+        Outcome::NotRun { reason, retry_after, .. } => {
+            let _ = sender.send(reply::not_run(reason, retry_after)).await;
+        }
+        Outcome::Unknown { status, error } => {
+            let _ = sender.send(reply::unknown(status, error)).await;
+        }
+        Outcome::Answer(answer) => {
+            // Holds the count of requests in flight until the body has ended.
+            let _in_flight = in_flight;
+            pass_on(&call, answer, sender).await;
+        }
+    }
+}
+
+async fn pass_on(call: &Call, answer: Answer, sender: Sender<Response<Body>>) {
+    let Answer { id: _, status, headers, receiver, upload } = answer;
+    let (body_sender, body) = Body::parts();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    headers::add_answer(response.headers_mut(), &headers);
+    if sender.send(response).await.is_err() {
+        return;
+    }
+    let complete = download(receiver, body_sender).await;
+    if !complete {
+        tracing::info!(event = "response_cut", service = call.service);
+        metrics::counter!("responses_cut_total", "service" => call.service.clone()).increment(1);
+    }
+    match upload {
+        // The upstream may answer before it has read the request.
+        Some(task) if complete => task.await,
+        // Dropped with the receiver, the stream is reset and the agent gives the request up.
+        Some(_) | None => {}
+    }
+}
+
+/// Passes the body on; tells whether it arrived whole. A body that is cut also cuts the caller's
+/// connection, since its sender is dropped without an end.
+async fn download(mut receiver: FrameReceiver, mut body: BodySender) -> bool {
+    loop {
+        let next = future::or(async { Some(receiver.next::<BodyFrame>().await) }, async {
+            body.closed().await;
+            None
+        });
+        match next.await {
+            Some(Ok(Some(BodyFrame::Data(part)))) if body.send(part).await.is_ok() => {}
+            Some(Ok(Some(BodyFrame::End))) => {
+                body.finish();
+                return true;
+            }
+            Some(Ok(Some(BodyFrame::Data(_)))) | Some(Ok(None)) | None => return false,
+            Some(Err(error)) => {
+                tracing::info!(event = "response_failed", %error);
+                return false;
+            }
+        }
+    }
+}
+
+fn record(call: &Call, outcome: &Outcome) {
+    let elapsed = runtime::now().saturating_sub(call.started);
+    let name = match outcome {
+        Outcome::Answer(_) => "answered",
+        Outcome::NotRun { .. } => "not_run",
+        Outcome::Unknown { .. } => "unknown",
+        Outcome::Abandoned { .. } => "abandoned",
+    };
+    let service = call.service.clone();
+    metrics::counter!("requests_total", "service" => service.clone(), "outcome" => name)
+        .increment(1);
+    metrics::histogram!("request_seconds", "service" => service).record(elapsed.as_secs_f64());
+    let micros = elapsed.as_micros() as u64;
+    match outcome {
+        Outcome::Answer(answer) => {
+            let status = answer.status;
+            tracing::debug!(event = "request_answered", service = call.service, status, micros);
+        }
+        Outcome::NotRun { reason, .. } => {
+            let reason = reply::describe(*reason);
+            tracing::debug!(event = "request_not_run", service = call.service, reason, micros);
+        }
+        Outcome::Unknown { error, .. } => {
+            let detail = error.error.as_str();
+            tracing::warn!(event = "request_unknown", service = call.service, detail, micros);
+        }
+        Outcome::Abandoned { not_run } => {
+            tracing::debug!(event = "request_abandoned", service = call.service, not_run, micros);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/proxy/attempt.rs
@@ -0,0 +1,297 @@
+//! One dispatch of a request to an agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future;
+use http::StatusCode;
+use peridotfold_core::message::request::{
+    Cancel, CancelReply, RefuseReason, RequestId, ResponseHead,
+};
+use peridotfold_core::routing::{Feedback, Target};
+use peridotfold_store::Store;
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::peer::{FrameReceiver, Peers};
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+use smol::Task;
+
+use crate::context::Context;
+use crate::proxy::call::Call;
+use crate::proxy::upload::SharedUpload;
+use crate::reply::ErrorText;
+
+/// Time for which a final answer waits for the agent's proof that the request was not started:
+/// a few round trips between data centres.
+const PROOF_WAIT: Duration = Duration::from_millis(25);
+/// Time after which a cancellation is given up.
+const CANCEL_LIMIT: Duration = Duration::from_secs(1);
+/// Retry-after of a request that was not dispatched.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a dispatch ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The head of the answer arrived.
+    Answer(Answer),
+    /// Certainly not run. `reached` tells whether the agent may have received it.
+    NotRun { reason: RefuseReason, retry_after: Duration, reached: bool },
+    /// May have run.
+    Unknown { status: StatusCode, error: ErrorText },
+    /// The caller is gone.
+    Abandoned { not_run: bool },
+}
+
+/// The head of an answer, with the streams that go on.
+#[derive(Debug)]
+pub struct Answer {
+    pub id: RequestId,
+    pub status: u16,
+    pub headers: Vec<(Bytes, Bytes)>,
+    pub receiver: FrameReceiver,
+    pub upload: Option<Task<()>>,
+}
+
+enum Stop {
+    Deadline,
+    Gone,
+}
+
+type Exchanged = Result<(ResponseHead, FrameReceiver, Option<Task<()>>), WireError>;
+
+/// Counts a request as in flight until dropped.
+pub struct InFlight<S: Store> {
+    context: Arc<Context<S>>,
+    target: Target,
+    service: String,
+}
+
+impl<S: Store> InFlight<S> {
+    /// Begins to count.
+    pub fn begin(context: &Arc<Context<S>>, target: &Target, service: &str) -> Self {
+        context.upstreams.lock().begin(target, service);
+        let context = context.clone();
+        InFlight { context, target: target.clone(), service: service.to_owned() }
+    }
+}
+
+impl<S: Store> Drop for InFlight<S> {
+    fn drop(&mut self) {
+        self.context.upstreams.lock().end(&self.target, &self.service);
+    }
+}
+
+/// Dispatches `call` to `target` and waits for the head of the answer, the deadline, or the end of
+/// the caller's connection.
+pub async fn run<S: Store>(
+    context: &Arc<Context<S>>,
+    call: &Call,
+    target: &Target,
+    upload: &SharedUpload,
+    gone: &Shutdown,
+) -> Outcome {
+    let begun = runtime::now();
+    let outcome = dispatch(context, call, target, upload, gone).await;
+    let feedback = match &outcome {
+        Outcome::Answer(answer) if answer.status < 500 => {
+            Feedback::Answered(runtime::now().saturating_sub(begun))
+        }
+        Outcome::NotRun { reached: false, reason: RefuseReason::UpstreamUnreachable, .. } => {
+            Feedback::Unreachable
+        }
+        // The caller's deadline may be far below the upstream's usual latency.
+        Outcome::NotRun { reason: RefuseReason::DeadlinePassed, .. } => Feedback::Abandoned,
+        Outcome::Answer(_) | Outcome::NotRun { .. } | Outcome::Unknown { .. } => Feedback::Failed,
+        Outcome::Abandoned { .. } => Feedback::Abandoned,
+    };
+    context.upstreams.lock().learn(runtime::now(), target, &call.service, feedback);
+    outcome
+}
+
+async fn dispatch<S: Store>(
+    context: &Arc<Context<S>>,
+    call: &Call,
+    target: &Target,
+    upload: &SharedUpload,
+    gone: &Shutdown,
+) -> Outcome {
+    let connected = future::or(async { Ok(context.peers.connect(&target.address).await) }, async {
+        Err(stop(call, gone).await)
+    });
+    match connected.await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => return unreachable(&error),
+        Err(Stop::Deadline) => return not_run(RefuseReason::DeadlinePassed, false),
+        Err(Stop::Gone) => return Outcome::Abandoned { not_run: true },
+    }
+    let id = context.next_request();
+    let mut exchange = Box::pin(exchange(&context.peers, call, target, id.clone(), upload));
+    let stopped = future::or(async { Ok(exchange.as_mut().await) }, async {
+        Err(stop(call, gone).await)
+    });
+    match stopped.await {
+        Ok(Ok(exchanged)) => from_head(id, exchanged),
+        Ok(Err(error)) if error.is_not_sent() => unreachable(&error),
+        Ok(Err(error)) => {
+            drop(exchange);
+            after_failure(context, target, id, &error).await
+        }
+        Err(Stop::Gone) => {
+            drop(exchange);
+            let reply = cancel(context, target, id).await;
+            Outcome::Abandoned { not_run: reply == Some(CancelReply::NotStarted) }
+        }
+        Err(Stop::Deadline) => {
+            let cancelled = cancel(context, target, id.clone());
+            let proof = future::or(
+                async { Ok(exchange.as_mut().await) },
+                async { Err(within(PROOF_WAIT, cancelled).await) },
+            );
+            match proof.await {
+                Ok(Ok(exchanged)) => from_head(id, exchanged),
+                Err(Some(CancelReply::NotStarted)) => not_run(RefuseReason::DeadlinePassed, true),
+                Ok(Err(_)) | Err(_) => deadline_unknown(target),
+            }
+        }
+    }
+}
+
+/// Sends the request and waits for the head of the answer.
+async fn exchange(
+    peers: &Peers,
+    call: &Call,
+    target: &Target,
+    id: RequestId,
+    upload: &SharedUpload,
+) -> Exchanged {
+    let head = call.head(id, target.incarnation);
+    let (sender, pending) = peers.open(&target.address, "request", &head).await?;
+    let mut body = upload.lock_arc().await;
+    let task = match body.is_empty() {
+        true => {
+            body.send(sender).await?;
+            None
+        }
+        false => Some(runtime::spawn(async move {
+            if let Err(error) = body.send(sender).await {
+                tracing::debug!(event = "upload_ended", %error);
+            }
+        })),
+    };
+    let mut receiver = pending.receiver().await?;
+    match receiver.next().await? {
+        Some(head) => Ok((head, receiver, task)),
+        None => Err(WireError::new(
+            peridotfold_wire::error::Step::Receive,
+            target.address.as_str(),
+            "stream ended without a head",
+        )),
+    }
+}
+
+fn from_head(
+    id: RequestId,
+    (head, receiver, upload): (ResponseHead, FrameReceiver, Option<Task<()>>),
+) -> Outcome {
+    match head {
+        ResponseHead::Answer { status, headers, replayed: _ } => {
+            Outcome::Answer(Answer { id, status, headers, receiver, upload })
+        }
+        ResponseHead::NotRun { reason, retry_after } => {
+            Outcome::NotRun { reason, retry_after, reached: true }
+        }
+        ResponseHead::Unknown { detail } => Outcome::Unknown {
+            status: StatusCode::BAD_GATEWAY,
+            error: ErrorText {
+                error: format!("may have run: {detail}"),
+                field: None,
+                step: Some("receive".into()),
+                peer: Some(receiver.peer().to_owned()),
+            },
+        },
+    }
+}
+
+/// Asks the agent for proof after the stream of a dispatch failed.
+async fn after_failure<S: Store>(
+    context: &Arc<Context<S>>,
+    target: &Target,
+    id: RequestId,
+    error: &WireError,
+) -> Outcome {
+    match within(PROOF_WAIT, cancel(context, target, id)).await {
+        Some(CancelReply::NotStarted) => not_run(RefuseReason::UpstreamUnreachable, true),
+        _ => Outcome::Unknown {
+            status: StatusCode::BAD_GATEWAY,
+            error: ErrorText {
+                error: format!("may have run: {}", error.detail),
+                field: None,
+                step: Some(error.step.to_string()),
+                peer: Some(error.peer.clone()),
+            },
+        },
+    }
+}
+
+/// Cancels a dispatch. The message is sent also when the result is not waited for.
+pub fn cancel<S: Store>(
+    context: &Arc<Context<S>>,
+    target: &Target,
+    id: RequestId,
+) -> impl std::future::Future<Output = Option<CancelReply>> + Send {
+    let (peers, address) = (context.peers.clone(), target.address.clone());
+    let (sender, receiver) = async_channel::bounded(1);
+    runtime::spawn(async move {
+        let result = peers.call(&address, "cancel", &Cancel { id }, CANCEL_LIMIT).await;
+        if let Err(error) = &result {
+            tracing::debug!(event = "cancel_failed", %error);
+        }
+        let _ = sender.send(result.ok()).await;
+    })
+    .detach();
+    async move { receiver.recv().await.ok().flatten() }
+}
+
+async fn within<T>(limit: Duration, task: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+    future::or(task, async {
+        runtime::sleep(limit).await;
+        None
+    })
+    .await
+}
+
+async fn stop(call: &Call, gone: &Shutdown) -> Stop {
+    future::or(
+        async {
+            runtime::sleep(call.remaining()).await;
+            Stop::Deadline
+        },
+        async {
+            gone.wait().await;
+            Stop::Gone
+        },
+    )
+    .await
+}
+
+fn not_run(reason: RefuseReason, reached: bool) -> Outcome {
+    Outcome::NotRun { reason, retry_after: RETRY_AFTER, reached }
+}
+
+fn unreachable(error: &WireError) -> Outcome {
+    tracing::info!(event = "upstream_unreachable", %error);
+    not_run(RefuseReason::UpstreamUnreachable, false)
+}
+
+fn deadline_unknown(target: &Target) -> Outcome {
+    Outcome::Unknown {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        error: ErrorText {
+            error: "may have run: no answer within the deadline".into(),
+            field: None,
+            step: Some("timeout".into()),
+            peer: Some(target.address.clone()),
+        },
+    }
+}
--- /dev/null
+++ b/crates/entry/src/proxy/call.rs
@@ -0,0 +1,160 @@
+//! A caller's request, checked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, Response, StatusCode};
+use peridotfold_core::config::Service;
+use peridotfold_core::id::{ConfigVersion, Incarnation, ServiceId, TeamId};
+use peridotfold_core::message::request::{RefuseReason, RequestHead, RequestId, TraceContext};
+use peridotfold_core::time::Time;
+use peridotfold_store::Store;
+use peridotfold_wire::body::Body;
+use peridotfold_wire::runtime;
+
+use crate::auth::{self, Identity};
+use crate::context::Context;
+use crate::{headers, reply};
+
+/// Path prefix of callers' requests.
+pub const PREFIX: &str = "/s/";
+const KEY_LIMIT: usize = 256;
+/// Longest deadline that is accepted, so that time arithmetic cannot overflow.
+const TIMEOUT_LIMIT: Duration = Duration::from_secs(24 * 3_600);
+
+/// A request that may be dispatched.
+#[derive(Debug)]
+pub struct Call {
+    pub service: ServiceId,
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(Bytes, Bytes)>,
+    /// Idempotency key, scoped by team.
+    pub key: Option<Bytes>,
+    pub started: Time,
+    pub deadline: Time,
+    pub version: ConfigVersion,
+    pub trace: TraceContext,
+}
+
+impl Call {
+    /// Checks a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response that rejects the request.
+    pub fn check<S: Store>(
+        context: &Arc<Context<S>>,
+        parts: &Parts,
+        trace: TraceContext,
+    ) -> Result<Call, Box<Response<Body>>> {
+        let Some(current) = context.current() else {
+            let wait = Duration::from_secs(1);
+            return Err(Box::new(reply::not_run(RefuseReason::NoConfig, wait)));
+        };
+        let (name, path) = split(parts);
+        let Some(service) = current.document.services.get(name) else {
+            return Err(refuse(StatusCode::NOT_FOUND, format!("no service {name}")));
+        };
+        let digest = &context.settings.operator_digest;
+        let identity = auth::identify(&parts.headers, &current.document, digest);
+        let team = allow(service, identity)?;
+        let key = key(parts, team.as_deref())?;
+        let started = runtime::now();
+        Ok(Call {
+            service: name.to_owned(),
+            method: parts.method.clone(),
+            headers: headers::of_request(&parts.headers, team.as_deref()),
+            path,
+            key,
+            started,
+            deadline: started + timeout(parts, service)?,
+            version: current.version,
+            trace,
+        })
+    }
+
+    /// Tells whether the request may be dispatched again after an agent refused it.
+    pub fn is_idempotent(&self) -> bool {
+        use Method as M;
+        [M::GET, M::HEAD, M::OPTIONS, M::PUT, M::DELETE].contains(&self.method)
+    }
+
+    /// Returns the time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(runtime::now())
+    }
+
+    /// Builds the head of one dispatch.
+    pub fn head(&self, id: RequestId, agent_incarnation: Incarnation) -> RequestHead {
+        RequestHead {
+            id,
+            agent_incarnation,
+            service: self.service.clone(),
+            method: self.method.to_string(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            key: self.key.clone(),
+            timeout: self.remaining(),
+            config_version: self.version,
+            trace: self.trace,
+        }
+    }
+}
+
+fn refuse(status: StatusCode, text: impl Into<String>) -> Box<Response<Body>> {
+    Box::new(reply::refused(status, text))
+}
+
+/// Splits `/s/<service>/<path>?<query>` into the service and the upstream's path and query.
+fn split(parts: &Parts) -> (&str, String) {
+    let path = parts.uri.path();
+    let rest = path.strip_prefix(PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let path = match parts.uri.query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    (service, path)
+}
+
+/// Returns the caller's team if the caller may use the service.
+fn allow(service: &Service, identity: Identity) -> Result<Option<TeamId>, Box<Response<Body>>> {
+    match identity {
+        Identity::Team(team) if service.teams.is_empty() || service.teams.contains(&team) => {
+            Ok(Some(team))
+        }
+        // A service without teams may use credentials of its own.
+        _ if service.teams.is_empty() => Ok(None),
+        Identity::Team(_) | Identity::Operator => {
+            Err(refuse(StatusCode::FORBIDDEN, "the team may not use this service"))
+        }
+        Identity::Anonymous | Identity::Rejected => {
+            Err(refuse(StatusCode::UNAUTHORIZED, "no valid credential"))
+        }
+    }
+}
+
+fn key(parts: &Parts, team: Option<&str>) -> Result<Option<Bytes>, Box<Response<Body>>> {
+    let Some(value) = parts.headers.get(headers::KEY) else { return Ok(None) };
+    if value.is_empty() || value.len() > KEY_LIMIT {
+        let text = format!("{} must have 1 to {KEY_LIMIT} bytes", headers::KEY);
+        return Err(refuse(StatusCode::BAD_REQUEST, text));
+    }
+    let scope = team.unwrap_or_default().as_bytes();
+    Ok(Some(Bytes::from([scope, b"\0", value.as_bytes()].concat())))
+}
+
+fn timeout(parts: &Parts, service: &Service) -> Result<Duration, Box<Response<Body>>> {
+    let Some(value) = parts.headers.get(headers::TIMEOUT) else { return Ok(service.timeout()) };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+    match millis.map(Duration::from_millis) {
+        Some(timeout) if !timeout.is_zero() => Ok(timeout.min(TIMEOUT_LIMIT)),
+        _ => {
+            let text = format!("{} must be a number of milliseconds above 0", headers::TIMEOUT);
+            Err(refuse(StatusCode::BAD_REQUEST, text))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/proxy/keyed.rs
@@ -0,0 +1,141 @@
+//! Requests with an idempotency key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use peridotfold_core::keys::gate::ProbeResult;
+use peridotfold_core::keys::{Decision, Holder, Witness};
+use peridotfold_core::message::entry::{Probe, ProbeReply};
+use peridotfold_core::message::request::RefuseReason;
+use peridotfold_core::routing::Target;
+use peridotfold_store::Store;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::context::Context;
+use crate::proxy::attempt::{self, InFlight, Outcome, RETRY_AFTER};
+use crate::proxy::call::Call;
+use crate::proxy::upload::SharedUpload;
+use crate::reply::ErrorText;
+
+/// Longest wait for the answers of probes. An entry that is slower counts as unreachable.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Dispatches a request to the holder of its key, if that is safe.
+pub async fn run<S: Store>(
+    context: &Arc<Context<S>>,
+    call: &Call,
+    key: &Bytes,
+    upload: &SharedUpload,
+    gone: &Shutdown,
+) -> (Outcome, Option<InFlight<S>>) {
+    let decision = match decide(context, call, key) {
+        Decision::Probe { generation, witnesses } => {
+            let limit = PROBE_LIMIT.min(call.remaining());
+            let results = probe(context, &call.service, key, witnesses, limit).await;
+            decide_probed(context, call, key, generation, &results)
+        }
+        decision => decision,
+    };
+    let holder = match decision {
+        Decision::Dispatch(holder) => holder,
+        Decision::Unknown => return (never_again(), None),
+        // A probe is asked once; a second request for one means that the map changed meanwhile.
+        Decision::NotRun | Decision::Probe { .. } => return (unavailable(), None),
+    };
+    let Some(target) = target(context, call, &holder) else {
+        context.keys.lock().finish(runtime::now(), &call.service, key, true);
+        return (unavailable(), None);
+    };
+    let in_flight = InFlight::begin(context, &target, &call.service);
+    let outcome = attempt::run(context, call, &target, upload, gone).await;
+    let not_run =
+        matches!(outcome, Outcome::NotRun { .. } | Outcome::Abandoned { not_run: true });
+    context.keys.lock().finish(runtime::now(), &call.service, key, not_run);
+    (outcome, Some(in_flight))
+}
+
+fn decide<S: Store>(context: &Arc<Context<S>>, call: &Call, key: &Bytes) -> Decision {
+    let now = runtime::now();
+    let upstreams = context.upstreams.lock();
+    let is_live =
+        |h: &Holder| upstreams.holder(now, &h.agent, h.incarnation, &call.service).is_some();
+    context.keys.lock().decide(now, &call.service, key, is_live)
+}
+
+fn decide_probed<S: Store>(
+    context: &Arc<Context<S>>,
+    call: &Call,
+    key: &Bytes,
+    generation: u64,
+    results: &[ProbeResult],
+) -> Decision {
+    let now = runtime::now();
+    let upstreams = context.upstreams.lock();
+    let is_live =
+        |h: &Holder| upstreams.holder(now, &h.agent, h.incarnation, &call.service).is_some();
+    let mut keys = context.keys.lock();
+    keys.decide_probed(now, &call.service, key, generation, results, is_live)
+}
+
+fn target<S: Store>(context: &Arc<Context<S>>, call: &Call, holder: &Holder) -> Option<Target> {
+    let upstreams = context.upstreams.lock();
+    upstreams.holder(runtime::now(), &holder.agent, holder.incarnation, &call.service)
+}
+
+/// Asks the witnesses at the same time.
+async fn probe<S: Store>(
+    context: &Arc<Context<S>>,
+    service: &str,
+    key: &Bytes,
+    witnesses: Vec<Witness>,
+    limit: Duration,
+) -> Vec<ProbeResult> {
+    let tasks: Vec<_> = witnesses
+        .into_iter()
+        .map(|witness| {
+            let probe = Probe { service: service.to_owned(), key: key.clone() };
+            let context = context.clone();
+            runtime::spawn(async move {
+                let reply = ask(&context, &witness, probe, limit).await;
+                (witness, reply)
+            })
+        })
+        .collect();
+    let mut results = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        results.push(task.await);
+    }
+    results
+}
+
+async fn ask<S: Store>(
+    context: &Arc<Context<S>>,
+    witness: &Witness,
+    probe: Probe,
+    limit: Duration,
+) -> Option<ProbeReply> {
+    if witness.entry == context.settings.id {
+        return Some(context.keys.lock().probe(&probe.service, &probe.key));
+    }
+    let address = context.members.lock().record(&witness.entry).map(|r| r.internal.clone())?;
+    match context.peers.call(&address, "probe", &probe, limit).await {
+        Ok(reply) => Some(reply),
+        Err(error) => {
+            tracing::info!(event = "probe_failed", entry = witness.entry, %error);
+            None
+        }
+    }
+}
+
+fn unavailable() -> Outcome {
+    let reason = RefuseReason::KeyUnavailable;
+    Outcome::NotRun { reason, retry_after: RETRY_AFTER, reached: false }
+}
+
+fn never_again() -> Outcome {
+    let error = "an earlier request with this key may have run; it is not run again";
+    Outcome::Unknown { status: StatusCode::BAD_GATEWAY, error: ErrorText::new(error) }
+}
--- /dev/null
+++ b/crates/entry/src/proxy/upload.rs
@@ -0,0 +1,95 @@
+//! Body of a caller's request on its way to an agent.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use peridotfold_core::message::request::BodyFrame;
+use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::peer::FrameSender;
+use smol::lock::Mutex;
+
+/// Most bytes of a body that are kept for a retry.
+const REPLAY_LIMIT: usize = 256 * 1024;
+/// Most bytes in one frame. Small enough that other streams of the connection get their turn.
+const PART_BYTES: usize = 64 * 1024;
+
+/// A request body. What was read is kept for a retry, up to a limit.
+#[derive(Debug)]
+pub struct Upload {
+    incoming: Incoming,
+    kept: Vec<Bytes>,
+    size: usize,
+    replayable: bool,
+    ended: bool,
+}
+
+/// An upload that one attempt after the other reads from.
+pub type SharedUpload = Arc<Mutex<Upload>>;
+
+impl Upload {
+    /// Wraps the body of a request.
+    pub fn new(incoming: Incoming) -> Self {
+        let ended = incoming.is_end_stream();
+        Upload { incoming, kept: Vec::new(), size: 0, replayable: true, ended }
+    }
+
+    /// Tells whether the body has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.ended && self.size == 0
+    }
+
+    /// Tells whether another attempt can send the body from its start.
+    pub fn is_replayable(&self) -> bool {
+        self.replayable
+    }
+
+    /// Sends the body from its start.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller's body is cut or the stream to the agent is closed. The stream is
+    /// then dropped without an end, which the agent sees as a cut.
+    pub async fn send(&mut self, mut sender: FrameSender) -> Result<(), WireError> {
+        for part in self.kept.clone() {
+            send_part(&mut sender, part).await?;
+        }
+        while !self.ended {
+            match self.incoming.frame().await {
+                None => self.ended = true,
+                Some(Err(error)) => return Err(WireError::new(Step::Receive, "caller", error)),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(part) => {
+                        self.keep(&part);
+                        send_part(&mut sender, part).await?;
+                    }
+                    // Trailers are not passed on.
+                    Err(_) => continue,
+                },
+            }
+        }
+        sender.send(&BodyFrame::End).await?;
+        sender.finish()
+    }
+
+    fn keep(&mut self, part: &Bytes) {
+        self.size += part.len();
+        match self.size <= REPLAY_LIMIT {
+            true => self.kept.push(part.clone()),
+            false => {
+                self.replayable = false;
+                self.kept = Vec::new();
+            }
+        }
+    }
+}
+
+async fn send_part(sender: &mut FrameSender, mut part: Bytes) -> Result<(), WireError> {
+    while !part.is_empty() {
+        let piece = part.split_to(part.len().min(PART_BYTES));
+        sender.send(&BodyFrame::Data(piece)).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/trace.rs
@@ -0,0 +1,28 @@
+//! Trace context of the W3C `traceparent` header.
+
+use http::HeaderMap;
+use peridotfold_core::message::request::TraceContext;
+
+/// Name of the header.
+pub const HEADER: &str = "traceparent";
+
+/// Returns the context of this hop: the caller's trace, or a new one, with a new span.
+pub fn context(headers: &HeaderMap) -> TraceContext {
+    let text = headers.get(HEADER).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let trace = parse(text).unwrap_or_else(|| fastrand::u128(1..));
+    TraceContext { trace, span: fastrand::u64(1..) }
+}
+
+/// Formats a context as header value.
+pub fn format(context: &TraceContext) -> String {
+    format!("00-{:032x}-{:016x}-01", context.trace, context.span)
+}
+
+fn parse(text: &str) -> Option<u128> {
+    let mut parts = text.split('-');
+    let (version, trace, span) = (parts.next()?, parts.next()?, parts.next()?);
+    if version.len() != 2 || trace.len() != 32 || span.len() != 16 || !trace.is_ascii() {
+        return None;
+    }
+    u128::from_str_radix(trace, 16).ok().filter(|trace| *trace != 0)
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -92,6 +92,16 @@
         result
     }
 
+    /// Connects to `address` unless a connection is open. Nothing is sent to the peer but the
+    /// handshake, also when the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection cannot be opened.
+    pub async fn connect(&self, address: &str) -> Result<(), WireError> {
+        self.ready(address).await.map(|_| ())
+    }
+
     /// Drops the connection to `address`; the next use opens a new one.
     pub fn forget(&self, address: &str) {
         self.connections.lock().remove(address);
