--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -120,7 +120,8 @@
             }
         }
         self.index(&agent, &announce);
-        self.upstreams.insert(agent, Upstream { announce, heard: now, demoted: false, replaced, usage });
+        self.upstreams
+            .insert(agent, Upstream { announce, heard: now, demoted: false, replaced, usage });
         true
     }
 
--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -26,12 +26,12 @@
 
 #[derive(Debug, Clone)]
 pub struct Cells<S> {
-    store: Arc<S>,
+    store: std::marker::PhantomData<S>,
 }
 
 impl<S: Store> Cells<S> {
-    pub fn new(store: S, _: &Settings, _: Incarnation, _: SocketAddr) -> Self {
-        Cells { store: Arc::new(store) }
+    pub fn new(_: S, _: &Settings, _: Incarnation, _: SocketAddr) -> Self {
+        Cells { store: std::marker::PhantomData }
     }
 
     pub async fn run(
--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,80 @@
+//! Keeps the configuration in effect up to date, from the store or from other entries.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use peridotfold_core::id::ConfigVersion;
+use peridotfold_core::message::entry::{ConfigReply, ConfigRequest};
+use peridotfold_store::{ConfigRepository, JournalError, Store};
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::context::Context;
+
+/// Wait of one watch call. Each call counts against the store's limit on reads.
+const WATCH: Duration = Duration::from_secs(20);
+/// Pause after a failed call of the store. With the watch and the agents' announcements it stays
+/// within the 7 s in which a version has to be in effect.
+const PAUSE: Duration = Duration::from_secs(1);
+const PEER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Follows the configuration until the signal.
+pub async fn run<S: Store>(context: Arc<Context<S>>, shutdown: Shutdown) {
+    future::or(follow(&context), shutdown.wait()).await;
+}
+
+async fn follow<S: Store>(context: &Arc<Context<S>>) {
+    let repository = loop {
+        match ConfigRepository::open(context.store.clone(), context.incarnation).await {
+            Ok(repository) => break repository,
+            Err(error) => recover(context, &error).await,
+        }
+    };
+    *context.repository.write() = Some(Arc::new(repository.clone()));
+    loop {
+        adopt(context, &repository);
+        let version = repository.current().0;
+        if let Err(error) = repository.wait_for_change(version, WATCH).await {
+            recover(context, &error).await;
+        }
+    }
+}
+
+/// Puts the repository's version into effect.
+pub fn adopt<S: Store>(context: &Context<S>, repository: &ConfigRepository<S>) {
+    let version = context.current().map_or(0, |current| current.version);
+    context.install("store", &repository.update_since(version));
+}
+
+async fn recover<S: Store>(context: &Arc<Context<S>>, error: &JournalError) {
+    tracing::warn!(event = "config_store_failed", %error);
+    ask_entries(context).await;
+    runtime::sleep(PAUSE).await;
+}
+
+/// Asks all other entries at the same time; the highest version of the answers takes effect.
+async fn ask_entries<S: Store>(context: &Arc<Context<S>>) {
+    let version = context.current().map_or(0, |current| current.version);
+    let known = context.alive().into_iter().map(|view| view.address);
+    let configured = context.settings.peers.iter().map(|address| address.to_string());
+    let mut addresses: BTreeSet<String> = known.chain(configured).collect();
+    addresses.remove(&context.internal.to_string());
+    let tasks: Vec<_> = addresses
+        .into_iter()
+        .map(|address| runtime::spawn(ask(context.clone(), address, version)))
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+}
+
+async fn ask<S: Store>(context: Arc<Context<S>>, address: String, version: ConfigVersion) {
+    let request = ConfigRequest { version };
+    let result = context.peers.call(&address, "config", &request, PEER_LIMIT).await;
+    match result {
+        Ok(ConfigReply { update }) => context.install(&address, &update),
+        Err(error) => tracing::info!(event = "config_request_failed", %error),
+    }
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,15 +6,17 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use peridotfold_core::config::Document;
+use peridotfold_core::config::{ConfigState, Document};
 use peridotfold_core::id::{ConfigVersion, Incarnation, RequestNumber};
 use peridotfold_core::keys::Gate;
 use peridotfold_core::membership::{EntryView, Members};
+use peridotfold_core::message::announce::ConfigUpdate;
 use peridotfold_core::message::request::RequestId;
 use peridotfold_core::routing::{RetryBudget, Table};
 use peridotfold_store::{ConfigRepository, Store};
 use peridotfold_wire::peer::Peers;
 use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
 
 use crate::cells::Cells;
 use crate::settings::Settings;
@@ -38,7 +40,8 @@
     pub store: S,
     pub peers: Arc<Peers>,
     pub cells: Cells<S>,
-    pub config: RwLock<Option<Current>>,
+    /// `None` until a version was read from the store or from another entry.
+    config: RwLock<Option<ConfigState>>,
     pub repository: RwLock<Option<Arc<ConfigRepository<S>>>>,
     pub upstreams: Mutex<Table>,
     pub budget: Mutex<RetryBudget>,
@@ -48,11 +51,19 @@
     contact: AtomicU64,
     numbers: AtomicU64,
     stopping: AtomicBool,
+    /// Given when endless responses have to end, some time after the start of a shutdown.
+    pub drained: Shutdown,
 }
 
 impl<S: Store> Context<S> {
     /// Builds the state of an entry that knows nothing yet.
-    pub fn new(settings: Settings, http: SocketAddr, internal: SocketAddr, store: S) -> Self {
+    pub fn new(
+        settings: Settings,
+        http: SocketAddr,
+        internal: SocketAddr,
+        store: S,
+        drained: Shutdown,
+    ) -> Self {
         let incarnation = fastrand::u64(1..);
         let gate = Gate::new(settings.id.clone(), incarnation, settings.outage_hold);
         Context {
@@ -70,6 +81,7 @@
             contact: AtomicU64::new(0),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            drained,
             settings,
             store,
         }
@@ -77,7 +89,9 @@
 
     /// Returns the configuration in effect, if any is known.
     pub fn current(&self) -> Option<Current> {
-        self.config.read().clone()
+        let config = self.config.read();
+        let state = config.as_ref()?;
+        Some(Current { version: state.version, document: state.document.clone() })
     }
 
     /// Returns the document in effect, or the empty one.
@@ -85,12 +99,24 @@
         self.current().map(|current| current.document).unwrap_or_default()
     }
 
-    /// Puts a version into effect if it is higher than the one in effect.
-    pub fn install(&self, version: ConfigVersion, document: Arc<Document>) {
+    /// Returns what a process at `version` lacks, or `None` while this entry knows no version.
+    pub fn update_since(&self, version: ConfigVersion) -> Option<ConfigUpdate> {
+        self.config.read().as_ref().map(|state| state.update_since(version))
+    }
+
+    /// Puts an update into effect. Versions that are not higher than the one in effect change
+    /// nothing.
+    pub fn install(&self, peer: &str, update: &ConfigUpdate) {
         let mut config = self.config.write();
-        if config.as_ref().is_none_or(|current| current.version < version) {
-            tracing::info!(event = "config_in_effect", version);
-            *config = Some(Current { version, document });
+        let state = config.get_or_insert_with(ConfigState::default);
+        match state.apply_update(update) {
+            Ok(true) => {
+                let version = state.version;
+                metrics::gauge!("config_version").set(version as f64);
+                tracing::info!(event = "config_in_effect", version, peer);
+            }
+            Ok(false) => {}
+            Err(error) => tracing::error!(event = "config_not_applied", peer, %error),
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/internal.rs
@@ -0,0 +1,108 @@
+//! Messages of agents and of other entries.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use peridotfold_core::message::announce::{Announce, AnnounceReply, EntryAddress};
+use peridotfold_core::message::entry::{ConfigReply, ConfigRequest, Forward, Probe};
+use peridotfold_core::message::report::Report;
+use peridotfold_store::Store;
+use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::peer::FrameReceiver;
+use peridotfold_wire::runtime;
+use peridotfold_wire::server::{Handler, Stream};
+use serde::de::DeserializeOwned;
+
+use crate::cells::CellError;
+use crate::context::Context;
+
+/// Handles the messages.
+pub struct Internal<S: Store> {
+    pub context: Arc<Context<S>>,
+}
+
+impl<S: Store> Handler for Internal<S> {
+    async fn handle(&self, stream: Stream) -> Result<(), WireError> {
+        let Stream { kind, mut receiver, responder } = stream;
+        match kind.as_str() {
+            "announce" => match self.announce(first(&mut receiver).await?) {
+                Some(reply) => responder.reply(&reply).await,
+                None => responder.refuse(StatusCode::CONFLICT, "older than known".into()),
+            },
+            "report" => {
+                let report: Report = first(&mut receiver).await?;
+                match self.context.cells.report(report).await {
+                    Ok(orders) => responder.reply(&orders).await,
+                    Err(error) => responder.refuse(StatusCode::CONFLICT, refusal(&error)),
+                }
+            }
+            "forward" => {
+                let forward: Forward = first(&mut receiver).await?;
+                match self.context.cells.forward(forward).await {
+                    Ok(reply) => responder.reply(&reply).await,
+                    Err(error) => responder.refuse(StatusCode::CONFLICT, refusal(&error)),
+                }
+            }
+            "probe" => {
+                let probe: Probe = first(&mut receiver).await?;
+                let reply = self.context.keys.lock().probe(&probe.service, &probe.key);
+                responder.reply(&reply).await
+            }
+            "config" => {
+                let request: ConfigRequest = first(&mut receiver).await?;
+                match self.context.update_since(request.version) {
+                    Some(update) => responder.reply(&ConfigReply { update }).await,
+                    None => {
+                        let detail = "no configuration yet".into();
+                        responder.refuse(StatusCode::SERVICE_UNAVAILABLE, detail)
+                    }
+                }
+            }
+            _ => {
+                let peer = receiver.peer().to_owned();
+                responder.refuse(StatusCode::NOT_FOUND, format!("unknown kind {kind}"))?;
+                Err(WireError::new(Step::Decode, peer, format!("unknown kind {kind}")))
+            }
+        }
+    }
+}
+
+impl<S: Store> Internal<S> {
+    fn announce(&self, announce: Announce) -> Option<AnnounceReply> {
+        let context = &self.context;
+        let (version, cell) = (announce.config_version, announce.cell.clone());
+        if !context.upstreams.lock().announce(runtime::now(), announce) {
+            return None;
+        }
+        let entries = context.alive().into_iter().map(|view| EntryAddress {
+            entry: view.entry,
+            data_centre: view.data_centre,
+            address: view.address,
+        });
+        Some(AnnounceReply {
+            entry: context.settings.id.clone(),
+            entries: entries.collect(),
+            config: context
+                .update_since(version)
+                .unwrap_or(peridotfold_core::message::announce::ConfigUpdate::Current),
+            owner: context.cells.owner(&cell),
+        })
+    }
+}
+
+async fn first<T: DeserializeOwned>(receiver: &mut FrameReceiver) -> Result<T, WireError> {
+    match receiver.next().await? {
+        Some(message) => Ok(message),
+        None => Err(WireError::new(Step::Receive, receiver.peer(), "stream without a message")),
+    }
+}
+
+/// Tells who owns the cell, so that the sender's log names it.
+fn refusal(error: &CellError) -> String {
+    match error {
+        CellError::NotOwner(Some(owner)) => {
+            format!("not the owner; the owner is {} at {}", owner.entry, owner.address)
+        }
+        CellError::NotOwner(None) => "not the owner; no owner is known".into(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/jobs.rs
@@ -0,0 +1,239 @@
+//! Job operations, passed on to the owner of the job's cell.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use peridotfold_core::config::Document;
+use peridotfold_core::hash;
+use peridotfold_core::id::CellId;
+use peridotfold_core::message::announce::CellOwner;
+use peridotfold_core::message::entry::{Forward, ForwardReply};
+use peridotfold_store::Store;
+use peridotfold_wire::body::Body;
+use peridotfold_wire::runtime;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::auth::{self, Identity};
+use crate::cells::CellError;
+use crate::context::Context;
+use crate::operator::{parameter, read_body};
+use crate::reply::{self, ErrorText};
+
+/// Path of the jobs.
+pub const PATH: &str = "/v1/jobs";
+const FORWARD_LIMIT: Duration = Duration::from_secs(5);
+
+/// Part of a submission that decides where it goes.
+#[derive(Deserialize)]
+struct Submission {
+    id: String,
+    cell: Option<CellId>,
+}
+
+/// Why an operation did not get a reply of the cell's owner.
+enum Failure {
+    /// Certainly not performed.
+    NoOwner { error: String, peer: Option<String> },
+    /// The owner may have performed it.
+    Unknown { error: String, peer: String },
+}
+
+/// Answers `/v1/jobs` and `/v1/jobs/<id>`.
+pub async fn serve<S: Store>(
+    context: &Arc<Context<S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let document = context.document();
+    let digest = &context.settings.operator_digest;
+    let (team, operator) = match auth::identify(request.headers(), &document, digest) {
+        Identity::Team(team) => (Some(team), false),
+        Identity::Operator => (None, true),
+        Identity::Anonymous | Identity::Rejected => {
+            return reply::error(StatusCode::UNAUTHORIZED, "no valid credential");
+        }
+    };
+    let (parts, incoming) = request.into_parts();
+    let body = match read_body(incoming).await {
+        Ok(body) => body,
+        Err(response) => return *response,
+    };
+    let path = parts.uri.path().to_owned();
+    let job = path.strip_prefix("/v1/jobs/").unwrap_or_default();
+    let chosen = parameter(parts.uri.query(), "cell").map(str::to_owned);
+    let forward = |cell: CellId| Forward {
+        cell,
+        method: parts.method.to_string(),
+        path: path.clone(),
+        team: team.clone(),
+        operator,
+        body: body.clone(),
+    };
+    match (&parts.method, job.is_empty()) {
+        (&Method::POST, true) => match submission_cell(&document, &body) {
+            Ok(cell) => respond(send(context, forward(cell)).await),
+            Err(response) => *response,
+        },
+        (&Method::GET, true) => {
+            let cells = chosen.map_or_else(|| all(&document), |cell| vec![cell]);
+            list(context, cells.into_iter().map(forward).collect()).await
+        }
+        (&Method::GET | &Method::DELETE, false) => {
+            let cells = chosen.map_or_else(|| ranked(&document, job), |cell| vec![cell]);
+            find(context, cells.into_iter().map(forward)).await
+        }
+        _ => reply::error(StatusCode::METHOD_NOT_ALLOWED, "only POST, GET and DELETE"),
+    }
+}
+
+fn all(document: &Document) -> Vec<CellId> {
+    document.cells.keys().cloned().collect()
+}
+
+/// Returns the cells in the order in which a job without a cell is assigned to them.
+fn ranked(document: &Document, job: &str) -> Vec<CellId> {
+    let mut cells = all(document);
+    let weight = |cell: &CellId| hash::rendezvous(job.as_bytes(), cell.as_bytes());
+    cells.sort_by_key(|cell| std::cmp::Reverse(weight(cell)));
+    cells
+}
+
+fn submission_cell(document: &Document, body: &Bytes) -> Result<CellId, Box<Response<Body>>> {
+    let refuse = |status, error: String, field: Option<&str>| {
+        let field = field.map(str::to_owned);
+        Err(Box::new(reply::json(status, &ErrorText { error, field, ..ErrorText::default() })))
+    };
+    let submission: Submission = match serde_json::from_slice(body) {
+        Ok(submission) => submission,
+        Err(error) => {
+            return refuse(StatusCode::UNPROCESSABLE_ENTITY, error.to_string(), None);
+        }
+    };
+    match submission.cell {
+        Some(cell) if document.cells.contains_key(&cell) => Ok(cell),
+        Some(cell) => {
+            let error = format!("no cell {cell} is configured");
+            refuse(StatusCode::UNPROCESSABLE_ENTITY, error, Some("cell"))
+        }
+        None => match ranked(document, &submission.id).into_iter().next() {
+            Some(cell) => Ok(cell),
+            None => refuse(StatusCode::SERVICE_UNAVAILABLE, "no cell is configured".into(), None),
+        },
+    }
+}
+
+/// Asks each cell until one knows the job.
+async fn find<S: Store>(
+    context: &Arc<Context<S>>,
+    forwards: impl Iterator<Item = Forward>,
+) -> Response<Body> {
+    let mut failed = None;
+    for forward in forwards {
+        match send(context, forward).await {
+            Ok(reply) if reply.status == StatusCode::NOT_FOUND.as_u16() => {}
+            Ok(reply) => return respond(Ok(reply)),
+            Err(failure) => failed = Some(failure),
+        }
+    }
+    match failed {
+        // The job may be in a cell that did not reply.
+        Some(failure) => respond(Err(failure)),
+        None => reply::error(StatusCode::NOT_FOUND, "no such job"),
+    }
+}
+
+/// Asks all cells at the same time and joins their lists.
+async fn list<S: Store>(context: &Arc<Context<S>>, forwards: Vec<Forward>) -> Response<Body> {
+    let tasks: Vec<_> = forwards
+        .into_iter()
+        .map(|forward| {
+            let context = context.clone();
+            runtime::spawn(async move {
+                let cell = forward.cell.clone();
+                (cell, send(&context, forward).await)
+            })
+        })
+        .collect();
+    let (mut jobs, mut missing) = (Vec::new(), Vec::new());
+    for task in tasks {
+        let (cell, result) = task.await;
+        match result.ok().and_then(|reply| listed(&reply)) {
+            Some(part) => jobs.extend(part),
+            None => missing.push(cell),
+        }
+    }
+    reply::json(StatusCode::OK, &json!({"jobs": jobs, "missing_cells": missing}))
+}
+
+fn listed(reply: &ForwardReply) -> Option<Vec<Value>> {
+    if reply.status != StatusCode::OK.as_u16() {
+        return None;
+    }
+    match serde_json::from_slice(&reply.body).ok()? {
+        Value::Array(jobs) => Some(jobs),
+        Value::Object(mut object) => match object.remove("jobs")? {
+            Value::Array(jobs) => Some(jobs),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+async fn send<S: Store>(
+    context: &Arc<Context<S>>,
+    forward: Forward,
+) -> Result<ForwardReply, Failure> {
+    let owner = context.cells.owner(&forward.cell);
+    match owner {
+        Some(owner) if owner.entry != context.settings.id => {
+            send_to(context, &owner, &forward).await
+        }
+        _ => match context.cells.forward(forward.clone()).await {
+            Ok(reply) => Ok(reply),
+            Err(CellError::NotOwner(Some(owner))) if owner.entry != context.settings.id => {
+                send_to(context, &owner, &forward).await
+            }
+            Err(CellError::NotOwner(_)) => {
+                let error = format!("no owner of cell {} is known", forward.cell);
+                Err(Failure::NoOwner { error, peer: None })
+            }
+        },
+    }
+}
+
+async fn send_to<S: Store>(
+    context: &Arc<Context<S>>,
+    owner: &CellOwner,
+    forward: &Forward,
+) -> Result<ForwardReply, Failure> {
+    let result = context.peers.call(&owner.address, "forward", forward, FORWARD_LIMIT).await;
+    result.map_err(|error| {
+        tracing::info!(event = "forward_failed", cell = forward.cell, %error);
+        let peer = error.peer.clone();
+        match error.is_not_sent() {
+            true => Failure::NoOwner { error: error.to_string(), peer: Some(peer) },
+            false => Failure::Unknown { error: error.to_string(), peer },
+        }
+    })
+}
+
+fn respond(result: Result<ForwardReply, Failure>) -> Response<Body> {
+    match result {
+        Ok(reply) => {
+            let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            reply::typed(status, "application/json", reply.body)
+        }
+        Err(Failure::NoOwner { error, peer }) => {
+            let text = ErrorText { error, step: Some("forward".into()), peer, field: None };
+            reply::json(StatusCode::SERVICE_UNAVAILABLE, &text)
+        }
+        Err(Failure::Unknown { error, peer }) => {
+            let step = Some("forward".into());
+            let text = ErrorText { error, step, peer: Some(peer), field: None };
+            reply::unknown(StatusCode::GATEWAY_TIMEOUT, text)
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,4 +1,166 @@
-//! The entry process.
+//! The entry process: routes requests, owns cells, serves the configuration.
 
+pub mod auth;
 pub mod cells;
+pub mod config;
+pub mod context;
+pub mod headers;
+pub mod http;
+pub mod internal;
+pub mod jobs;
+pub mod members;
+pub mod operator;
+pub mod proxy;
+pub mod reply;
 pub mod settings;
+pub mod trace;
+
+use std::io::Write;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures_lite::future;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use peridotfold_store::{HttpStore, Store};
+use peridotfold_wire::http_server::HttpServer;
+use peridotfold_wire::runtime;
+use peridotfold_wire::server::MessageServer;
+use peridotfold_wire::shutdown::{self, Shutdown};
+
+use crate::context::Context;
+use crate::http::Http;
+use crate::internal::Internal;
+use crate::members::Heart;
+use crate::settings::Settings;
+
+/// Time limit of one call of the store. Below the heartbeat interval, so that a slow store delays
+/// a round by no more than one interval.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the start of a shutdown at which responses without a known length are ended at a
+/// chunk boundary. Without it, an entry with an endless feed could never be replaced.
+const DRAIN_GRACE: Duration = Duration::from_secs(30);
+/// Time allowed for open connections of other processes at the end of a shutdown.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// Runs an entry until SIGTERM or SIGINT, then shuts it down without interrupting a request.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or the signals cannot be handled.
+pub async fn run(settings: Settings) -> eyre::Result<()> {
+    let store = HttpStore::new(settings.store, STORE_TIMEOUT);
+    let (trigger, shutdown) = shutdown::channel();
+    let serving = runtime::spawn(serve(settings, store, shutdown, announce_addresses));
+    let stopped = future::or(async { Some(runtime::terminated().await) }, async {
+        wait_finished(&serving).await;
+        None
+    });
+    if let Some(result) = stopped.await {
+        result.wrap_err("step=signals")?;
+    }
+    trigger.fire();
+    serving.await
+}
+
+async fn wait_finished<T>(task: &smol::Task<T>) {
+    while !task.is_finished() {
+        runtime::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn announce_addresses(http: std::net::SocketAddr, internal: std::net::SocketAddr) {
+    let mut out = std::io::stdout();
+    let _ = writeln!(out, "listening http={http} internal={internal}");
+    let _ = out.flush();
+}
+
+/// Runs an entry until the signal. `ready` is called with the addresses that are in use.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn serve<S: Store>(
+    settings: Settings,
+    store: S,
+    shutdown: Shutdown,
+    ready: impl FnOnce(std::net::SocketAddr, std::net::SocketAddr),
+) -> eyre::Result<()> {
+    let http = HttpServer::bind(settings.http)
+        .await
+        .wrap_err_with(|| format!("step=bind peer={}", settings.http))?;
+    let internal = MessageServer::bind(settings.internal)
+        .await
+        .wrap_err_with(|| format!("step=bind peer={}", settings.internal))?;
+    ready(http.address(), internal.address());
+    let (drain, drained) = shutdown::channel();
+    let context =
+        Arc::new(Context::new(settings, http.address(), internal.address(), store, drained));
+    // Each stage of the shutdown ends only after the one before it: requests need the cells,
+    // announcements and heartbeats to the end.
+    let (requests, requests_end) = shutdown::channel();
+    let (cells, cells_end) = shutdown::channel();
+    let (rest, rest_end) = shutdown::channel();
+    let service = Http { context: context.clone(), metrics: metrics_handle() };
+    let serving = runtime::spawn(http.serve(Arc::new(service), requests_end));
+    let owning = runtime::spawn(own_cells(context.clone(), cells_end));
+    let handler = Arc::new(Internal { context: context.clone() });
+    let handling = runtime::spawn(internal.serve(handler, rest_end.clone()));
+    let beating = runtime::spawn(Heart::new(context.clone()).run(rest_end.clone()));
+    let following = runtime::spawn(config::run(context.clone(), rest_end.clone()));
+    let upkeep = runtime::spawn(upkeep(rest_end));
+    tracing::info!(event = "entry_started", entry = context.settings.id, id = context.incarnation);
+
+    shutdown.wait().await;
+    tracing::info!(event = "entry_stopping", entry = context.settings.id);
+    context.set_stopping();
+    requests.fire();
+    let draining = runtime::spawn(async move {
+        runtime::sleep(DRAIN_GRACE).await;
+        drain.fire();
+    });
+    serving.await;
+    drop(draining);
+    cells.fire();
+    owning.await;
+    rest.fire();
+    beating.await.farewell().await;
+    // Connections to hosts that are gone never end.
+    future::or(handling, runtime::sleep(CLOSE_LIMIT)).await;
+    following.await;
+    upkeep.await;
+    tracing::info!(event = "entry_stopped", entry = context.settings.id);
+    Ok(())
+}
+
+async fn own_cells<S: Store>(context: Arc<Context<S>>, shutdown: Shutdown) {
+    let (documents, alive, silence) = (context.clone(), context.clone(), context.clone());
+    let run = context.cells.run(
+        move || documents.document(),
+        move || alive.alive(),
+        move || silence.store_silence(),
+        shutdown,
+    );
+    run.await;
+}
+
+/// Returns the process's metrics. They are shared by all entries of a process, as in tests.
+fn metrics_handle() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        if let Err(error) = metrics::set_global_recorder(recorder) {
+            tracing::warn!(event = "metrics_not_installed", %error);
+        }
+        handle
+    };
+    HANDLE.get_or_init(install).clone()
+}
+
+async fn upkeep(shutdown: Shutdown) {
+    while !runtime::sleep_or_shutdown(UPKEEP, &shutdown).await {
+        metrics_handle().run_upkeep();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,277 @@
+//! Heartbeats of this entry, the list of entries, and the key maps.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peridotfold_core::id::ServiceId;
+use peridotfold_core::keys::plan::{self, View};
+use peridotfold_core::keys::{Holder, KeyMap, Planner, RETENTION};
+use peridotfold_core::membership::{EntryRecord, HEARTBEAT};
+use peridotfold_core::time;
+use peridotfold_store::{PutOutcome, Store, StoreError, Versioned};
+use peridotfold_wire::error::Step;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::context::Context;
+
+const ENTRIES: &str = "entries/";
+const KEY_MAPS: &str = "keymap/";
+/// Tries of the last heartbeat at shutdown.
+const FAREWELL_TRIES: usize = 3;
+
+/// A key map with its version in the store.
+type StoredMap = (ServiceId, u64, KeyMap);
+
+/// Heartbeat and key map state of this entry.
+pub struct Heart<S: Store> {
+    context: Arc<Context<S>>,
+    /// Version of this entry's record in the store.
+    version: u64,
+    counter: u64,
+    /// A record of this incarnation was written.
+    owned: bool,
+    /// A record of an earlier incarnation was found.
+    succeeded: bool,
+    /// Another process has taken this entry's name.
+    replaced: bool,
+    planner: Planner,
+}
+
+impl<S: Store> Heart<S> {
+    /// Builds the state before the first heartbeat.
+    pub fn new(context: Arc<Context<S>>) -> Self {
+        let planner = Planner::new(context.settings.outage_hold);
+        Heart {
+            context,
+            version: 0,
+            counter: 0,
+            owned: false,
+            succeeded: false,
+            replaced: false,
+            planner,
+        }
+    }
+
+    /// Runs one round after the other until the signal.
+    pub async fn run(mut self, shutdown: Shutdown) -> Self {
+        loop {
+            let start = runtime::now();
+            let hurried = match self.round().await {
+                Ok(hurried) => hurried,
+                Err(error) => {
+                    tracing::warn!(event = "heartbeat_failed", %error);
+                    false
+                }
+            };
+            let now = runtime::now();
+            self.context.keys.lock().prune(now);
+            self.context.upstreams.lock().prune(now);
+            let pause = match hurried {
+                true => Duration::ZERO,
+                false => HEARTBEAT.saturating_sub(now.saturating_sub(start)),
+            };
+            if self.replaced || runtime::sleep_or_shutdown(pause, &shutdown).await {
+                return self;
+            }
+        }
+    }
+
+    /// Tells the other entries that this one has ended and dispatches nothing more.
+    pub async fn farewell(&mut self) {
+        for _ in 0..FAREWELL_TRIES {
+            match self.beat(true).await {
+                Ok(()) => return,
+                Err(error) => tracing::warn!(event = "farewell_failed", %error),
+            }
+        }
+    }
+
+    /// Runs one round. The order matters: the heartbeat is written before the key maps are read
+    /// (see `Gate::adopt`), and these before the entries are listed (see `plan::View`). Tells
+    /// whether another round should follow at once, to acknowledge a move.
+    async fn round(&mut self) -> Result<bool, StoreError> {
+        let start = runtime::now();
+        self.beat(false).await?;
+        if self.replaced {
+            return Ok(false);
+        }
+        let maps = self.list_maps().await?;
+        self.context.record_contact(start);
+        let moved = self.adopt(start, &maps);
+        let records = self.list_records().await?;
+        self.context.members.lock().observe(runtime::now(), records);
+        self.plan(maps).await;
+        Ok(moved)
+    }
+
+    async fn beat(&mut self, stopped: bool) -> Result<(), StoreError> {
+        if self.replaced {
+            return Ok(());
+        }
+        self.counter += 1;
+        let key = format!("{ENTRIES}{}", self.context.settings.id);
+        let record = self.record(stopped);
+        let value = encode(&record)?;
+        // The second try follows the record that was found by the first.
+        for _ in 0..2 {
+            match self.context.store.put(&key, self.version, value.clone()).await? {
+                PutOutcome::Written(version) => {
+                    self.version = version;
+                    self.owned = true;
+                    return Ok(());
+                }
+                PutOutcome::Conflict(_) => self.read_own(&key).await?,
+            }
+            if self.replaced {
+                return Ok(());
+            }
+        }
+        Err(StoreError::new(Step::Send, key, "the record changes too often"))
+    }
+
+    /// Reads this entry's record after a conflict: an earlier write whose answer was lost, a record
+    /// of an earlier incarnation, or one of a process that has taken the name.
+    async fn read_own(&mut self, key: &str) -> Result<(), StoreError> {
+        let found = self.context.store.get(key).await?;
+        self.version = found.as_ref().map_or(0, |found| found.version);
+        let Some(found) = found else { return Ok(()) };
+        let record = decode::<EntryRecord>(key, &found);
+        if record.is_some_and(|record| record.incarnation == self.context.incarnation) {
+            self.owned = true;
+            return Ok(());
+        }
+        if self.owned {
+            tracing::error!(event = "entry_replaced", entry = self.context.settings.id);
+            self.replaced = true;
+            self.context.keys.lock().close();
+        }
+        self.succeeded = true;
+        Ok(())
+    }
+
+    fn record(&self, stopped: bool) -> EntryRecord {
+        let context = &self.context;
+        // Until the retention has passed, keys that an earlier incarnation dispatched may matter.
+        // The first write finds out by its conflict whether there was one.
+        let complete = match self.succeeded || !self.owned {
+            true => runtime::now() >= time::lease_wait(RETENTION),
+            false => true,
+        };
+        EntryRecord {
+            entry: context.settings.id.clone(),
+            incarnation: context.incarnation,
+            counter: self.counter,
+            http: context.http.to_string(),
+            internal: context.internal.to_string(),
+            data_centre: context.settings.data_centre.clone(),
+            adopted: context.keys.lock().generations(),
+            complete,
+            stopped,
+        }
+    }
+
+    async fn list_maps(&self) -> Result<Vec<StoredMap>, StoreError> {
+        let listed = self.context.store.list(KEY_MAPS).await?;
+        Ok(listed
+            .into_iter()
+            .filter_map(|(key, found)| {
+                let map = decode::<KeyMap>(&key, &found)?;
+                Some((key.strip_prefix(KEY_MAPS)?.to_owned(), found.version, map))
+            })
+            .collect())
+    }
+
+    async fn list_records(&self) -> Result<Vec<EntryRecord>, StoreError> {
+        let listed = self.context.store.list(ENTRIES).await?;
+        Ok(listed.iter().filter_map(|(key, found)| decode(key, found)).collect())
+    }
+
+    /// Adopts the key maps; tells whether a generation rose.
+    fn adopt(&self, start: Duration, maps: &[StoredMap]) -> bool {
+        let maps = maps.iter().map(|(service, _, map)| (service.clone(), map.clone())).collect();
+        let mut keys = self.context.keys.lock();
+        let before = keys.generations();
+        keys.adopt(start, runtime::now(), maps);
+        keys.generations() != before
+    }
+
+    async fn plan(&mut self, maps: Vec<StoredMap>) {
+        let now = runtime::now();
+        let alive = self.context.alive();
+        let live = self.context.upstreams.lock().eligible(now);
+        let known = maps.iter().map(|(service, ..)| service);
+        let services: BTreeSet<ServiceId> = known.chain(live.keys()).cloned().collect();
+        let records: Vec<_> = {
+            let members = self.context.members.lock();
+            members.records(now).map(|(record, silent)| (record.clone(), silent)).collect()
+        };
+        for service in services {
+            let mover = plan::mover(&service, &alive);
+            if mover.is_none_or(|view| view.entry != self.context.settings.id) {
+                continue;
+            }
+            let stored = maps.iter().find(|(name, ..)| *name == service);
+            let (version, map) =
+                stored.map(|(_, version, map)| (*version, map.clone())).unwrap_or_default();
+            let mut holders: Vec<_> =
+                live.get(&service).into_iter().flatten().map(holder).collect();
+            holders.sort_by(|a, b| a.agent.cmp(&b.agent));
+            let settled = self.context.keys.lock().settled(now, &service);
+            let view = View {
+                service: &service,
+                map: &map,
+                live: &holders,
+                records: &records,
+                settled: &settled,
+            };
+            if let Some(next) = self.planner.plan(now, &view) {
+                self.write_map(&service, version, next).await;
+            }
+        }
+    }
+
+    async fn write_map(&self, service: &str, version: u64, map: KeyMap) {
+        let generation = map.generation;
+        let moving = map.is_moving();
+        let key = format!("{KEY_MAPS}{service}");
+        let result = match encode(&map) {
+            Ok(value) => self.context.store.put(&key, version, value).await,
+            Err(error) => Err(error),
+        };
+        match result {
+            Ok(PutOutcome::Written(_)) => {
+                tracing::info!(event = "key_map_written", service, generation, moving);
+                self.context.keys.lock().adopt_one(runtime::now(), service, map);
+            }
+            Ok(PutOutcome::Conflict(_)) => {
+                tracing::info!(event = "key_map_conflict", service, generation);
+            }
+            // The next round reads what the store holds.
+            Err(error) => tracing::warn!(event = "key_map_failed", service, %error),
+        }
+    }
+}
+
+fn holder((agent, incarnation): &(String, u64)) -> Holder {
+    Holder { agent: agent.clone(), incarnation: *incarnation }
+}
+
+fn encode(value: &impl serde::Serialize) -> Result<Bytes, StoreError> {
+    serde_json::to_vec(value)
+        .map(Bytes::from)
+        .map_err(|error| StoreError::new(Step::Send, "store", error))
+}
+
+/// Decodes a record. A malformed one is logged and treated as absent.
+fn decode<T: serde::de::DeserializeOwned>(key: &str, found: &Versioned) -> Option<T> {
+    match serde_json::from_slice(&found.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            tracing::error!(event = "record_malformed", key, %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,208 @@
+//! Operators' interface to the configuration and the state of the entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use peridotfold_store::{ConfigRepository, Store, SubmitError};
+use peridotfold_wire::body::Body;
+use peridotfold_wire::runtime;
+use serde_json::json;
+
+use crate::auth::{self, Identity};
+use crate::context::Context;
+use crate::{config, reply};
+
+/// Largest body of an operator's or submitter's request.
+pub const BODY_LIMIT: usize = 512 * 1024;
+/// Header that names the author of a patch.
+const AUTHOR: &str = "peridotfold-author";
+/// Header with the version of the document in the body.
+const VERSION: &str = "peridotfold-config-version";
+
+/// Answers `GET /v1/status`.
+pub fn status<S: Store>(context: &Arc<Context<S>>, request: &Request<Incoming>) -> Response<Body> {
+    if let Err(response) = require_operator(context, request.headers()) {
+        return *response;
+    }
+    if request.method() != Method::GET {
+        return reply::error(StatusCode::METHOD_NOT_ALLOWED, "only GET");
+    }
+    let upstreams = context.upstreams.lock().views(runtime::now());
+    reply::json(
+        StatusCode::OK,
+        &json!({
+            "entry": context.settings.id,
+            "incarnation": context.incarnation,
+            "data_centre": context.settings.data_centre,
+            "config_version": context.current().map(|current| current.version),
+            "store_silence_ms": context.store_silence().as_millis() as u64,
+            "entries": context.alive(),
+            "upstreams": upstreams,
+            "workers": context.cells.workers(),
+        }),
+    )
+}
+
+/// Answers `/v1/config`.
+pub async fn config<S: Store>(
+    context: &Arc<Context<S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if let Err(response) = require_operator(context, request.headers()) {
+        return *response;
+    }
+    match *request.method() {
+        Method::GET => current(context),
+        Method::PATCH => patch(context, request).await,
+        _ => reply::error(StatusCode::METHOD_NOT_ALLOWED, "only GET and PATCH"),
+    }
+}
+
+/// Answers `GET /v1/config/<version>`.
+pub async fn version<S: Store>(
+    context: &Arc<Context<S>>,
+    request: &Request<Incoming>,
+) -> Response<Body> {
+    if let Err(response) = require_operator(context, request.headers()) {
+        return *response;
+    }
+    if request.method() != Method::GET {
+        return reply::error(StatusCode::METHOD_NOT_ALLOWED, "only GET");
+    }
+    let text = request.uri().path().rsplit('/').next().unwrap_or_default();
+    let Ok(number) = text.parse::<u64>() else {
+        return reply::error(StatusCode::BAD_REQUEST, "the version is not a number");
+    };
+    let Some(repository) = repository(context) else { return store_down() };
+    match repository.document_at(number).await {
+        Ok(Some(document)) => document_response(number, &document),
+        Ok(None) => reply::error(StatusCode::NOT_FOUND, format!("no version {number}")),
+        Err(error) => reply::error(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+    }
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns the response for a body that is too large or cut.
+pub async fn read_body(incoming: Incoming) -> Result<Bytes, Box<Response<Body>>> {
+    match Limited::new(incoming, BODY_LIMIT).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) => Err(Box::new(reply::error(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()))),
+    }
+}
+
+/// Returns a parameter of the query.
+pub fn parameter<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn require_operator<S: Store>(
+    context: &Arc<Context<S>>,
+    headers: &HeaderMap,
+) -> Result<(), Box<Response<Body>>> {
+    let document = context.document();
+    match auth::identify(headers, &document, &context.settings.operator_digest) {
+        Identity::Operator => Ok(()),
+        Identity::Team(_) => {
+            Err(Box::new(reply::error(StatusCode::FORBIDDEN, "only operators may do this")))
+        }
+        Identity::Anonymous | Identity::Rejected => {
+            Err(Box::new(reply::error(StatusCode::UNAUTHORIZED, "no valid credential")))
+        }
+    }
+}
+
+fn repository<S: Store>(context: &Arc<Context<S>>) -> Option<Arc<ConfigRepository<S>>> {
+    context.repository.read().clone()
+}
+
+fn current<S: Store>(context: &Arc<Context<S>>) -> Response<Body> {
+    match context.current() {
+        Some(current) => {
+            let document = peridotfold_core::config::encode_document(&current.document);
+            document_response(current.version, &document)
+        }
+        None => reply::error(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+    }
+}
+
+/// Returns a document with its version, both in the body and as a header.
+fn document_response(version: u64, document: &Bytes) -> Response<Body> {
+    let document: serde_json::Value = match serde_json::from_slice(document) {
+        Ok(document) => document,
+        Err(error) => {
+            return reply::error(StatusCode::INTERNAL_SERVER_ERROR, error.to_string());
+        }
+    };
+    let body = json!({"version": version, "document": document});
+    let mut response = reply::json(StatusCode::OK, &body);
+    response.headers_mut().insert(VERSION, version.into());
+    response
+}
+
+async fn patch<S: Store>(context: &Arc<Context<S>>, request: Request<Incoming>) -> Response<Body> {
+    let base = parameter(request.uri().query(), "base").and_then(|text| text.parse().ok());
+    let Some(base) = base else {
+        let text = reply::ErrorText {
+            error: "the version that the patch changes is missing or not a number".into(),
+            field: Some("base".into()),
+            ..Default::default()
+        };
+        return reply::json(StatusCode::BAD_REQUEST, &text);
+    };
+    let author = request.headers().get(AUTHOR).and_then(|value| value.to_str().ok());
+    let author = author.unwrap_or("operator").to_owned();
+    let body = match read_body(request.into_body()).await {
+        Ok(body) => body,
+        Err(response) => return *response,
+    };
+    let Some(repository) = repository(context) else { return store_down() };
+    match repository.submit(base, body, &author).await {
+        Ok(version) => {
+            config::adopt(context, &repository);
+            tracing::info!(event = "config_accepted", version, author);
+            reply::json(StatusCode::OK, &json!({"version": version}))
+        }
+        Err(error) => rejected(context, &repository, &author, error),
+    }
+}
+
+fn rejected<S: Store>(
+    context: &Arc<Context<S>>,
+    repository: &ConfigRepository<S>,
+    author: &str,
+    error: SubmitError,
+) -> Response<Body> {
+    config::adopt(context, repository);
+    let text = error.to_string();
+    tracing::info!(event = "config_rejected", author, error = text);
+    match error {
+        SubmitError::Stale { current, author } => reply::json(
+            StatusCode::CONFLICT,
+            &json!({"error": text, "current": current, "author": author}),
+        ),
+        SubmitError::Future { current } => {
+            reply::json(StatusCode::CONFLICT, &json!({"error": text, "current": current}))
+        }
+        SubmitError::Invalid(problems) => {
+            let field = problems.first().map(|problem| problem.field.as_str());
+            let body = json!({"error": text, "field": field, "problems": problems});
+            reply::json(StatusCode::UNPROCESSABLE_ENTITY, &body)
+        }
+        SubmitError::Unavailable(_) => reply::error(StatusCode::SERVICE_UNAVAILABLE, text),
+        SubmitError::Unknown(_) => {
+            reply::unknown(StatusCode::GATEWAY_TIMEOUT, reply::ErrorText::new(text))
+        }
+    }
+}
+
+fn store_down() -> Response<Body> {
+    let text = "the store has not answered since the start of this entry";
+    reply::error(StatusCode::SERVICE_UNAVAILABLE, text)
+}
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -10,7 +10,7 @@
 
 use async_channel::Sender;
 use futures_lite::future;
-use http::header::HeaderValue;
+use http::header::{HeaderValue, CONTENT_LENGTH};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peridotfold_core::message::request::{BodyFrame, TraceContext};
@@ -84,56 +84,100 @@
         Outcome::Answer(answer) => {
             // Holds the count of requests in flight until the body has ended.
             let _in_flight = in_flight;
-            pass_on(&call, answer, sender).await;
+            pass_on(&call, answer, &context.drained, sender).await;
         }
     }
 }
 
-async fn pass_on(call: &Call, answer: Answer, sender: Sender<Response<Body>>) {
-    let Answer { id: _, status, headers, receiver, upload } = answer;
+/// How the body of an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    Complete,
+    /// Ended by the shutdown of this entry, at a chunk boundary.
+    Drained,
+    /// The agent's stream ended early, or the caller is gone.
+    Cut,
+}
+
+async fn pass_on(call: &Call, answer: Answer, drained: &Shutdown, sender: Sender<Response<Body>>) {
+    let Answer { status, headers, receiver, upload } = answer;
     let (body_sender, body) = Body::parts();
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     headers::add_answer(response.headers_mut(), &headers);
+    let is_endless = !response.headers().contains_key(CONTENT_LENGTH);
     if sender.send(response).await.is_err() {
         return;
     }
-    let complete = download(receiver, body_sender).await;
-    if !complete {
-        tracing::info!(event = "response_cut", service = call.service);
+    let drained = is_endless.then_some(drained);
+    let end = download(receiver, body_sender, drained).await;
+    if end != BodyEnd::Complete {
+        tracing::info!(event = "response_cut", service = call.service, ?end);
         metrics::counter!("responses_cut_total", "service" => call.service.clone()).increment(1);
     }
     match upload {
         // The upstream may answer before it has read the request.
-        Some(task) if complete => task.await,
+        Some(task) if end == BodyEnd::Complete => task.await,
         // Dropped with the receiver, the stream is reset and the agent gives the request up.
         Some(_) | None => {}
     }
 }
 
-/// Passes the body on; tells whether it arrived whole. A body that is cut also cuts the caller's
-/// connection, since its sender is dropped without an end.
-async fn download(mut receiver: FrameReceiver, mut body: BodySender) -> bool {
+/// Passes the body on. A body that is cut also cuts the caller's connection, since its sender is
+/// dropped without an end.
+async fn download(
+    mut receiver: FrameReceiver,
+    mut body: BodySender,
+    drained: Option<&Shutdown>,
+) -> BodyEnd {
     loop {
-        let next = future::or(async { Some(receiver.next::<BodyFrame>().await) }, async {
-            body.closed().await;
-            None
-        });
-        match next.await {
-            Some(Ok(Some(BodyFrame::Data(part)))) if body.send(part).await.is_ok() => {}
-            Some(Ok(Some(BodyFrame::End))) => {
+        let next = receive(&mut receiver, &body, drained).await;
+        match next {
+            Ok(Some(BodyFrame::Data(part))) => {
+                if body.send(part).await.is_err() {
+                    return BodyEnd::Cut;
+                }
+            }
+            Ok(Some(BodyFrame::End)) => {
                 body.finish();
-                return true;
+                return BodyEnd::Complete;
             }
-            Some(Ok(Some(BodyFrame::Data(_)))) | Some(Ok(None)) | None => return false,
-            Some(Err(error)) => {
-                tracing::info!(event = "response_failed", %error);
-                return false;
+            Ok(None) => return BodyEnd::Cut,
+            Err(BodyEnd::Drained) => {
+                body.finish();
+                return BodyEnd::Drained;
             }
+            Err(end) => return end,
         }
     }
 }
 
+/// Waits for the next frame, the end of the caller's connection, or the drain.
+async fn receive(
+    receiver: &mut FrameReceiver,
+    body: &BodySender,
+    drained: Option<&Shutdown>,
+) -> Result<Option<BodyFrame>, BodyEnd> {
+    let frame = async {
+        receiver.next().await.map_err(|error| {
+            tracing::info!(event = "response_failed", %error);
+            BodyEnd::Cut
+        })
+    };
+    let closed = async {
+        body.closed().await;
+        Err(BodyEnd::Cut)
+    };
+    let drain = async {
+        match drained {
+            Some(drained) => drained.wait().await,
+            None => future::pending().await,
+        }
+        Err(BodyEnd::Drained)
+    };
+    future::or(drain, future::or(frame, closed)).await
+}
+
 fn record(call: &Call, outcome: &Outcome) {
     let elapsed = runtime::now().saturating_sub(call.started);
     let name = match outcome {
--- a/crates/entry/src/proxy/attempt.rs
+++ b/crates/entry/src/proxy/attempt.rs
@@ -46,7 +46,6 @@
 /// The head of an answer, with the streams that go on.
 #[derive(Debug)]
 pub struct Answer {
-    pub id: RequestId,
     pub status: u16,
     pub headers: Vec<(Bytes, Bytes)>,
     pub receiver: FrameReceiver,
@@ -127,11 +126,10 @@
     }
     let id = context.next_request();
     let mut exchange = Box::pin(exchange(&context.peers, call, target, id.clone(), upload));
-    let stopped = future::or(async { Ok(exchange.as_mut().await) }, async {
-        Err(stop(call, gone).await)
-    });
+    let stopped =
+        future::or(async { Ok(exchange.as_mut().await) }, async { Err(stop(call, gone).await) });
     match stopped.await {
-        Ok(Ok(exchanged)) => from_head(id, exchanged),
+        Ok(Ok(exchanged)) => from_head(exchanged),
         Ok(Err(error)) if error.is_not_sent() => unreachable(&error),
         Ok(Err(error)) => {
             drop(exchange);
@@ -144,12 +142,11 @@
         }
         Err(Stop::Deadline) => {
             let cancelled = cancel(context, target, id.clone());
-            let proof = future::or(
-                async { Ok(exchange.as_mut().await) },
-                async { Err(within(PROOF_WAIT, cancelled).await) },
-            );
+            let proof = future::or(async { Ok(exchange.as_mut().await) }, async {
+                Err(within(PROOF_WAIT, cancelled).await)
+            });
             match proof.await {
-                Ok(Ok(exchanged)) => from_head(id, exchanged),
+                Ok(Ok(exchanged)) => from_head(exchanged),
                 Err(Some(CancelReply::NotStarted)) => not_run(RefuseReason::DeadlinePassed, true),
                 Ok(Err(_)) | Err(_) => deadline_unknown(target),
             }
@@ -190,13 +187,10 @@
     }
 }
 
-fn from_head(
-    id: RequestId,
-    (head, receiver, upload): (ResponseHead, FrameReceiver, Option<Task<()>>),
-) -> Outcome {
+fn from_head((head, receiver, upload): (ResponseHead, FrameReceiver, Option<Task<()>>)) -> Outcome {
     match head {
         ResponseHead::Answer { status, headers, replayed: _ } => {
-            Outcome::Answer(Answer { id, status, headers, receiver, upload })
+            Outcome::Answer(Answer { status, headers, receiver, upload })
         }
         ResponseHead::NotRun { reason, retry_after } => {
             Outcome::NotRun { reason, retry_after, reached: true }
@@ -253,7 +247,10 @@
     async move { receiver.recv().await.ok().flatten() }
 }
 
-async fn within<T>(limit: Duration, task: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+async fn within<T>(
+    limit: Duration,
+    task: impl std::future::Future<Output = Option<T>>,
+) -> Option<T> {
     future::or(task, async {
         runtime::sleep(limit).await;
         None
--- a/crates/entry/src/proxy/keyed.rs
+++ b/crates/entry/src/proxy/keyed.rs
@@ -51,8 +51,7 @@
     };
     let in_flight = InFlight::begin(context, &target, &call.service);
     let outcome = attempt::run(context, call, &target, upload, gone).await;
-    let not_run =
-        matches!(outcome, Outcome::NotRun { .. } | Outcome::Abandoned { not_run: true });
+    let not_run = matches!(outcome, Outcome::NotRun { .. } | Outcome::Abandoned { not_run: true });
     context.keys.lock().finish(runtime::now(), &call.service, key, not_run);
     (outcome, Some(in_flight))
 }
--- a/crates/entry/src/proxy/unkeyed.rs
+++ b/crates/entry/src/proxy/unkeyed.rs
@@ -39,11 +39,7 @@
     }
 }
 
-fn choose<S: Store>(
-    context: &Arc<Context<S>>,
-    call: &Call,
-    tried: &[AgentId],
-) -> Option<Target> {
+fn choose<S: Store>(context: &Arc<Context<S>>, call: &Call, tried: &[AgentId]) -> Option<Target> {
     let mut rng = fastrand::Rng::new();
     context.upstreams.lock().choose(runtime::now(), &call.service, tried, &mut rng)
 }
--- a/crates/entry/src/proxy/upload.rs
+++ b/crates/entry/src/proxy/upload.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use peridotfold_core::message::request::BodyFrame;
 use peridotfold_wire::error::{Step, WireError};
 use peridotfold_wire::peer::FrameSender;
