--- a/crates/core/src/keys/plan.rs
+++ b/crates/core/src/keys/plan.rs
@@ -5,7 +5,9 @@
 
 use crate::hash;
 use crate::id::ServiceId;
-use crate::keys::{Bucket, BucketIndex, Generation, Holder, KeyMap, Phase, Witness, BUCKETS};
+use crate::keys::{
+    Bucket, BucketIndex, Generation, Holder, KeyMap, Phase, Witness, BUCKETS, RETENTION,
+};
 use crate::membership::{EntryRecord, EntryView};
 use crate::time::{self, Time};
 
@@ -61,7 +63,7 @@
         let gone = self.gone(now, view);
         let mut map = view.map.clone();
         let changed = match gone.is_empty() || view.live.is_empty() {
-            false => begin_moves(&mut map, view, &gone),
+            false => begin_moves(&mut map, view, &gone, self.witnesses(view.records)),
             true if map.is_moving() => self.open_moves(&mut map, view),
             true => settle(&mut map, view.settled),
         };
@@ -122,7 +124,7 @@
                 .all(|(r, silent)| self.acknowledged(view, r, *silent, generation))
             {
                 bucket.phase = Phase::Open;
-                map.moves.insert(generation, witnesses(view.records));
+                map.moves.insert(generation, self.witnesses(view.records));
                 changed = true;
             }
         }
@@ -141,11 +143,37 @@
             || record.adopted.get(view.service).is_some_and(|adopted| *adopted >= generation)
             || silent >= time::lease_wait(self.outage_hold)
     }
+
+    /// Lists the entries that may have dispatched keys within the retention.
+    fn witnesses(&self, records: &[(EntryRecord, Duration)]) -> Vec<Witness> {
+        let retention = time::lease_wait(RETENTION);
+        let relevant = |record: &EntryRecord, silent: Duration| match record.stopped {
+            true => silent < retention,
+            // It may have dispatched without the store for the length of the outage hold.
+            false => silent < time::lease_wait(self.outage_hold) + retention,
+        };
+        let mut witnesses: Vec<_> = records
+            .iter()
+            .filter(|(record, silent)| relevant(record, *silent))
+            .map(|(record, _)| Witness {
+                entry: record.entry.clone(),
+                incarnation: record.incarnation,
+                complete: record.complete && !record.stopped,
+            })
+            .collect();
+        witnesses.sort_by(|a, b| a.entry.cmp(&b.entry));
+        witnesses
+    }
 }
 
-fn begin_moves(map: &mut KeyMap, view: &View<'_>, gone: &[BucketIndex]) -> bool {
+fn begin_moves(
+    map: &mut KeyMap,
+    view: &View<'_>,
+    gone: &[BucketIndex],
+    witnesses: Vec<Witness>,
+) -> bool {
     map.generation += 1;
-    map.moves.insert(map.generation, witnesses(view.records));
+    map.moves.insert(map.generation, witnesses);
     for index in gone {
         if let Some(holder) = target(view, *index) {
             map.buckets[*index] =
@@ -166,16 +194,3 @@
     let weight = |holder: &&Holder| hash::rendezvous(key.as_bytes(), holder.agent.as_bytes());
     view.live.iter().max_by_key(weight).cloned()
 }
-
-fn witnesses(records: &[(EntryRecord, Duration)]) -> Vec<Witness> {
-    let mut witnesses: Vec<_> = records
-        .iter()
-        .map(|(record, _)| Witness {
-            entry: record.entry.clone(),
-            incarnation: record.incarnation,
-            complete: record.complete && !record.stopped,
-        })
-        .collect();
-    witnesses.sort_by(|a, b| a.entry.cmp(&b.entry));
-    witnesses
-}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -12,10 +12,6 @@
 pub const HEARTBEAT: Duration = Duration::from_secs(2);
 /// A longer time between two successful lists is an outage of the store and does not count.
 const GAP_LIMIT: Duration = Duration::from_secs(4);
-/// Silence after which the record of an entry is removed. Exceeds the outage hold and the
-/// retention of dispatched keys together.
-pub const RECORD_RETENTION: Duration = Duration::from_secs(30 * 60);
-
 /// The record `entries/<id>` in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryRecord {
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -26,7 +26,7 @@
 /// Floor of the latency estimate; below it, differences are measurement noise.
 const LATENCY_FLOOR: f64 = 0.000_5;
 /// Earlier incarnations of an agent that are remembered.
-const REPLACED_KEPT: usize = 4;
+const REPLACED_KEPT: usize = 8;
 /// Random draws before the eligible upstreams are enumerated.
 const DRAWS: usize = 8;
 
@@ -84,8 +84,8 @@
     announce: Announce,
     heard: Time,
     demoted: bool,
-    /// Earlier incarnations of the agent, the latest last.
-    replaced: Vec<Incarnation>,
+    /// Earlier incarnations of the agent with their last sequence, the latest last.
+    replaced: Vec<(Incarnation, u64)>,
     usage: HashMap<ServiceId, Usage>,
 }
 
@@ -286,19 +286,19 @@
     /// older if it was replaced here before. While the known incarnation is silent, a replaced one
     /// is taken all the same, so that a wrong order of arrival is corrected within the expiry.
     fn outdates(&self, now: Time, announce: &Announce) -> bool {
-        match announce.incarnation == self.announce.incarnation {
-            true => announce.sequence <= self.announce.sequence,
-            false => {
-                self.replaced.contains(&announce.incarnation)
-                    && now.saturating_sub(self.heard) < EXPIRY
-            }
+        if announce.incarnation == self.announce.incarnation {
+            return announce.sequence <= self.announce.sequence;
         }
+        let known = self.replaced.iter().find(|(known, _)| *known == announce.incarnation);
+        known.is_some_and(|(_, sequence)| {
+            announce.sequence <= *sequence || now.saturating_sub(self.heard) < EXPIRY
+        })
     }
 
-    fn replaced_with(self, next: Incarnation) -> Vec<Incarnation> {
+    fn replaced_with(self, next: Incarnation) -> Vec<(Incarnation, u64)> {
         let mut replaced = self.replaced;
-        replaced.retain(|known| *known != next);
-        replaced.push(self.announce.incarnation);
+        replaced.retain(|(known, _)| *known != next);
+        replaced.push((self.announce.incarnation, self.announce.sequence));
         if replaced.len() > REPLACED_KEPT {
             replaced.remove(0);
         }
