Test the moves of key buckets on seeded schedules

Each call of the store is a step of its own, so that rounds of several entries interleave; answers get lost, entries and agents restart, stop and are partitioned, requests are delayed.

Tested: 2,000 schedules for at-most-once, 200 for recovery.

--- /dev/null
+++ b/crates/core/tests/keys.rs
@@ -0,0 +1,32 @@
+//! Seeded schedules of entries, agents and the store, on virtual time.
+
+mod keys_world;
+
+use keys_world::World;
+
+const SCHEDULES: u64 = 2_000;
+
+/// Guards against a key that runs at two holders, through any mix of moves, restarts, partitions,
+/// lost writes and delayed requests.
+#[test]
+fn no_key_runs_at_two_holders() {
+    for seed in 0..SCHEDULES {
+        let mut world = World::new(seed);
+        for _ in 0..1_500 {
+            world.step();
+        }
+    }
+}
+
+/// Guards against buckets that stay closed after all faults have ended.
+#[test]
+fn buckets_open_again_after_all_faults() {
+    for seed in 0..SCHEDULES / 10 {
+        let mut world = World::new(seed);
+        for _ in 0..800 {
+            world.step();
+        }
+        world.heal();
+        assert!(world.is_open(), "seed {seed}: buckets are still closed");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/keys_world/entry.rs
@@ -0,0 +1,188 @@
+//! One entry of the world: its rounds, with each call of the store as a step of its own.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peridotfold_core::keys::gate::ProbeResult;
+use peridotfold_core::keys::plan::{mover, View};
+use peridotfold_core::keys::{Decision, Gate, Holder, KeyMap, Planner, RETENTION};
+use peridotfold_core::membership::{EntryRecord, Members};
+use peridotfold_core::time::lease_wait;
+
+use super::{Agent, Store, HOLD, SERVICE};
+
+const EXPIRY: Duration = Duration::from_secs(3);
+
+/// The next step of a round.
+enum Next {
+    Beat,
+    ListMap { start: Duration },
+    ListRecords { map: (u64, KeyMap) },
+    Plan { map: (u64, KeyMap) },
+}
+
+pub struct Entry {
+    pub name: String,
+    pub incarnation: u64,
+    pub up: bool,
+    pub reaches_store: bool,
+    pub reaches_entries: bool,
+    pub reaches: Vec<bool>,
+    pub gate: Gate,
+    members: Members,
+    planner: Planner,
+    started: Duration,
+    succeeded: bool,
+    counter: u64,
+    next: Next,
+    heard: BTreeMap<String, (Holder, Duration)>,
+}
+
+impl Entry {
+    pub fn new(index: usize, incarnation: u64, now: Duration, agents: usize) -> Self {
+        let name = format!("entry-{index}");
+        Entry {
+            gate: Gate::new(name.clone(), incarnation, HOLD),
+            name,
+            incarnation,
+            up: true,
+            reaches_store: true,
+            reaches_entries: true,
+            reaches: vec![true; agents],
+            members: Members::new(Duration::from_secs(6)),
+            planner: Planner::new(HOLD),
+            started: now,
+            succeeded: false,
+            counter: 0,
+            next: Next::Beat,
+            heard: BTreeMap::new(),
+        }
+    }
+
+    pub fn hear(&mut self, now: Duration, agents: &[Agent]) {
+        for (index, agent) in agents.iter().enumerate() {
+            let name = agent.holder.agent.clone();
+            match (agent.up && self.reaches[index], agent.leaving) {
+                (true, false) => {
+                    self.heard.insert(name, (agent.holder.clone(), now));
+                }
+                (true, true) => {
+                    self.heard.remove(&name);
+                }
+                (false, _) => {}
+            }
+        }
+    }
+
+    pub fn decide(&mut self, now: Duration, key: &Bytes) -> Decision {
+        let live = self.live(now);
+        self.gate.decide(now, SERVICE, key, |holder| live.contains(holder))
+    }
+
+    pub fn decide_probed(
+        &mut self,
+        now: Duration,
+        key: &Bytes,
+        generation: u64,
+        results: &[ProbeResult],
+    ) -> Decision {
+        let live = self.live(now);
+        let is_live = |holder: &Holder| live.contains(holder);
+        self.gate.decide_probed(now, SERVICE, key, generation, results, is_live)
+    }
+
+    /// Performs the next call of the store. It may fail before or after it took effect.
+    pub fn advance(&mut self, now: Duration, store: &mut Store, rng: &mut fastrand::Rng) {
+        if !self.up {
+            return;
+        }
+        self.gate.prune(now);
+        let next = std::mem::replace(&mut self.next, Next::Beat);
+        if !self.reaches_store || rng.u32(0..20) == 0 {
+            return;
+        }
+        let is_lost = rng.u32(0..20) == 0;
+        match next {
+            Next::Beat => {
+                self.beat(now, store, false);
+                if !is_lost {
+                    self.next = Next::ListMap { start: now };
+                }
+            }
+            Next::ListMap { start } => {
+                let map = store.map.clone();
+                let listed = match map.0 {
+                    0 => Vec::new(),
+                    _ => vec![(SERVICE.to_owned(), map.1.clone())],
+                };
+                self.gate.adopt(start, now, listed);
+                self.next = Next::ListRecords { map };
+            }
+            Next::ListRecords { map } => {
+                let records = store.records.values().map(|(_, record)| record.clone()).collect();
+                self.members.observe(now, records);
+                self.next = Next::Plan { map };
+            }
+            Next::Plan { map } => self.plan(now, store, map, is_lost),
+        }
+    }
+
+    /// Writes the last record of a graceful shutdown.
+    pub fn stop(&mut self, now: Duration, store: &mut Store) {
+        if self.reaches_store {
+            self.beat(now, store, true);
+        }
+        self.up = false;
+    }
+
+    fn beat(&mut self, now: Duration, store: &mut Store, stopped: bool) {
+        self.counter += 1;
+        let found = store.records.get(&self.name);
+        self.succeeded |= found.is_some_and(|(_, r)| r.incarnation != self.incarnation);
+        let record = EntryRecord {
+            entry: self.name.clone(),
+            incarnation: self.incarnation,
+            counter: self.counter,
+            http: String::new(),
+            internal: String::new(),
+            data_centre: String::new(),
+            adopted: self.gate.generations(),
+            complete: !self.succeeded || now - self.started >= lease_wait(RETENTION),
+            stopped,
+        };
+        let version = found.map_or(1, |(version, _)| version + 1);
+        store.records.insert(self.name.clone(), (version, record));
+    }
+
+    fn plan(&mut self, now: Duration, store: &mut Store, map: (u64, KeyMap), is_lost: bool) {
+        let alive = self.members.alive();
+        if mover(SERVICE, &alive).is_none_or(|view| view.entry != self.name) {
+            return;
+        }
+        let records: Vec<_> =
+            self.members.records(now).map(|(record, silent)| (record.clone(), silent)).collect();
+        let settled = self.gate.settled(now, SERVICE);
+        let live = self.live(now);
+        let view = View {
+            service: SERVICE,
+            map: &map.1,
+            live: &live,
+            records: &records,
+            settled: &settled,
+        };
+        let Some(next) = self.planner.plan(now, &view) else { return };
+        if store.map.0 != map.0 {
+            return;
+        }
+        store.map = (map.0 + 1, next.clone());
+        if !is_lost {
+            self.gate.adopt_one(now, SERVICE, next);
+        }
+    }
+
+    fn live(&self, now: Duration) -> Vec<Holder> {
+        let heard = self.heard.values();
+        heard.filter(|(_, at)| now - *at < EXPIRY).map(|(holder, _)| holder.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/keys_world/mod.rs
@@ -0,0 +1,303 @@
+//! A world of entries, agents and a store for the schedules of keys.
+
+mod entry;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use peridotfold_core::keys::{Decision, Holder, KeyMap, Phase, Witness};
+use peridotfold_core::membership::EntryRecord;
+use peridotfold_core::message::entry::ProbeReply;
+
+use entry::Entry;
+
+pub const SERVICE: &str = "bidding";
+pub const HOLD: Duration = Duration::from_secs(60);
+const ENTRIES: usize = 3;
+const AGENTS: usize = 3;
+/// Callers retry a key for less than the retention of 10 min.
+const RETRY_TIME: Duration = Duration::from_secs(9 * 60);
+/// Longest delay of a request on its way to an agent.
+const REQUEST_TIME: Duration = Duration::from_secs(20);
+
+#[derive(Default)]
+pub struct Store {
+    pub records: BTreeMap<String, (u64, EntryRecord)>,
+    pub map: (u64, KeyMap),
+}
+
+pub struct Agent {
+    pub holder: Holder,
+    pub up: bool,
+    pub leaving: bool,
+}
+
+struct Key {
+    name: Bytes,
+    born: Duration,
+    /// Holders that ran it.
+    runs: BTreeSet<(String, u64)>,
+}
+
+/// A request on its way to a holder.
+struct Message {
+    entry: usize,
+    incarnation: u64,
+    key: usize,
+    holder: Holder,
+    sent: Duration,
+}
+
+/// A request whose witnesses are being asked, one after the other.
+struct Probing {
+    entry: usize,
+    incarnation: u64,
+    key: usize,
+    generation: u64,
+    left: Vec<Witness>,
+    results: Vec<(Witness, Option<ProbeReply>)>,
+}
+
+pub struct World {
+    seed: u64,
+    rng: fastrand::Rng,
+    now: Duration,
+    /// Mean time of one step; long ones let the retention pass.
+    pace: u64,
+    store: Store,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    keys: Vec<Key>,
+    messages: Vec<Message>,
+    probing: Vec<Probing>,
+    healed: bool,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let pace = [100, 300, 1_000][rng.usize(0..3)];
+        let entries =
+            (0..ENTRIES).map(|i| Entry::new(i, rng.u64(1..), Duration::ZERO, AGENTS)).collect();
+        let agents = (0..AGENTS)
+            .map(|index| Agent {
+                holder: Holder { agent: format!("agent-{index}"), incarnation: rng.u64(1..) },
+                up: true,
+                leaving: false,
+            })
+            .collect();
+        World {
+            seed,
+            rng,
+            now: Duration::ZERO,
+            pace,
+            store: Store::default(),
+            entries,
+            agents,
+            keys: Vec::new(),
+            messages: Vec::new(),
+            probing: Vec::new(),
+            healed: false,
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += Duration::from_millis(self.rng.u64(0..self.pace * 2));
+        self.announce();
+        let entry = self.rng.usize(0..ENTRIES);
+        match self.rng.u32(0..100) {
+            0..50 => self.entries[entry].advance(self.now, &mut self.store, &mut self.rng),
+            50..65 => self.request(entry),
+            65..80 => self.deliver(),
+            80..95 => self.ask(),
+            _ if self.healed => {}
+            95 => self.change_agent(),
+            96 => self.entries[entry].reaches_store = self.rng.u32(0..3) > 0,
+            97 => {
+                let agent = self.rng.usize(0..AGENTS);
+                self.entries[entry].reaches[agent] = self.rng.bool();
+            }
+            98 => self.entries[entry].reaches_entries = self.rng.u32(0..3) > 0,
+            _ => self.change_entry(entry),
+        }
+    }
+
+    /// Ends all faults and lets enough time pass for each timeout.
+    pub fn heal(&mut self) {
+        self.healed = true;
+        (self.pace, self.messages, self.probing) = (100, Vec::new(), Vec::new());
+        for index in 0..ENTRIES {
+            let entry = &mut self.entries[index];
+            (entry.reaches_store, entry.reaches_entries) = (true, true);
+            entry.reaches = vec![true; AGENTS];
+            if !entry.up {
+                *entry = Entry::new(index, self.rng.u64(1..), self.now, AGENTS);
+            }
+        }
+        for agent in &mut self.agents {
+            (agent.up, agent.leaving) = (true, false);
+        }
+        let end = self.now + HOLD * 2;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Tells whether each entry may use each bucket.
+    pub fn is_open(&self) -> bool {
+        let map = &self.store.map.1;
+        let is_live = |holder: &Holder| self.agents.iter().any(|agent| agent.holder == *holder);
+        !map.buckets.is_empty()
+            && map.buckets.iter().all(|b| b.phase == Phase::Open && is_live(&b.holder))
+            && self.entries.iter().all(|entry| entry.gate.map(SERVICE) == Some(map))
+    }
+
+    fn announce(&mut self) {
+        for entry in self.entries.iter_mut().filter(|entry| entry.up) {
+            entry.hear(self.now, &self.agents);
+        }
+    }
+
+    fn change_agent(&mut self) {
+        let index = self.rng.usize(0..AGENTS);
+        let agent = &mut self.agents[index];
+        match self.rng.u32(0..3) {
+            0 => agent.up = false,
+            1 => agent.leaving = true,
+            _ => {
+                agent.holder.incarnation = self.rng.u64(1..);
+                (agent.up, agent.leaving) = (true, false);
+            }
+        }
+    }
+
+    fn change_entry(&mut self, index: usize) {
+        match self.rng.u32(0..3) {
+            0 if self.entries[index].up => self.entries[index].stop(self.now, &mut self.store),
+            1 => self.entries[index].up = false,
+            _ => {
+                let incarnation = self.rng.u64(1..);
+                self.entries[index] = Entry::new(index, incarnation, self.now, AGENTS);
+            }
+        }
+    }
+
+    /// A caller sends a new key, or an earlier one again, through an entry.
+    fn request(&mut self, entry: usize) {
+        if !self.entries[entry].up {
+            return;
+        }
+        let now = self.now;
+        let young: Vec<usize> = (0..self.keys.len())
+            .filter(|index| now - self.keys[*index].born < RETRY_TIME)
+            .collect();
+        let key = match self.rng.choice(young) {
+            Some(key) if self.rng.u32(0..4) > 0 => key,
+            _ => {
+                let name = Bytes::from(format!("key-{}", self.keys.len()));
+                self.keys.push(Key { name, born: now, runs: BTreeSet::new() });
+                self.keys.len() - 1
+            }
+        };
+        let name = self.keys[key].name.clone();
+        let decision = self.entries[entry].decide(now, &name);
+        self.act(entry, key, decision);
+    }
+
+    fn act(&mut self, entry: usize, key: usize, decision: Decision) {
+        let incarnation = self.entries[entry].incarnation;
+        match decision {
+            Decision::Dispatch(holder) => {
+                self.messages.push(Message { entry, incarnation, key, holder, sent: self.now });
+            }
+            Decision::Probe { generation, witnesses } => self.probing.push(Probing {
+                entry,
+                incarnation,
+                key,
+                generation,
+                left: witnesses,
+                results: Vec::new(),
+            }),
+            Decision::Unknown | Decision::NotRun => {}
+        }
+    }
+
+    /// Asks the next witness of a random request, or decides when all were asked.
+    fn ask(&mut self) {
+        if self.probing.is_empty() {
+            return;
+        }
+        let place = self.rng.usize(0..self.probing.len());
+        let mut probing = self.probing.swap_remove(place);
+        let asker = &self.entries[probing.entry];
+        if asker.incarnation != probing.incarnation || !asker.up {
+            return;
+        }
+        let name = self.keys[probing.key].name.clone();
+        if let Some(witness) = probing.left.pop() {
+            let reply = self.reply(probing.entry, &witness, &name);
+            probing.results.push((witness, reply));
+            self.probing.push(probing);
+            return;
+        }
+        let decision = self.entries[probing.entry].decide_probed(
+            self.now,
+            &name,
+            probing.generation,
+            &probing.results,
+        );
+        self.act(probing.entry, probing.key, decision);
+    }
+
+    fn reply(&self, asker: usize, witness: &Witness, name: &Bytes) -> Option<ProbeReply> {
+        let asked = self.entries.iter().position(|entry| entry.name == witness.entry)?;
+        let reachable = asked == asker
+            || (self.entries[asker].reaches_entries && self.entries[asked].reaches_entries);
+        let entry = &self.entries[asked];
+        (entry.up && reachable).then(|| entry.gate.probe(SERVICE, name))
+    }
+
+    /// Delivers a random request, or loses it.
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let place = self.rng.usize(0..self.messages.len());
+        let message = self.messages.swap_remove(place);
+        let agent = self.agents.iter().find(|agent| agent.holder.agent == message.holder.agent);
+        let agent = agent.expect("holders are agents");
+        let present = agent.up && agent.holder == message.holder;
+        let in_time = self.now - message.sent < REQUEST_TIME;
+        let leaving = agent.leaving;
+        let lost = self.rng.u32(0..5) == 0;
+        let not_run = match (present && in_time, leaving) {
+            (true, false) if lost && self.rng.bool() => false,
+            (true, false) => {
+                self.run(&message);
+                // The answer may be lost; the entry then knows nothing.
+                false
+            }
+            // Refused or not connected, or a failure without proof.
+            _ => !lost,
+        };
+        let entry = &mut self.entries[message.entry];
+        if entry.incarnation == message.incarnation && entry.up {
+            let name = &self.keys[message.key].name;
+            entry.gate.finish(self.now, SERVICE, name, not_run);
+        }
+    }
+
+    fn run(&mut self, message: &Message) {
+        let key = &mut self.keys[message.key];
+        key.runs.insert((message.holder.agent.clone(), message.holder.incarnation));
+        assert!(
+            key.runs.len() <= 1,
+            "seed {}: {:?} ran at {:?} by {:?}",
+            self.seed,
+            key.name,
+            key.runs,
+            self.now
+        );
+    }
+}
