Run the demo's request part against the merged processes

The feed is opened while vm-3 is the only upstream, since a feed through a killed agent has to be cut.

--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -51,15 +51,21 @@
     let step = |text: &str| println!("{:>5.1}s  {text}", begin.elapsed().as_secs_f64());
 
     let mut cluster = Cluster::start(program, directory)?;
-    step("started the store, 2 entries and 3 VMs (worker, upstream, agent)");
+    step("started the store, 2 entries, 3 workers and 3 upstreams");
     configure(&cluster)?;
     step("patch with a closing period applied; stale, future and invalid patches refused");
-    cluster.wait_ready(SOON)?;
+    // The feed is opened while vm-3 is the only upstream: a feed through a killed agent would be
+    // cut, as it has to be.
+    cluster.start_agent(2)?;
+    cluster.wait_ready(1, SOON)?;
+    let feed = Feed::open(&cluster)?;
+    step("feed opened through entry-2 on vm-3");
+    cluster.start_agent(0)?;
+    cluster.start_agent(1)?;
+    cluster.wait_ready(cluster::VMS, SOON)?;
     step("all upstreams known at both entries");
 
     let load = Load::new(&cluster.entry_addresses(), cluster::SERVICE, cluster::TOKEN);
-    let feed = Feed::open(&cluster, 2)?;
-    step("feed opened through entry-2 on vm-3");
     let tasks = load.start(LOOKUPS_PER_SECOND, BIDS_PER_SECOND);
     let jobs = submit_jobs(&cluster)?;
     step("load started, jobs submitted");
@@ -88,7 +94,8 @@
     cluster.set_store_down(true)?;
     step("store down");
     runtime_sleep(2.0);
-    let refused = cluster.operator(&["config", "patch", "--base", "1", "-"], cluster::SECOND_PATCH)?;
+    let refused =
+        cluster.operator(&["config", "patch", "--base", "1", "-"], cluster::SECOND_PATCH)?;
     ensure!(!refused.success, "a patch was accepted while the store was down: {}", refused.text);
     cluster.set_store_down(false)?;
     step("store up; the patch sent meanwhile was refused");
@@ -115,9 +122,8 @@
 }
 
 fn configure(cluster: &Cluster) -> eyre::Result<()> {
-    let patch = |base: &str, text: &str| {
-        cluster.operator(&["config", "patch", "--base", base, "-"], text)
-    };
+    let patch =
+        |base: &str, text: &str| cluster.operator(&["config", "patch", "--base", base, "-"], text);
     let first = cluster.first_patch();
     let applied = patch("0", &first)?;
     ensure!(applied.success, "first patch refused: {}", applied.text);
@@ -168,8 +174,11 @@
 fn wait_jobs(cluster: &Cluster, jobs: &[String]) -> eyre::Result<Vec<serde_json::Value>> {
     let begin = Instant::now();
     loop {
-        let views: Vec<_> =
-            jobs.iter().map(|job| cluster.job(job)).collect::<eyre::Result<_>>().unwrap_or_default();
+        let views: Vec<_> = jobs
+            .iter()
+            .map(|job| cluster.job(job))
+            .collect::<eyre::Result<_>>()
+            .unwrap_or_default();
         let done = |view: &serde_json::Value| view["state"] == "completed";
         if views.len() == jobs.len() && views.iter().all(done) {
             return Ok(views);
--- a/crates/standins/src/demo/checks.rs
+++ b/crates/standins/src/demo/checks.rs
@@ -13,11 +13,9 @@
 #[derive(Debug, Clone)]
 pub struct Interval {
     pub task: String,
-    pub start_ms: u64,
-    pub end_ms: u64,
+    pub start_us: u64,
+    pub end_us: u64,
     pub completed: bool,
-    pub from: u64,
-    pub to: u64,
 }
 
 /// Everything that was seen.
@@ -158,19 +156,17 @@
     let number = |key: &str| value[key].as_u64().unwrap_or_default();
     Interval {
         task: format!("{}/{}", value["job"].as_str().unwrap_or_default(), value["task"]),
-        start_ms: number("start_ms"),
+        start_us: number("start_us"),
         // An attempt that still runs has no end.
-        end_ms: value["end_ms"].as_u64().unwrap_or(u64::MAX),
-        completed: value["outcome"] == "completed",
-        from: number("progress_start"),
-        to: number("progress_end"),
+        end_us: value["end_us"].as_u64().unwrap_or(u64::MAX),
+        completed: value["end"] == "completed",
     }
 }
 
 /// Counts the pairs of attempts of one task that ran at the same time.
 pub fn overlaps(intervals: &mut [Interval]) -> usize {
-    intervals.sort_by(|a, b| (&a.task, a.start_ms).cmp(&(&b.task, b.start_ms)));
+    intervals.sort_by(|a, b| (&a.task, a.start_us).cmp(&(&b.task, b.start_us)));
     let overlap =
-        |pair: &&[Interval]| pair[0].task == pair[1].task && pair[1].start_ms < pair[0].end_ms;
+        |pair: &&[Interval]| pair[0].task == pair[1].task && pair[1].start_us < pair[0].end_us;
     intervals.windows(2).filter(overlap).count()
 }
--- a/crates/standins/src/demo/cluster.rs
+++ b/crates/standins/src/demo/cluster.rs
@@ -21,7 +21,8 @@
 pub const TOKEN: &str = "demo-team-token";
 const OPERATOR_TOKEN: &str = "demo-operator-token";
 const DATA_CENTRE: &str = "dc-1";
-const VMS: usize = 3;
+/// VMs of the demo.
+pub const VMS: usize = 3;
 const ENTRIES: usize = 2;
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
@@ -60,7 +61,7 @@
 }
 
 impl Cluster {
-    /// Starts all processes.
+    /// Starts all processes but the agents.
     ///
     /// # Errors
     ///
@@ -93,9 +94,6 @@
         for index in 0..ENTRIES {
             cluster.start_entry(index)?;
         }
-        for index in 0..VMS {
-            cluster.start_agent(index)?;
-        }
         Ok(cluster)
     }
 
@@ -137,7 +135,7 @@
         let vm = &mut self.vms[index];
         let internal = vm.address.map_or(ANY_PORT.to_owned(), |address| address.to_string());
         let mut args = strings(&["agent", "--id", &name, "--data-centre", DATA_CENTRE]);
-        args.extend(strings(&["--rack", &format!("rack-{index}"), "--cell", CELL]));
+        args.extend(strings(&["--rack", &format!("rack-{}", index + 1), "--cell", CELL]));
         args.extend(strings(&["--internal", &internal, "--entries", &entries.join(",")]));
         args.extend(strings(&["--service", SERVICE, "--drain-grace", "3s"]));
         args.extend(strings(&["--upstream", &vm.upstream.http.to_string()]));
@@ -218,16 +216,16 @@
         self.store.http
     }
 
-    /// Waits until each entry knows all upstreams with the first configuration.
+    /// Waits until each entry knows `count` upstreams, with a configuration.
     ///
     /// # Errors
     ///
     /// Fails when `limit` passes first.
-    pub fn wait_ready(&self, limit: Duration) -> eyre::Result<()> {
+    pub fn wait_ready(&self, count: usize, limit: Duration) -> eyre::Result<()> {
         let ready = |status: &Value| {
             let upstreams = status["upstreams"].as_array();
             upstreams.is_some_and(|list| {
-                list.len() == VMS && list.iter().all(|u| u["config_version"].as_u64() >= Some(1))
+                list.len() == count && list.iter().all(|u| u["config_version"].as_u64() >= Some(1))
             })
         };
         self.wait(limit, "upstreams are not ready", |c| Ok(c.statuses()?.iter().all(ready)))
--- a/crates/standins/src/demo/feed.rs
+++ b/crates/standins/src/demo/feed.rs
@@ -1,6 +1,6 @@
 //! A feed that is held open through the demo.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{bail, ensure};
 use http::{Method, Request};
@@ -13,7 +13,6 @@
 
 /// Lines of the feed; at 50 ms each it outlasts the faults.
 const LINES: u32 = 400;
-const OPEN_LIMIT: Duration = Duration::from_secs(10);
 const END_LIMIT: Duration = Duration::from_secs(60);
 
 /// A feed whose lines are counted as they arrive.
@@ -23,32 +22,24 @@
 }
 
 impl Feed {
-    /// Opens the feed through entry-2 on the agent with number `vm` (from 0), which no fault of
-    /// the demo hits: a feed through a killed process cannot survive it.
+    /// Opens the feed through entry-2, which no fault of the demo hits: a feed through a killed
+    /// process cannot survive it.
     ///
     /// # Errors
     ///
-    /// Fails when no try reaches that agent.
-    pub fn open(cluster: &Cluster, vm: usize) -> eyre::Result<Self> {
+    /// Fails when the feed is refused.
+    pub fn open(cluster: &Cluster) -> eyre::Result<Self> {
         let address = cluster.entry_addresses()[1];
-        let wanted = format!("vm-{}", vm + 1);
-        let begin = Instant::now();
-        while begin.elapsed() < OPEN_LIMIT {
-            let request = Request::builder()
-                .method(Method::GET)
-                .uri(format!("/s/{SERVICE}/feed?count={LINES}&period_ms=50"))
-                .header(http::header::HOST, address.to_string())
-                .header(http::header::AUTHORIZATION, format!("Bearer {TOKEN}"))
-                .header("request-timeout-ms", "60000")
-                .body(Body::empty())?;
-            let response = smol::block_on(HttpClient::default().send(address, request))?;
-            let agent = response.headers().get("peridotfold-agent").cloned();
-            if agent.is_some_and(|name| name.as_bytes() == wanted.as_bytes()) {
-                let task = runtime::spawn(count_lines(response.into_body()));
-                return Ok(Feed { task });
-            }
-        }
-        bail!("no feed was routed to {wanted} within {OPEN_LIMIT:?}")
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("/s/{SERVICE}/feed?count={LINES}&period_ms=50"))
+            .header(http::header::HOST, address.to_string())
+            .header(http::header::AUTHORIZATION, format!("Bearer {TOKEN}"))
+            .header("request-timeout-ms", "60000")
+            .body(Body::empty())?;
+        let response = smol::block_on(HttpClient::default().send(address, request))?;
+        ensure!(response.status().is_success(), "the feed was refused: {}", response.status());
+        Ok(Feed { task: runtime::spawn(count_lines(response.into_body())) })
     }
 
     /// Waits for the end and returns how many lines arrived, of how many.
@@ -77,8 +68,8 @@
     let text = String::from_utf8(text)?;
     let mut count = 0;
     for line in text.lines() {
-        ensure!(line.ends_with(&count.to_string()), "line {count} of the feed is `{line}`");
         count += 1;
+        ensure!(line == format!("feed {count}"), "line {count} of the feed is `{line}`");
     }
     Ok(count)
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -15,7 +15,7 @@
 use peridotfold_wire::runtime;
 
 /// Longest time that a caller goes on trying one request.
-const GIVE_UP: Duration = Duration::from_secs(30);
+const GIVE_UP: Duration = Duration::from_secs(15);
 /// Deadline that is sent with each try.
 const TRY_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -78,8 +78,6 @@
     Answered(Bytes),
     NotRun(Duration),
     Unknown(String),
-    /// The key's earlier try may have run and its record is gone: final.
-    Unresolved,
 }
 
 impl Load {
@@ -143,6 +141,7 @@
         self.totals.lock().requests += 1;
         let start = Instant::now();
         let mut attempt = 0;
+        let mut is_unknown = false;
         while start.elapsed() < GIVE_UP {
             let entry = (number + attempt) as usize % self.entries.len();
             let begin = Instant::now();
@@ -159,38 +158,41 @@
                     tracing::error!(event = "wrong_answer", ?kind, number, ?body);
                     return;
                 }
-                Try::Unresolved => {
-                    self.totals.lock().unresolved += 1;
-                    return;
-                }
                 Try::NotRun(after) => {
-                    let mut totals = self.totals.lock();
-                    totals.not_run += 1;
-                    if kind == Kind::Bid {
-                        totals.not_run_bids.push((kind.key(number), attempt));
-                    }
-                    drop(totals);
+                    self.record_not_run(kind, number, attempt);
                     runtime::sleep(after.min(Duration::from_secs(1))).await;
                 }
                 Try::Unknown(detail) => {
                     self.totals.lock().unknown += 1;
+                    is_unknown = kind == Kind::Bid;
                     tracing::info!(event = "outcome_unknown", ?kind, number, attempt, detail);
                     runtime::sleep(RETRY_PAUSE).await;
                 }
             }
             attempt += 1;
         }
-        self.totals.lock().lost += 1;
-        tracing::error!(event = "request_lost", ?kind, number);
+        match is_unknown {
+            true => self.totals.lock().unresolved += 1,
+            false => self.totals.lock().lost += 1,
+        }
+        tracing::error!(event = "request_given_up", ?kind, number, is_unknown);
+    }
+
+    fn record_not_run(&self, kind: Kind, number: u32, attempt: u32) {
+        let mut totals = self.totals.lock();
+        totals.not_run += 1;
+        if kind == Kind::Bid {
+            totals.not_run_bids.push((kind.key(number), attempt));
+        }
     }
 
     async fn try_once(&self, kind: Kind, number: u32, attempt: u32, entry: usize) -> Try {
         let address = *self.entries[entry].lock();
         let service = &self.service;
         let request = match kind {
-            Kind::Lookup => Request::builder()
-                .method(Method::GET)
-                .uri(format!("/s/{service}/slot/{number}")),
+            Kind::Lookup => {
+                Request::builder().method(Method::GET).uri(format!("/s/{service}/slot/{number}"))
+            }
             Kind::Bid => Request::builder()
                 .method(Method::POST)
                 .uri(format!("/s/{service}/bid"))
@@ -224,10 +226,12 @@
 
     fn is_answer(self, number: u32, body: &[u8]) -> bool {
         match self {
-            Kind::Lookup => body == crate::upstream::slot_body(&number.to_string()).as_slice(),
+            Kind::Lookup => {
+                body == crate::upstream::answers::slot_body(&format!("/slot/{number}")).as_bytes()
+            }
             Kind::Bid => {
                 let text = String::from_utf8_lossy(body);
-                text.contains(&format!("\"{}\"", self.key(number)))
+                text.contains(&format!(" of {} try ", self.key(number)))
             }
         }
     }
@@ -244,7 +248,6 @@
             let seconds = header("retry-after").and_then(|v| v.parse().ok()).unwrap_or(1);
             Try::NotRun(Duration::from_secs(seconds))
         }
-        Some("unknown") if header("peridotfold-final").is_some() => Try::Unresolved,
         Some("unknown") => Try::Unknown(format!("status {}", response.status())),
         _ if response.status().is_success() => Try::Answered(response.into_body()),
         _ => Try::Unknown(format!("status {}", response.status())),
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,6 +1,6 @@
 //! Command line of the stand-ins.
 
-use peridotfold_standins::{store, upstream, worker};
+use peridotfold_standins::{demo, store, upstream, worker};
 
 fn main() -> eyre::Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -8,7 +8,8 @@
         Some(lexopt::Arg::Value(name)) if name == "store" => store::run(parser),
         Some(lexopt::Arg::Value(name)) if name == "worker" => worker::run(parser),
         Some(lexopt::Arg::Value(name)) if name == "upstream" => upstream::run(parser),
+        Some(lexopt::Arg::Value(name)) if name == "demo" => demo::run(parser),
         Some(other) => Err(other.unexpected().into()),
-        None => eyre::bail!("usage: peridotfold-standins store|worker|upstream [--listen IP:PORT]"),
+        None => eyre::bail!("usage: peridotfold-standins <store|worker|upstream|demo> [OPTIONS]"),
     }
 }
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -50,7 +50,11 @@
             Some(http) => process.http = http,
             None => {
                 let status = process.child.try_wait()?;
-                bail!("{name} did not listen: `{}`, status {status:?}, log {}", line.trim(), log.display())
+                bail!(
+                    "{name} did not listen: `{}`, status {status:?}, log {}",
+                    line.trim(),
+                    log.display()
+                )
             }
         }
         Ok(process)
