--- /dev/null
+++ b/crates/entry/tests/requests.rs
@@ -0,0 +1,180 @@
+//! Callers' requests through a whole entry.
+
+mod support;
+
+use std::time::Duration;
+
+use http::Method;
+use peridotfold_wire::runtime;
+use support::agent::{Agent, Behaviour};
+use support::{outcome, run, store, until, Entry};
+
+/// Guards against lost parts of a request or a response on the way through the entry.
+#[test]
+fn requests_reach_an_upstream_and_answers_the_caller() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let agent = Agent::start("agent-1", &[entry.internal], Behaviour::default()).await;
+        entry.wait_upstreams(1).await;
+        let trace = "00-0123456789abcdef0123456789abcdef-0123456789abcdef-01";
+        let headers = [
+            ("traceparent", trace),
+            ("connection", "x-hop"),
+            ("x-hop", "1"),
+            ("x-kept", "2"),
+            ("authorization", "Bearer team-token"),
+        ];
+        let response = entry.get("/s/closed/some/path?q=1", &headers).await.expect("an answer");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.body().as_ref(), b"answer");
+        assert_eq!(response.headers()["x-upstream"], "yes");
+        let returned = response.headers()["traceparent"].to_str().expect("text");
+        assert!(returned.starts_with("00-0123456789abcdef0123456789abcdef-"));
+        let head = agent.log.lock().heads[0].clone();
+        assert_eq!(head.path, "/some/path?q=1");
+        let has = |name: &str| head.headers.iter().any(|(n, _)| n.as_ref() == name.as_bytes());
+        assert!(has("x-kept") && has("peridotfold-team"));
+        assert!(!has("x-hop") && !has("connection") && !has("authorization"));
+
+        let large = vec![7_u8; 3 * 1024 * 1024];
+        let response = entry.send(Method::POST, "/s/open/echo", &[], large.clone()).await;
+        let response = response.expect("an answer");
+        assert_eq!(response.status(), 200);
+        assert!(response.body().as_ref() == large, "the body came back changed");
+        entry.stop().await;
+    });
+}
+
+/// Guards against callers that use a service without its credential, and against `run` claims for
+/// requests that were rejected.
+#[test]
+fn requests_without_credential_are_rejected() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let wrong = [("authorization", "Bearer wrong")];
+        let cases: [(&str, &[(&str, &str)], u16); 5] = [
+            ("/s/closed/x", &[], 401),
+            ("/s/closed/x", &wrong, 401),
+            ("/s/absent/x", &[], 404),
+            ("/s/open/x", &[("request-timeout-ms", "0")], 400),
+            ("/s/open/x", &[], 503),
+        ];
+        for (path, headers, status) in cases {
+            let response = entry.get(path, headers).await.expect("an answer");
+            assert_eq!(response.status(), status, "{path}");
+            assert_eq!(outcome(&response), "not-run", "{path}");
+        }
+        let response = entry.get("/v1/config", &[("authorization", "Bearer team-token")]).await;
+        assert_eq!(response.expect("an answer").status(), 403);
+        entry.stop().await;
+    });
+}
+
+/// Guards against unlimited retries: 1.1 tries per first try (section 1.7).
+#[test]
+fn refused_requests_are_retried_within_the_budget() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let refusing = Behaviour { refusing: true, ..Behaviour::default() };
+        let one = Agent::start("agent-1", &[entry.internal], refusing).await;
+        let two = Agent::start("agent-2", &[entry.internal], refusing).await;
+        entry.wait_upstreams(2).await;
+        const FIRST: usize = 200;
+        for _ in 0..FIRST {
+            let response = entry.get("/s/open/x", &[]).await.expect("an answer");
+            assert_eq!(response.status(), 503);
+            assert_eq!(outcome(&response), "not-run");
+            assert_eq!(response.headers()["retry-after"], "2");
+        }
+        let tries = one.received() + two.received();
+        assert!(tries > FIRST, "no request was retried");
+        assert!(tries * 10 <= FIRST * 11, "{tries} tries of {FIRST} requests");
+        // A request that is not idempotent is not sent again after an agent received it.
+        let before = one.received() + two.received();
+        for _ in 0..20 {
+            entry.send(Method::POST, "/s/open/x", &[], "bid").await.expect("an answer");
+        }
+        assert_eq!(one.received() + two.received(), before + 20);
+        entry.stop().await;
+    });
+}
+
+/// Guards against late final answers, and against `not run` without proof.
+#[test]
+fn the_deadline_ends_a_request() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        for (proving, status, text) in [(false, 504, "unknown"), (true, 503, "not-run")] {
+            let behaviour = Behaviour { proving, ..Behaviour::default() };
+            let agent = Agent::start("agent-1", &[entry.internal], behaviour).await;
+            entry.wait_upstreams(1).await;
+            let begun = runtime::now();
+            let headers = [("request-timeout-ms", "150")];
+            let response = entry.get("/s/open/hang", &headers).await.expect("an answer");
+            let elapsed = runtime::now() - begun;
+            assert_eq!((response.status().as_u16(), outcome(&response)), (status, text));
+            assert!(elapsed >= Duration::from_millis(150), "{elapsed:?}");
+            until("the request is cancelled", || async { agent.log.lock().cancels == 1 }).await;
+            drop(agent);
+            entry.wait_upstreams(0).await;
+        }
+        entry.stop().await;
+    });
+}
+
+/// Guards against a truncated response that the caller takes for a whole one.
+#[test]
+fn a_cut_response_is_seen_by_the_caller() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let _agent = Agent::start("agent-1", &[entry.internal], Behaviour::default()).await;
+        entry.wait_upstreams(1).await;
+        let cut = entry.get("/s/open/cut", &[]).await;
+        assert!(cut.is_err(), "{cut:?}");
+        entry.stop().await;
+    });
+}
+
+/// Guards against a planned stop that interrupts a request.
+#[test]
+fn a_stop_lets_requests_end() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let agent = Agent::start("agent-1", &[entry.internal], Behaviour::default()).await;
+        entry.wait_upstreams(1).await;
+        let request = entry.get("/s/open/slow", &[]);
+        let stop = async {
+            until("the request has begun", || async { agent.received() == 1 }).await;
+            entry.begin_stop();
+        };
+        let (response, ()) = futures_lite::future::zip(request, stop).await;
+        assert_eq!(response.expect("an answer").body().as_ref(), b"answer");
+        entry.stop().await;
+    });
+}
+
+/// Guards against a caller that is gone and whose request goes on.
+#[test]
+fn an_abandoned_request_is_cancelled() {
+    run(async {
+        let store = store().await;
+        let entry = Entry::configured("entry-1", &store).await;
+        let agent = Agent::start("agent-1", &[entry.internal], Behaviour::default()).await;
+        entry.wait_upstreams(1).await;
+        let headers = [("request-timeout-ms", "20000")];
+        let request = async {
+            let _ = entry.get("/s/open/hang", &headers).await;
+        };
+        let begun = until("the request has begun", || async { agent.received() == 1 });
+        // The request's future and with it the caller's connection are dropped.
+        futures_lite::future::or(request, begun).await;
+        until("the request is cancelled", || async { agent.log.lock().cancels == 1 }).await;
+        entry.stop().await;
+    });
+}
--- /dev/null
+++ b/crates/entry/tests/support/agent.rs
@@ -0,0 +1,169 @@
+//! An agent whose answer is chosen by the request path.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use peridotfold_core::message::announce::{AgentState, Announce, AnnounceReply, ServiceLoad};
+use peridotfold_core::message::request::{
+    BodyFrame, Cancel, CancelReply, RefuseReason, RequestHead, ResponseHead,
+};
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::peer::{FrameReceiver, FrameSender, Peers};
+use peridotfold_wire::runtime;
+use peridotfold_wire::server::{Handler, MessageServer, Stream};
+use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
+
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// What an agent has received.
+#[derive(Default)]
+pub struct Log {
+    pub heads: Vec<RequestHead>,
+    pub cancels: u32,
+}
+
+/// A running agent. It stops to announce and to accept when dropped.
+pub struct Agent {
+    pub log: Arc<Mutex<Log>>,
+    _stop: Trigger,
+}
+
+struct Answers {
+    log: Arc<Mutex<Log>>,
+    /// Refuses every request.
+    refusing: bool,
+    /// Proves that cancelled requests were not started.
+    proving: bool,
+}
+
+/// How an agent behaves.
+#[derive(Clone, Copy, Default)]
+pub struct Behaviour {
+    pub refusing: bool,
+    pub proving: bool,
+}
+
+impl Agent {
+    pub async fn start(name: &str, entries: &[SocketAddr], behaviour: Behaviour) -> Agent {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = MessageServer::bind(any).await.expect("the agent listens");
+        let address = server.address();
+        let log = Arc::new(Mutex::new(Log::default()));
+        let (trigger, stop) = shutdown::channel();
+        let Behaviour { refusing, proving } = behaviour;
+        let answers = Arc::new(Answers { log: log.clone(), refusing, proving });
+        runtime::spawn(server.serve(answers, stop.clone())).detach();
+        let incarnation = fastrand::u64(1..);
+        for entry in entries {
+            let announce = announce(name, incarnation, address);
+            runtime::spawn(announcing(announce, entry.to_string(), stop.clone())).detach();
+        }
+        Agent { log, _stop: trigger }
+    }
+
+    pub fn received(&self) -> usize {
+        self.log.lock().heads.len()
+    }
+}
+
+fn announce(name: &str, incarnation: u64, address: SocketAddr) -> Announce {
+    let load = |service: &str| ServiceLoad {
+        service: service.into(),
+        slots: 8,
+        running: 0,
+        queued: 0,
+        latency: Duration::from_millis(1),
+    };
+    Announce {
+        agent: name.into(),
+        incarnation,
+        sequence: 0,
+        rack: "rack-1".into(),
+        data_centre: "dc-1".into(),
+        cell: "cell-1".into(),
+        address: address.to_string(),
+        state: AgentState::Ready,
+        services: vec![load("open"), load("closed")],
+        config_version: 0,
+    }
+}
+
+async fn announcing(mut announce: Announce, entry: String, stop: Shutdown) {
+    let peers = Peers::default();
+    loop {
+        announce.sequence += 1;
+        let _: Result<AnnounceReply, _> =
+            peers.call(&entry, "announce", &announce, Duration::from_secs(1)).await;
+        if runtime::sleep_or_shutdown(PERIOD, &stop).await {
+            return;
+        }
+    }
+}
+
+impl Handler for Answers {
+    async fn handle(&self, stream: Stream) -> Result<(), WireError> {
+        let Stream { kind, mut receiver, responder } = stream;
+        if kind == "cancel" {
+            let _: Option<Cancel> = receiver.next().await?;
+            self.log.lock().cancels += 1;
+            let reply = if self.proving { CancelReply::NotStarted } else { CancelReply::Running };
+            return responder.reply(&reply).await;
+        }
+        let Some(head) = receiver.next::<RequestHead>().await? else { return Ok(()) };
+        self.log.lock().heads.push(head.clone());
+        if self.refusing {
+            let retry_after = Duration::from_millis(1_500);
+            let reason = RefuseReason::Overloaded;
+            return responder.reply(&ResponseHead::NotRun { reason, retry_after }).await;
+        }
+        let mut sender = responder.start()?;
+        match head.path.split('?').next().unwrap_or_default() {
+            "/hang" => receiver.next::<BodyFrame>().await.map(|_| ())?,
+            "/echo" => return echo(receiver, sender).await,
+            "/cut" => {
+                sender.send(&answer(200)).await?;
+                sender.send(&BodyFrame::Data(Bytes::from_static(b"part"))).await?;
+                // Ends the stream without the frame that ends the body.
+                return sender.finish();
+            }
+            "/slow" => {
+                runtime::sleep(Duration::from_millis(800)).await;
+                return whole(&mut sender).await;
+            }
+            _ => return whole(&mut sender).await,
+        }
+        // Holds the stream open without an answer.
+        let _ = receiver.next::<BodyFrame>().await;
+        runtime::sleep(Duration::from_secs(20)).await;
+        Ok(())
+    }
+}
+
+async fn whole(sender: &mut FrameSender) -> Result<(), WireError> {
+    sender.send(&answer(200)).await?;
+    sender.send(&BodyFrame::Data(Bytes::from_static(b"answer"))).await?;
+    sender.send(&BodyFrame::End).await?;
+    sender.finish()
+}
+
+async fn echo(mut receiver: FrameReceiver, mut sender: FrameSender) -> Result<(), WireError> {
+    sender.send(&answer(200)).await?;
+    while let Some(frame) = receiver.next::<BodyFrame>().await? {
+        sender.send(&frame).await?;
+        if frame == BodyFrame::End {
+            return sender.finish();
+        }
+    }
+    Ok(())
+}
+
+fn answer(status: u16) -> ResponseHead {
+    let header = |name: &'static str, value: &'static str| {
+        (Bytes::from_static(name.as_bytes()), Bytes::from_static(value.as_bytes()))
+    };
+    let headers = vec![header("x-upstream", "yes"), header("connection", "x-private")];
+    ResponseHead::Answer { status, headers, replayed: false }
+}
