Reset cut uploads, shorten moves, and pass over agents that refuse all

A cut upload left its stream open while the answer was awaited. A mover goes on at once after it has written a map. An agent that is leaving or restarted gets nothing more until its next announcement.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -91,7 +91,7 @@
 
     /// Runs one round. The order matters: the heartbeat is written before the key maps are read
     /// (see `Gate::adopt`), and these before the entries are listed (see `plan::View`). Tells
-    /// whether another round should follow at once, to acknowledge a move.
+    /// whether another round should follow at once, to acknowledge or to finish a move.
     async fn round(&mut self) -> Result<bool, StoreError> {
         let start = runtime::now();
         self.beat(false).await?;
@@ -103,8 +103,8 @@
         let moved = self.adopt(start, &maps);
         let records = self.list_records().await?;
         self.context.members.lock().observe(runtime::now(), records);
-        self.plan(maps).await;
-        Ok(moved)
+        let written = self.plan(maps).await;
+        Ok(moved || written)
     }
 
     async fn beat(&mut self, stopped: bool) -> Result<(), StoreError> {
@@ -198,7 +198,10 @@
         keys.generations() != before
     }
 
-    async fn plan(&mut self, maps: Vec<StoredMap>) {
+    /// Plans and writes the moves of the services that this entry is responsible for; tells
+    /// whether a map was written.
+    async fn plan(&mut self, maps: Vec<StoredMap>) -> bool {
+        let mut written = false;
         let now = runtime::now();
         let alive = self.context.alive();
         let live = self.context.upstreams.lock().eligible(now);
@@ -228,12 +231,13 @@
                 settled: &settled,
             };
             if let Some(next) = self.planner.plan(now, &view) {
-                self.write_map(&service, version, next).await;
+                written |= self.write_map(&service, version, next).await;
             }
         }
+        written
     }
 
-    async fn write_map(&self, service: &str, version: u64, map: KeyMap) {
+    async fn write_map(&self, service: &str, version: u64, map: KeyMap) -> bool {
         let generation = map.generation;
         let moving = map.is_moving();
         let key = format!("{KEY_MAPS}{service}");
@@ -245,6 +249,7 @@
             Ok(PutOutcome::Written(_)) => {
                 tracing::info!(event = "key_map_written", service, generation, moving);
                 self.context.keys.lock().adopt_one(runtime::now(), service, map);
+                return true;
             }
             Ok(PutOutcome::Conflict(_)) => {
                 tracing::info!(event = "key_map_conflict", service, generation);
@@ -252,6 +257,7 @@
             // The next round reads what the store holds.
             Err(error) => tracing::warn!(event = "key_map_failed", service, %error),
         }
+        false
     }
 }
 
--- a/crates/entry/src/proxy/attempt.rs
+++ b/crates/entry/src/proxy/attempt.rs
@@ -99,6 +99,11 @@
         Outcome::NotRun { reached: false, reason: RefuseReason::UpstreamUnreachable, .. } => {
             Feedback::Unreachable
         }
+        // It refuses all requests until it announces something else.
+        Outcome::NotRun {
+            reason: RefuseReason::Leaving | RefuseReason::WrongIncarnation | RefuseReason::NoConfig,
+            ..
+        } => Feedback::Unreachable,
         // The caller's deadline may be far below the upstream's usual latency.
         Outcome::NotRun { reason: RefuseReason::DeadlinePassed, .. } => Feedback::Abandoned,
         Outcome::Answer(_) | Outcome::NotRun { .. } | Outcome::Unknown { .. } => Feedback::Failed,
--- a/crates/entry/src/proxy/upload.rs
+++ b/crates/entry/src/proxy/upload.rs
@@ -50,10 +50,19 @@
     /// # Errors
     ///
     /// Fails when the caller's body is cut or the stream to the agent is closed. The stream is
-    /// then dropped without an end, which the agent sees as a cut.
+    /// then reset, which the agent sees as a cut.
     pub async fn send(&mut self, mut sender: FrameSender) -> Result<(), WireError> {
+        let result = self.send_frames(&mut sender).await;
+        if result.is_err() {
+            // The stream would stay open as long as its answer is waited for.
+            sender.abort();
+        }
+        result
+    }
+
+    async fn send_frames(&mut self, sender: &mut FrameSender) -> Result<(), WireError> {
         for part in self.kept.clone() {
-            send_part(&mut sender, part).await?;
+            send_part(sender, part).await?;
         }
         while !self.ended {
             match self.incoming.frame().await {
@@ -62,7 +71,7 @@
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(part) => {
                         self.keep(&part);
-                        send_part(&mut sender, part).await?;
+                        send_part(sender, part).await?;
                     }
                     // Trailers are not passed on.
                     Err(_) => continue,
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -54,7 +54,8 @@
         let store = store().await;
         let entry = Entry::configured("entry-1", &store).await;
         let wrong = [("authorization", "Bearer wrong")];
-        let cases: [(&str, &[(&str, &str)], u16); 5] = [
+        type Headers<'a> = &'a [(&'a str, &'a str)];
+        let cases: [(&str, Headers<'_>, u16); 5] = [
             ("/s/closed/x", &[], 401),
             ("/s/closed/x", &wrong, 401),
             ("/s/absent/x", &[], 404),
