Add the batch lifecycle of a cell as an event-sourced core

The owner of a cell proposes events, applies them to its memory at once and releases orders, acknowledgements and replies only after their commit. Attempts carry fencing tokens; an attempt is started again only on the agent's confirmation or when each lease that any owner may have granted has run out.

--- /dev/null
+++ b/crates/core/src/cell/answer.rs
@@ -0,0 +1,156 @@
+//! Answers to reports: leases, orders and acknowledgements.
+
+use std::time::Duration;
+
+use crate::cell::owner::Cell;
+use crate::cell::state::Attempt;
+use crate::cell::worker::{Live, Stage, Worker};
+use crate::id::{Incarnation, JobId, TaskIndex};
+use crate::message::report::{AttemptId, Orders, StartOrder, StopOrder};
+use crate::time::{lease_wait, Time};
+
+/// An order that the agent's reports do not reflect is repeated after this time.
+const REPEAT_AFTER: Duration = Duration::from_secs(1);
+/// Starts in one answer: with commands of 4 KB they stay far below the frame limit of 1 MB.
+const STARTS_AT_ONCE: usize = 64;
+const STOPS_AT_ONCE: usize = 512;
+
+impl Cell {
+    /// Tells whether a report of this agent has to be answered at once.
+    pub fn has_orders(&self, now: Time, agent: &str) -> bool {
+        let Some(worker) = self.workers.by_agent(agent) else { return false };
+        let granting = self.may_grant(now);
+        self.is_stopped()
+            || worker.epoch < self.state.epoch
+            || worker.results.iter().any(|id| self.is_acknowledged(worker, id))
+            || worker.strays.values().any(|sent| is_due(*sent, now))
+            || worker.attempts.values().any(|live| {
+                self.is_stop_due(live, now) || (granting && self.is_start_due(worker, live, now))
+            })
+    }
+
+    /// Builds the answer to a report; `None` when this owner is no longer in office. An answer to
+    /// anything but the agent's newest report carries no orders.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        agent: &str,
+        incarnation: Incarnation,
+        sequence: u64,
+    ) -> Option<Orders> {
+        if self.is_stopped() {
+            return None;
+        }
+        let mut orders = Orders { epoch: self.state.epoch, sequence, ..Orders::default() };
+        let newest = self.workers.by_agent(agent).is_some_and(|worker| {
+            worker.incarnation == Some(incarnation) && worker.sequence == Some(sequence)
+        });
+        if !newest {
+            return Some(orders);
+        }
+        if self.may_grant(now) {
+            orders.lease = self.settings.lease;
+            orders.starts = self.take_starts(now, agent, incarnation);
+            let expires = now + lease_wait(self.settings.lease);
+            let worker = self.workers.by_agent_mut(agent)?;
+            worker.expires = worker.expires.max(expires);
+        }
+        orders.stops = self.take_stops(now, agent);
+        let worker = self.workers.by_agent(agent)?;
+        let done = |id: &&AttemptId| self.is_acknowledged(worker, id);
+        orders.acknowledged = worker.results.iter().filter(done).cloned().collect();
+        let committed = self.committed;
+        let worker = self.workers.by_agent_mut(agent)?;
+        worker.results.retain(|id| !orders.acknowledged.contains(id));
+        worker.ending.retain(|_, sequence| *sequence > committed);
+        Some(orders)
+    }
+
+    fn take_starts(&mut self, now: Time, agent: &str, incarnation: Incarnation) -> Vec<StartOrder> {
+        let Some(worker) = self.workers.by_agent(agent) else { return Vec::new() };
+        let due = worker.attempts.iter().filter(|(_, live)| self.is_start_due(worker, live, now));
+        let orders: Vec<StartOrder> = due
+            .filter_map(|((job, task), _)| self.start_order(job, *task))
+            .take(STARTS_AT_ONCE)
+            .collect();
+        if let Some(worker) = self.workers.by_agent_mut(agent) {
+            for order in &orders {
+                let key = (order.attempt.job.clone(), order.attempt.task);
+                if let Some(live) = worker.attempts.get_mut(&key) {
+                    live.start_sent = Some((incarnation, now));
+                }
+            }
+        }
+        orders
+    }
+
+    fn start_order(&self, job: &JobId, task: TaskIndex) -> Option<StartOrder> {
+        let record = self.state.jobs.get(job)?;
+        let Attempt { token, checkpoint, .. } = record.attempts.get(&task)?;
+        Some(StartOrder {
+            attempt: AttemptId { job: job.clone(), task, token: *token },
+            team: record.spec.team.clone(),
+            class: record.spec.class.clone(),
+            need: record.spec.need,
+            urgent: record.urgent,
+            command: record.spec.command.clone(),
+            checkpoint: checkpoint.clone(),
+        })
+    }
+
+    fn take_stops(&mut self, now: Time, agent: &str) -> Vec<StopOrder> {
+        let Some(worker) = self.workers.by_agent(agent) else { return Vec::new() };
+        let due = worker.attempts.iter().filter(|(_, live)| self.is_stop_due(live, now));
+        let mut stops: Vec<AttemptId> = due
+            .map(|((job, task), live)| AttemptId {
+                job: job.clone(),
+                task: *task,
+                token: live.token,
+            })
+            .collect();
+        let strays = worker.strays.iter().filter(|(_, sent)| is_due(**sent, now));
+        stops.extend(strays.map(|(id, _)| id.clone()));
+        stops.truncate(STOPS_AT_ONCE);
+        if let Some(worker) = self.workers.by_agent_mut(agent) {
+            for id in &stops {
+                note_stop_sent(worker, id, now);
+            }
+        }
+        stops.into_iter().map(|attempt| StopOrder { attempt, checkpoint: false }).collect()
+    }
+
+    fn is_start_due(&self, worker: &Worker, live: &Live, now: Time) -> bool {
+        let sent_before = match live.start_sent {
+            None => true,
+            // An order stays with its incarnation. The next report of another one settles it.
+            Some((incarnation, sent)) => {
+                worker.incarnation == Some(incarnation) && is_due(Some(sent), now)
+            }
+        };
+        live.stage == Stage::Ordered
+            && live.stop_after.is_none()
+            && live.start_after <= self.committed
+            && sent_before
+    }
+
+    fn is_stop_due(&self, live: &Live, now: Time) -> bool {
+        live.stop_after.is_some_and(|after| after <= self.committed) && is_due(live.stop_sent, now)
+    }
+
+    /// Tells whether a reported result needs no repetition.
+    fn is_acknowledged(&self, worker: &Worker, id: &AttemptId) -> bool {
+        worker.ending.get(id).is_none_or(|sequence| *sequence <= self.committed)
+    }
+}
+
+fn note_stop_sent(worker: &mut Worker, id: &AttemptId, now: Time) {
+    if let Some(sent) = worker.strays.get_mut(id) {
+        *sent = Some(now);
+    } else if let Some(live) = worker.attempts.get_mut(&(id.job.clone(), id.task)) {
+        live.stop_sent = Some(now);
+    }
+}
+
+fn is_due(sent: Option<Time>, now: Time) -> bool {
+    sent.is_none_or(|sent| now >= sent + REPEAT_AFTER)
+}
--- /dev/null
+++ b/crates/core/src/cell/attempts.rs
@@ -0,0 +1,241 @@
+//! Reports of agents, and the ends of attempts.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+
+use crate::cell::owner::{Cell, Effect};
+use crate::cell::state::{Event, Phase};
+use crate::cell::worker::{Live, Stage};
+use crate::id::{AgentId, JobId, TaskIndex};
+use crate::message::report::{AttemptId, Outcome, Report, TaskResult};
+use crate::time::{lease_wait, Time};
+
+/// Largest checkpoint that is kept. It names where the worker stored the data; the state of a cell
+/// has to fit a value of the store (1 MB).
+pub const CHECKPOINT_LIMIT: usize = 1024;
+const REASON_LIMIT: usize = 256;
+
+/// What became of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Received {
+    Accepted,
+    /// Overtaken by a newer report of the agent; changes nothing.
+    Stale,
+    /// This owner is no longer in office.
+    NotOwner,
+}
+
+impl Cell {
+    /// Takes in a report.
+    pub fn report(&mut self, now: Time, report: &Report) -> Received {
+        if report.epoch > self.state.epoch {
+            self.stop();
+        }
+        if self.is_stopped() {
+            return Received::NotOwner;
+        }
+        let slot = self.workers.insert(&report.agent, now);
+        let Some(worker) = self.workers.get_mut(slot) else { return Received::Stale };
+        if !worker.is_newer(report.incarnation, report.sequence) {
+            return Received::Stale;
+        }
+        worker.adopt(report.incarnation, report.sequence);
+        self.note_worker(now, slot, report);
+        for result in &report.results {
+            self.note_result(now, slot, result);
+        }
+        self.note_running(slot, report);
+        if let Some(worker) = self.workers.get_mut(slot) {
+            worker.update_available();
+        }
+        self.reindex(slot, now);
+        Received::Accepted
+    }
+
+    fn note_worker(&mut self, now: Time, slot: usize, report: &Report) {
+        let confirms = report.epoch == self.state.epoch;
+        let wait = lease_wait(self.settings.lease);
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        worker.epoch = report.epoch;
+        worker.rack.clone_from(&report.rack);
+        worker.set_state(report.state);
+        worker.capacity = report.batch_capacity;
+        worker.free = report.free;
+        worker.pressure = report.pressure_percent;
+        worker.last_report = Some(now);
+        worker.results = report.results.iter().map(|result| result.attempt.clone()).collect();
+        let largest = worker.largest.max(&report.batch_capacity);
+        let grown = largest != worker.largest;
+        worker.largest = largest;
+        if worker.inherited && confirms {
+            // From here the agent rejects earlier owners. What they granted before runs out.
+            worker.inherited = false;
+            worker.expires = now + wait;
+        }
+        if grown {
+            self.fits.clear();
+        }
+    }
+
+    fn note_result(&mut self, now: Time, slot: usize, result: &TaskResult) {
+        let id = &result.attempt;
+        let agent = self.workers.get(slot).map(|worker| worker.agent.clone());
+        let attempt = self.state.jobs.get(&id.job).and_then(|job| job.attempt(id));
+        if attempt.map(|attempt| &attempt.agent) != agent.as_ref() {
+            return;
+        }
+        match &result.outcome {
+            Outcome::Completed => {
+                self.end(slot, Event::Completed { attempt: id.clone() }, id);
+                self.note_success(slot, &id.job);
+            }
+            Outcome::Evicted { checkpoint } => {
+                let checkpoint = bounded(checkpoint);
+                self.end(slot, Event::Evicted { attempt: id.clone(), checkpoint }, id);
+            }
+            Outcome::Stopped { checkpoint } => {
+                let checkpoint = bounded(checkpoint);
+                self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint }, id);
+            }
+            Outcome::Refused { .. } => {
+                self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint: None }, id);
+                self.note_refusal(now, slot);
+            }
+            Outcome::Failed { reason } => {
+                let reason: String = reason.chars().take(REASON_LIMIT).collect();
+                let counted = !self.is_quarantined(now, slot);
+                self.end(slot, Event::Failed { attempt: id.clone(), reason, counted }, id);
+                self.note_failure(now, slot, &id.job);
+            }
+        }
+    }
+
+    /// Compares the attempts that the agent holds with those that it should hold.
+    fn note_running(&mut self, slot: usize, report: &Report) {
+        let confirms = report.epoch == self.state.epoch;
+        let held: BTreeSet<&AttemptId> = report.running.iter().map(|task| &task.attempt).collect();
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        let mut gone = Vec::new();
+        for ((job, task), live) in &mut worker.attempts {
+            let id = AttemptId { job: job.clone(), task: *task, token: live.token };
+            live.seen = held.contains(&id);
+            if live.seen {
+                live.stage = Stage::Running;
+            } else if is_gone(live, report, confirms) {
+                gone.push(id);
+            }
+        }
+        let attempts = &worker.attempts;
+        let is_stray = |id: &AttemptId| {
+            let live = attempts.get(&(id.job.clone(), id.task));
+            live.is_none_or(|live| live.token != id.token)
+        };
+        let strays: Vec<AttemptId> =
+            held.iter().filter(|id| is_stray(id)).map(|&id| id.clone()).collect();
+        worker.strays.retain(|id, _| held.contains(id) && strays.contains(id));
+        for id in strays {
+            worker.strays.entry(id).or_insert(None);
+        }
+        for id in gone {
+            self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint: None }, &id);
+        }
+    }
+
+    /// Proposes the end of an attempt and takes it from its worker.
+    pub(super) fn end(&mut self, slot: usize, event: Event, id: &AttemptId) {
+        let Some(job) = self.state.jobs.get(&id.job) else { return };
+        let (team, need) = (job.spec.team.clone(), job.spec.need);
+        let was = job.phase;
+        self.propose(event);
+        if let Some(used) = self.team_used.get_mut(&team) {
+            *used = used.minus(&need);
+        }
+        let proposed = self.proposed;
+        if let Some(worker) = self.workers.get_mut(slot) {
+            worker.attempts.remove(&(id.job.clone(), id.task));
+            worker.ending.insert(id.clone(), proposed);
+            worker.update_available();
+            let wake = Effect::Wake(worker.agent.clone());
+            let rack = worker.rack.clone();
+            self.leave_rack(&id.job, &rack);
+            self.after_commit(wake);
+        }
+        self.reindex_available(slot);
+        self.sync_job(&id.job);
+        self.stop_attempts(&id.job, was);
+    }
+
+    fn leave_rack(&mut self, job: &JobId, rack: &str) {
+        if let Some(count) = self.racks.get_mut(job).and_then(|racks| racks.get_mut(rack)) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Orders the remaining attempts of a job to stop when it has just been given up.
+    pub(super) fn stop_attempts(&mut self, id: &JobId, was: Phase) {
+        let Some(job) = self.state.jobs.get(id) else { return };
+        if was != Phase::Active || !matches!(job.phase, Phase::Cancelling | Phase::Failing) {
+            return;
+        }
+        let attempts: Vec<(TaskIndex, AgentId)> =
+            job.attempts.iter().map(|(task, attempt)| (*task, attempt.agent.clone())).collect();
+        let mut unsent = Vec::new();
+        for (task, agent) in attempts {
+            let Some(slot) = self.workers.find(&agent) else { continue };
+            let proposed = self.proposed;
+            let Some(worker) = self.workers.get_mut(slot) else { continue };
+            let Some(live) = worker.attempts.get_mut(&(id.clone(), task)) else { continue };
+            match live {
+                Live { stage: Stage::Ordered, start_sent: None, token, .. } => {
+                    unsent.push((slot, AttemptId { job: id.clone(), task, token: *token }));
+                }
+                live => {
+                    live.stop_after = Some(proposed);
+                    self.after_commit(Effect::Wake(agent));
+                }
+            }
+        }
+        // An order that never left this process needs no confirmation.
+        for (slot, id) in unsent {
+            self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint: None }, &id);
+        }
+    }
+
+    /// Requeues all attempts of a worker whose leases have run out.
+    pub(super) fn lose_expired(&mut self, slot: usize, now: Time) {
+        let Some(worker) = self.workers.get(slot).filter(|worker| now >= worker.expires) else {
+            return;
+        };
+        let lost: Vec<AttemptId> = worker
+            .attempts
+            .iter()
+            .map(|((job, task), live)| AttemptId {
+                job: job.clone(),
+                task: *task,
+                token: live.token,
+            })
+            .collect();
+        for id in lost {
+            self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint: None }, &id);
+        }
+    }
+}
+
+/// Tells whether an attempt that a report does not list has certainly ended.
+fn is_gone(live: &Live, report: &Report, confirms: bool) -> bool {
+    // Before the agent has accepted this epoch, a delayed order of an earlier owner may start it.
+    match live.stage {
+        _ if !confirms => false,
+        Stage::Running | Stage::Inherited => true,
+        // The order may still be on its way to the incarnation that it was sent to.
+        Stage::Ordered => {
+            live.start_sent.is_some_and(|(incarnation, _)| incarnation != report.incarnation)
+        }
+    }
+}
+
+/// Returns the checkpoint unless it is too large; the task then resumes from the one before.
+fn bounded(checkpoint: &Option<Bytes>) -> Option<Bytes> {
+    checkpoint.as_ref().filter(|bytes| bytes.len() <= CHECKPOINT_LIMIT).cloned()
+}
--- /dev/null
+++ b/crates/core/src/cell/faults.rs
@@ -0,0 +1,48 @@
+//! Attribution of failures to workers or to jobs.
+
+use std::time::Duration;
+
+use crate::cell::owner::Cell;
+use crate::cell::state::Event;
+use crate::id::JobId;
+use crate::time::Time;
+
+/// A worker is at fault after failures of this many different jobs with no success in between.
+const FAULTY_JOBS: usize = 3;
+const QUARANTINE: Duration = Duration::from_secs(60);
+const LONGEST_QUARANTINE: Duration = Duration::from_secs(15 * 60);
+/// Time without orders after a refusal: the agent's next reports show the reason.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
+impl Cell {
+    pub(super) fn is_quarantined(&self, now: Time, slot: usize) -> bool {
+        self.workers.get(slot).is_some_and(|worker| worker.is_quarantined(now))
+    }
+
+    pub(super) fn note_success(&mut self, slot: usize, job: &JobId) {
+        if let Some(worker) = self.workers.get_mut(slot) {
+            worker.note_success(job);
+        }
+    }
+
+    pub(super) fn note_refusal(&mut self, now: Time, slot: usize) {
+        if let Some(worker) = self.workers.get_mut(slot) {
+            worker.avoid_until = now + REFUSAL_PAUSE;
+        }
+    }
+
+    /// Counts a failure against the worker, and quarantines it when it is at fault.
+    pub(super) fn note_failure(&mut self, now: Time, slot: usize, job: &JobId) {
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        worker.failed_jobs.insert(job.clone());
+        if worker.failed_jobs.len() < FAULTY_JOBS || worker.is_quarantined(now) {
+            return;
+        }
+        let doubled = QUARANTINE * 2u32.saturating_pow(worker.quarantines.min(8));
+        worker.quarantined_until = now + doubled.min(LONGEST_QUARANTINE);
+        worker.quarantines += 1;
+        worker.failed_jobs.clear();
+        let agent = worker.agent.clone();
+        self.propose(Event::Blamed { agent });
+    }
+}
--- /dev/null
+++ b/crates/core/src/cell/jobs.rs
@@ -0,0 +1,212 @@
+//! Submitting, cancelling and viewing jobs.
+
+use serde::Serialize;
+
+use crate::cell::owner::{Cell, Effect, Ticket};
+use crate::cell::state::{Event, Job, JobSpec, Phase};
+use crate::id::{CellId, JobId, TeamId};
+
+/// Largest command. It travels in start orders and counts towards the state of the cell.
+pub const COMMAND_LIMIT: usize = 4 * 1024;
+pub const ID_LIMIT: usize = 128;
+/// Estimated size of the state at which a cell takes no more jobs: the state has to fit a value
+/// of the store (1 MB).
+const STATE_LIMIT: usize = 700 * 1024;
+const JOB_SIZE: usize = 200;
+/// Jobs in one list, so that it fits a frame.
+const LIST_LIMIT: usize = 1_000;
+
+/// Answer to a submit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmitReply {
+    /// Accepted once [`Effect::Durable`] comes for the ticket.
+    Created,
+    /// The same job exists; confirmed once [`Effect::Durable`] comes for the ticket.
+    Existing,
+    /// Another job has this id.
+    Conflict,
+    /// Each problem is a field and what is wrong with it.
+    Invalid(Vec<(&'static str, String)>),
+    /// The cell has no room for more jobs.
+    Full,
+}
+
+/// Answer to a cancel.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CancelReply {
+    /// Accepted once [`Effect::Durable`] comes for the ticket.
+    Accepted,
+    /// The job has ended otherwise.
+    Ended,
+    NotFound,
+}
+
+/// A job, for its team and for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct JobView {
+    pub id: JobId,
+    pub team: TeamId,
+    pub class: String,
+    pub cell: CellId,
+    pub state: &'static str,
+    pub reason: Option<String>,
+    pub tasks: u32,
+    pub queued: u32,
+    pub running: u32,
+    pub completed: u32,
+    pub attempts: u64,
+    pub evictions: u64,
+}
+
+impl Cell {
+    /// Submits a job.
+    pub fn submit(&mut self, spec: JobSpec, ticket: Ticket) -> SubmitReply {
+        if let Some(job) = self.state.jobs.get(&spec.id) {
+            if job.spec.team != spec.team || job.digest != spec.digest() {
+                return SubmitReply::Conflict;
+            }
+            self.after_commit(Effect::Durable(ticket));
+            return SubmitReply::Existing;
+        }
+        let problems = self.problems(&spec);
+        if !problems.is_empty() {
+            return SubmitReply::Invalid(problems);
+        }
+        let size = JOB_SIZE + spec.command.len();
+        if self.payload + size > STATE_LIMIT {
+            return SubmitReply::Full;
+        }
+        self.payload += size;
+        let urgent = self.limits.classes.get(&spec.class).is_some_and(|(_, urgent)| *urgent);
+        let id = spec.id.clone();
+        self.propose(Event::Submitted { spec, urgent });
+        self.after_commit(Effect::Durable(ticket));
+        self.sync_job(&id);
+        SubmitReply::Created
+    }
+
+    fn problems(&self, spec: &JobSpec) -> Vec<(&'static str, String)> {
+        let mut problems = Vec::new();
+        if spec.id.is_empty() || spec.id.len() > ID_LIMIT || spec.id.contains('/') {
+            problems.push(("id", format!("must have 1 to {ID_LIMIT} bytes and no slash")));
+        }
+        if spec.tasks == 0 {
+            problems.push(("tasks", "must be at least 1".to_owned()));
+        }
+        if spec.need.is_zero() {
+            problems.push(("need", "must not be zero".to_owned()));
+        }
+        if spec.command.len() > COMMAND_LIMIT {
+            problems.push(("command", format!("must have at most {COMMAND_LIMIT} bytes")));
+        }
+        if !self.limits.teams.contains_key(&spec.team) {
+            problems.push(("team", format!("unknown team {}", spec.team)));
+        }
+        if !self.limits.classes.contains_key(&spec.class) {
+            problems.push(("class", format!("unknown class {}", spec.class)));
+        }
+        problems
+    }
+
+    /// Asks for the cancellation of a job. `team`: `None` for operators, who may cancel any job.
+    pub fn cancel(&mut self, team: Option<&str>, id: &str, ticket: Ticket) -> CancelReply {
+        let Some(job) = self.visible(team, id) else { return CancelReply::NotFound };
+        match job.phase {
+            Phase::Completed | Phase::Failed | Phase::Unrunnable => CancelReply::Ended,
+            Phase::Cancelling | Phase::Cancelled => {
+                self.after_commit(Effect::Durable(ticket));
+                CancelReply::Accepted
+            }
+            Phase::Active | Phase::Failing => {
+                self.cancels.push_back((id.to_owned(), ticket));
+                self.cancelling.insert(id.to_owned());
+                CancelReply::Accepted
+            }
+        }
+    }
+
+    /// Proposes the oldest cancellation that waits. Tells whether there was one.
+    pub(super) fn propose_cancel(&mut self) -> bool {
+        let Some((id, ticket)) = self.cancels.pop_front() else { return false };
+        self.cancelling.remove(&id);
+        if let Some(was) = self.state.jobs.get(&id).map(|job| job.phase) {
+            if was == Phase::Active {
+                self.propose(Event::CancelRequested { job: id.clone() });
+                self.sync_job(&id);
+                self.stop_attempts(&id, was);
+            }
+        }
+        self.after_commit(Effect::Durable(ticket));
+        true
+    }
+
+    fn visible(&self, team: Option<&str>, id: &str) -> Option<&Job> {
+        let job = self.state.jobs.get(id)?;
+        team.is_none_or(|team| job.spec.team == team).then_some(job)
+    }
+
+    /// Returns one job that `team` may see.
+    pub fn show(&self, cell: &str, team: Option<&str>, id: &str) -> Option<JobView> {
+        self.visible(team, id).map(|job| self.view(cell, job))
+    }
+
+    /// Returns the newest jobs that `team` may see, newest first.
+    pub fn list(&self, cell: &str, team: Option<&str>) -> Vec<JobView> {
+        let visible =
+            self.state.jobs.values().filter(|job| team.is_none_or(|team| job.spec.team == team));
+        let mut jobs: Vec<&Job> = visible.collect();
+        jobs.sort_by_key(|job| std::cmp::Reverse(job.order));
+        jobs.into_iter().take(LIST_LIMIT).map(|job| self.view(cell, job)).collect()
+    }
+
+    fn view(&self, cell: &str, job: &Job) -> JobView {
+        JobView {
+            id: job.spec.id.clone(),
+            team: job.spec.team.clone(),
+            class: job.spec.class.clone(),
+            cell: cell.to_owned(),
+            state: self.state_name(job),
+            reason: job.reason.clone(),
+            tasks: job.spec.tasks,
+            queued: job.waiting(),
+            running: job.attempts.len() as u32,
+            completed: job.completed,
+            attempts: job.started,
+            evictions: job.evictions,
+        }
+    }
+
+    /// Returns the state in one word. An end is shown only once it is durable.
+    fn state_name(&self, job: &Job) -> &'static str {
+        let is_durable = self.ending.get(&job.spec.id).is_none_or(|end| *end <= self.committed);
+        let is_cancelling = self.cancelling.contains(&job.spec.id);
+        match job.phase {
+            Phase::Cancelled if !is_durable => "cancelling",
+            phase if phase.is_final() && !is_durable => "running",
+            Phase::Active if is_cancelling => "cancelling",
+            Phase::Active if job.attempts.is_empty() => "queued",
+            Phase::Active => "running",
+            Phase::Cancelling => "cancelling",
+            Phase::Failing | Phase::Failed => "failed",
+            Phase::Completed => "completed",
+            Phase::Unrunnable => "unrunnable",
+            Phase::Cancelled => "cancelled",
+        }
+    }
+
+    /// Recomputes the estimated size of the state.
+    pub(super) fn measure(&mut self) {
+        let jobs = self.state.jobs.values();
+        let sizes = jobs.map(|job| {
+            let waiting = job.requeued.values();
+            let checkpoints = waiting.flatten().map(bytes::Bytes::len).sum::<usize>();
+            let started = job.attempts.values().filter_map(|attempt| attempt.checkpoint.as_ref());
+            JOB_SIZE
+                + job.spec.command.len()
+                + checkpoints
+                + started.map(bytes::Bytes::len).sum::<usize>()
+                + 24 * (job.requeued.len() + job.attempts.len())
+        });
+        self.payload = sizes.sum();
+    }
+}
--- /dev/null
+++ b/crates/core/src/cell/owner.rs
@@ -0,0 +1,363 @@
+//! The owner of a cell: proposes events and releases effects after their commit.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::cell::placement::Index;
+use crate::cell::queue::Queue;
+use crate::cell::state::{CellState, Event};
+use crate::cell::worker::{Live, Stage, WorkerView, Workers};
+use crate::config::Document;
+use crate::id::{AgentId, Epoch, JobId, TeamId};
+use crate::resources::Resources;
+use crate::time::{lease_wait, Time, CLOCK_RATE_MARGIN_PERCENT};
+
+/// Number that the caller of a core gives to a request whose reply waits for a commit.
+pub type Ticket = u64;
+
+/// Largest estimated size of the events of one batch. Below the 32 KB that the log of a journal
+/// holds.
+const BATCH_LIMIT: usize = 24 * 1024;
+/// Time between two checks for expired leases; small against the margin of a lease.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// A worker without attempts that was silent for this long is forgotten.
+pub(super) const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Time limits of a cell.
+#[derive(Debug, Clone, Copy)]
+pub struct CellSettings {
+    /// Lease on attempts that each reply to a report grants.
+    pub lease: Duration,
+    /// Time that the store may be unreachable before an owner stops granting.
+    pub outage_hold: Duration,
+    /// Time after a takeover in which workers may still be unknown, so that nothing is declared
+    /// unrunnable.
+    pub settle: Duration,
+    /// Time without a report after which a worker gets no new work.
+    pub silent: Duration,
+}
+
+impl Default for CellSettings {
+    fn default() -> Self {
+        CellSettings {
+            lease: Duration::from_secs(20),
+            outage_hold: Duration::from_secs(600),
+            settle: Duration::from_secs(5),
+            silent: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What the configuration allows to teams and classes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Limits {
+    /// Quota of each team.
+    pub teams: BTreeMap<TeamId, Resources>,
+    /// Limit on a VM, and urgency, of each class.
+    pub classes: BTreeMap<String, (Resources, bool)>,
+}
+
+impl From<&Document> for Limits {
+    fn from(document: &Document) -> Self {
+        let teams = document.teams.iter().map(|(id, team)| (id.clone(), team.quota));
+        let classes = document.classes.iter();
+        Limits {
+            teams: teams.collect(),
+            classes: classes.map(|(id, class)| (id.clone(), (class.limit, class.urgent))).collect(),
+        }
+    }
+}
+
+/// What the I/O layer does after a commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// The submit or cancel with this ticket is durable.
+    Durable(Ticket),
+    /// Orders or acknowledgements wait for this agent.
+    Wake(AgentId),
+}
+
+/// A cell as its owner sees it.
+#[derive(Debug, Clone)]
+pub struct Cell {
+    pub(super) state: CellState,
+    pub(super) settings: CellSettings,
+    pub(super) limits: Limits,
+    pub(super) workers: Workers,
+    pub(super) index: Index,
+    pub(super) queue: Queue,
+    pending: VecDeque<Event>,
+    in_flight: usize,
+    pub(super) proposed: u64,
+    pub(super) committed: u64,
+    effects: VecDeque<(u64, Effect)>,
+    /// Cancellations that wait for room in a batch.
+    pub(super) cancels: VecDeque<(JobId, Ticket)>,
+    pub(super) cancelling: BTreeSet<JobId>,
+    /// Jobs that ended by events not committed yet.
+    pub(super) ending: BTreeMap<JobId, u64>,
+    pub(super) team_used: BTreeMap<TeamId, Resources>,
+    /// Running tasks of each urgent job by rack.
+    pub(super) racks: BTreeMap<JobId, BTreeMap<String, u32>>,
+    /// Whether a need fits some known worker when that is empty.
+    pub(super) fits: HashMap<(u64, u64, u64), bool>,
+    /// Bytes of commands and checkpoints in the state.
+    pub(super) payload: usize,
+    pub(super) taken_over: Time,
+    /// Start of the last exchange with the store that showed this owner in office.
+    store_seen: Time,
+    stopped: bool,
+    next_sweep: Time,
+    pub(super) recovery: f64,
+    pub(super) last_pass: Time,
+    pub(super) rng: Rng,
+}
+
+impl Cell {
+    /// Takes over a cell. `state` is the replay of the journal, and `now` is no earlier than the
+    /// time at which this owner was recorded as the owner of `epoch`.
+    pub fn take_over(
+        state: CellState,
+        epoch: Epoch,
+        settings: CellSettings,
+        now: Time,
+        rng: Rng,
+    ) -> Self {
+        let mut cell = Cell {
+            state,
+            settings,
+            limits: Limits::default(),
+            workers: Workers::default(),
+            index: Index::default(),
+            queue: Queue::default(),
+            pending: VecDeque::new(),
+            in_flight: 0,
+            proposed: 0,
+            committed: 0,
+            effects: VecDeque::new(),
+            cancels: VecDeque::new(),
+            cancelling: BTreeSet::new(),
+            ending: BTreeMap::new(),
+            team_used: BTreeMap::new(),
+            racks: BTreeMap::new(),
+            fits: HashMap::new(),
+            payload: 0,
+            taken_over: now,
+            store_seen: now,
+            stopped: false,
+            next_sweep: now,
+            recovery: 0.0,
+            last_pass: now,
+            rng,
+        };
+        cell.propose(Event::TakenOver { epoch });
+        cell.inherit(now);
+        cell
+    }
+
+    /// Rebuilds the volatile part from the replayed state.
+    fn inherit(&mut self, now: Time) {
+        let expires = now + self.inherited_wait();
+        for job in self.state.jobs.values() {
+            self.payload += job.spec.command.len();
+            self.queue.sync(job);
+            let stop_after = (job.phase != crate::cell::state::Phase::Active).then_some(0);
+            for (task, attempt) in &job.attempts {
+                let slot = self.workers.insert(&attempt.agent, expires);
+                let live = Live {
+                    token: attempt.token,
+                    need: job.spec.need,
+                    stage: Stage::Inherited,
+                    start_after: 0,
+                    start_sent: None,
+                    stop_after,
+                    stop_sent: None,
+                    seen: false,
+                };
+                let used = self.team_used.entry(job.spec.team.clone()).or_default();
+                *used = used.plus(&job.spec.need);
+                if let Some(worker) = self.workers.get_mut(slot) {
+                    worker.attempts.insert((job.spec.id.clone(), *task), live);
+                }
+            }
+        }
+    }
+
+    /// Time after a takeover at which the leases granted by earlier owners have run out.
+    fn inherited_wait(&self) -> Duration {
+        let wait = lease_wait(self.settings.lease);
+        match self.state.inherited_clean {
+            true => wait,
+            false => {
+                let hold = self.settings.outage_hold;
+                wait + hold + hold * CLOCK_RATE_MARGIN_PERCENT / 100
+            }
+        }
+    }
+
+    /// Replaces the limits by those of the current configuration.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Notes that an exchange with the store that started at `start` showed this owner in office.
+    pub fn note_store(&mut self, start: Time) {
+        self.store_seen = self.store_seen.max(start);
+    }
+
+    /// Stops for good: another owner is in office, or the cell was handed back.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
+    /// Stops granting and proposes the release of the cell.
+    pub fn release(&mut self) {
+        self.stopped = true;
+        let clean =
+            self.workers.iter().all(|(_, worker)| !worker.inherited || worker.attempts.is_empty());
+        self.propose(Event::Released { epoch: self.state.epoch, clean });
+    }
+
+    /// Performs what is due: expired leases, then placement.
+    pub fn poll(&mut self, now: Time) {
+        if self.stopped {
+            return;
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.sweep(now);
+        }
+        if self.may_grant(now) {
+            self.place(now);
+        }
+    }
+
+    /// Returns the next batch to commit, or the one whose commit has failed. Empty: nothing to do.
+    pub fn take_batch(&mut self) -> Vec<Event> {
+        if self.in_flight == 0 {
+            self.in_flight = self.fill_batch();
+        }
+        self.pending.iter().take(self.in_flight).cloned().collect()
+    }
+
+    fn fill_batch(&mut self) -> usize {
+        let mut count = 0;
+        let mut room = BATCH_LIMIT;
+        loop {
+            while let Some(event) = self.pending.get(count) {
+                let size = event.size();
+                if size > room && count > 0 {
+                    return count;
+                }
+                room = room.saturating_sub(size);
+                count += 1;
+            }
+            // Cancellations arrive in bursts: they get the room that other events leave.
+            if self.stopped || room == 0 || !self.propose_cancel() {
+                return count;
+            }
+        }
+    }
+
+    /// Notes that the batch is durable.
+    pub fn note_commit(&mut self) {
+        self.pending.drain(..self.in_flight);
+        self.committed += self.in_flight as u64;
+        self.in_flight = 0;
+        let committed = self.committed;
+        self.ending.retain(|_, sequence| *sequence > committed);
+    }
+
+    /// Returns the effects that have become due.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        let committed = self.committed;
+        let due = self.effects.iter().take_while(|(sequence, _)| *sequence <= committed).count();
+        self.effects.drain(..due).map(|(_, effect)| effect).collect()
+    }
+
+    /// Releases `effect` once everything proposed so far is durable.
+    pub(super) fn after_commit(&mut self, effect: Effect) {
+        self.effects.push_back((self.proposed, effect));
+    }
+
+    /// Applies an event and queues it for the commit.
+    pub(super) fn propose(&mut self, event: Event) {
+        self.state.apply(&event);
+        self.pending.push_back(event);
+        self.proposed += 1;
+    }
+
+    /// Brings queue and views in line after an event about `job`.
+    pub(super) fn sync_job(&mut self, id: &JobId) {
+        if let Some(job) = self.state.jobs.get(id) {
+            self.queue.sync(job);
+            if job.phase.is_final() {
+                self.ending.entry(id.clone()).or_insert(self.proposed);
+                self.racks.remove(id);
+            }
+        }
+    }
+
+    /// Tells whether this owner may grant leases and starts.
+    pub fn may_grant(&self, now: Time) -> bool {
+        !self.stopped && now.saturating_sub(self.store_seen) < self.settings.outage_hold
+    }
+
+    /// Tells whether this owner has stopped for good.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Tells whether events or cancellations wait for a commit.
+    pub fn has_uncommitted(&self) -> bool {
+        !self.pending.is_empty() || !self.cancels.is_empty()
+    }
+
+    /// Epoch of this ownership.
+    pub fn epoch(&self) -> Epoch {
+        self.state.epoch
+    }
+
+    /// State with the events proposed so far.
+    pub fn state(&self) -> &CellState {
+        &self.state
+    }
+
+    /// Number of events committed in this ownership.
+    pub fn committed(&self) -> u64 {
+        self.committed
+    }
+
+    /// Returns all workers, for operators.
+    pub fn worker_views(&self, now: Time) -> Vec<WorkerView> {
+        self.workers.iter().map(|(_, worker)| worker.view(now, self.settings.silent)).collect()
+    }
+
+    /// Requeues attempts whose lease has run out and forgets workers that are gone.
+    fn sweep(&mut self, now: Time) {
+        self.measure();
+        let mut expired = Vec::new();
+        let mut gone = Vec::new();
+        for (slot, worker) in self.workers.iter() {
+            let silence = now.saturating_sub(worker.last_report.unwrap_or(self.taken_over));
+            if now >= worker.expires && !worker.attempts.is_empty() {
+                expired.push(slot);
+            } else if silence > FORGET_AFTER && worker.is_settled(self.committed) {
+                gone.push(slot);
+            } else if silence > self.settings.silent {
+                expired.extend(worker.indexed.map(|_| slot));
+            }
+        }
+        for slot in expired {
+            self.unindex(slot);
+            self.lose_expired(slot, now);
+        }
+        for slot in gone {
+            self.unindex(slot);
+            self.workers.remove(slot);
+            self.fits.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/cell/worker.rs
@@ -0,0 +1,269 @@
+//! Workers of a cell as its owner sees them. Volatile: rebuilt from reports after a takeover.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use crate::id::{AgentId, Epoch, Incarnation, JobId, TaskIndex};
+use crate::message::announce::AgentState;
+use crate::message::report::{AttemptId, Token};
+use crate::resources::Resources;
+use crate::time::Time;
+
+/// Incarnations that are remembered, so that a delayed report of a former one is not taken for
+/// another restart.
+const RETIRED_KEPT: usize = 16;
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Ordered in this ownership and not reported yet.
+    Ordered,
+    /// Started by an earlier owner and not reported to this one yet.
+    Inherited,
+    Running,
+}
+
+/// An attempt that may be alive on a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Live {
+    pub token: Token,
+    pub need: Resources,
+    pub stage: Stage,
+    /// Sequence of the event that allows the start.
+    pub start_after: u64,
+    /// The incarnation that got the start order, and when it got it last.
+    pub start_sent: Option<(Incarnation, Time)>,
+    /// Sequence of the event that allows the stop, when one is wanted.
+    pub stop_after: Option<u64>,
+    pub stop_sent: Option<Time>,
+    /// Whether the last report listed it, so that the reported free capacity accounts for it.
+    pub seen: bool,
+}
+
+/// A worker.
+#[derive(Debug, Clone)]
+pub(super) struct Worker {
+    pub agent: AgentId,
+    pub incarnation: Option<Incarnation>,
+    pub retired: Vec<Incarnation>,
+    pub sequence: Option<u64>,
+    /// Epoch that the agent had accepted at its last report.
+    pub epoch: Epoch,
+    pub leaving: bool,
+    pub rack: String,
+    pub capacity: Resources,
+    /// Largest capacity reported; a closing lowers the current one for a while.
+    pub largest: Resources,
+    pub free: Resources,
+    /// Reported free capacity minus what was ordered and is not part of it yet.
+    pub available: Resources,
+    pub pressure: u32,
+    pub last_report: Option<Time>,
+    /// Time at which each lease that any owner may have granted has certainly run out.
+    pub expires: Time,
+    /// Whether an earlier owner may still renew leases of this worker.
+    pub inherited: bool,
+    /// Jobs that failed since the last success.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// The last two different jobs that succeeded.
+    pub succeeded: Vec<JobId>,
+    pub quarantined_until: Time,
+    pub quarantines: u32,
+    /// No placement before this time, after a refusal.
+    pub avoid_until: Time,
+    pub attempts: BTreeMap<(JobId, TaskIndex), Live>,
+    /// Results of the last report.
+    pub results: Vec<AttemptId>,
+    /// Ended attempts whose event is not committed yet, with its sequence.
+    pub ending: BTreeMap<AttemptId, u64>,
+    /// Reported attempts that are not current, with the time of the last stop order.
+    pub strays: BTreeMap<AttemptId, Option<Time>>,
+    /// Key in the placement index, when it is there.
+    pub indexed: Option<u64>,
+}
+
+impl Worker {
+    pub fn new(agent: AgentId, expires: Time) -> Self {
+        Worker {
+            agent,
+            incarnation: None,
+            retired: Vec::new(),
+            sequence: None,
+            epoch: 0,
+            leaving: false,
+            rack: String::new(),
+            capacity: Resources::default(),
+            largest: Resources::default(),
+            free: Resources::default(),
+            available: Resources::default(),
+            pressure: 0,
+            last_report: None,
+            expires,
+            inherited: true,
+            failed_jobs: BTreeSet::new(),
+            succeeded: Vec::new(),
+            quarantined_until: Time::ZERO,
+            quarantines: 0,
+            avoid_until: Time::ZERO,
+            attempts: BTreeMap::new(),
+            results: Vec::new(),
+            ending: BTreeMap::new(),
+            strays: BTreeMap::new(),
+            indexed: None,
+        }
+    }
+
+    /// Tells whether a report of this incarnation and sequence is the newest.
+    pub fn is_newer(&self, incarnation: Incarnation, sequence: u64) -> bool {
+        match self.incarnation {
+            Some(current) if current == incarnation => self.sequence < Some(sequence),
+            _ => !self.retired.contains(&incarnation),
+        }
+    }
+
+    /// Notes which incarnation reports.
+    pub fn adopt(&mut self, incarnation: Incarnation, sequence: u64) {
+        match self.incarnation.replace(incarnation) {
+            Some(former) if former != incarnation => {
+                self.retired.push(former);
+                if self.retired.len() > RETIRED_KEPT {
+                    self.retired.remove(0);
+                }
+                self.strays.clear();
+            }
+            _ => {}
+        }
+        self.sequence = Some(sequence);
+    }
+
+    pub fn is_quarantined(&self, now: Time) -> bool {
+        now < self.quarantined_until
+    }
+
+    /// Tells whether jobs other than `job` succeeded here and none failed since.
+    pub fn is_proven_for(&self, job: &JobId) -> bool {
+        self.failed_jobs.iter().all(|failed| failed == job)
+            && self.succeeded.iter().any(|succeeded| succeeded != job)
+    }
+
+    pub fn note_success(&mut self, job: &JobId) {
+        self.failed_jobs.clear();
+        self.quarantines = 0;
+        if !self.succeeded.contains(job) {
+            self.succeeded.insert(0, job.clone());
+            self.succeeded.truncate(2);
+        }
+    }
+
+    /// Recomputes what can be ordered from this worker.
+    pub fn update_available(&mut self) {
+        let unseen = self.attempts.values().filter(|live| !live.seen);
+        let ordered = unseen.fold(Resources::default(), |sum, live| sum.plus(&live.need));
+        self.available = self.free.minus(&ordered);
+    }
+
+    /// Tells whether nothing is known of this worker that is not durable.
+    pub fn is_settled(&self, committed: u64) -> bool {
+        self.attempts.is_empty() && self.ending.values().all(|sequence| *sequence <= committed)
+    }
+
+    /// Current state in one word.
+    fn status(&self, now: Time, silent: Time) -> &'static str {
+        match self.last_report {
+            None => "unknown",
+            Some(last) if now.saturating_sub(last) > silent => "silent",
+            _ if self.leaving => "leaving",
+            _ if self.is_quarantined(now) => "quarantined",
+            _ => "ready",
+        }
+    }
+
+    pub fn view(&self, now: Time, silent: Time) -> WorkerView {
+        WorkerView {
+            agent: self.agent.clone(),
+            rack: self.rack.clone(),
+            state: self.status(now, silent),
+            capacity: self.capacity,
+            free: self.free,
+            attempts: self.attempts.len(),
+            pressure_percent: self.pressure,
+        }
+    }
+
+    pub fn set_state(&mut self, state: AgentState) {
+        self.leaving = state == AgentState::Leaving;
+    }
+}
+
+/// A worker, for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct WorkerView {
+    pub agent: AgentId,
+    pub rack: String,
+    pub state: &'static str,
+    pub capacity: Resources,
+    pub free: Resources,
+    pub attempts: usize,
+    pub pressure_percent: u32,
+}
+
+/// All workers of a cell, by slot number.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Workers {
+    slots: Vec<Option<Worker>>,
+    vacant: Vec<usize>,
+    ids: BTreeMap<AgentId, usize>,
+}
+
+impl Workers {
+    pub fn find(&self, agent: &str) -> Option<usize> {
+        self.ids.get(agent).copied()
+    }
+
+    /// Number of slots, including vacant ones.
+    pub fn slots(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn get(&self, slot: usize) -> Option<&Worker> {
+        self.slots.get(slot).and_then(Option::as_ref)
+    }
+
+    pub fn get_mut(&mut self, slot: usize) -> Option<&mut Worker> {
+        self.slots.get_mut(slot).and_then(Option::as_mut)
+    }
+
+    pub fn by_agent(&self, agent: &str) -> Option<&Worker> {
+        self.find(agent).and_then(|slot| self.get(slot))
+    }
+
+    pub fn by_agent_mut(&mut self, agent: &str) -> Option<&mut Worker> {
+        self.find(agent).and_then(|slot| self.get_mut(slot))
+    }
+
+    /// Returns the slot of `agent`, and adds it if it is new.
+    pub fn insert(&mut self, agent: &AgentId, expires: Time) -> usize {
+        if let Some(slot) = self.find(agent) {
+            return slot;
+        }
+        let slot = self.vacant.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        self.slots[slot] = Some(Worker::new(agent.clone(), expires));
+        self.ids.insert(agent.clone(), slot);
+        slot
+    }
+
+    pub fn remove(&mut self, slot: usize) {
+        if let Some(worker) = self.slots.get_mut(slot).and_then(Option::take) {
+            self.ids.remove(&worker.agent);
+            self.vacant.push(slot);
+        }
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
+        self.slots.iter().enumerate().filter_map(|(slot, worker)| Some((slot, worker.as_ref()?)))
+    }
+}
