--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -15,8 +15,8 @@
 pub mod state;
 pub mod worker;
 
-pub use attempts::{Received, CHECKPOINT_LIMIT};
-pub use jobs::{CancelReply, JobView, SubmitReply};
+pub use attempts::Received;
+pub use jobs::{CancelReply, JobView, SubmitReply, CHECKPOINT_LIMIT};
 pub use owner::{Cell, CellSettings, Effect, Limits, Ticket};
 pub use state::{CellState, Event, JobSpec};
 pub use worker::WorkerView;
--- a/crates/core/src/cell/answer.rs
+++ b/crates/core/src/cell/answer.rs
@@ -86,7 +86,7 @@
 
     fn start_order(&self, job: &JobId, task: TaskIndex) -> Option<StartOrder> {
         let record = self.state.jobs.get(job)?;
-        let Attempt { token, checkpoint, .. } = record.attempts.get(&task)?;
+        let Attempt { token, resume, .. } = record.attempts.get(&task)?;
         Some(StartOrder {
             attempt: AttemptId { job: job.clone(), task, token: *token },
             team: record.spec.team.clone(),
@@ -94,7 +94,7 @@
             need: record.spec.need,
             urgent: record.urgent,
             command: record.spec.command.clone(),
-            checkpoint: checkpoint.clone(),
+            checkpoint: resume.checkpoint.clone(),
         })
     }
 
--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use bytes::Bytes;
-
 use crate::cell::owner::{Cell, Effect};
 use crate::cell::state::{Event, Phase};
 use crate::cell::worker::{Live, Stage};
@@ -11,9 +9,6 @@
 use crate::message::report::{AttemptId, Outcome, Report, TaskResult};
 use crate::time::{lease_wait, Time};
 
-/// Largest checkpoint that is kept. It names where the worker stored the data; the state of a cell
-/// has to fit a value of the store (1 MB).
-pub const CHECKPOINT_LIMIT: usize = 1024;
 const REASON_LIMIT: usize = 256;
 
 /// What became of a report.
@@ -91,11 +86,11 @@
                 self.note_success(slot, &id.job);
             }
             Outcome::Evicted { checkpoint } => {
-                let checkpoint = bounded(checkpoint);
+                let checkpoint = self.admit_checkpoint(checkpoint);
                 self.end(slot, Event::Evicted { attempt: id.clone(), checkpoint }, id);
             }
             Outcome::Stopped { checkpoint } => {
-                let checkpoint = bounded(checkpoint);
+                let checkpoint = self.admit_checkpoint(checkpoint);
                 self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint }, id);
             }
             Outcome::Refused { .. } => {
@@ -105,8 +100,11 @@
             Outcome::Failed { reason } => {
                 let reason: String = reason.chars().take(REASON_LIMIT).collect();
                 let counted = !self.is_quarantined(now, slot);
+                let suspect = self.state.jobs.get(&id.job).is_some_and(|job| job.is_suspect);
                 self.end(slot, Event::Failed { attempt: id.clone(), reason, counted }, id);
-                self.note_failure(now, slot, &id.job);
+                if !suspect {
+                    self.note_failure(now, slot, &id.job);
+                }
             }
         }
     }
@@ -234,8 +232,3 @@
         }
     }
 }
-
-/// Returns the checkpoint unless it is too large; the task then resumes from the one before.
-fn bounded(checkpoint: &Option<Bytes>) -> Option<Bytes> {
-    checkpoint.as_ref().filter(|bytes| bytes.len() <= CHECKPOINT_LIMIT).cloned()
-}
--- a/crates/core/src/cell/faults.rs
+++ b/crates/core/src/cell/faults.rs
@@ -31,7 +31,9 @@
         }
     }
 
-    /// Counts a failure against the worker, and quarantines it when it is at fault.
+    /// Counts a failure against the worker, and quarantines it when it is at fault. Only the first
+    /// failure of a job since its last success counts: otherwise three jobs that fail everywhere
+    /// would put each worker of an idle cell into quarantine and be cleared themselves.
     pub(super) fn note_failure(&mut self, now: Time, slot: usize, job: &JobId) {
         let Some(worker) = self.workers.get_mut(slot) else { return };
         worker.failed_jobs.insert(job.clone());
--- a/crates/core/src/cell/jobs.rs
+++ b/crates/core/src/cell/jobs.rs
@@ -1,5 +1,6 @@
 //! Submitting, cancelling and viewing jobs.
 
+use bytes::Bytes;
 use serde::Serialize;
 
 use crate::cell::owner::{Cell, Effect, Ticket};
@@ -9,10 +10,13 @@
 /// Largest command. It travels in start orders and counts towards the state of the cell.
 pub const COMMAND_LIMIT: usize = 4 * 1024;
 pub const ID_LIMIT: usize = 128;
+/// Largest checkpoint that is kept. It names where the worker stored the data.
+pub const CHECKPOINT_LIMIT: usize = 1024;
 /// Estimated size of the state at which a cell takes no more jobs: the state has to fit a value
 /// of the store (1 MB).
-const STATE_LIMIT: usize = 700 * 1024;
-const JOB_SIZE: usize = 200;
+const STATE_LIMIT: usize = 800 * 1024;
+/// Estimated size of the state from which on no new checkpoints are kept.
+const CHECKPOINTS_LIMIT: usize = 900 * 1024;
 /// Jobs in one list, so that it fits a frame.
 const LIST_LIMIT: usize = 1_000;
 
@@ -62,7 +66,7 @@
     /// Submits a job.
     pub fn submit(&mut self, spec: JobSpec, ticket: Ticket) -> SubmitReply {
         if let Some(job) = self.state.jobs.get(&spec.id) {
-            if job.spec.team != spec.team || job.digest != spec.digest() {
+            if job.spec.team != spec.team || !job.is_same(&spec) {
                 return SubmitReply::Conflict;
             }
             self.after_commit(Effect::Durable(ticket));
@@ -72,7 +76,7 @@
         if !problems.is_empty() {
             return SubmitReply::Invalid(problems);
         }
-        let size = JOB_SIZE + spec.command.len();
+        let size = spec.size();
         if self.payload + size > STATE_LIMIT {
             return SubmitReply::Full;
         }
@@ -196,17 +200,17 @@
 
     /// Recomputes the estimated size of the state.
     pub(super) fn measure(&mut self) {
-        let jobs = self.state.jobs.values();
-        let sizes = jobs.map(|job| {
-            let waiting = job.requeued.values();
-            let checkpoints = waiting.flatten().map(bytes::Bytes::len).sum::<usize>();
-            let started = job.attempts.values().filter_map(|attempt| attempt.checkpoint.as_ref());
-            JOB_SIZE
-                + job.spec.command.len()
-                + checkpoints
-                + started.map(bytes::Bytes::len).sum::<usize>()
-                + 24 * (job.requeued.len() + job.attempts.len())
-        });
-        self.payload = sizes.sum();
+        self.payload = self.state.jobs.values().map(Job::size).sum();
+    }
+
+    /// Returns the checkpoint if there is room for it; otherwise the task resumes from the one
+    /// before.
+    pub(super) fn admit_checkpoint(&mut self, checkpoint: &Option<Bytes>) -> Option<Bytes> {
+        let checkpoint = checkpoint.as_ref().filter(|bytes| bytes.len() <= CHECKPOINT_LIMIT)?;
+        if self.payload + checkpoint.len() > CHECKPOINTS_LIMIT {
+            return None;
+        }
+        self.payload += checkpoint.len();
+        Some(checkpoint.clone())
     }
 }
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -17,9 +17,9 @@
 /// Number that the caller of a core gives to a request whose reply waits for a commit.
 pub type Ticket = u64;
 
-/// Largest estimated size of the events of one batch. Below the 32 KB that the log of a journal
-/// holds.
-const BATCH_LIMIT: usize = 24 * 1024;
+/// Largest estimated size of the events of one batch. Keeps a write short while a burst of 10,000
+/// cancellations takes about four batches.
+const BATCH_LIMIT: usize = 64 * 1024;
 /// Time between two checks for expired leases; small against the margin of a lease.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// A worker without attempts that was silent for this long is forgotten.
@@ -103,7 +103,7 @@
     pub(super) racks: BTreeMap<JobId, BTreeMap<String, u32>>,
     /// Whether a need fits some known worker when that is empty.
     pub(super) fits: HashMap<(u64, u64, u64), bool>,
-    /// Bytes of commands and checkpoints in the state.
+    /// Estimated size of the state in bytes.
     pub(super) payload: usize,
     pub(super) taken_over: Time,
     /// Start of the last exchange with the store that showed this owner in office.
@@ -154,6 +154,7 @@
         };
         cell.propose(Event::TakenOver { epoch });
         cell.inherit(now);
+        cell.measure();
         cell
     }
 
@@ -161,7 +162,6 @@
     fn inherit(&mut self, now: Time) {
         let expires = now + self.inherited_wait();
         for job in self.state.jobs.values() {
-            self.payload += job.spec.command.len();
             self.queue.sync(job);
             let stop_after = (job.phase != crate::cell::state::Phase::Active).then_some(0);
             for (task, attempt) in &job.attempts {
--- a/crates/core/src/cell/state.rs
+++ b/crates/core/src/cell/state.rs
@@ -12,8 +12,9 @@
 
 /// A job fails permanently after failures on this many different workers.
 pub const FAULTY_WORKERS: usize = 3;
-/// Bound on the failures of a job in a cell that has fewer than [`FAULTY_WORKERS`] workers.
-pub const FAILURE_LIMIT: u32 = 10;
+/// A job fails permanently after this many failures of one task, on whichever workers. Ends a job
+/// in a cell with fewer than [`FAULTY_WORKERS`] workers, or whose workers are under suspicion too.
+pub const TASK_FAILURES: u32 = 10;
 /// Ended jobs that are kept for `show` and for repeated submits. A cell ends about 2,800 jobs a
 /// day at plan size, so this covers eight hours.
 pub const ENDED_KEPT: usize = 1_000;
@@ -30,6 +31,12 @@
 }
 
 impl JobSpec {
+    /// Returns an upper estimate of the encoded size of a job that has not started.
+    pub fn size(&self) -> usize {
+        const FIXED: usize = 40;
+        FIXED + self.id.len() + self.team.len() + self.class.len() + self.command.len()
+    }
+
     /// Returns a digest that tells whether two specifications are the same.
     pub fn digest(&self) -> u64 {
         let mut text = Vec::with_capacity(128 + self.command.len());
@@ -167,14 +174,30 @@
 pub struct Attempt {
     pub token: Token,
     pub agent: AgentId,
+    pub resume: Resume,
+}
+
+/// What the next attempt of a task starts from.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resume {
+    /// The last committed checkpoint.
     pub checkpoint: Option<Bytes>,
+    /// Failures of the task so far.
+    pub failures: u32,
+}
+
+impl Resume {
+    fn with(self, checkpoint: &Option<Bytes>) -> Self {
+        Resume { checkpoint: checkpoint.clone().or(self.checkpoint), ..self }
+    }
 }
 
 /// A job. Tasks from `fresh` on were never started and have no record of their own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
     pub spec: JobSpec,
-    pub digest: u64,
+    /// Digest of an ended job, whose command is no longer kept.
+    digest: Option<u64>,
     pub urgent: bool,
     /// Position in the order of submission.
     pub order: u64,
@@ -182,22 +205,23 @@
     pub reason: Option<String>,
     /// First task that was never started.
     pub fresh: TaskIndex,
-    /// Tasks that wait for another attempt, with the checkpoint to resume from.
-    pub requeued: BTreeMap<TaskIndex, Option<Bytes>>,
+    /// Tasks that wait for another attempt.
+    pub requeued: BTreeMap<TaskIndex, Resume>,
     pub attempts: BTreeMap<TaskIndex, Attempt>,
     pub completed: u32,
     pub started: u64,
     pub evictions: u64,
     /// Workers on which the job failed and that are not known to be at fault.
     pub failed_on: BTreeSet<AgentId>,
-    pub failures: u32,
+    /// Whether the job failed on any worker since a task of it completed.
+    pub is_suspect: bool,
 }
 
 impl Job {
     fn new(spec: JobSpec, urgent: bool, order: u64) -> Self {
         Job {
-            digest: spec.digest(),
             spec,
+            digest: None,
             urgent,
             order,
             phase: Phase::Active,
@@ -209,10 +233,29 @@
             started: 0,
             evictions: 0,
             failed_on: BTreeSet::new(),
-            failures: 0,
+            is_suspect: false,
         }
     }
 
+    /// Tells whether the job was submitted with this specification.
+    pub fn is_same(&self, spec: &JobSpec) -> bool {
+        self.digest.unwrap_or_else(|| self.spec.digest()) == spec.digest()
+    }
+
+    /// Returns an upper estimate of the encoded size in bytes.
+    pub fn size(&self) -> usize {
+        const ATTEMPT: usize = 16;
+        let agents = self.attempts.values().map(|attempt| attempt.agent.len());
+        let waiting = self.requeued.values();
+        let resumes = waiting.chain(self.attempts.values().map(|attempt| &attempt.resume));
+        let checkpoints = resumes.filter_map(|resume| resume.checkpoint.as_ref()).map(Bytes::len);
+        let failed_on = self.failed_on.iter().map(String::len);
+        self.spec.size()
+            + self.reason.as_ref().map_or(0, String::len)
+            + ATTEMPT * (self.requeued.len() + self.attempts.len())
+            + agents.chain(checkpoints).chain(failed_on).sum::<usize>()
+    }
+
     /// Number of tasks that wait for a start.
     pub fn waiting(&self) -> u32 {
         match self.phase {
@@ -271,6 +314,7 @@
     pub last_token: u64,
     /// Jobs submitted so far.
     pub submitted: u64,
+    #[serde(with = "by_id")]
     pub jobs: BTreeMap<JobId, Job>,
     /// Ended jobs, oldest first.
     pub ended: VecDeque<JobId>,
@@ -292,17 +336,20 @@
             Event::Submitted { spec, urgent } => self.submit(spec, *urgent),
             Event::Started { attempt, agent } => self.start(attempt, agent),
             Event::Completed { attempt } => {
-                self.end_attempt(attempt, |job, _| job.completed += 1);
+                self.end_attempt(attempt, |job, _| {
+                    job.completed += 1;
+                    job.is_suspect = false;
+                });
             }
             Event::Evicted { attempt, checkpoint } => {
                 self.end_attempt(attempt, |job, ended| {
                     job.evictions += 1;
-                    requeue(job, attempt.task, checkpoint.clone().or(ended.checkpoint));
+                    requeue(job, attempt.task, ended.resume.with(checkpoint));
                 });
             }
             Event::Requeued { attempt, checkpoint } => {
                 self.end_attempt(attempt, |job, ended| {
-                    requeue(job, attempt.task, checkpoint.clone().or(ended.checkpoint));
+                    requeue(job, attempt.task, ended.resume.with(checkpoint));
                 });
             }
             Event::Failed { attempt, reason, counted } => {
@@ -340,16 +387,16 @@
         let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.phase == Phase::Active) else {
             return;
         };
-        let checkpoint = match job.requeued.remove(&id.task) {
-            Some(checkpoint) => checkpoint,
+        let resume = match job.requeued.remove(&id.task) {
+            Some(resume) => resume,
             None if id.task == job.fresh && job.fresh < job.spec.tasks => {
                 job.fresh += 1;
-                None
+                Resume::default()
             }
             None => return,
         };
         job.started += 1;
-        let attempt = Attempt { token: id.token, agent: agent.clone(), checkpoint };
+        let attempt = Attempt { token: id.token, agent: agent.clone(), resume };
         job.attempts.insert(id.task, attempt);
     }
 
@@ -382,9 +429,7 @@
 
     fn blame(&mut self, agent: &AgentId) {
         for job in self.jobs.values_mut().filter(|job| !job.phase.is_final()) {
-            if job.failed_on.remove(agent) {
-                job.failures = job.failed_on.len() as u32;
-            }
+            job.failed_on.remove(agent);
         }
     }
 
@@ -397,6 +442,7 @@
     /// Keeps an ended job without its command, and forgets the oldest ended jobs.
     fn retire(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
+            job.digest = Some(job.spec.digest());
             job.spec.command = Bytes::new();
             job.failed_on.clear();
         }
@@ -409,20 +455,46 @@
     }
 }
 
-fn requeue(job: &mut Job, task: TaskIndex, checkpoint: Option<Bytes>) {
+fn requeue(job: &mut Job, task: TaskIndex, resume: Resume) {
     if job.phase == Phase::Active {
-        job.requeued.insert(task, checkpoint);
+        job.requeued.insert(task, resume);
     }
 }
 
 fn fail(job: &mut Job, task: TaskIndex, ended: Attempt, reason: &str, counted: bool) {
-    requeue(job, task, ended.checkpoint);
-    if !counted || job.phase != Phase::Active {
+    if job.phase != Phase::Active {
         return;
     }
-    job.failures += 1;
-    job.failed_on.insert(ended.agent);
-    if job.failed_on.len() >= FAULTY_WORKERS || job.failures >= FAILURE_LIMIT {
+    let failures = ended.resume.failures + 1;
+    requeue(job, task, Resume { failures, ..ended.resume });
+    job.is_suspect = true;
+    if counted {
+        job.failed_on.insert(ended.agent);
+    }
+    if job.failed_on.len() >= FAULTY_WORKERS || failures >= TASK_FAILURES {
         job.stop(Phase::Failing, Some(reason.to_owned()));
     }
 }
+
+/// Encodes jobs without repeating their ids: the state has to fit a value of the store.
+mod by_id {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    use super::{Job, JobId};
+
+    pub fn serialize<S: Serializer>(
+        jobs: &BTreeMap<JobId, Job>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(jobs.values())
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<JobId, Job>, D::Error> {
+        let jobs = Vec::<Job>::deserialize(deserializer)?;
+        Ok(jobs.into_iter().map(|job| (job.spec.id.clone(), job)).collect())
+    }
+}
