Retry a job on a worker on which it failed only as a last resort

A new owner knows only the workers that have reported. Such retries now wait until the other workers had time to report, and their interval grows. The schedules also cut agents off the network and run longer tasks.

Tested: all tests of peridotfold-core.

--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -100,6 +100,7 @@
             Outcome::Failed { reason } => {
                 let reason: String = reason.chars().take(REASON_LIMIT).collect();
                 let counted = !self.is_quarantined(now, slot);
+                self.failed_at.insert(id.job.clone(), now);
                 let suspect = self.state.jobs.get(&id.job).is_some_and(|job| job.is_suspect);
                 self.end(slot, Event::Failed { attempt: id.clone(), reason, counted }, id);
                 if !suspect {
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -101,6 +101,8 @@
     pub(super) team_used: BTreeMap<TeamId, Resources>,
     /// Running tasks of each urgent job by rack.
     pub(super) racks: BTreeMap<JobId, BTreeMap<String, u32>>,
+    /// Last failure of each job that has not ended.
+    pub(super) failed_at: BTreeMap<JobId, Time>,
     /// Whether a need fits some known worker when that is empty.
     pub(super) fits: HashMap<(u64, u64, u64), bool>,
     /// Estimated size of the state in bytes.
@@ -142,6 +144,7 @@
             ending: BTreeMap::new(),
             team_used: BTreeMap::new(),
             racks: BTreeMap::new(),
+            failed_at: BTreeMap::new(),
             fits: HashMap::new(),
             payload: 0,
             taken_over: now,
@@ -296,6 +299,7 @@
             if job.phase.is_final() {
                 self.ending.entry(id.clone()).or_insert(self.proposed);
                 self.racks.remove(id);
+                self.failed_at.remove(id);
             }
         }
     }
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -28,6 +28,12 @@
 /// Pressure is compared in steps, so that its noise does not override the best fit.
 const PRESSURE_STEP: u32 = 20;
 
+/// Time after a takeover within which other workers are expected to report.
+const LAST_RESORT: Duration = Duration::from_secs(60);
+/// Pause of a job before it is tried on a worker on which it failed before; doubles.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_secs(60);
+
 /// Workers that may get work, ordered by available CPU.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Index {
@@ -188,7 +194,8 @@
 
     /// Decides which workers to accept. A job that failed goes to a worker on which others
     /// succeeded; only without such a worker in the cell, to another one on which it has not
-    /// failed, for which it waits while that one is silent; only without those, anywhere.
+    /// failed, for which it waits while that one is silent; only without those, anywhere, and then
+    /// at growing intervals.
     fn wish<'a>(&self, now: Time, job: &'a Job) -> Wish<'a> {
         let undecided = Wish { job, proven: true, anywhere: false };
         let elsewhere = Wish { job, proven: false, anywhere: false };
@@ -205,12 +212,19 @@
             return undecided;
         }
         let mut workers = self.workers.iter().map(|(_, worker)| worker);
-        match workers.any(|worker| {
+        let exists_elsewhere = workers.any(|worker| {
             is_known(now, worker) && need.fits_in(&worker.largest) && accepts(&elsewhere, worker)
-        }) {
-            true => elsewhere,
-            false => Wish { anywhere: true, ..elsewhere },
-        }
+        });
+        Wish { anywhere: !exists_elsewhere && self.is_last_resort(now, job), ..elsewhere }
+    }
+
+    /// Tells whether a job that failed on all known workers may be tried on one of them again. A
+    /// new owner may not have heard of the others yet.
+    fn is_last_resort(&self, now: Time, job: &Job) -> bool {
+        let failures = job.requeued.values().map(|resume| resume.failures).max().unwrap_or(0);
+        let pause = RETRY_PAUSE * 2u32.saturating_pow(failures.min(10));
+        let last = self.failed_at.get(&job.spec.id).copied().unwrap_or_default();
+        now >= self.taken_over + LAST_RESORT && now >= last + pause.min(LONGEST_RETRY_PAUSE)
     }
 
     fn is_usable(&self, now: Time, worker: &Worker) -> bool {
--- a/crates/core/tests/support/vm.rs
+++ b/crates/core/tests/support/vm.rs
@@ -65,6 +65,8 @@
     epoch: Epoch,
     pub agent: Option<Agent>,
     pub incarnations: u64,
+    /// Whether no message reaches or leaves the VM.
+    pub is_cut_off: bool,
 }
 
 impl Vm {
@@ -80,6 +82,7 @@
             epoch: 0,
             agent: None,
             incarnations: 0,
+            is_cut_off: false,
         }
     }
 
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -41,6 +41,7 @@
     Retry { owner: usize, batch: u64 },
     TakeOver,
     Reconnect(usize),
+    Rejoin(usize),
     StoreUp,
     Submit(usize),
     Cancel(usize),
@@ -126,7 +127,7 @@
         for vm in 0..world.vms.len() {
             world.boot(vm);
         }
-        for _ in 0..world.rng.u64(2..10) {
+        for _ in 0..world.rng.u64(2..12) {
             let at = world.rng.u64(1_000..FAULTS_END.as_millis() as u64);
             world.after(ms(at), Input::Fault);
         }
@@ -148,7 +149,8 @@
         for index in 0..self.rng.usize(4..10) {
             let flawed = self.rng.u8(0..8) == 0;
             let huge = self.rng.u8(0..10) == 0;
-            let mut command = self.rng.u64(500..15_000).to_le_bytes().to_vec();
+            let longest = if self.rng.bool() { 10_000 } else { 70_000 };
+            let mut command = self.rng.u64(500..longest).to_le_bytes().to_vec();
             command.push(u8::from(flawed));
             let cpu = if huge { 9_000 } else { self.rng.u64(500..3_000) };
             let class = if self.rng.bool() { "urgent" } else { "normal" };
@@ -240,6 +242,7 @@
             }
             Input::TakeOver => self.take_over(),
             Input::Reconnect(owner) => self.owners[owner].cut_off = false,
+            Input::Rejoin(vm) => self.vms[vm].is_cut_off = false,
             Input::StoreUp => self.store.down = false,
             Input::Submit(job) => self.submit(job),
             Input::Cancel(job) => self.cancel(job),
@@ -250,7 +253,12 @@
     fn fault(&mut self) {
         let vm = self.rng.usize(0..self.vms.len());
         let owner = self.owners.len() - 1;
-        match self.rng.u8(0..11) {
+        match self.rng.u8(0..13) {
+            11 | 12 => {
+                self.vms[vm].is_cut_off = true;
+                let delay = self.rng.u64(1_000..50_000);
+                self.after(ms(delay), Input::Rejoin(vm));
+            }
             0 => {
                 self.vms[vm].agent = None;
                 let delay = self.rng.u64(100..30_000);
@@ -490,7 +498,9 @@
         }
         let owner = agent.owner;
         if let Some(report) = self.vms[vm].report(self.now) {
-            self.deliver(Input::Report { owner, report });
+            if !self.vms[vm].is_cut_off {
+                self.deliver(Input::Report { owner, report });
+            }
             self.send_next(vm, ms(2_500));
         }
     }
@@ -521,8 +531,9 @@
     }
 
     fn obey(&mut self, vm: usize, incarnation: Incarnation, orders: Orders) {
+        let is_cut_off = self.vms[vm].is_cut_off;
         let Some(agent) = &mut self.vms[vm].agent else { return };
-        if agent.incarnation != incarnation {
+        if agent.incarnation != incarnation || is_cut_off {
             return;
         }
         if agent.frozen {
