Own cells: takeover, commits, held reports and job operations

An owner places and rejects nothing before it knows the limits of the configuration: queued jobs would have been declared unrunnable right after a takeover.

--- a/crates/core/src/cell/jobs.rs
+++ b/crates/core/src/cell/jobs.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-use crate::cell::owner::{Cell, Effect, Ticket};
+use crate::cell::owner::{Cell, Effect, Limits, Ticket};
 use crate::cell::state::{Event, Job, JobSpec, Phase};
 use crate::id::{CellId, JobId, TeamId};
 
@@ -31,7 +31,7 @@
     Conflict,
     /// Each problem is a field and what is wrong with it.
     Invalid(Vec<(&'static str, String)>),
-    /// The cell has no room for more jobs.
+    /// The cell has no room for more jobs, or does not know the limits yet.
     Full,
 }
 
@@ -72,7 +72,8 @@
             self.after_commit(Effect::Durable(ticket));
             return SubmitReply::Existing;
         }
-        let problems = self.problems(&spec);
+        let Some(limits) = &self.limits else { return SubmitReply::Full };
+        let problems = problems(limits, &spec);
         if !problems.is_empty() {
             return SubmitReply::Invalid(problems);
         }
@@ -81,7 +82,7 @@
             return SubmitReply::Full;
         }
         self.payload += size;
-        let urgent = self.limits.classes.get(&spec.class).is_some_and(|(_, urgent)| *urgent);
+        let urgent = limits.classes.get(&spec.class).is_some_and(|(_, urgent)| *urgent);
         let id = spec.id.clone();
         self.propose(Event::Submitted { spec, urgent });
         self.after_commit(Effect::Durable(ticket));
@@ -89,29 +90,6 @@
         SubmitReply::Created
     }
 
-    fn problems(&self, spec: &JobSpec) -> Vec<(&'static str, String)> {
-        let mut problems = Vec::new();
-        if spec.id.is_empty() || spec.id.len() > ID_LIMIT || spec.id.contains('/') {
-            problems.push(("id", format!("must have 1 to {ID_LIMIT} bytes and no slash")));
-        }
-        if spec.tasks == 0 {
-            problems.push(("tasks", "must be at least 1".to_owned()));
-        }
-        if spec.need.is_zero() {
-            problems.push(("need", "must not be zero".to_owned()));
-        }
-        if spec.command.len() > COMMAND_LIMIT {
-            problems.push(("command", format!("must have at most {COMMAND_LIMIT} bytes")));
-        }
-        if !self.limits.teams.contains_key(&spec.team) {
-            problems.push(("team", format!("unknown team {}", spec.team)));
-        }
-        if !self.limits.classes.contains_key(&spec.class) {
-            problems.push(("class", format!("unknown class {}", spec.class)));
-        }
-        problems
-    }
-
     /// Asks for the cancellation of a job. `team`: `None` for operators, who may cancel any job.
     pub fn cancel(&mut self, team: Option<&str>, id: &str, ticket: Ticket) -> CancelReply {
         let Some(job) = self.visible(team, id) else { return CancelReply::NotFound };
@@ -214,3 +192,26 @@
         Some(checkpoint.clone())
     }
 }
+
+fn problems(limits: &Limits, spec: &JobSpec) -> Vec<(&'static str, String)> {
+    let mut problems = Vec::new();
+    if spec.id.is_empty() || spec.id.len() > ID_LIMIT || spec.id.contains('/') {
+        problems.push(("id", format!("must have 1 to {ID_LIMIT} bytes and no slash")));
+    }
+    if spec.tasks == 0 {
+        problems.push(("tasks", "must be at least 1".to_owned()));
+    }
+    if spec.need.is_zero() {
+        problems.push(("need", "must not be zero".to_owned()));
+    }
+    if spec.command.len() > COMMAND_LIMIT {
+        problems.push(("command", format!("must have at most {COMMAND_LIMIT} bytes")));
+    }
+    if !limits.teams.contains_key(&spec.team) {
+        problems.push(("team", format!("unknown team {}", spec.team)));
+    }
+    if !limits.classes.contains_key(&spec.class) {
+        problems.push(("class", format!("unknown class {}", spec.class)));
+    }
+    problems
+}
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -84,7 +84,8 @@
 pub struct Cell {
     pub(super) state: CellState,
     pub(super) settings: CellSettings,
-    pub(super) limits: Limits,
+    /// Nothing is placed or submitted before the limits are known.
+    pub(super) limits: Option<Limits>,
     pub(super) workers: Workers,
     pub(super) index: Index,
     pub(super) queue: Queue,
@@ -130,7 +131,7 @@
         let mut cell = Cell {
             state,
             settings,
-            limits: Limits::default(),
+            limits: None,
             workers: Workers::default(),
             index: Index::default(),
             queue: Queue::default(),
@@ -202,7 +203,7 @@
 
     /// Replaces the limits by those of the current configuration.
     pub fn set_limits(&mut self, limits: Limits) {
-        self.limits = limits;
+        self.limits = Some(limits);
     }
 
     /// Notes that an exchange with the store that started at `start` showed this owner in office.
@@ -319,6 +320,11 @@
         !self.pending.is_empty() || !self.cancels.is_empty()
     }
 
+    /// Tells whether proposed events wait for a commit.
+    pub fn has_unwritten(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Epoch of this ownership.
     pub fn epoch(&self) -> Epoch {
         self.state.epoch
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -157,21 +157,23 @@
 
     fn check_limits(&self, job: &Job) -> Result<(), Blocked> {
         let need = &job.spec.need;
-        let quota = self.limits.teams.get(&job.spec.team).copied().unwrap_or_default();
-        let class = self.limits.classes.get(&job.spec.class);
-        let limit = class.map(|(limit, _)| *limit).unwrap_or_default();
+        let limits = self.limits.as_ref().ok_or(Blocked::Job)?;
+        let (quota, class) =
+            (limits.teams.get(&job.spec.team), limits.classes.get(&job.spec.class));
+        // This owner may be behind the configuration that had the team and the class.
+        let (Some(quota), Some((limit, _))) = (quota, class) else { return Err(Blocked::Job) };
         let blocked = |reason: String| match job.attempts.is_empty() {
             true => Err(Blocked::Unrunnable(reason)),
             false => Err(Blocked::Job),
         };
-        if !need.fits_in(&quota) {
+        if !need.fits_in(quota) {
             return blocked(format!("a task exceeds the quota of team {}", job.spec.team));
         }
-        if !need.fits_in(&limit) {
+        if !need.fits_in(limit) {
             return blocked(format!("a task exceeds the limit of class {}", job.spec.class));
         }
         let used = self.team_used.get(&job.spec.team).copied().unwrap_or_default();
-        match used.plus(need).fits_in(&quota) {
+        match used.plus(need).fits_in(quota) {
             true => Ok(()),
             false => Err(Blocked::Job),
         }
--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -413,3 +413,25 @@
     state.apply(&Event::Evicted { attempt: old, checkpoint: None });
     assert_eq!(state, before);
 }
+
+/// Guards against jobs that a new owner rejects because it does not know the configuration yet.
+#[test]
+fn nothing_is_decided_before_the_limits_are_known() {
+    let mut fixture = Fixture::new(1, 4_000, 1 << 40);
+    fixture.submit(spec("job", "normal", 1, 1_000));
+    fixture.commit();
+    let state = fixture.replay();
+    let rng = fastrand::Rng::with_seed(2);
+    fixture.cell = Cell::take_over(state, 2, CellSettings::default(), fixture.now, rng);
+    assert_eq!(fixture.cell.submit(spec("other", "normal", 1, 1), 1), SubmitReply::Full);
+    for _ in 0..10 {
+        fixture.round(ms(1_000));
+    }
+    assert_eq!(fixture.phase("job"), Some(Phase::Active));
+    fixture.cell.set_limits(Limits { teams: [].into(), ..limits(1 << 40) });
+    fixture.round(ms(1_000));
+    assert_eq!(fixture.phase("job"), Some(Phase::Active), "the team is not known yet");
+    fixture.cell.set_limits(limits(1 << 40));
+    fixture.round(ms(1_000));
+    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1);
+}
--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -1,62 +1,204 @@
-//! Ownership of cells.
+//! Ownership of cells: takes over cells without a live owner, keeps their journals, and answers
+//! the reports of agents and the job operations of callers.
+//!
+//! Lock order: the table of offices, the table of known owners, then one office's desk. No lock is
+//! held across an await.
 
+mod claim;
+mod jobs;
+mod office;
+mod record;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
+use peridotfold_core::cell::worker::WorkerView as CellWorkerView;
 use peridotfold_core::config::Document;
-use peridotfold_core::id::Incarnation;
+use peridotfold_core::id::{CellId, EntryId, Incarnation};
 use peridotfold_core::membership::EntryView;
 use peridotfold_core::message::announce::CellOwner;
 use peridotfold_core::message::entry::{Forward, ForwardReply};
 use peridotfold_core::message::report::{Orders, Report};
 use peridotfold_store::Store;
+use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::Shutdown;
 use serde::Serialize;
 
+use self::office::Office;
+use self::record::Known;
 use crate::settings::Settings;
 
-#[derive(Debug)]
+/// Time between two looks at the configured cells.
+const STEP: Duration = Duration::from_millis(500);
+/// Time since the last heartbeat after which job operations are refused at once. Two heartbeats.
+const STORE_DOWN_AFTER: Duration = Duration::from_secs(4);
+
+/// Longest wait at shutdown for a takeover under way, so that it can be handed back as well.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(3);
+const TAKEOVER_POLL: Duration = Duration::from_millis(25);
+
+/// Why a message about a cell was not handled here.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CellError {
+    /// The owner, if it is known and is not this entry.
     NotOwner(Option<CellOwner>),
 }
 
+/// A worker, for operators.
 #[derive(Debug, Clone, Serialize)]
-pub struct WorkerView {}
+pub struct WorkerView {
+    pub cell: CellId,
+    #[serde(flatten)]
+    pub worker: CellWorkerView,
+}
+
+/// The cells as one entry sees them.
+#[derive(Debug)]
+pub struct Cells<S: Store> {
+    shared: Arc<Shared<S>>,
+}
+
+impl<S: Store> Clone for Cells<S> {
+    fn clone(&self) -> Self {
+        Cells { shared: self.shared.clone() }
+    }
+}
 
-#[derive(Debug, Clone)]
-pub struct Cells<S> {
-    store: std::marker::PhantomData<S>,
+#[derive(Debug)]
+struct Shared<S: Store> {
+    store: S,
+    entry: EntryId,
+    incarnation: Incarnation,
+    address: String,
+    outage_hold: Duration,
+    offices: Mutex<BTreeMap<CellId, Arc<Office<S>>>>,
+    known: Mutex<BTreeMap<CellId, Known>>,
+    /// Cells that are being looked at or taken over.
+    busy: Mutex<BTreeSet<CellId>>,
+    store_down: AtomicBool,
+    document: Mutex<Arc<Document>>,
+    /// Takeovers that have begun to write.
+    taking_over: AtomicUsize,
+    /// The entry stops: no more takeovers.
+    closing: AtomicBool,
 }
 
 impl<S: Store> Cells<S> {
-    pub fn new(_: S, _: &Settings, _: Incarnation, _: SocketAddr) -> Self {
-        Cells { store: std::marker::PhantomData }
+    /// Builds the view of an entry that owns nothing yet. `internal` is the address at which
+    /// agents and other entries reach it.
+    pub fn new(
+        store: S,
+        settings: &Settings,
+        incarnation: Incarnation,
+        internal: SocketAddr,
+    ) -> Self {
+        let shared = Shared {
+            store,
+            entry: settings.id.clone(),
+            incarnation,
+            address: internal.to_string(),
+            outage_hold: settings.outage_hold,
+            offices: Mutex::default(),
+            known: Mutex::default(),
+            busy: Mutex::default(),
+            store_down: AtomicBool::new(false),
+            document: Mutex::default(),
+            taking_over: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+        };
+        Cells { shared: Arc::new(shared) }
     }
 
+    /// Takes over cells and keeps them until the signal, then hands them back.
+    ///
+    /// `store_ok` tells how long ago the store last answered a heartbeat.
     pub async fn run(
         &self,
-        _documents: impl Fn() -> Arc<Document> + Send + Sync + 'static,
-        _alive: impl Fn() -> Vec<EntryView> + Send + Sync + 'static,
-        _store_ok: impl Fn() -> Duration + Send + Sync + 'static,
+        documents: impl Fn() -> Arc<Document> + Send + Sync + 'static,
+        alive: impl Fn() -> Vec<EntryView> + Send + Sync + 'static,
+        store_ok: impl Fn() -> Duration + Send + Sync + 'static,
         shutdown: Shutdown,
     ) {
-        shutdown.wait().await;
+        loop {
+            self.shared.store_down.store(store_ok() > STORE_DOWN_AFTER, Ordering::Relaxed);
+            let document = documents();
+            *self.shared.document.lock() = document.clone();
+            self.update_offices(&document);
+            claim::step(&self.shared, &document, &alive());
+            if runtime::sleep_or_shutdown(STEP, &shutdown).await {
+                break;
+            }
+        }
+        self.shared.closing.store(true, Ordering::Release);
+        let deadline = runtime::now() + TAKEOVER_LIMIT;
+        while self.shared.taking_over.load(Ordering::Acquire) > 0 && runtime::now() < deadline {
+            runtime::sleep(TAKEOVER_POLL).await;
+        }
+        let offices = std::mem::take(&mut *self.shared.offices.lock());
+        let releases = offices.into_values().map(|office| runtime::spawn(office.release()));
+        for release in releases.collect::<Vec<_>>() {
+            release.await;
+        }
+    }
+
+    /// Passes the configuration on, and drops offices that have ended.
+    fn update_offices(&self, document: &Arc<Document>) {
+        let mut offices = self.shared.offices.lock();
+        offices.retain(|_, office| !office.has_ended());
+        offices.values().for_each(|office| office.set_document(document));
+        metrics::gauge!("cells_owned").set(offices.len() as f64);
     }
 
-    pub async fn report(&self, _: Report) -> Result<Orders, CellError> {
-        Err(CellError::NotOwner(None))
+    /// Answers a report: at once when there are orders, otherwise after at most a second.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this entry does not own the cell.
+    pub async fn report(&self, report: Report) -> Result<Orders, CellError> {
+        let cell = report.cell.clone();
+        let office = self.office(&cell)?;
+        office.report(report).await.ok_or_else(|| self.not_owner(&cell))
     }
 
-    pub async fn forward(&self, _: Forward) -> Result<ForwardReply, CellError> {
-        Err(CellError::NotOwner(None))
+    /// Performs a job operation.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this entry does not own the cell; nothing was done.
+    pub async fn forward(&self, forward: Forward) -> Result<ForwardReply, CellError> {
+        let office = self.office(&forward.cell)?;
+        let store_down = self.shared.store_down.load(Ordering::Relaxed);
+        Ok(jobs::perform(&office, &forward, store_down).await)
     }
 
-    pub fn owner(&self, _: &str) -> Option<CellOwner> {
-        None
+    /// Returns the owner of a cell, as owned here or last read from the store.
+    pub fn owner(&self, cell: &str) -> Option<CellOwner> {
+        if let Some(office) = self.shared.offices.lock().get(cell).filter(|o| !o.has_ended()) {
+            return Some(office.owner());
+        }
+        let known = self.shared.known.lock();
+        let record = &known.get(cell)?.record;
+        // A record of this entry without an office is a former one.
+        (!record.released && record.entry != self.shared.entry).then(|| record.owner())
     }
 
+    /// Returns the workers of the cells owned here.
     pub fn workers(&self) -> Vec<WorkerView> {
-        Vec::new()
+        let offices: Vec<_> = self.shared.offices.lock().values().cloned().collect();
+        offices.iter().flat_map(|office| office.workers()).collect()
+    }
+
+    fn office(&self, cell: &str) -> Result<Arc<Office<S>>, CellError> {
+        let office = self.shared.offices.lock().get(cell).cloned();
+        office.filter(|office| !office.has_ended()).ok_or_else(|| self.not_owner(cell))
+    }
+
+    fn not_owner(&self, cell: &str) -> CellError {
+        let owner = self.owner(cell);
+        CellError::NotOwner(owner.filter(|owner| owner.entry != self.shared.entry))
     }
 }
--- /dev/null
+++ b/crates/entry/src/cells/claim.rs
@@ -0,0 +1,224 @@
+//! Taking over cells that have no live owner.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peridotfold_core::cell::{Cell, CellSettings, Event};
+use peridotfold_core::config::Document;
+use peridotfold_core::hash;
+use peridotfold_core::id::{CellId, DataCentreId, Epoch};
+use peridotfold_core::membership::EntryView;
+use peridotfold_store::{Journal, JournalError, PutOutcome, Store, StoreError};
+use peridotfold_wire::runtime;
+
+use crate::cells::office::Office;
+use crate::cells::record::{journal_name, owner_key, Known, OwnerRecord, Replayed};
+use crate::cells::Shared;
+
+/// Time between two reads of the record of a live owner. With 64 cells and 36 entries this makes
+/// 290 reads/s of the store's 2,000.
+const REREAD: Duration = Duration::from_secs(8);
+/// Time that each better placed entry gets to take over a cell first.
+const TURN: Duration = Duration::from_secs(3);
+/// Replays of the journal in one takeover; each repetition means that the former owner wrote.
+const REPLAYS: usize = 5;
+
+/// Starts a look at each configured cell that is not owned here and is due for one.
+pub(super) fn step<S: Store>(shared: &Arc<Shared<S>>, document: &Document, alive: &[EntryView]) {
+    if !alive.iter().any(|view| view.incarnation == shared.incarnation) {
+        // Without a list of live entries, anyone would look dead.
+        return;
+    }
+    for (cell, config) in &document.cells {
+        let owned = shared.offices.lock().contains_key(cell);
+        if owned || !is_due(shared, cell, alive) || !shared.busy.lock().insert(cell.clone()) {
+            continue;
+        }
+        let rank = rank(shared, cell, &config.data_centre, alive);
+        let (shared, cell, alive) = (shared.clone(), cell.clone(), alive.to_vec());
+        runtime::spawn(async move {
+            if let Err(error) = look(&shared, &cell, &alive, rank).await {
+                tracing::warn!(event = "takeover_failed", cell, %error);
+            }
+            shared.busy.lock().remove(&cell);
+        })
+        .detach();
+    }
+}
+
+fn is_due<S: Store>(shared: &Shared<S>, cell: &str, alive: &[EntryView]) -> bool {
+    match shared.known.lock().get(cell) {
+        Some(known) if is_held(&known.record, alive) => {
+            runtime::now().saturating_sub(known.read) >= REREAD
+        }
+        _ => true,
+    }
+}
+
+/// Tells whether the recorded owner is alive and in office.
+fn is_held(record: &OwnerRecord, alive: &[EntryView]) -> bool {
+    let is_owner =
+        |view: &EntryView| view.entry == record.entry && view.incarnation == record.incarnation;
+    !record.released && alive.iter().any(is_owner)
+}
+
+/// Returns the number of live entries that are better placed to own a cell. Entries of the cell's
+/// data centre come first.
+fn rank<S: Store>(
+    shared: &Shared<S>,
+    cell: &str,
+    data_centre: &DataCentreId,
+    alive: &[EntryView],
+) -> u32 {
+    let weight = |view: &EntryView| {
+        let weight = hash::rendezvous(cell.as_bytes(), view.entry.as_bytes());
+        (view.data_centre == *data_centre, weight)
+    };
+    let own = alive.iter().find(|view| view.incarnation == shared.incarnation).map(weight);
+    alive.iter().filter(|view| Some(weight(view)) > own).count() as u32
+}
+
+/// Reads the record of a cell and takes the cell over if its owner is gone.
+async fn look<S: Store>(
+    shared: &Arc<Shared<S>>,
+    cell: &CellId,
+    alive: &[EntryView],
+    rank: u32,
+) -> Result<(), JournalError> {
+    let Some((version, record)) = read(shared, cell, alive).await? else { return Ok(()) };
+    if rank > 0 {
+        runtime::sleep(TURN * rank).await;
+        // Whoever was better placed has written by now, unless it is gone as well.
+        let again = read(shared, cell, alive).await?;
+        if again.as_ref().map(|(version, _)| *version) != Some(version) {
+            return Ok(());
+        }
+    }
+    let epoch = record.map_or(0, |record| record.epoch) + 1;
+    shared.taking_over.fetch_add(1, Ordering::AcqRel);
+    let result = claim(shared, cell, version, epoch).await;
+    shared.taking_over.fetch_sub(1, Ordering::AcqRel);
+    result
+}
+
+async fn claim<S: Store>(
+    shared: &Arc<Shared<S>>,
+    cell: &CellId,
+    version: u64,
+    epoch: Epoch,
+) -> Result<(), JournalError> {
+    if shared.closing.load(Ordering::Acquire) || !write(shared, cell, version, epoch).await? {
+        return Ok(());
+    }
+    take_over(shared, cell, epoch).await
+}
+
+type Vacancy = (u64, Option<OwnerRecord>);
+
+/// Reads the record; `None` when the owner is in office.
+async fn read<S: Store>(
+    shared: &Shared<S>,
+    cell: &CellId,
+    alive: &[EntryView],
+) -> Result<Option<Vacancy>, StoreFailure> {
+    let found = shared.store.get(&owner_key(cell)).await.map_err(StoreFailure)?;
+    let Some(found) = found else { return Ok(Some((0, None))) };
+    let Some(record) = OwnerRecord::decode(&found) else {
+        tracing::error!(event = "owner_record_malformed", cell);
+        return Ok(None);
+    };
+    let known = Known { record: record.clone(), read: runtime::now() };
+    shared.known.lock().insert(cell.clone(), known);
+    // An own record without an office: a takeover that did not come to its end.
+    let is_own = record.incarnation == shared.incarnation && record.entry == shared.entry;
+    match is_own || !is_held(&record, alive) {
+        true => Ok(Some((found.version, Some(record)))),
+        false => Ok(None),
+    }
+}
+
+/// Records this entry as the owner. Tells whether that succeeded; after a lost response the next
+/// look finds the record and takes over with a further epoch.
+async fn write<S: Store>(
+    shared: &Shared<S>,
+    cell: &CellId,
+    version: u64,
+    epoch: Epoch,
+) -> Result<bool, StoreFailure> {
+    let record = OwnerRecord {
+        entry: shared.entry.clone(),
+        incarnation: shared.incarnation,
+        address: shared.address.clone(),
+        epoch,
+        released: false,
+    };
+    let written = shared.store.put(&owner_key(cell), version, record.encode()).await;
+    match written.map_err(StoreFailure)? {
+        PutOutcome::Conflict(_) => Ok(false),
+        PutOutcome::Written(_) => {
+            let known = Known { record, read: runtime::now() };
+            shared.known.lock().insert(cell.clone(), known);
+            Ok(true)
+        }
+    }
+}
+
+/// Replays the journal, fences off the former owner and opens the office.
+async fn take_over<S: Store>(
+    shared: &Arc<Shared<S>>,
+    cell: &CellId,
+    epoch: Epoch,
+) -> Result<(), JournalError> {
+    let settings = CellSettings { outage_hold: shared.outage_hold, ..CellSettings::default() };
+    let writer = hash::rendezvous(cell.as_bytes(), &shared.incarnation.to_le_bytes()) ^ epoch;
+    let name = journal_name(cell);
+    for _ in 0..REPLAYS {
+        let mut journal: Journal<S, Replayed> =
+            Journal::open(shared.store.clone(), &name, writer).await?;
+        // Taken after the replay: a former owner whose write is part of it was in office until
+        // then, and a later write of it makes the append below fail.
+        let now = runtime::now();
+        let state = journal.state().0.clone();
+        if state.epoch >= epoch {
+            tracing::error!(event = "owner_record_behind", cell, epoch, journal = state.epoch);
+            return raise(shared, cell, state.epoch + 1).await;
+        }
+        let rng = fastrand::Rng::with_seed(writer);
+        let mut owned = Cell::take_over(state, epoch, settings, now, rng);
+        let events: Vec<Event> = owned.take_batch();
+        match journal.append(events.clone()).await {
+            Err(JournalError::Fenced) => continue,
+            result => result?,
+        }
+        owned.note_commit();
+        let office = Office::open(shared, cell.clone(), epoch, owned, journal);
+        office.log(&events);
+        let document = shared.document.lock().clone();
+        office.set_document(&document);
+        shared.offices.lock().insert(cell.clone(), office);
+        return Ok(());
+    }
+    Err(JournalError::Fenced)
+}
+
+/// Writes a record with a higher epoch, for the next look. Needed only when the owner record was
+/// lost while the journal was kept.
+async fn raise<S: Store>(
+    shared: &Arc<Shared<S>>,
+    cell: &CellId,
+    epoch: Epoch,
+) -> Result<(), JournalError> {
+    let found = shared.store.get(&owner_key(cell)).await.map_err(StoreFailure)?;
+    write(shared, cell, found.map_or(0, |found| found.version), epoch).await?;
+    Ok(())
+}
+
+/// A failed call of the store, as part of a takeover.
+struct StoreFailure(StoreError);
+
+impl From<StoreFailure> for JournalError {
+    fn from(failure: StoreFailure) -> Self {
+        JournalError::Unavailable(failure.0)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cells/jobs.rs
@@ -0,0 +1,178 @@
+//! Job operations of callers, as JSON.
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use futures_lite::future;
+use peridotfold_core::cell::{CancelReply, JobSpec, SubmitReply};
+use peridotfold_core::id::TeamId;
+use peridotfold_core::message::entry::{Forward, ForwardReply};
+use peridotfold_core::resources::Resources;
+use peridotfold_store::Store;
+use peridotfold_wire::runtime;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::cells::office::Office;
+
+/// Longest wait for a commit. Below the time that the forwarding entry waits.
+const COMMIT_WAIT: Duration = Duration::from_secs(4);
+
+/// Body of a submission.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submission {
+    id: String,
+    class: String,
+    tasks: u32,
+    need: Resources,
+    #[serde(default)]
+    command: Value,
+    #[serde(default)]
+    #[allow(dead_code)] // Read by the entry that chose the cell.
+    cell: Option<String>,
+    /// Used only with the operators' credential; others submit for their own team.
+    #[serde(default)]
+    team: Option<TeamId>,
+}
+
+/// Performs an operation on the jobs of an owned cell.
+pub(super) async fn perform<S: Store>(
+    office: &Office<S>,
+    forward: &Forward,
+    store_down: bool,
+) -> ForwardReply {
+    let team = match (forward.operator, &forward.team) {
+        (true, _) => None,
+        (false, Some(team)) => Some(team.as_str()),
+        (false, None) => return error(401, "a team's or operator's credential is needed"),
+    };
+    let job = forward.path.strip_prefix("/v1/jobs").unwrap_or_default().trim_start_matches('/');
+    match (forward.method.as_str(), job) {
+        ("POST", "") => submit(office, forward, store_down).await,
+        ("GET", "") => {
+            let jobs = office.with_desk(|desk| desk.cell.list(&office.id, team));
+            reply(200, &json!({ "jobs": jobs }))
+        }
+        ("GET", id) => show(office, team, id, 200),
+        ("DELETE", id) if !id.is_empty() => cancel(office, team, id, store_down).await,
+        _ => error(405, "only POST, GET and DELETE"),
+    }
+}
+
+async fn submit<S: Store>(office: &Office<S>, forward: &Forward, store_down: bool) -> ForwardReply {
+    let submission: Submission = match serde_json::from_slice(&forward.body) {
+        Ok(submission) => submission,
+        Err(problem) => return error(422, &problem.to_string()),
+    };
+    let team = match forward.operator {
+        true => submission.team.or_else(|| forward.team.clone()),
+        false => forward.team.clone(),
+    };
+    let Some(team) = team else {
+        return reply(422, &json!({"error": "operators name the team", "field": "team"}));
+    };
+    if store_down {
+        return unavailable("the store is down; the job was not taken");
+    }
+    let spec = JobSpec {
+        id: submission.id,
+        team,
+        class: submission.class,
+        tasks: submission.tasks,
+        need: submission.need,
+        command: command(submission.command),
+    };
+    let id = spec.id.clone();
+    let (answer, durable) = office.with_desk(|desk| {
+        let (ticket, durable) = desk.ticket();
+        let answer = desk.cell.submit(spec, ticket);
+        if !matches!(answer, SubmitReply::Created | SubmitReply::Existing) {
+            desk.tickets.remove(&ticket);
+        }
+        (answer, durable)
+    });
+    let status = match answer {
+        SubmitReply::Created => 201,
+        SubmitReply::Existing => 200,
+        SubmitReply::Conflict => return error(409, &format!("another job has the id {id}")),
+        SubmitReply::Full => return unavailable("the cell has no room for more jobs"),
+        SubmitReply::Invalid(problems) => return invalid(&problems),
+    };
+    match wait(durable).await {
+        true => show(office, None, &id, status),
+        false => unavailable("not committed in time; submit the same job again to find out"),
+    }
+}
+
+async fn cancel<S: Store>(
+    office: &Office<S>,
+    team: Option<&str>,
+    id: &str,
+    store_down: bool,
+) -> ForwardReply {
+    if store_down {
+        return unavailable("the store is down; the job was not cancelled");
+    }
+    let (answer, durable) = office.with_desk(|desk| {
+        let (ticket, durable) = desk.ticket();
+        let answer = desk.cell.cancel(team, id, ticket);
+        if answer != CancelReply::Accepted {
+            desk.tickets.remove(&ticket);
+        }
+        (answer, durable)
+    });
+    match answer {
+        CancelReply::NotFound => error(404, "no such job"),
+        CancelReply::Ended => error(409, &format!("job {id} has ended")),
+        CancelReply::Accepted if wait(durable).await => show(office, team, id, 200),
+        CancelReply::Accepted => unavailable("not committed in time; cancel again to find out"),
+    }
+}
+
+fn show<S: Store>(office: &Office<S>, team: Option<&str>, id: &str, status: u16) -> ForwardReply {
+    match office.with_desk(|desk| desk.cell.show(&office.id, team, id)) {
+        Some(view) => reply(status, &view),
+        None => error(404, "no such job"),
+    }
+}
+
+/// Waits for the commit; tells whether it came.
+async fn wait(durable: Receiver<()>) -> bool {
+    let committed = async { durable.recv().await.is_ok() };
+    let timed_out = async {
+        runtime::sleep(COMMIT_WAIT).await;
+        false
+    };
+    future::or(committed, timed_out).await
+}
+
+/// Text is passed to the worker as it is, anything else as JSON.
+fn command(value: Value) -> Bytes {
+    match value {
+        Value::Null => Bytes::new(),
+        Value::String(text) => text.into(),
+        value => value.to_string().into(),
+    }
+}
+
+fn invalid(problems: &[(&'static str, String)]) -> ForwardReply {
+    let texts = problems.iter().map(|(field, detail)| format!("{field} {detail}"));
+    let error = texts.collect::<Vec<_>>().join("; ");
+    let field = problems.first().map(|(field, _)| *field);
+    reply(422, &json!({"error": error, "field": field}))
+}
+
+fn unavailable(text: &str) -> ForwardReply {
+    reply(503, &json!({"error": text, "step": "commit"}))
+}
+
+fn error(status: u16, text: &str) -> ForwardReply {
+    reply(status, &json!({ "error": text }))
+}
+
+fn reply(status: u16, body: &impl Serialize) -> ForwardReply {
+    // Views and JSON values always encode.
+    ForwardReply { status, body: serde_json::to_vec(body).unwrap_or_default().into() }
+}
