Name no entries before the first list

A new entry named only itself as alive. Agents would have stopped to announce to the others, and the cell owner would have taken their cells over.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -120,18 +120,11 @@
         }
     }
 
-    /// Returns the entries that are alive, this one included.
+    /// Returns the entries that are alive, this one included; none before the first successful
+    /// list. Agents keep the entries that they know when they are told none, and no cell is taken
+    /// over from an owner that was only not listed yet.
     pub fn alive(&self) -> Vec<EntryView> {
-        let mut alive = self.members.lock().alive();
-        if !alive.iter().any(|view| view.entry == self.settings.id) {
-            alive.push(EntryView {
-                entry: self.settings.id.clone(),
-                incarnation: self.incarnation,
-                address: self.internal.to_string(),
-                data_centre: self.settings.data_centre.clone(),
-            });
-        }
-        alive
+        self.members.lock().alive()
     }
 
     /// Returns the time since the store last took a heartbeat.
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -74,3 +74,22 @@
         two.stop().await;
     });
 }
+
+/// Guards against a new entry that tells agents, before it has read the list of entries, that
+/// there is no other entry: they would stop to announce to the others.
+#[test]
+fn an_entry_without_the_list_names_no_entries() {
+    run(async {
+        let store = store().await;
+        store.set_faults(Faults { mode: Mode::Refuse, ..Faults::default() });
+        let entry = Entry::start("entry-1", store.address(), Vec::new()).await;
+        assert!(entry.announce_to().await.entries.is_empty());
+        store.set_faults(Faults::default());
+        until("the entry has read the list", || async {
+            let entries = entry.announce_to().await.entries;
+            entries.len() == 1 && entries[0].entry == "entry-1"
+        })
+        .await;
+        entry.stop().await;
+    });
+}
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -69,7 +69,8 @@
     }
 }
 
-fn announce(name: &str, incarnation: u64, address: SocketAddr) -> Announce {
+/// Builds the first announcement of an agent.
+pub fn announce(name: &str, incarnation: u64, address: SocketAddr) -> Announce {
     let load = |service: &str| ServiceLoad {
         service: service.into(),
         slots: 8,
@@ -80,7 +81,7 @@
     Announce {
         agent: name.into(),
         incarnation,
-        sequence: 0,
+        sequence: 1,
         rack: "rack-1".into(),
         data_centre: "dc-1".into(),
         cell: "cell-1".into(),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -10,12 +10,14 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response};
+use peridotfold_core::message::announce::AnnounceReply;
 use peridotfold_entry::settings::Settings;
 use peridotfold_standins::store;
 use peridotfold_store::HttpStore;
 use peridotfold_wire::body::Body;
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::http_client::HttpClient;
+use peridotfold_wire::peer::Peers;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::{self, Trigger};
 
@@ -156,6 +158,15 @@
         .await;
     }
 
+    /// Announces an agent and returns the reply.
+    pub async fn announce_to(&self) -> AnnounceReply {
+        let incarnation = fastrand::u64(1..);
+        let message = agent::announce("agent-x", incarnation, self.internal);
+        let peers = Peers::default();
+        let reply = peers.call(&self.internal.to_string(), "announce", &message, LIMIT).await;
+        reply.expect("the entry answers")
+    }
+
     /// Stops the entry gracefully.
     pub async fn stop(self) {
         self.stop.fire();
