Wait for the agent's answer when it closes its side first

An agent that refused a request without reading its body reset the stream, and the failed send of the body's end hid the refusal: about half of the runs of the retry test saw 502 (unknown) in place of 503 (not run). Only the answer decides the outcome now, and only a body cut by the caller resets the stream.

--- a/crates/entry/src/proxy/attempt.rs
+++ b/crates/entry/src/proxy/attempt.rs
@@ -170,16 +170,20 @@
     let head = call.head(id, target.incarnation);
     let (sender, pending) = peers.open(&target.address, "request", &head).await?;
     let mut body = upload.lock_arc().await;
-    let task = match body.is_empty() {
+    let is_empty = body.is_empty();
+    let upload = async move {
+        // An agent that refuses a request may close its side before it has read the body: only
+        // its answer tells the outcome.
+        if let Err(error) = body.send(sender).await {
+            tracing::debug!(event = "upload_ended", %error);
+        }
+    };
+    let task = match is_empty {
         true => {
-            body.send(sender).await?;
+            upload.await;
             None
         }
-        false => Some(runtime::spawn(async move {
-            if let Err(error) = body.send(sender).await {
-                tracing::debug!(event = "upload_ended", %error);
-            }
-        })),
+        false => Some(runtime::spawn(upload)),
     };
     let mut receiver = pending.receiver().await?;
     match receiver.next().await? {
--- a/crates/entry/src/proxy/upload.rs
+++ b/crates/entry/src/proxy/upload.rs
@@ -15,6 +15,9 @@
 /// Most bytes in one frame. Small enough that other streams of the connection get their turn.
 const PART_BYTES: usize = 64 * 1024;
 
+/// Name of the caller in errors.
+const CALLER: &str = "caller";
+
 /// A request body. What was read is kept for a retry, up to a limit.
 #[derive(Debug)]
 pub struct Upload {
@@ -49,12 +52,13 @@
     ///
     /// # Errors
     ///
-    /// Fails when the caller's body is cut or the stream to the agent is closed. The stream is
-    /// then reset, which the agent sees as a cut.
+    /// Fails when the stream to the agent is closed, or when the caller's body is cut; the stream
+    /// is then reset, which the agent sees as a cut.
     pub async fn send(&mut self, mut sender: FrameSender) -> Result<(), WireError> {
         let result = self.send_frames(&mut sender).await;
-        if result.is_err() {
-            // The stream would stay open as long as its answer is waited for.
+        if matches!(&result, Err(error) if error.peer == CALLER) {
+            // The stream would stay open as long as its answer is waited for. If it is the agent
+            // that has closed its side, its answer may still arrive and must not be discarded.
             sender.abort();
         }
         result
@@ -67,7 +71,7 @@
         while !self.ended {
             match self.incoming.frame().await {
                 None => self.ended = true,
-                Some(Err(error)) => return Err(WireError::new(Step::Receive, "caller", error)),
+                Some(Err(error)) => return Err(WireError::new(Step::Receive, CALLER, error)),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(part) => {
                         self.keep(&part);
