Keep keys that ran from being reported as not run, and leave only when entries know

A duplicate of a key that ran could be refused for lack of configuration, after which a caller may send it again under another key. An idle agent exited before its home entries had confirmed that it leaves, so requests on their way met a closed connection.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -1,6 +1,6 @@
 //! Announcements to the home entries.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +33,8 @@
     open: Mutex<HashMap<String, u32>>,
     /// Rounds since the last answer.
     unanswered: Mutex<u32>,
+    /// Addresses that have confirmed that the agent leaves.
+    left: Mutex<HashSet<String>>,
 }
 
 impl Announcer {
@@ -44,6 +46,7 @@
             sequence: AtomicU64::new(0),
             open: Mutex::default(),
             unanswered: Mutex::default(),
+            left: Mutex::default(),
         }
     }
 
@@ -61,6 +64,12 @@
         }
     }
 
+    /// Tells whether all home entries have confirmed that the agent leaves.
+    pub fn has_left(&self) -> bool {
+        let left = self.left.lock();
+        self.shared.view.homes().iter().all(|address| left.contains(address))
+    }
+
     /// Starts one announcement to each home entry. Skips entries that have not answered the last
     /// one, unless `urgent`.
     fn round(self: Arc<Self>, urgent: bool) {
@@ -100,6 +109,9 @@
         match reply {
             Ok(reply) => {
                 *self.unanswered.lock() = 0;
+                if message.state == AgentState::Leaving {
+                    self.left.lock().insert(address);
+                }
                 self.shared.learn(reply);
             }
             Err(error) => {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -36,6 +36,11 @@
 const BATCH_DRAIN_LIMIT: Duration = Duration::from_secs(20);
 /// Time allowed to close connections after all requests have ended.
 const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+/// Time allowed for the home entries to confirm that the agent leaves.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+/// Time after the confirmations in which requests that were already on their way are refused
+/// properly. A request that meets a closed connection instead might have an unknown outcome.
+const LEAVE_LINGER: Duration = Duration::from_millis(250);
 /// Time between two looks at whether the requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -57,6 +62,7 @@
 pub struct Agent {
     shared: Arc<Shared>,
     batch: Batch,
+    announcer: Arc<Announcer>,
     http: SocketAddr,
     leaving: Trigger,
     close_feeds: Trigger,
@@ -96,10 +102,10 @@
         let tasks = vec![
             runtime::spawn(messages.serve(handler, stopped.clone())),
             runtime::spawn(pages.serve(status, stopped.clone())),
-            runtime::spawn(announcer.run(stopped.clone())),
+            runtime::spawn(announcer.clone().run(stopped.clone())),
             runtime::spawn(run_batch(batch.clone(), shared.clone(), stopped)),
         ];
-        Ok(Agent { shared, batch, http, leaving, close_feeds, stop, tasks })
+        Ok(Agent { shared, batch, announcer, http, leaving, close_feeds, stop, tasks })
     }
 
     /// Address for health and metrics.
@@ -128,7 +134,8 @@
             self.close_feeds.fire();
             future::pending().await
         };
-        future::or(self.idle(), feeds).await;
+        let requests = future::or(self.idle(), feeds);
+        future::zip(requests, self.left()).await;
         tracing::info!(event = "requests_drained", agent = self.shared.settings.id);
         self.batch.drain(BATCH_DRAIN_LIMIT).await;
         self.stop.fire();
@@ -141,6 +148,15 @@
         tracing::info!(event = "drain_ended", agent = self.shared.settings.id);
     }
 
+    /// Waits until no entry sends requests any more.
+    async fn left(&self) {
+        let limit = runtime::now() + LEAVE_LIMIT;
+        while !self.announcer.has_left() && runtime::now() < limit {
+            runtime::sleep(DRAIN_POLL).await;
+        }
+        runtime::sleep(LEAVE_LINGER).await;
+    }
+
     async fn idle(&self) {
         while !self.shared.gate.is_idle() {
             runtime::sleep(DRAIN_POLL).await;
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -76,7 +76,7 @@
 
 impl Exchange {
     async fn run(mut self) -> Result<(), WireError> {
-        if let Some(reason) = self.shared.objection(&self.head).await {
+        if let Some(reason) = self.shared.mismatch(&self.head) {
             let rejection = self.shared.gate.refuse(&self.head.id, reason);
             return conclude(self.sink, rejected(rejection)).await;
         }
@@ -86,6 +86,8 @@
         };
         match self.shared.keys.enter(&key) {
             Entered::Run(run) => self.run_key(run).await,
+            // From here on the key has run or may still: it must not be reported as not run for
+            // reasons that concern this copy only.
             Entered::Join(outcome) => self.join(outcome).await,
             Entered::Replay(answer) => self.replay(Outcome::Answered(answer)).await,
             Entered::Unknown => self.replay(Outcome::Unknown).await,
@@ -108,7 +110,7 @@
     async fn join(mut self, outcome: Receiver<Outcome>) -> Result<(), WireError> {
         let permit = match self.shared.gate.join(&self.head.id) {
             Ok(permit) => permit,
-            Err(rejection) => return conclude(self.sink, rejected(rejection)).await,
+            Err(_) => return respond(self.sink, Outcome::Unknown).await,
         };
         let left = self.deadline.saturating_sub(runtime::now());
         let late = async {
@@ -118,27 +120,32 @@
         let joined = async { outcome.recv().await.unwrap_or(Outcome::Unknown) };
         let outcome = future::or(joined, late).await;
         let ending = if outcome == Outcome::NotRun { Ending::NotRun } else { Ending::Answered };
+        let result = respond(self.sink, outcome).await;
         permit.end(ending);
-        respond(self.sink, outcome).await
+        result
     }
 
     async fn replay(self, outcome: Outcome) -> Result<(), WireError> {
-        match self.shared.gate.join(&self.head.id) {
-            Ok(permit) => permit.end(Ending::Answered),
-            Err(rejection) => return conclude(self.sink, rejected(rejection)).await,
-        }
+        let Ok(permit) = self.shared.gate.join(&self.head.id) else {
+            return respond(self.sink, Outcome::Unknown).await;
+        };
         metrics::counter!("peridotfold_replays_total").increment(1);
-        respond(self.sink, outcome).await
+        let result = respond(self.sink, outcome).await;
+        permit.end(Ending::Answered);
+        result
     }
 
     /// Admits and runs the request. With `keep`, the answer is kept and read to its end also when
     /// the entry has gone.
     async fn execute(&mut self, keep: bool) -> (Finish, Option<(Permit, Ending)>, Outcome) {
-        let body = match self.body().await {
+        let body = match self.shared.objection(&self.head).await {
+            Some(reason) => Err(reason),
+            None => self.body().await.map_err(|_| RefuseReason::DeadlinePassed),
+        };
+        let body = match body {
             Ok(body) => body,
-            Err(_) => {
-                let rejection =
-                    self.shared.gate.refuse(&self.head.id, RefuseReason::DeadlinePassed);
+            Err(reason) => {
+                let rejection = self.shared.gate.refuse(&self.head.id, reason);
                 return (Finish::Head(rejected(rejection)), None, Outcome::NotRun);
             }
         };
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -65,14 +65,20 @@
         self.view.learn(reply);
     }
 
-    /// Returns why a request must not be run here, if anything speaks against it.
-    pub async fn objection(&self, head: &RequestHead) -> Option<RefuseReason> {
-        if head.agent_incarnation != self.incarnation {
-            return Some(RefuseReason::WrongIncarnation);
-        }
-        if head.service != self.settings.service {
-            return Some(RefuseReason::UnknownService);
+    /// Returns why a request is not meant for this process, if it is not.
+    pub fn mismatch(&self, head: &RequestHead) -> Option<RefuseReason> {
+        match () {
+            () if head.agent_incarnation != self.incarnation => {
+                Some(RefuseReason::WrongIncarnation)
+            }
+            () if head.service != self.settings.service => Some(RefuseReason::UnknownService),
+            () => None,
         }
+    }
+
+    /// Returns why the configuration does not allow a request to run, if it does not. Fetches the
+    /// configuration first when the agent is behind the entry.
+    pub async fn objection(&self, head: &RequestHead) -> Option<RefuseReason> {
         self.view.require(head.config_version, &head.id.entry, &self.peers).await.err()
     }
 }
--- a/crates/agent/tests/requests/drain.rs
+++ b/crates/agent/tests/requests/drain.rs
@@ -57,3 +57,15 @@
         assert!(gate.is_idle());
     });
 }
+
+/// An agent that leaves without telling the entries would be sent requests for 3 s more.
+#[test]
+fn idle_agent_stays_until_the_entries_know_that_it_leaves() {
+    run(async {
+        let setup = Setup::start(Plan::default()).await;
+        let Setup { agent, entry, .. } = setup;
+        agent.drain().await;
+        let last = entry.announces.lock().last().unwrap().clone();
+        assert_eq!(last.state, AgentState::Leaving);
+    });
+}
--- a/crates/agent/tests/requests/keys.rs
+++ b/crates/agent/tests/requests/keys.rs
@@ -72,3 +72,25 @@
         assert_eq!(setup.upstream.executions().len(), 1);
     });
 }
+
+/// A caller that is told "not run" may bid again under another key, so a key that ran must not be
+/// reported as not run, whatever else speaks against the duplicate.
+#[test]
+fn key_that_ran_is_never_reported_as_not_run() {
+    run(async {
+        let setup = Setup::start(Plan::default()).await;
+        let first = setup.send(&setup.bid("k1"), "100").await.whole();
+        let mut ahead = setup.bid("k1");
+        ahead.config_version = 9;
+        assert_eq!(setup.send(&ahead, "100").await.whole(), first);
+        let cancelled = setup.bid("k1");
+        setup.cancel(&cancelled.id).await;
+        let got = setup.send(&cancelled, "100").await;
+        assert!(matches!(got, Got::Unknown(_)), "{got:?}");
+        setup.agent.shared().gate.leave();
+        assert_eq!(setup.send(&setup.bid("k1"), "100").await.whole(), first);
+        let got = setup.send(&setup.bid("k2"), "100").await;
+        assert_eq!(got.reason(), RefuseReason::Leaving);
+        assert_eq!(setup.upstream.executions().len(), 1);
+    });
+}
