--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -18,6 +18,7 @@
 use peridotfold_core::message::report::Orders;
 use peridotfold_core::tasks::{Action, Effect, Identity, Tasks};
 use peridotfold_core::time::Time;
+use peridotfold_wire::error::WireError;
 use peridotfold_wire::peer::Peers;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
@@ -156,13 +157,8 @@
         latency: impl Fn() -> Duration,
     ) {
         loop {
-            let asked_at = runtime::now();
-            match self.worker.list().await {
-                Ok(list) => {
-                    let mut state = self.state.lock();
-                    state.tasks.listed(asked_at, runtime::now(), &list);
-                    log::worker_reachable(&mut state.worker_ok);
-                }
+            match self.list().await {
+                Ok(()) => log::worker_reachable(&mut self.state.lock().worker_ok),
                 Err(error) => log::worker_failed(&mut self.state.lock().worker_ok, &error),
             }
             let actions = self.decide(document(), latency());
@@ -177,6 +173,18 @@
         }
     }
 
+    async fn list(&self) -> Result<(), WireError> {
+        let unclaimed = self.state.lock().tasks.needs_claim();
+        if unclaimed {
+            let claim = self.worker.claim().await?;
+            self.state.lock().tasks.claimed(claim);
+        }
+        let asked_at = runtime::now();
+        let list = self.worker.list().await?;
+        self.state.lock().tasks.listed(asked_at, runtime::now(), &list);
+        Ok(())
+    }
+
     async fn pause(&self, duration: Duration) {
         let woken = async {
             let _ = self.woken.recv().await;
--- a/crates/agent/src/batch/worker_client.rs
+++ b/crates/agent/src/batch/worker_client.rs
@@ -7,7 +7,7 @@
 use http::{Method, Response, StatusCode};
 use peridotfold_core::message::report::AttemptId;
 use peridotfold_core::tasks::worker::{
-    task_path_id, Checkpoint, CheckpointTask, RenewTasks, StopTask, ThrottleTask, WorkerList,
+    task_path_id, Checkpoint, CheckpointTask, Claim, RenewTasks, StopTask, ThrottleTask, WorkerList,
 };
 use peridotfold_core::tasks::{Action, Effect};
 use peridotfold_wire::error::{Step, WireError};
@@ -42,7 +42,20 @@
     ///
     /// Fails when the worker does not answer in time or not as agreed.
     pub async fn list(&self) -> Result<WorkerList, WireError> {
-        let response = self.send(Method::GET, "/v1/tasks", Bytes::new()).await?;
+        self.read(Method::GET, "/v1/tasks").await
+    }
+
+    /// Claims the right to start tasks; earlier claims end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the worker does not answer in time or not as agreed.
+    pub async fn claim(&self) -> Result<Claim, WireError> {
+        self.read(Method::POST, "/v1/claim").await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, method: Method, path: &str) -> Result<T, WireError> {
+        let response = self.send(method, path, Bytes::new()).await?;
         match response.status() {
             StatusCode::OK => self.decode(response.body()),
             status => Err(self.error(Step::Receive, format!("status {status}"))),
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -1,6 +1,6 @@
 //! Attempts on one VM.
 //!
-//! The caller performs the actions that [`Tasks::actions`] returns, asks [`Tasks::begin`] just
+//! The caller claims the worker when [`Tasks::needs_claim`] says so. It performs the actions that [`Tasks::actions`] returns, asks [`Tasks::begin`] just
 //! before each effect, and hands back what came of it with [`Tasks::performed`]. It lists the
 //! worker's tasks with [`Tasks::listed`], and sends [`Tasks::report`] to the cell's owner, whose
 //! reply goes to [`Tasks::obey`].
@@ -17,7 +17,7 @@
     AttemptId, Outcome, Report, RunningTask, StartOrder, TaskResult, Token,
 };
 use crate::resources::Resources;
-use crate::tasks::worker::{StartTask, TaskLease};
+use crate::tasks::worker::{Claim, StartTask, TaskLease};
 use crate::time::Time;
 
 mod effects;
@@ -119,6 +119,8 @@
     renewed_until: Time,
     /// Set once the worker has confirmed that the task exists.
     confirmed: Option<Time>,
+    /// An earlier start may still reach the worker.
+    in_doubt: bool,
     checkpoint: Option<Bytes>,
     measured: Resources,
     worker_speed: u8,
@@ -170,6 +172,7 @@
     epoch: Epoch,
     sequence: u64,
     outstanding: Option<Outstanding>,
+    claim: Option<Claim>,
     clock: Option<WorkerClock>,
     attempts: BTreeMap<AttemptId, Attempt>,
     /// Newer attempts that wait until an older one is gone.
@@ -196,6 +199,7 @@
             epoch: 0,
             sequence: 0,
             outstanding: None,
+            claim: None,
             clock: None,
             attempts: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -220,6 +224,16 @@
         &self.ledger
     }
 
+    /// Tells whether the worker has to be claimed before its tasks are listed.
+    pub fn needs_claim(&self) -> bool {
+        self.claim.is_none()
+    }
+
+    /// Records a claim of the worker.
+    pub fn claimed(&mut self, claim: Claim) {
+        self.claim = Some(claim);
+    }
+
     /// Tells whether the worker's tasks are known, so that reports and starts are allowed.
     pub fn is_adopted(&self) -> bool {
         self.clock.is_some()
--- a/crates/core/src/tasks/effects.rs
+++ b/crates/core/src/tasks/effects.rs
@@ -4,7 +4,7 @@
 
 use crate::ledger::Relief;
 use crate::message::report::{AttemptId, Outcome};
-use crate::tasks::worker::{StartTask, TaskLease};
+use crate::tasks::worker::{Claim, StartTask, TaskLease};
 use crate::time::Time;
 
 use super::{Action, Attempt, Cause, Effect, Phase, Tasks, WorkerClock, STOP_REPEAT};
@@ -25,7 +25,9 @@
         }
         for (id, attempt) in &self.attempts {
             actions.extend(self.throttle_action(id, attempt));
-            actions.extend(self.start_action(now, &clock, id, attempt));
+            actions.extend(
+                self.claim.and_then(|claim| self.start_action(now, &clock, claim, id, attempt)),
+            );
         }
         actions.extend(self.removable.iter().cloned().map(Action::Remove));
         actions
@@ -70,6 +72,11 @@
             (Action::Start(start), Effect::Refused(reason)) => {
                 self.start_refused(now, &start.attempt, reason);
             }
+            (Action::Start(start), Effect::Unknown) => {
+                if let Some(attempt) = self.attempts.get_mut(&start.attempt) {
+                    attempt.in_doubt = true;
+                }
+            }
             (Action::Renew { leases, until, .. }, Effect::Done) => self.renewed(leases, until),
             (Action::Stop(id), Effect::Done) => self.stop_accepted(now, id),
             // Without a checkpoint the task is stopped plainly, which also bars a late start.
@@ -109,6 +116,11 @@
         if attempt.confirmed.is_some() {
             return;
         }
+        // An earlier try may still arrive: its lease can end later on the worker's clock, because
+        // each list gives another lower bound of that clock. Only a stop bars it.
+        if attempt.in_doubt {
+            return self.stop_attempt(id, Cause::Ordered, false, &reason);
+        }
         let checkpoint = attempt.checkpoint.clone();
         let outcome = match attempt.phase {
             Phase::Stopping { .. } => Outcome::Stopped { checkpoint },
@@ -212,13 +224,14 @@
         &self,
         now: Time,
         clock: &WorkerClock,
+        claim: Claim,
         id: &AttemptId,
         attempt: &Attempt,
     ) -> Option<Action> {
         let starting = matches!(attempt.phase, Phase::Starting { .. });
         let order = attempt.order.as_ref().filter(|_| starting && now < attempt.lease_until)?;
         Some(Action::Start(StartTask {
-            instance: clock.instance,
+            claim,
             valid_until_ms: clock.translate(attempt.lease_until),
             attempt: id.clone(),
             team: order.team.clone(),
--- a/crates/core/src/tasks/listing.rs
+++ b/crates/core/src/tasks/listing.rs
@@ -13,8 +13,17 @@
 use super::{Attempt, Cause, Phase, Tasks, WorkerClock, MEMORY};
 
 impl Tasks {
-    /// Takes a list of the worker that was asked for at `asked_at` and arrived at `now`.
+    /// Takes a list of the worker that was asked for at `asked_at` and arrived at `now`. Ignores it
+    /// before a claim: a predecessor's start could still arrive after it.
     pub fn listed(&mut self, asked_at: Time, now: Time, list: &WorkerList) {
+        let Some(claim) = self.claim else {
+            return self.event("list_ignored", None, "the worker is not claimed".into());
+        };
+        if (claim.instance, claim.controller) != (list.instance, list.controller) {
+            self.event("claim_lost", None, format!("controller={}", list.controller));
+            self.claim = None;
+            return;
+        }
         let restarted = self.clock.is_some_and(|clock| clock.instance != list.instance);
         if restarted {
             self.event("worker_restarted", None, format!("instance={}", list.instance));
@@ -97,6 +106,7 @@
             lease_until,
             renewed_until: lease_until,
             confirmed: Some(now),
+            in_doubt: false,
             checkpoint: task.checkpoint.clone().map(Bytes::from),
             measured: Resources::default(),
             worker_speed: task.speed_percent,
--- a/crates/core/src/tasks/orders.rs
+++ b/crates/core/src/tasks/orders.rs
@@ -155,6 +155,7 @@
             lease_until,
             renewed_until: lease_until,
             confirmed: None,
+            in_doubt: false,
             checkpoint: order.checkpoint.clone(),
             measured: Resources::default(),
             worker_speed: 100,
--- a/crates/core/src/tasks/worker.rs
+++ b/crates/core/src/tasks/worker.rs
@@ -1,7 +1,9 @@
 //! Messages of the platform's worker API (HTTP with JSON).
 //!
 //! Leases are stated as times on the worker's own clock, which each list carries. A request that
-//! is delayed on its way, or by a pause of either side, can therefore never extend a lease.
+//! is delayed on its way, or by a pause of either side, can therefore never extend a lease. Only
+//! the last agent that claimed the worker can start tasks, so that a start that an agent sent just
+//! before it was killed cannot arrive after its successor has listed the tasks.
 
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +18,8 @@
     pub instance: u64,
     /// Worker's monotonic clock when the list was made.
     pub now_ms: u64,
+    /// Number of the last claim.
+    pub controller: u64,
     pub capacity: Resources,
     pub tasks: Vec<WorkerTask>,
 }
@@ -55,10 +59,17 @@
     },
 }
 
+/// Reply to `POST /v1/claim`. Each claim gets a higher number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub instance: u64,
+    pub controller: u64,
+}
+
 /// Body of `POST /v1/tasks`. Repeating it for a task that exists has no effect.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StartTask {
-    pub instance: u64,
+    pub claim: Claim,
     pub valid_until_ms: u64,
     pub attempt: AttemptId,
     pub team: TeamId,
--- /dev/null
+++ b/crates/core/tests/tasks/cases.rs
@@ -0,0 +1,1 @@
+//! Single cases.
--- /dev/null
+++ b/crates/core/tests/tasks/main.rs
@@ -0,0 +1,6 @@
+//! Attempts on VMs under seeded random schedules on virtual time.
+
+mod cases;
+mod model_owner;
+mod model_worker;
+mod schedules;
