--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -51,9 +51,9 @@
     fn note_worker(&mut self, now: Time, slot: usize, report: &Report) {
         let confirms = report.epoch == self.state.epoch;
         let wait = lease_wait(self.settings.lease);
+        self.workers.set_rack(slot, &report.rack);
         let Some(worker) = self.workers.get_mut(slot) else { return };
         worker.epoch = report.epoch;
-        worker.rack.clone_from(&report.rack);
         worker.set_state(report.state);
         worker.capacity = report.batch_capacity;
         worker.free = report.free;
@@ -156,8 +156,8 @@
             worker.ending.insert(id.clone(), proposed);
             worker.update_available();
             let wake = Effect::Wake(worker.agent.clone());
-            let rack = worker.rack.clone();
-            self.leave_rack(&id.job, &rack);
+            let rack = worker.rack_number;
+            self.leave_rack(&id.job, rack);
             self.after_commit(wake);
         }
         self.reindex_available(slot);
@@ -165,8 +165,8 @@
         self.stop_attempts(&id.job, was);
     }
 
-    fn leave_rack(&mut self, job: &JobId, rack: &str) {
-        if let Some(count) = self.racks.get_mut(job).and_then(|racks| racks.get_mut(rack)) {
+    fn leave_rack(&mut self, job: &JobId, rack: usize) {
+        if let Some(count) = self.racks.get_mut(job).and_then(|racks| racks.get_mut(&rack)) {
             *count = count.saturating_sub(1);
         }
     }
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -101,7 +101,7 @@
     pub(super) ending: BTreeMap<JobId, u64>,
     pub(super) team_used: BTreeMap<TeamId, Resources>,
     /// Running tasks of each urgent job by rack.
-    pub(super) racks: BTreeMap<JobId, BTreeMap<String, u32>>,
+    pub(super) racks: BTreeMap<JobId, BTreeMap<usize, u32>>,
     /// Last failure of each job that has not ended.
     pub(super) failed_at: BTreeMap<JobId, Time>,
     /// Whether a need fits some known worker when that is empty.
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -24,7 +24,7 @@
 const EXAMINED: usize = 48;
 const COMPARED: usize = 12;
 /// Random places in the index that are examined to find other racks.
-const PROBES: usize = 12;
+const PROBES: usize = 8;
 /// Pressure is compared in steps, so that its noise does not override the best fit.
 const PRESSURE_STEP: u32 = 20;
 
@@ -283,7 +283,7 @@
             return (usize::MAX, u32::MAX, u32::MAX, true, u64::MAX, slot);
         };
         let racks = self.racks.get(&job.spec.id);
-        let tasks = racks.and_then(|racks| racks.get(&worker.rack)).copied().unwrap_or(0);
+        let tasks = racks.and_then(|racks| racks.get(&worker.rack_number)).copied().unwrap_or(0);
         let left = worker.available.cpu_milli.saturating_sub(job.spec.need.cpu_milli);
         let pressure = worker.pressure / PRESSURE_STEP;
         (worker.failed_jobs.len(), tasks, pressure, worker.succeeded.is_empty(), left, slot)
@@ -314,7 +314,7 @@
             worker.update_available();
             if urgent {
                 let racks = self.racks.entry(id.clone()).or_default();
-                *racks.entry(worker.rack.clone()).or_default() += 1;
+                *racks.entry(worker.rack_number).or_default() += 1;
             }
         }
         self.reindex_available(slot);
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -60,6 +60,8 @@
     pub epoch: Epoch,
     pub leaving: bool,
     pub rack: String,
+    /// Number of the rack within the cell.
+    pub rack_number: usize,
     pub capacity: Resources,
     /// Largest capacity reported; a closing lowers the current one for a while.
     pub largest: Resources,
@@ -101,6 +103,7 @@
             epoch: 0,
             leaving: false,
             rack: String::new(),
+            rack_number: usize::MAX,
             capacity: Resources::default(),
             largest: Resources::default(),
             free: Resources::default(),
@@ -222,6 +225,7 @@
     slots: Vec<Option<Worker>>,
     vacant: Vec<usize>,
     ids: BTreeMap<AgentId, usize>,
+    racks: BTreeMap<String, usize>,
 }
 
 impl Workers {
@@ -264,6 +268,21 @@
         slot
     }
 
+    /// Notes the rack of a worker.
+    pub fn set_rack(&mut self, slot: usize, rack: &str) {
+        let number = match self.racks.get(rack) {
+            Some(number) => *number,
+            None => {
+                self.racks.insert(rack.to_owned(), self.racks.len());
+                self.racks.len() - 1
+            }
+        };
+        if let Some(worker) = self.get_mut(slot).filter(|worker| worker.rack != rack) {
+            worker.rack = rack.to_owned();
+            worker.rack_number = number;
+        }
+    }
+
     pub fn remove(&mut self, slot: usize) {
         if let Some(worker) = self.slots.get_mut(slot).and_then(Option::take) {
             self.ids.remove(&worker.agent);
--- a/crates/entry/tests/cells.rs
+++ b/crates/entry/tests/cells.rs
@@ -303,3 +303,66 @@
         assert_eq!(agent.starts["one"], 1);
     });
 }
+
+/// Calls for 10,000 jobs, a few hundred at the same time, until each was answered.
+async fn for_all(entry: &Arc<Entry>, method: &'static str) {
+    let mut left: Vec<usize> = (0..10_000).collect();
+    let deadline = runtime::now() + 2 * LIMIT;
+    while !left.is_empty() {
+        assert!(runtime::now() < deadline, "{} of {method} left", left.len());
+        let calls = left.iter().map(|number| {
+            let (entry, number) = (entry.clone(), *number);
+            runtime::spawn(async move {
+                let id = format!("job-{number}");
+                let reply = match method {
+                    "POST" => call(&entry, method, "", Some("red"), job(&id)).await,
+                    _ => call(&entry, method, &format!("/{id}"), Some("red"), Value::Null).await,
+                };
+                // The commit of a part of the burst takes longer than a call waits. An ended job
+                // may be forgotten by then.
+                (reply.status == 503).then_some(number)
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        left.clear();
+        for call in calls {
+            left.extend(call.await);
+        }
+    }
+}
+
+/// Guards against a state of 10,000 jobs that does not fit the store, and against a burst of
+/// cancellations that delays other work. Urgent work has to start within 4.5 s.
+#[test]
+fn ten_thousand_jobs_fit_and_their_cancellation_delays_nothing() {
+    run(async {
+        let (store, alive) = (store().await, Alive::default());
+        let first = Arc::new(entry("a", 1, &store, &alive));
+        until_owned(&first).await;
+        for_all(&first, "POST").await;
+        alive.lock().clear();
+        let second = Arc::new(entry("b", 2, &store, &alive));
+        until_owned(&second).await;
+        assert_eq!(state(&second, "job-9999").await, "queued");
+        let mut agent = Agent::default();
+        agent.report(&second).await;
+        let cancelling = {
+            let second = second.clone();
+            runtime::spawn(async move { for_all(&second, "DELETE").await })
+        };
+        let list = || call(&second, "GET", "", Some("red"), Value::Null);
+        while !list().await.body.windows(10).any(|text| text == b"cancelling") {
+            runtime::sleep(Duration::from_millis(1)).await;
+        }
+        let begin = runtime::now();
+        let mut urgent = job("urgent");
+        urgent["class"] = json!("urgent");
+        assert_eq!(call(&second, "POST", "", Some("red"), urgent).await.status, 201);
+        while !agent.starts.contains_key("urgent") {
+            assert!(agent.report(&second).await);
+        }
+        let waited = runtime::now() - begin;
+        assert!(waited < Duration::from_millis(4_500), "started after {waited:?}");
+        cancelling.await;
+    });
+}
