--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -51,9 +51,9 @@
     fn note_worker(&mut self, now: Time, slot: usize, report: &Report) {
         let confirms = report.epoch == self.state.epoch;
         let wait = lease_wait(self.settings.lease);
+        self.workers.set_rack(slot, &report.rack);
         let Some(worker) = self.workers.get_mut(slot) else { return };
         worker.epoch = report.epoch;
-        worker.rack.clone_from(&report.rack);
         worker.set_state(report.state);
         worker.capacity = report.batch_capacity;
         worker.free = report.free;
@@ -156,8 +156,8 @@
             worker.ending.insert(id.clone(), proposed);
             worker.update_available();
             let wake = Effect::Wake(worker.agent.clone());
-            let rack = worker.rack.clone();
-            self.leave_rack(&id.job, &rack);
+            let rack = worker.rack_number;
+            self.leave_rack(&id.job, rack);
             self.after_commit(wake);
         }
         self.reindex_available(slot);
@@ -165,8 +165,8 @@
         self.stop_attempts(&id.job, was);
     }
 
-    fn leave_rack(&mut self, job: &JobId, rack: &str) {
-        if let Some(count) = self.racks.get_mut(job).and_then(|racks| racks.get_mut(rack)) {
+    fn leave_rack(&mut self, job: &JobId, rack: usize) {
+        if let Some(count) = self.racks.get_mut(job).and_then(|racks| racks.get_mut(&rack)) {
             *count = count.saturating_sub(1);
         }
     }
@@ -227,9 +227,11 @@
     match live.stage {
         _ if !confirms => false,
         Stage::Running | Stage::Inherited => true,
-        // The order may still be on its way to the incarnation that it was sent to.
-        Stage::Ordered => {
-            live.start_sent.is_some_and(|(incarnation, _)| incarnation != report.incarnation)
-        }
+        // An agent obeys only the answer to its newest report. Without a wish to stop it, the
+        // attempt is ordered again.
+        Stage::Ordered => live.start_sent.is_some_and(|sent| {
+            let is_passed = sent.sequence < report.sequence && live.stop_after.is_some();
+            sent.incarnation != report.incarnation || is_passed
+        }),
     }
 }
