--- a/crates/core/src/colocation.rs
+++ b/crates/core/src/colocation.rs
@@ -1,9 +1,10 @@
 //! Protection of a VM's service from batch work.
 //!
 //! The controller learns the service's latency without interference, and for each pair of service
-//! and batch class how much throttling the class relieves the service. It acts on one class at a
-//! time and waits two measurement lags for the effect before it acts again. A restore that brings
-//! the interference back is undone, and the next one waits twice as long: under constant load the
+//! and batch class how much one task slows the service down. Each change of a speed is a trial: two
+//! measurement lags later its effect corrects the score of the class. A throttle is loosened only
+//! if the score predicts that the latency stays in bounds, and a restore that brings the
+//! interference back is undone and the next one waits twice as long: under constant load the
 //! number of reversals is therefore bounded.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,8 +18,8 @@
 /// Latency above the baseline at which batch work is throttled. Below the target of 1.2, so that
 /// the tail stays under it while an effect is awaited.
 const HIGH: f64 = 1.15;
-/// Latency below which a throttle is loosened.
-const LOW: f64 = 1.08;
+/// Predicted latency up to which a throttle is loosened.
+const RESTORE_BELOW: f64 = 1.12;
 /// Smallest difference that counts; keeps the noise of very short latencies out.
 const NOISE: Duration = Duration::from_micros(300);
 /// Consecutive high samples before the first action.
@@ -27,22 +28,34 @@
 const SPEEDS: [u8; 4] = [100, 50, 25, 10];
 /// First wait before a restore, in lags. A throttle waits two lags.
 const RESTORE_LAGS: u32 = 6;
+/// Time after a change of the running tasks until the latency shows all of it, in lags.
+const STEADY_LAGS: u32 = 4;
+/// Quiet time after which a throttle is loosened against the prediction, which may be out of date.
+const EXPLORE_WAIT: Duration = Duration::from_secs(10 * 60);
 const RESTORE_WAIT_MAX: Duration = Duration::from_secs(30 * 60);
-/// Weight of a new observation of a pair.
+/// Weight of a trial that changes the speed by half; others count in proportion.
 const SCORE_WEIGHT: f64 = 0.4;
-/// Score of a pair that was never observed.
+/// Score of a pair that was never observed: high, so that its first trial comes early.
 const SCORE_UNKNOWN: f64 = 0.5;
-/// Part of the excess that a throttle has to remove to count as the cause.
-const SCORE_CAUSE: f64 = 0.15;
+/// Largest score; bounds what one measurement can do.
+const SCORE_MAX: f64 = 20.0;
+/// Slow-down by a class below which throttling it further is no use.
+const NEGLIGIBLE: f64 = 0.02;
+/// Slow-down by a fully throttled class from which on it may be evicted.
+const HARMFUL: f64 = 0.05;
 /// Slow-down, as seconds of doubled latency, that has to be saved by an eviction. Stands for the
-/// work lost and the doubts that an eviction raises.
-const EVICTION_COST: f64 = 30.0;
+/// work lost and the doubts that an eviction raises. With 30 s, a slow-down of 25 % that throttling
+/// did not cure lasted for 3 min before each eviction.
+const EVICTION_COST: f64 = 10.0;
 /// Time for which a class is not admitted after an eviction; doubles with each further one.
 const HOLD: Duration = Duration::from_secs(120);
 const HOLD_MAX: Duration = Duration::from_secs(60 * 60);
+/// Weight of a sample without batch work in the baseline.
 const BASELINE_WEIGHT: f64 = 0.2;
-/// Weight by which the baseline follows load that batch work does not cause.
-const BASELINE_DRIFT: f64 = 0.05;
+/// Weight of a sample with batch work, after what the scores explain: in general, and while
+/// nothing on the VM explains the latency.
+const DRIFT: f64 = 0.01;
+const DRIFT_UNEXPLAINED: f64 = 0.05;
 
 /// Batch work of one class on the VM.
 #[derive(Debug, Clone, PartialEq)]
@@ -86,15 +99,18 @@
     restored_at: Option<Time>,
     held_until: Time,
     hold: Duration,
-    /// Throttling did not help lately; not a suspect until then.
-    cleared_until: Time,
 }
 
-/// A throttle whose effect is awaited.
+/// A change of speed whose effect is awaited.
 #[derive(Debug, Clone)]
 struct Trial {
     class: String,
+    tasks: u32,
+    /// The latency was steady before, so that the change alone explains the difference.
+    steady: bool,
     before: f64,
+    /// Change of the share of full speed.
+    change: f64,
     decide_at: Time,
 }
 
@@ -108,14 +124,20 @@
     baseline: Option<f64>,
     latency: f64,
     high_samples: u32,
-    quiet_since: Option<Time>,
+    /// End of the last high latency.
+    quiet_since: Time,
     last_sample: Option<Time>,
+    /// Tasks of each class, and when they changed last.
+    tasks: BTreeMap<String, u32>,
+    tasks_changed: Time,
     trial: Option<Trial>,
+    last_restored: Option<String>,
     /// Time at which the last action is visible.
     settled_at: Time,
     /// Slow-down suffered with everything throttled, in seconds of doubled latency.
     debt: f64,
     classes: BTreeMap<String, ClassState>,
+    /// Slow-down by one task at full speed.
     scores: BTreeMap<(ServiceId, String), f64>,
 }
 
@@ -130,9 +152,12 @@
             baseline: None,
             latency: 0.0,
             high_samples: 0,
-            quiet_since: None,
+            quiet_since: Duration::ZERO,
             last_sample: None,
+            tasks: BTreeMap::new(),
+            tasks_changed: Duration::ZERO,
             trial: None,
+            last_restored: None,
             settled_at: Duration::ZERO,
             debt: 0.0,
             classes: BTreeMap::new(),
@@ -151,9 +176,24 @@
         throttled.map(|(class, state)| (class.clone(), SPEEDS[state.step])).collect()
     }
 
-    /// Classes that are not admitted for now.
+    /// Classes that are not admitted for now: for a time after an eviction, and while one more task
+    /// of a throttled class would slow the service down too much.
     pub fn held(&self, now: Time) -> BTreeSet<String> {
-        let held = self.classes.iter().filter(|(_, state)| now < state.held_until);
+        let known: f64 = self
+            .tasks
+            .iter()
+            .filter_map(|(class, tasks)| {
+                Some(self.known_score(class)? * f64::from(*tasks) * self.speed(class))
+            })
+            .sum();
+        let crowded = |class: &str, state: &ClassState| {
+            let more = self.known_score(class).unwrap_or(0.0) * self.speed(class);
+            state.step > 0 && more >= NEGLIGIBLE / 2.0 && 1.0 + known + more > RESTORE_BELOW
+        };
+        let held = self
+            .classes
+            .iter()
+            .filter(|(class, state)| now < state.held_until || crowded(class, state));
         held.map(|(class, _)| class.clone()).collect()
     }
 
@@ -167,40 +207,52 @@
         }
     }
 
-    /// Learned interference of a class with the VM's service, from 0 (none) to 1.
+    /// Learned slow-down of the VM's service by one task of the class at full speed.
     pub fn score(&self, class: &str) -> f64 {
-        let key = (self.service.clone(), class.to_owned());
-        self.scores.get(&key).copied().unwrap_or(SCORE_UNKNOWN)
+        self.known_score(class).unwrap_or(SCORE_UNKNOWN)
+    }
+
+    fn known_score(&self, class: &str) -> Option<f64> {
+        self.scores.get(&(self.service.clone(), class.to_owned())).copied()
     }
 
     /// Takes the measurements of a second and returns what to do.
     pub fn observe(&mut self, now: Time, sample: &Sample) -> Option<Decision> {
         let elapsed = now.saturating_sub(self.last_sample.unwrap_or(now)).as_secs_f64();
         self.last_sample = Some(now);
+        self.note_tasks(now, sample);
         if sample.latency.is_zero() {
             // Without requests there is nothing to protect, and nothing to learn from.
             self.high_samples = 0;
+            self.trial = None;
             return self.restore(now, sample);
         }
         self.latency = sample.latency.as_secs_f64();
-        self.learn_baseline(sample);
-        let high = self.latency > self.high_bound();
-        self.high_samples = if high { self.high_samples + 1 } else { 0 };
-        if high || self.latency > self.low_bound() {
-            self.quiet_since = None;
-        } else {
-            self.quiet_since.get_or_insert(now);
-        }
+        self.learn_baseline(now, sample);
         self.judge_trial(now, sample);
-        match high {
-            true => self.act(now, elapsed.min(2.0), sample),
+        match self.latency > self.high_bound() {
+            true => {
+                self.high_samples += 1;
+                self.quiet_since = now;
+                self.act(now, elapsed.min(2.0), sample)
+            }
             false => {
+                self.high_samples = 0;
                 self.debt = 0.0;
                 self.restore(now, sample)
             }
         }
     }
 
+    fn note_tasks(&mut self, now: Time, sample: &Sample) {
+        let counted = sample.classes.iter().map(|(class, load)| (class.clone(), load.tasks));
+        let tasks: BTreeMap<String, u32> = counted.filter(|(_, tasks)| *tasks > 0).collect();
+        if tasks != self.tasks {
+            self.tasks = tasks;
+            self.tasks_changed = now;
+        }
+    }
+
     fn reference(&self) -> f64 {
         self.baseline.unwrap_or(self.target.as_secs_f64() / HIGH)
     }
@@ -210,41 +262,59 @@
         (reference * HIGH).max(reference + NOISE.as_secs_f64())
     }
 
-    fn low_bound(&self) -> f64 {
-        let reference = self.reference();
-        (reference * LOW).max(reference + NOISE.as_secs_f64() / 2.0)
+    fn speed(&self, class: &str) -> f64 {
+        let step = self.classes.get(class).map_or(0, |state| state.step);
+        f64::from(SPEEDS[step]) / 100.0
+    }
+
+    fn is_exhausted(&self, class: &str) -> bool {
+        self.classes.get(class).is_some_and(|state| state.step + 1 == SPEEDS.len())
+    }
+
+    /// Slow-down that the scores explain, relative to the baseline; `None` if a score is missing.
+    fn explained(&self, sample: &Sample) -> Option<f64> {
+        let parts =
+            sample.classes.iter().filter(|(_, load)| load.tasks > 0).map(|(class, load)| {
+                Some(self.known_score(class)? * f64::from(load.tasks) * self.speed(class))
+            });
+        parts.sum()
     }
 
-    /// Learns from times without batch work, and from latencies below the baseline.
-    fn learn_baseline(&mut self, sample: &Sample) {
-        let calm = sample.classes.values().all(|load| load.tasks == 0);
-        self.baseline = match self.baseline {
-            None if calm => Some(self.latency),
-            Some(known) if calm || self.latency < known => {
-                Some(known + (self.latency - known) * BASELINE_WEIGHT)
+    /// Learns from times without batch work, and slowly from what the scores leave unexplained.
+    fn learn_baseline(&mut self, now: Time, sample: &Sample) {
+        let Some(known) = self.baseline else {
+            if sample.classes.values().all(|load| load.tasks == 0) {
+                self.baseline = Some(self.latency);
             }
-            known => known,
+            return;
+        };
+        let weight = match self.explained(sample) {
+            Some(0.0) => BASELINE_WEIGHT,
+            // Lower than without any interference: the load has fallen.
+            _ if self.latency < known * 0.95 => BASELINE_WEIGHT,
+            Some(_) if now >= self.settled_at => DRIFT,
+            _ => return,
         };
+        let own = self.latency / (1.0 + self.explained(sample).unwrap_or(0.0));
+        self.baseline = Some(known + (own - known) * weight);
     }
 
-    /// Learns from a throttle once its effect is visible.
+    /// Learns from a change of speed once its effect is visible.
     fn judge_trial(&mut self, now: Time, sample: &Sample) {
         let due = self.trial.take_if(|trial| now >= trial.decide_at);
         let Some(trial) = due else { return };
-        if !sample.classes.contains_key(&trial.class) {
+        let same = sample.classes.get(&trial.class).is_some_and(|load| load.tasks == trial.tasks);
+        if !same || !trial.steady || trial.tasks == 0 {
             return;
         }
-        let excess = (trial.before - self.reference()).max(f64::EPSILON);
-        let relief = ((trial.before - self.latency) / excess).clamp(0.0, 1.0);
-        let key = (self.service.clone(), trial.class.clone());
-        let score = self.scores.entry(key).or_insert(SCORE_UNKNOWN);
-        *score += (relief - *score) * SCORE_WEIGHT;
-        let state = self.classes.entry(trial.class).or_default();
-        let exhausted = state.step + 1 == SPEEDS.len();
-        if relief < SCORE_CAUSE && exhausted && *score < SCORE_CAUSE {
-            // Full throttle does not help: the load is the service's own.
-            state.cleared_until = now + self.lag * 60;
-        }
+        let effect = (self.latency - trial.before) / self.reference();
+        let observed = (effect / trial.change / f64::from(trial.tasks)).clamp(0.0, SCORE_MAX);
+        let key = (self.service.clone(), trial.class);
+        let weight = SCORE_WEIGHT * (trial.change.abs() / 0.5).min(1.0);
+        self.scores
+            .entry(key)
+            .and_modify(|score| *score += (observed - *score) * weight)
+            .or_insert(observed);
     }
 
     fn act(&mut self, now: Time, elapsed: f64, sample: &Sample) -> Option<Decision> {
@@ -252,128 +322,139 @@
             return None;
         }
         if let Some(class) = self.suspect(now, sample) {
-            return Some(self.throttle(now, class));
+            return Some(self.throttle(now, class, sample));
         }
-        let culprit = self.culprit(now, sample);
-        match culprit {
+        let excess = self.latency / self.reference() - 1.0;
+        match self.culprit(sample) {
+            Some((class, harm)) => {
+                self.debt += elapsed * harm.min(excess);
+                (self.debt >= EVICTION_COST).then(|| self.evict(now, class))
+            }
             None => {
-                // Nothing on the VM explains the latency, so the baseline follows it.
+                let own = self.latency / (1.0 + self.explained(sample).unwrap_or(0.0));
                 let known = self.reference();
-                self.baseline = Some(known + (self.latency - known) * BASELINE_DRIFT);
+                self.baseline = Some(known + (own - known) * DRIFT_UNEXPLAINED);
                 self.debt = 0.0;
-                self.restore_cleared(now, sample)
-            }
-            Some(class) => {
-                self.debt += (self.latency / self.reference() - 1.0) * elapsed * self.score(&class);
-                match self.debt >= EVICTION_COST {
-                    true => Some(self.evict(now, class)),
-                    false => None,
-                }
+                None
             }
         }
     }
 
-    /// Class to throttle next: the one believed to interfere most. Urgent work comes last.
+    /// Class to throttle next: the one that was just restored, or the one believed to interfere
+    /// most. Urgent work comes last.
     fn suspect(&self, now: Time, sample: &Sample) -> Option<String> {
-        let candidates = sample.classes.iter().filter(|(class, load)| {
-            let state = self.classes.get(*class);
-            let cleared = state.is_some_and(|state| now < state.cleared_until);
-            let exhausted = state.is_some_and(|state| state.step + 1 == SPEEDS.len());
-            load.tasks > 0 && !cleared && !exhausted
-        });
-        let weight = |class: &str, load: &ClassLoad| {
-            let speed = f64::from(SPEEDS[self.classes.get(class).map_or(0, |state| state.step)]);
-            self.score(class) * (load.cpu_milli.max(1) as f64) * speed
+        if let Some(class) = self.restored_just_now(now, sample) {
+            return Some(class);
+        }
+        let harm = |class: &str, load: &ClassLoad| {
+            self.score(class) * f64::from(load.tasks) * self.speed(class)
         };
-        candidates
+        sample
+            .classes
+            .iter()
+            .filter(|(class, load)| !self.is_exhausted(class) && harm(class, load) >= NEGLIGIBLE)
             .max_by(|(a, x), (b, y)| {
-                y.urgent.cmp(&x.urgent).then(weight(a, x).total_cmp(&weight(b, y)))
+                y.urgent.cmp(&x.urgent).then(harm(a, x).total_cmp(&harm(b, y)))
             })
             .map(|(class, _)| class.clone())
     }
 
-    /// Fully throttled class that is known to interfere.
-    fn culprit(&self, now: Time, sample: &Sample) -> Option<String> {
+    /// Undoing the last restore, and not throttling another class, keeps two classes from taking
+    /// turns.
+    fn restored_just_now(&self, now: Time, sample: &Sample) -> Option<String> {
+        let class = self.last_restored.as_ref()?;
+        let state = self.classes.get(class)?;
+        let recent = state.restored_at.is_some_and(|at| now < at + state.restore_wait);
+        let present = sample.classes.get(class).is_some_and(|load| load.tasks > 0);
+        (recent && present).then(|| class.clone())
+    }
+
+    /// Fully throttled class that slows the service most, with its slow-down.
+    fn culprit(&self, sample: &Sample) -> Option<(String, f64)> {
         sample
             .classes
             .iter()
-            .filter(|(class, load)| {
-                let state = self.classes.get(*class);
-                let cleared = state.is_some_and(|state| now < state.cleared_until);
-                load.tasks > 0 && !load.urgent && !cleared && self.score(class) >= SCORE_CAUSE
+            .filter(|(class, load)| load.tasks > 0 && !load.urgent && self.is_exhausted(class))
+            .map(|(class, load)| {
+                let harm = self.score(class) * f64::from(load.tasks) * self.speed(class);
+                (class.clone(), harm)
             })
-            .max_by(|(a, _), (b, _)| self.score(a).total_cmp(&self.score(b)))
-            .map(|(class, _)| class.clone())
+            .filter(|(_, harm)| *harm >= HARMFUL)
+            .max_by(|(_, one), (_, other)| one.total_cmp(other))
     }
 
-    fn throttle(&mut self, now: Time, class: String) -> Decision {
+    /// Changes the step of a class and begins a trial.
+    fn change_step(&mut self, now: Time, class: &str, step: usize, sample: &Sample) -> u8 {
+        let before = self.speed(class);
         self.settled_at = now + self.lag * 2;
-        self.trial =
-            Some(Trial { class: class.clone(), before: self.latency, decide_at: self.settled_at });
+        self.classes.entry(class.to_owned()).or_default().step = step;
+        self.trial = Some(Trial {
+            class: class.to_owned(),
+            tasks: sample.classes.get(class).map_or(0, |load| load.tasks),
+            steady: now >= self.tasks_changed + self.lag * STEADY_LAGS,
+            before: self.latency,
+            change: self.speed(class) - before,
+            decide_at: self.settled_at,
+        });
+        SPEEDS[step]
+    }
+
+    fn throttle(&mut self, now: Time, class: String, sample: &Sample) -> Decision {
         let first_wait = self.lag * RESTORE_LAGS;
         let state = self.classes.entry(class.clone()).or_default();
-        state.step = (state.step + 1).min(SPEEDS.len() - 1);
+        let step = (state.step + 1).min(SPEEDS.len() - 1);
         let wait = state.restore_wait.max(first_wait);
         state.restore_wait = match state.restored_at.take() {
             // The restore brought the interference back.
-            Some(at) if now < at + wait => (wait * 2).min(RESTORE_WAIT_MAX),
-            _ => wait,
+            Some(at) if now < at + RESTORE_WAIT_MAX => (wait * 2).min(RESTORE_WAIT_MAX),
+            Some(_) => first_wait,
+            None => wait,
         };
-        Decision::Throttle { class, speed_percent: SPEEDS[state.step] }
+        let speed_percent = self.change_step(now, &class, step, sample);
+        Decision::Throttle { class, speed_percent }
     }
 
     fn evict(&mut self, now: Time, class: String) -> Decision {
         self.settled_at = now + self.lag * 2;
-        self.debt = 0.0;
+        // Another eviction that turns out to be needed does not have to wait as long.
+        self.debt = EVICTION_COST / 2.0;
         let state = self.classes.entry(class.clone()).or_default();
         state.hold = (state.hold * 2).clamp(HOLD, HOLD_MAX);
         state.held_until = now + state.hold;
         Decision::Evict { class }
     }
 
-    /// Loosens one throttle by one step after a quiet time.
+    /// Loosens one throttle by one step after a quiet time, if the latency will stay in bounds.
     fn restore(&mut self, now: Time, sample: &Sample) -> Option<Decision> {
         if now < self.settled_at {
             return None;
         }
-        let idle = sample.latency.is_zero();
-        let quiet_for = match (idle, self.quiet_since) {
-            (true, _) => None,
-            (false, Some(since)) => Some(now.saturating_sub(since)),
-            (false, None) => return None,
+        let harm = |class: &str| {
+            let tasks = sample.classes.get(class).map_or(0, |load| load.tasks);
+            self.score(class) * f64::from(tasks)
         };
-        let due = |state: &ClassState| {
-            let settled = state.restored_at.is_none_or(|at| now >= at + state.restore_wait);
-            state.step > 0 && settled && quiet_for.is_none_or(|quiet| quiet >= state.restore_wait)
+        let fits = |class: &str, state: &ClassState| {
+            let gain = f64::from(SPEEDS[state.step - 1]) / 100.0 - self.speed(class);
+            let predicted = self.latency / self.reference() + harm(class) * gain;
+            let unknown = sample.latency.is_zero() || self.known_score(class).is_none();
+            unknown || predicted < RESTORE_BELOW
         };
-        let class = self
-            .classes
-            .iter()
-            .filter(|(_, state)| due(state))
-            .min_by(|(a, _), (b, _)| self.score(a).total_cmp(&self.score(b)))
-            .map(|(class, _)| class.clone())?;
-        Some(self.loosen(now, class))
-    }
-
-    /// Lets classes go that turned out not to be the cause.
-    fn restore_cleared(&mut self, now: Time, sample: &Sample) -> Option<Decision> {
-        let class = self
+        let due = |class: &str, state: &ClassState| {
+            let since = self.quiet_since.max(state.restored_at.unwrap_or_default());
+            let explore = EXPLORE_WAIT.max(state.restore_wait * 2);
+            state.step > 0
+                && now >= since + state.restore_wait
+                && (fits(class, state) || now >= since + explore)
+        };
+        let (class, step) = self
             .classes
             .iter()
-            .find(|(class, state)| {
-                let present = sample.classes.contains_key(*class);
-                state.step > 0 && (now < state.cleared_until || !present)
-            })
-            .map(|(class, _)| class.clone())?;
-        Some(self.loosen(now, class))
-    }
-
-    fn loosen(&mut self, now: Time, class: String) -> Decision {
-        self.settled_at = now + self.lag * 2;
-        self.quiet_since = None;
-        let state = self.classes.entry(class.clone()).or_default();
-        state.step = state.step.saturating_sub(1);
-        state.restored_at = Some(now);
-        Decision::Restore { class, speed_percent: SPEEDS[state.step] }
+            .filter(|(class, state)| due(class, state))
+            .min_by(|(a, _), (b, _)| harm(a).total_cmp(&harm(b)))
+            .map(|(class, state)| (class.clone(), state.step - 1))?;
+        let speed_percent = self.change_step(now, &class, step, sample);
+        self.last_restored = Some(class.clone());
+        self.classes.entry(class.clone()).or_default().restored_at = Some(now);
+        Some(Decision::Restore { class, speed_percent })
     }
 }
