Name the reason when a start meets an exceeded closing limit

A start was refused with 'needs accelerators=0, free accelerators=0' while running tasks held more accelerators than a closing in preparation allows (found with 30,000 schedules in a trial). The refusal now says that running tasks exceed the capacity for batch work.

--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -38,6 +38,8 @@
 const CONTROL_PERIOD: Duration = Duration::from_secs(1);
 /// Assumed lag of the worker's usage and of the smoothed latency.
 const MEASUREMENT_LAG: Duration = Duration::from_secs(2);
+/// Latency to protect before the configuration names one; its own default.
+const DEFAULT_TARGET: Duration = Duration::from_millis(50);
 /// The owner holds a reply for up to 1 s.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Shortest pause between two reports: after orders, and otherwise. Keeps an owner that replies at
@@ -84,10 +86,9 @@
             cell: settings.cell.clone(),
             rack: settings.rack.clone(),
         };
-        let target = Duration::from_millis(50);
         let state = State {
             tasks: Tasks::new(identity, MEASUREMENT_LAG),
-            colocation: Colocation::new(settings.service.clone(), MEASUREMENT_LAG, target),
+            colocation: Colocation::new(settings.service.clone(), MEASUREMENT_LAG, DEFAULT_TARGET),
             next_control: Duration::ZERO,
             worker_ok: true,
             owner_ok: true,
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -39,7 +39,7 @@
 pub enum Refusal {
     NoConfiguration,
     UnknownClass,
-    /// Running tasks exceed what the VM holds.
+    /// Running tasks exceed the capacity for batch work.
     Relieving,
     NotInClosing,
     ClassLimit {
@@ -71,7 +71,7 @@
         match self {
             Refusal::NoConfiguration => f.write_str("no configuration yet"),
             Refusal::UnknownClass => f.write_str("class is not configured"),
-            Refusal::Relieving => f.write_str("running tasks exceed the VM's capacity"),
+            Refusal::Relieving => f.write_str("running tasks exceed the capacity for batch work"),
             Refusal::NotInClosing => f.write_str("class does not belong to the closing"),
             Refusal::ClassLimit { need, room } => amounts(f, "class limit", need, room),
             Refusal::Capacity { need, room } => amounts(f, "capacity", need, room),
@@ -191,7 +191,8 @@
                 return Err(Refusal::NotInClosing);
             }
         }
-        if self.is_over() {
+        // The limit of a closing that is only being prepared may be exceeded as well.
+        if self.is_over() || !self.reserved().fits_in(&self.batch_capacity()) {
             return Err(Refusal::Relieving);
         }
         let need = task.need.max(&task.measured);
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -148,7 +148,11 @@
                 let closing = self.limits.closing.as_ref().unwrap();
                 assert!(!closing.classes.iter().any(|other| other == class));
             }
-            Err(refusal) => assert_eq!(refusal, Refusal::Relieving),
+            Err(refusal) => {
+                assert_eq!(refusal, Refusal::Relieving);
+                let exceeds = !self.ledger.reserved().fits_in(&self.ledger.batch_capacity());
+                assert!(over || exceeds, "refused without a reason");
+            }
         }
     }
 
