End the store's outage when the submitter that began it is done

racing_submitters_agree_on_one_history hung: the submitter that switches faults could end during an outage, and the others then waited for the store forever. The checks are unchanged.

--- a/crates/store/tests/suite/racing.rs
+++ b/crates/store/tests/suite/racing.rs
@@ -140,6 +140,10 @@
             }
         }
     }
+    if index == 0 {
+        // An outage that nobody ends would keep the other submitters waiting for the store.
+        stand_in.set_faults(Faults::default());
+    }
     reports
 }
 
