Let refusals and running requests end cleanly under load

Sixteen runs of the agent's tests, four at once, showed three faults: h2 reset the stream of a refusal before the entry had sent its body, so the entry saw a failed send; a cancellation cut the answer of a non-idempotent request that had begun; and a refused request was still counted as running when the entry had its refusal.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod batch;
 pub mod gate;
 pub mod http;
+pub mod incoming;
 pub mod keyed;
 pub mod relay;
 pub mod request;
--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -51,6 +51,8 @@
     sink: &'a mut FrameSender,
     permit: &'a Permit,
     close_feeds: &'a Shutdown,
+    /// Ends the relay when a cancellation does; `None` when the request has to go on.
+    aborted: Option<Shutdown>,
     endless: bool,
     feed_at: Time,
     is_feed: bool,
@@ -66,6 +68,7 @@
         sink: &'a mut FrameSender,
         permit: &'a Permit,
         close_feeds: &'a Shutdown,
+        aborted: Option<Shutdown>,
     ) -> Self {
         Relay {
             endless: body.size_hint().exact().is_none(),
@@ -73,6 +76,7 @@
             sink,
             permit,
             close_feeds,
+            aborted,
             feed_at: runtime::now() + FEED_AFTER,
             is_feed: false,
             close_by: None,
@@ -141,7 +145,7 @@
     async fn next(&mut self) -> Event {
         let until_feed = self.feed_at.saturating_sub(runtime::now());
         let closing = self.close_by.is_some();
-        let aborted = self.permit.aborted();
+        let aborted = wait_aborted(self.aborted.clone());
         let frame = async {
             loop {
                 match self.body.frame().await {
@@ -155,7 +159,7 @@
             }
         };
         let gone = async {
-            future::or(self.sink.closed(), aborted.wait()).await;
+            future::or(self.sink.closed(), aborted).await;
             Event::Cut
         };
         let timer = async {
@@ -178,7 +182,7 @@
         }
         self.at_line_end = part.ends_with(b"\n");
         let stall_limit = if self.endless { CLOSE_LIMIT } else { STALL_LIMIT };
-        let aborted = self.permit.aborted();
+        let aborted = wait_aborted(self.aborted.clone());
         let stuck = async {
             self.close_feeds.wait().await;
             runtime::sleep(stall_limit).await;
@@ -189,7 +193,7 @@
             future::pending().await
         };
         let given_up = async {
-            future::or(aborted.wait(), future::or(stuck, slow)).await;
+            future::or(aborted, future::or(stuck, slow)).await;
             None
         };
         let frame = BodyFrame::Data(part);
@@ -197,3 +201,10 @@
         future::or(sent, given_up).await
     }
 }
+
+async fn wait_aborted(aborted: Option<Shutdown>) {
+    match aborted {
+        Some(aborted) => aborted.wait().await,
+        None => future::pending().await,
+    }
+}
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -16,12 +16,13 @@
 use peridotfold_wire::body::{Body, BodySender};
 use peridotfold_wire::error::{Step, WireError};
 use peridotfold_wire::http_client::PooledBody;
-use peridotfold_wire::peer::{FrameReceiver, FrameSender};
+use peridotfold_wire::peer::FrameSender;
 use peridotfold_wire::runtime;
 use peridotfold_wire::server::Stream;
 use tracing::Instrument;
 
 use crate::gate::{Permit, Rejection};
+use crate::incoming::Incoming;
 use crate::keyed::{Entered, KeyRun};
 use crate::relay::{Kept, Relay};
 use crate::shared::Shared;
@@ -50,7 +51,7 @@
         number = head.id.number,
     );
     let deadline = runtime::now() + head.timeout;
-    let (receiver, sink) = (Some(stream.receiver), stream.responder.start()?);
+    let (receiver, sink) = (Some(Incoming::new(stream.receiver)), stream.responder.start()?);
     let exchange = Exchange { shared: shared.clone(), head, trace, deadline, receiver, sink };
     exchange.run().instrument(span).await
 }
@@ -61,7 +62,7 @@
     trace: TraceContext,
     deadline: Time,
     /// Taken by the upload of a body with several parts.
-    receiver: Option<FrameReceiver>,
+    receiver: Option<Incoming>,
     sink: FrameSender,
 }
 
@@ -169,8 +170,11 @@
         let peer = self.head.id.entry.clone();
         let cut = || WireError::new(Step::Receive, peer.as_str(), "request body was cut");
         let mut receiver = self.receiver.take().ok_or_else(cut)?;
-        match runtime::timeout(left, &peer, receiver.next::<BodyFrame>()).await? {
-            Some(BodyFrame::End) => Ok(Body::empty()),
+        match runtime::timeout(left, &peer, receiver.next()).await? {
+            Some(BodyFrame::End) => {
+                self.receiver = Some(receiver);
+                Ok(Body::empty())
+            }
             Some(BodyFrame::Data(part)) => {
                 let (sender, body) = Body::parts();
                 runtime::spawn(upload(receiver, sender, part)).detach();
@@ -211,7 +215,9 @@
         let status = head.status.as_u16();
         let answer = ResponseHead::Answer { status, headers: headers.clone(), replayed: false };
         let reachable = self.sink.send(&answer).await.is_ok();
-        let relay = Relay::new(body, &mut self.sink, &permit, &self.shared.close_feeds);
+        let aborted = self.is_idempotent().then(|| permit.aborted());
+        let close_feeds = &self.shared.close_feeds;
+        let relay = Relay::new(body, &mut self.sink, &permit, close_feeds, aborted);
         let whole = match keep {
             true => relay.run_kept(reachable).await,
             false if reachable => relay.run().await.map(|()| Kept::TooLarge),
@@ -238,13 +244,13 @@
 }
 
 /// Passes the rest of a request's body on. The body is cut when the stream is.
-async fn upload(mut receiver: FrameReceiver, mut sender: BodySender, first: Bytes) {
+async fn upload(mut receiver: Incoming, mut sender: BodySender, first: Bytes) {
     let mut part = first;
     loop {
         if sender.send(part).await.is_err() {
             return;
         }
-        match receiver.next::<BodyFrame>().await {
+        match receiver.next().await {
             Ok(Some(BodyFrame::Data(next))) => part = next,
             Ok(Some(BodyFrame::End)) => return sender.finish(),
             Ok(None) | Err(_) => return,
@@ -279,24 +285,34 @@
 }
 
 /// Sends the end of an answer, then gives back what the request holds: an agent that drains waits
-/// for that before it closes its connections.
+/// for that before it closes its connections. A refusal is the other way round, so that an entry
+/// that has it finds the request ended.
 async fn complete(
     mut sink: FrameSender,
     finish: Finish,
     permit: Option<(Permit, Ending)>,
 ) -> Result<(), WireError> {
-    let result = match finish {
-        Finish::Head(head) => conclude(sink, head).await,
-        Finish::End => end(&mut sink).await,
+    let release = || {
+        if let Some((permit, ending)) = permit {
+            permit.end(ending);
+        }
+    };
+    match finish {
+        Finish::Head(head) => {
+            release();
+            conclude(sink, head).await
+        }
+        Finish::End => {
+            let result = end(&mut sink).await;
+            release();
+            result
+        }
         Finish::Cut => {
             sink.abort();
+            release();
             Ok(())
         }
-    };
-    if let Some((permit, ending)) = permit {
-        permit.end(ending);
     }
-    result
 }
 
 async fn conclude(mut sink: FrameSender, head: ResponseHead) -> Result<(), WireError> {
