Hand cells over to better placed entries

The first entry that started kept all cells, since cells were only taken over from dead owners. A cell now moves by a clean release, one at a time, once a better placed entry was alive for 10 s.

--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -1,8 +1,8 @@
 //! Ownership of cells: takes over cells without a live owner, keeps their journals, and answers
 //! the reports of agents and the job operations of callers.
 //!
-//! Lock order: the table of offices, the table of known owners, then one office's desk. No lock is
-//! held across an await.
+//! Lock order: the placement of cells, the table of offices, the table of known owners, then one
+//! office's desk. No lock is held across an await.
 
 mod claim;
 mod jobs;
@@ -79,6 +79,7 @@
     known: Mutex<BTreeMap<CellId, Known>>,
     /// Cells that are being looked at or taken over.
     busy: Mutex<BTreeSet<CellId>>,
+    placement: Mutex<claim::Placement>,
     store_down: AtomicBool,
     document: Mutex<Arc<Document>>,
     /// Takeovers that have begun to write.
@@ -105,6 +106,7 @@
             offices: Mutex::default(),
             known: Mutex::default(),
             busy: Mutex::default(),
+            placement: Mutex::default(),
             store_down: AtomicBool::new(false),
             document: Mutex::default(),
             taking_over: AtomicUsize::new(0),
@@ -128,7 +130,11 @@
             let document = documents();
             *self.shared.document.lock() = document.clone();
             self.update_offices(&document);
-            claim::step(&self.shared, &document, &alive());
+            let alive = alive();
+            claim::step(&self.shared, &document, &alive);
+            if !self.shared.store_down.load(Ordering::Relaxed) {
+                claim::hand_over(&self.shared, &document, &alive);
+            }
             if runtime::sleep_or_shutdown(STEP, &shutdown).await {
                 break;
             }
--- a/crates/entry/src/cells/claim.rs
+++ b/crates/entry/src/cells/claim.rs
@@ -1,5 +1,6 @@
 //! Taking over cells that have no live owner.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,15 @@
 /// Time between two reads of the record of a live owner. With 64 cells and 36 entries this makes
 /// 290 reads/s of the store's 2,000.
 const REREAD: Duration = Duration::from_secs(8);
+/// The same for the entry that is best placed to own the cell: it may be handed back at any time.
+const REREAD_AS_FIRST: Duration = Duration::from_secs(1);
+/// Time for which a better placed entry has to be alive before a cell is handed to it. Longer than
+/// the 6 s in which a dead entry is noticed.
+const MISPLACED_AFTER: Duration = Duration::from_secs(10);
+/// Pause between two cells that are handed over, so that most of the work goes on undisturbed.
+const HAND_OVER_PAUSE: Duration = Duration::from_secs(2);
+/// Time in which the better placed entry has to take over a cell that was handed to it.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(15);
 /// Time that each better placed entry gets to take over a cell first.
 const TURN: Duration = Duration::from_secs(3);
 /// Replays of the journal in one takeover; each repetition means that the former owner wrote.
@@ -26,16 +36,18 @@
 
 /// Starts a look at each configured cell that is not owned here and is due for one.
 pub(super) fn step<S: Store>(shared: &Arc<Shared<S>>, document: &Document, alive: &[EntryView]) {
-    if !alive.iter().any(|view| view.incarnation == shared.incarnation) {
-        // Without a list of live entries, anyone would look dead.
+    if !is_listed(shared, alive) {
         return;
     }
     for (cell, config) in &document.cells {
         let owned = shared.offices.lock().contains_key(cell);
-        if owned || !is_due(shared, cell, alive) || !shared.busy.lock().insert(cell.clone()) {
+        let rank = rank(shared, cell, &config.data_centre, alive);
+        if owned || !is_due(shared, cell, alive, rank) {
+            continue;
+        }
+        if !shared.busy.lock().insert(cell.clone()) {
             continue;
         }
-        let rank = rank(shared, cell, &config.data_centre, alive);
         let (shared, cell, alive) = (shared.clone(), cell.clone(), alive.to_vec());
         runtime::spawn(async move {
             if let Err(error) = look(&shared, &cell, &alive, rank).await {
@@ -47,15 +59,77 @@
     }
 }
 
-fn is_due<S: Store>(shared: &Shared<S>, cell: &str, alive: &[EntryView]) -> bool {
+/// Tells whether the list of live entries is of use: without one, anyone would look dead.
+fn is_listed<S: Store>(shared: &Shared<S>, alive: &[EntryView]) -> bool {
+    alive.iter().any(|view| view.incarnation == shared.incarnation)
+}
+
+fn is_due<S: Store>(shared: &Shared<S>, cell: &str, alive: &[EntryView], rank: u32) -> bool {
+    let now = runtime::now();
+    let handed_over = shared.placement.lock().handed_over.get(cell).copied();
+    if handed_over.is_some_and(|since| rank > 0 && now < since + HAND_OVER_LIMIT) {
+        return false;
+    }
+    let interval = if rank == 0 { REREAD_AS_FIRST } else { REREAD };
     match shared.known.lock().get(cell) {
-        Some(known) if is_held(&known.record, alive) => {
-            runtime::now().saturating_sub(known.read) >= REREAD
-        }
+        Some(known) if is_held(&known.record, alive) => now >= known.read + interval,
         _ => true,
     }
 }
 
+/// When cells were found to be better placed elsewhere, and handed over.
+#[derive(Debug, Default)]
+pub(super) struct Placement {
+    misplaced: BTreeMap<CellId, Duration>,
+    handed_over: BTreeMap<CellId, Duration>,
+}
+
+/// Hands one cell to a better placed entry, if there is such a cell. Without this, the first entry
+/// that starts would keep all cells.
+pub(super) fn hand_over<S: Store>(
+    shared: &Arc<Shared<S>>,
+    document: &Document,
+    alive: &[EntryView],
+) {
+    if !is_listed(shared, alive) {
+        return;
+    }
+    let now = runtime::now();
+    let mut placement = shared.placement.lock();
+    let owned: Vec<CellId> = shared.offices.lock().keys().cloned().collect();
+    let is_misplaced = |cell: &CellId| {
+        let config = document.cells.get(cell);
+        config.is_none_or(|config| rank(shared, cell, &config.data_centre, alive) > 0)
+    };
+    let misplaced: Vec<CellId> = owned.into_iter().filter(is_misplaced).collect();
+    placement.misplaced.retain(|cell, _| misplaced.contains(cell));
+    for cell in &misplaced {
+        placement.misplaced.entry(cell.clone()).or_insert(now);
+    }
+    if placement.handed_over.values().any(|since| now < *since + HAND_OVER_PAUSE) {
+        return;
+    }
+    let due = |(_, since): &(&CellId, &Duration)| now >= **since + MISPLACED_AFTER;
+    let Some(cell) = placement.misplaced.iter().find(due).map(|(cell, _)| cell.clone()) else {
+        return;
+    };
+    // Busy until the release has ended, so that it is not taken for an unfinished takeover.
+    if !shared.busy.lock().insert(cell.clone()) {
+        return;
+    }
+    placement.misplaced.remove(&cell);
+    placement.handed_over.insert(cell.clone(), now);
+    let office = shared.offices.lock().remove(&cell);
+    let shared = shared.clone();
+    runtime::spawn(async move {
+        if let Some(office) = office {
+            office.release().await;
+        }
+        shared.busy.lock().remove(&cell);
+    })
+    .detach();
+}
+
 /// Tells whether the recorded owner is alive and in office.
 fn is_held(record: &OwnerRecord, alive: &[EntryView]) -> bool {
     let is_owner =
--- a/crates/entry/tests/cells.rs
+++ b/crates/entry/tests/cells.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use peridotfold_core::config::{Cell, Document, JobClass, Team};
+use peridotfold_core::hash;
 use peridotfold_core::membership::EntryView;
 use peridotfold_core::message::announce::AgentState;
 use peridotfold_core::message::entry::{Forward, ForwardReply};
@@ -22,13 +23,15 @@
 use serde_json::{json, Value};
 
 const LIMIT: Duration = Duration::from_secs(30);
+const CELLS: [&str; 5] = ["cell", "cell-1", "cell-2", "cell-3", "cell-4"];
 const CAPACITY: Resources = Resources::new(16_000, 64_000, 0);
 
 fn document() -> Arc<Document> {
     let team = |digit: &str| Team { token_sha256: digit.repeat(64), quota: CAPACITY };
     let class = |urgent| JobClass { limit: CAPACITY, urgent };
+    let cells = CELLS.map(|cell| (cell.to_owned(), Cell { data_centre: "dc".to_owned() }));
     let document = Document {
-        cells: [("cell".to_owned(), Cell { data_centre: "dc".to_owned() })].into(),
+        cells: cells.into(),
         teams: [("red".to_owned(), team("1")), ("blue".to_owned(), team("2"))].into(),
         classes: [("urgent".to_owned(), class(true)), ("normal".to_owned(), class(false))].into(),
         ..Document::default()
@@ -366,3 +369,27 @@
         cancelling.await;
     });
 }
+
+/// Guards against an entry that keeps all cells because it was the first to start.
+#[test]
+fn cells_are_spread_over_entries_that_join() {
+    run(async {
+        let (store, alive) = (store().await, Alive::default());
+        let first = entry("a", 1, &store, &alive);
+        until_owned(&first).await;
+        let second = entry("b", 2, &store, &alive);
+        let owned = |entry: &Entry| {
+            let owns = |cell: &&&str| {
+                entry.cells.owner(cell).is_some_and(|owner| owner.entry == entry.view.entry)
+            };
+            CELLS.iter().filter(owns).count()
+        };
+        let expected = CELLS.iter().filter(|cell| {
+            hash::rendezvous(cell.as_bytes(), b"b") > hash::rendezvous(cell.as_bytes(), b"a")
+        });
+        let expected = expected.count();
+        assert!(expected > 0 && expected < CELLS.len(), "choose other names");
+        until("spread", || owned(&second) == expected && owned(&first) == CELLS.len() - expected)
+            .await;
+    });
+}
