Refuse to open a configuration that this release cannot read

A process that cannot read the current document would otherwise start from version 0. Running processes keep the last version that they understand.

The racing test hung in one of three runs: the submitter that switches the faults could end with the store refusing, while others waited for it to open their repository.

--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -264,10 +264,7 @@
         }
     }
 
-    async fn is_log_changed(&self) -> Result<bool, JournalError>
-    where
-        S: Sync,
-    {
+    async fn is_log_changed(&mut self) -> Result<bool, JournalError> {
         let found = self.store.get(&self.log_key).await.map_err(JournalError::Unavailable)?;
         Ok(found.map_or(0, |found| found.version) != self.log_version)
     }
--- a/crates/store/src/repository.rs
+++ b/crates/store/src/repository.rs
@@ -84,10 +84,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the store does not answer or holds something malformed.
+    /// Fails when the store does not answer or holds something that this release cannot read.
     pub async fn open(store: S, writer: u64) -> Result<Self, JournalError> {
-        let journal = Journal::open(store.clone(), JOURNAL, writer).await?.with_archive();
+        let journal: Journal<S, History> =
+            Journal::open(store.clone(), JOURNAL, writer).await?.with_archive();
         let state = RwLock::new(ConfigState::default());
+        journal.state().document().map_err(|problems| corrupt(journal.sequence(), &problems))?;
         publish(&state, &journal);
         Ok(ConfigRepository {
             shared: Arc::new(Shared { store, journal: Mutex::new(journal), state }),
@@ -102,7 +104,14 @@
 
     /// Returns what a process at `version` lacks.
     pub fn update_since(&self, version: ConfigVersion) -> ConfigUpdate {
-        let state = self.shared.state.read().clone();
+        let state = {
+            let state = self.shared.state.read();
+            // Nearly all announcements carry the current version.
+            if version >= state.version {
+                return ConfigUpdate::Current;
+            }
+            state.clone()
+        };
         state.update_since(version)
     }
 
@@ -211,7 +220,8 @@
         }
     }
 
-    /// Waits up to `wait` for a version higher than `after`, and adopts it.
+    /// Waits up to `wait` for a version higher than `after`, and adopts it. A failure may come at
+    /// once, so the caller pauses before it waits again.
     ///
     /// # Errors
     ///
--- a/crates/store/tests/suite/journal.rs
+++ b/crates/store/tests/suite/journal.rs
@@ -52,16 +52,26 @@
 /// Appends each value, repeating it while the store is unavailable.
 async fn append_all(journal: &mut Log<Scripted>, values: impl Iterator<Item = u32>) {
     for value in values {
-        loop {
-            match journal.append(added(value)).await {
-                Ok(()) => break,
-                Err(JournalError::Unavailable(_)) => {}
-                Err(error) => panic!("{value}: {error}"),
-            }
+        // More than any script's faults, so that a journal that never recovers fails the test.
+        const TRIES: usize = 20;
+        let mut tries = 0;
+        while let Err(error) = journal.append(added(value)).await {
+            tries += 1;
+            let is_down = matches!(error, JournalError::Unavailable(_));
+            assert!(is_down && tries < TRIES, "{value}: {error}");
         }
     }
 }
 
+/// Checks that each former state can still be found.
+async fn assert_past(store: &HttpStore, expected: &[u32], case: &str) {
+    for length in 0..=expected.len() {
+        let past = archive::past::<_, Values>(store, "j", length as u64).await.unwrap();
+        let state = past.unwrap_or_else(|| panic!("{case}: no state {length}")).0;
+        assert_eq!(state.0, expected[..length], "{case}");
+    }
+}
+
 async fn writes_of_undisturbed_run() -> usize {
     let (_stand_in, store) = start().await;
     let scripted = Scripted::new(store.clone(), []);
@@ -122,11 +132,7 @@
                 assert!(found >= committed && found <= committed + 1, "{case}: {found}");
                 append_all(&mut successor, found..RECORDS).await;
                 assert_eq!(replayed(&store).await, expected(), "{case}");
-                for sequence in 0..=u64::from(RECORDS) {
-                    let past = archive::past::<_, Values>(&store, "j", sequence).await.unwrap();
-                    let state = past.unwrap_or_else(|| panic!("{case}: no state {sequence}")).0;
-                    assert_eq!(state.0, expected()[..sequence as usize], "{case}");
-                }
+                assert_past(&store, &expected(), &case).await;
             }
         }
     });
@@ -137,7 +143,8 @@
     run(async {
         let writes = writes_of_undisturbed_run().await;
         for at in 0..writes {
-            for successors in [1, 9] {
+            // Small records first let the successor extend the log that the old owner archives.
+            for (small, successors) in [(0, 1), (0, 9), (9, 9)] {
                 let (_stand_in, store) = start().await;
                 let scripted = Scripted::new(store.clone(), [(at, Fault::Paused)]);
                 let plain = Scripted::new(store.clone(), []);
@@ -145,6 +152,9 @@
                 let takeover = async {
                     scripted.paused().await;
                     let mut new = open(&plain, 2).await;
+                    for value in 50..50 + small {
+                        new.append(vec![Added { value, padding: String::new() }]).await.unwrap();
+                    }
                     append_all(&mut new, 100..100 + successors).await;
                     scripted.release();
                     new
@@ -160,11 +170,15 @@
                 };
                 let (mut new, kept) = smol::future::zip(takeover, appends).await;
                 append_all(&mut new, 200..205).await;
-                let case = format!("paused at write {at}, {successors} records after");
-                let expected: Vec<u32> =
-                    (0..kept).chain(100..100 + successors).chain(200..205).collect();
+                let case = format!("paused at write {at}, {small} and {successors} records after");
+                let expected: Vec<u32> = (0..kept)
+                    .chain(50..50 + small)
+                    .chain(100..100 + successors)
+                    .chain(200..205)
+                    .collect();
                 assert_eq!(new.state().0, expected, "{case}");
                 assert_eq!(replayed(&store).await, expected, "{case}");
+                assert_past(&store, &expected, &case).await;
                 // The fenced owner can follow again, and appends only on top of what it has read.
                 assert!(matches!(old.append(added(1)).await, Err(JournalError::Fenced)));
                 assert!(old.refresh().await.unwrap());
--- a/crates/store/tests/suite/racing.rs
+++ b/crates/store/tests/suite/racing.rs
@@ -140,6 +140,10 @@
             }
         }
     }
+    if index == 0 {
+        // The others may wait for the store in order to open their repository again.
+        stand_in.set_faults(Faults::default());
+    }
     reports
 }
 
--- a/crates/store/tests/suite/repository.rs
+++ b/crates/store/tests/suite/repository.rs
@@ -202,3 +202,32 @@
         }
     });
 }
+
+/// A release must not start from an older version when it cannot read the current one.
+#[test]
+fn a_document_of_a_newer_release_is_not_replaced_by_an_older_one() {
+    run(async {
+        #[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+        struct Newer;
+        #[derive(serde::Serialize, serde::Deserialize)]
+        struct Change(String, Bytes);
+        impl peridotfold_store::Replay for Newer {
+            type Record = Change;
+            fn apply(&mut self, _: &Change) {}
+        }
+        let (_stand_in, store) = start().await;
+        let running = open(&store, 1).await;
+        running.submit(0, patch("a", 1), "anna").await.unwrap();
+        let mut journal =
+            peridotfold_store::Journal::<_, Newer>::open(store.clone(), "config", 2).await.unwrap();
+        let newer = Change("bent".into(), Bytes::from_static(b"{\"regions\": {}}"));
+        journal.append(vec![newer]).await.unwrap();
+        let error = ConfigRepository::open(store.clone(), 3).await.unwrap_err();
+        assert!(error.to_string().contains("regions"), "{error}");
+        // A running process keeps the last version that it understands, and changes nothing.
+        let wait = Duration::from_millis(50);
+        assert_eq!(running.wait_for_change(1, wait).await.unwrap(), None);
+        assert_eq!(running.current().0, 1);
+        assert!(running.submit(2, patch("b", 1), "anna").await.is_err());
+    });
+}
