Scan the service index only when an agent's services change

Cause: each announcement scanned the list of the service's agents, so its cost grew with the fleet. The choice of an upstream is unchanged.

--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -97,7 +97,8 @@
 }
 
 impl Table {
-    /// Takes an announcement; tells whether it was newer than what is known.
+    /// Takes an announcement that arrived at `now`, or, when it was relayed, that reached its
+    /// first entry at `now`. Tells whether it was newer than what is known.
     pub fn announce(&mut self, now: Time, announce: Announce) -> bool {
         if self.upstreams.get(&announce.agent).is_some_and(|known| known.outdates(now, &announce)) {
             return false;
@@ -110,16 +111,22 @@
             Some(known) => (HashMap::new(), known.replaced_with(announce.incarnation)),
             None => (HashMap::new(), Vec::new()),
         };
+        let kept = usage.len();
         usage.retain(|service, _| announce.services.iter().any(|load| load.service == *service));
+        let mut indexed = kept == usage.len();
         for load in &announce.services {
             match usage.get_mut(&load.service) {
                 Some(usage) => usage.refresh(load),
                 None => {
+                    indexed = false;
                     usage.insert(load.service.clone(), Usage::new(now, load));
                 }
             }
         }
-        self.index(&agent, &announce);
+        // The index is scanned only when the services of the agent change.
+        if !indexed {
+            self.index(&agent, &announce);
+        }
         self.upstreams
             .insert(agent, Upstream { announce, heard: now, demoted: false, replaced, usage });
         true
