Announce to four home entries and relay to the others; send the list of entries on change only

Cause: with 36 entries each answer carried the list of entries, 1,258 bytes a second from each of 8 home entries: over 10 KB/s for a node that may use 4 KB/s. With four homes two of them relay to the other entries every 500 ms, so that each entry knows each upstream.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use peridotfold_core::homes;
 use peridotfold_core::message::announce::{AgentState, Announce, AnnounceReply, ServiceLoad};
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::peer::Peers;
@@ -147,6 +148,7 @@
             state: if shared.leaving.is_set() { AgentState::Leaving } else { AgentState::Ready },
             services,
             config_version: shared.view.version(),
+            entries_digest: homes::digest(&shared.view.entries()),
         }
     }
 }
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use peridotfold_core::admission::Limits;
 use peridotfold_core::config::{ConfigState, Document, Service};
-use peridotfold_core::hash;
+use peridotfold_core::homes::{self, HOME_ENTRIES};
 use peridotfold_core::id::{ConfigVersion, EntryId};
 use peridotfold_core::message::announce::{AnnounceReply, CellOwner, ConfigUpdate, EntryAddress};
 use peridotfold_core::message::entry::{ConfigReply, ConfigRequest};
@@ -17,8 +17,6 @@
 use crate::gate::Gate;
 use crate::settings::Settings;
 
-/// Entries that an agent announces itself to.
-pub const HOME_ENTRIES: usize = 8;
 /// Time allowed for the configuration that a request needs.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
 
@@ -78,16 +76,8 @@
         if entries.is_empty() {
             return self.bootstrap();
         }
-        let agent = self.settings.id.as_bytes();
-        let mut ranked: Vec<_> = entries
-            .into_iter()
-            .map(|entry| {
-                let own = entry.data_centre == self.settings.data_centre;
-                (own, hash::rendezvous(agent, entry.entry.as_bytes()), entry.address)
-            })
-            .collect();
-        ranked.sort_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(HOME_ENTRIES).map(|(_, _, address)| address).collect()
+        let homes = homes::homes(&self.settings.id, &self.settings.data_centre, &entries);
+        homes.into_iter().map(|entry| entry.address.clone()).collect()
     }
 
     /// Addresses in the settings.
@@ -99,8 +89,9 @@
     pub fn learn(&self, reply: AnnounceReply) {
         self.apply(&reply.config, &reply.entry);
         let mut state = self.state.lock();
-        if !reply.entries.is_empty() {
-            state.entries = reply.entries;
+        match reply.entries {
+            Some(entries) if !entries.is_empty() => state.entries = entries,
+            _ => {}
         }
         let known = state.owner.as_ref().map(|owner| owner.epoch);
         match reply.owner {
--- a/crates/agent/tests/requests/support.rs
+++ b/crates/agent/tests/requests/support.rs
@@ -103,6 +103,7 @@
                 let config = update(&state.announced.lock(), announce.config_version);
                 state.announces.lock().push(announce);
                 let entries = state.entries();
+                let entries = Some(entries);
                 let reply = AnnounceReply { entry: ENTRY.into(), entries, config, owner: None };
                 stream.responder.reply(&reply).await
             }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,8 +6,15 @@
 mod requests;
 mod scale;
 
+use std::alloc::System;
 use std::process::ExitCode;
 
+use cap::Cap;
+
+/// Counts the bytes in use, for the cost of state.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
 const USAGE: &str = "\
 Usage: peridotfold-bench <MEASUREMENT>
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod colocation;
 pub mod config;
 pub mod hash;
+pub mod homes;
 pub mod id;
 pub mod key_table;
 pub mod keys;
--- a/crates/core/src/message/announce.rs
+++ b/crates/core/src/message/announce.rs
@@ -44,6 +44,14 @@
     pub state: AgentState,
     pub services: Vec<ServiceLoad>,
     pub config_version: ConfigVersion,
+    /// Digest of the entries that the agent knows, see [`crate::homes::digest`].
+    pub entries_digest: u64,
+}
+
+/// Announcements that an entry received first-hand, with the time since then, for other entries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Relay {
+    pub announcements: Vec<(Announce, Duration)>,
 }
 
 /// Address of a live entry.
@@ -78,7 +86,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct AnnounceReply {
     pub entry: EntryId,
-    pub entries: Vec<EntryAddress>,
+    /// Live entries, unless the agent knows them already. With 36 entries the list has 1.2 KB,
+    /// too much to be repeated every second.
+    pub entries: Option<Vec<EntryAddress>>,
     pub config: ConfigUpdate,
     pub owner: Option<CellOwner>,
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -31,6 +31,7 @@
         state,
         services: vec![load],
         config_version: 0,
+        entries_digest: 0,
     }
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,7 +10,7 @@
 use peridotfold_core::id::{ConfigVersion, Incarnation, RequestNumber};
 use peridotfold_core::keys::Gate;
 use peridotfold_core::membership::{EntryView, Members};
-use peridotfold_core::message::announce::ConfigUpdate;
+use peridotfold_core::message::announce::{ConfigUpdate, EntryAddress};
 use peridotfold_core::message::request::RequestId;
 use peridotfold_core::routing::{RetryBudget, Table};
 use peridotfold_store::{ConfigRepository, Store};
@@ -19,6 +19,7 @@
 use peridotfold_wire::shutdown::Shutdown;
 
 use crate::cells::Cells;
+use crate::relay::Relays;
 use crate::settings::Settings;
 
 /// A version of the configuration.
@@ -31,7 +32,7 @@
 /// State of an entry.
 ///
 /// Locks are taken in the order of the fields: `config`, `repository`, `upstreams`, `budget`,
-/// `keys`, `members`. No lock is held across an await.
+/// `keys`, `members`, `relays`. No lock is held across an await.
 pub struct Context<S: Store> {
     pub settings: Settings,
     pub incarnation: Incarnation,
@@ -47,6 +48,7 @@
     pub budget: Mutex<RetryBudget>,
     pub keys: Mutex<Gate>,
     pub members: Mutex<Members>,
+    pub relays: Mutex<Relays>,
     /// Time of the last heartbeat that the store took, in milliseconds since the start.
     contact: AtomicU64,
     numbers: AtomicU64,
@@ -78,6 +80,7 @@
             budget: Mutex::new(RetryBudget::default()),
             keys: Mutex::new(gate),
             members: Mutex::new(Members::new(settings.dead_after)),
+            relays: Mutex::default(),
             contact: AtomicU64::new(0),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -127,6 +130,16 @@
         self.members.lock().alive()
     }
 
+    /// Returns the addresses of the entries that are alive.
+    pub fn entry_addresses(&self) -> Vec<EntryAddress> {
+        let address = |view: EntryView| EntryAddress {
+            entry: view.entry,
+            data_centre: view.data_centre,
+            address: view.address,
+        };
+        self.alive().into_iter().map(address).collect()
+    }
+
     /// Returns the time since the store last took a heartbeat.
     pub fn store_silence(&self) -> Duration {
         let contact = Duration::from_millis(self.contact.load(Ordering::Relaxed));
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use http::StatusCode;
-use peridotfold_core::message::announce::{Announce, AnnounceReply, EntryAddress};
+use peridotfold_core::homes;
+use peridotfold_core::message::announce::{Announce, AnnounceReply, Relay};
 use peridotfold_core::message::entry::{ConfigReply, ConfigRequest, Forward, Probe};
 use peridotfold_core::message::report::Report;
 use peridotfold_store::Store;
@@ -29,6 +30,10 @@
                 Some(reply) => responder.reply(&reply).await,
                 None => responder.refuse(StatusCode::CONFLICT, "older than known".into()),
             },
+            "relay" => {
+                self.take_relayed(first(&mut receiver).await?);
+                responder.reply(&()).await
+            }
             "report" => {
                 let report: Report = first(&mut receiver).await?;
                 match self.context.cells.report(report).await {
@@ -71,17 +76,17 @@
     fn announce(&self, announce: Announce) -> Option<AnnounceReply> {
         let context = &self.context;
         let (version, cell) = (announce.config_version, announce.cell.clone());
-        if !context.upstreams.lock().announce(runtime::now(), announce) {
+        let known = announce.entries_digest;
+        let now = runtime::now();
+        if !context.upstreams.lock().announce(now, announce.clone()) {
             return None;
         }
-        let entries = context.alive().into_iter().map(|view| EntryAddress {
-            entry: view.entry,
-            data_centre: view.data_centre,
-            address: view.address,
-        });
+        let entries = context.entry_addresses();
+        context.relays.lock().add(&context.settings.id, now, announce, &entries);
+        let is_known = entries.is_empty() || homes::digest(&entries) == known;
         Some(AnnounceReply {
             entry: context.settings.id.clone(),
-            entries: entries.collect(),
+            entries: (!is_known).then_some(entries),
             config: context
                 .update_since(version)
                 .unwrap_or(peridotfold_core::message::announce::ConfigUpdate::Current),
@@ -90,6 +95,16 @@
     }
 }
 
+impl<S: Store> Internal<S> {
+    fn take_relayed(&self, relay: Relay) {
+        let now = runtime::now();
+        let mut upstreams = self.context.upstreams.lock();
+        for (announce, age) in relay.announcements {
+            upstreams.announce(now.saturating_sub(age), announce);
+        }
+    }
+}
+
 async fn first<T: DeserializeOwned>(receiver: &mut FrameReceiver) -> Result<T, WireError> {
     match receiver.next().await? {
         Some(message) => Ok(message),
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -89,6 +89,7 @@
         state: AgentState::Ready,
         services: vec![load("open"), load("closed")],
         config_version: 0,
+        entries_digest: 0,
     }
 }
 
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -60,6 +60,11 @@
         Ok(process)
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the internal address.
     ///
     /// # Errors
