--- a/crates/bench/src/scale/agent.rs
+++ b/crates/bench/src/scale/agent.rs
@@ -1,12 +1,20 @@
 //! An agent process beside an idle upstream: processor time, memory and bytes on the network.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
 use peridotfold_standins::process::Process;
+use serde_json::json;
 
+use super::TASKS_PER_VM;
+
+const TOKEN: &str = "operator-token";
+/// SHA-256 of [`TOKEN`].
+const DIGEST: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 const ANY: &str = "127.0.0.1:0";
 const SETTLE: Duration = Duration::from_secs(8);
 const INTERVAL: Duration = Duration::from_secs(20);
@@ -21,24 +29,24 @@
 pub fn run() -> eyre::Result<()> {
     let directory = std::env::current_exe()?;
     let directory = directory.parent().ok_or_else(|| eyre!("no directory of binaries"))?;
-    println!("agent process: entries, % of a core, resident MB");
-    for entries in [1, 3] {
-        let (share, memory) = measure(directory, entries)?;
-        println!("{entries:>8} {:>10.2} {memory:>10.1}", share * 100.0);
+    println!("agent process: entries, batch tasks, % of a core, resident MB");
+    for (entries, tasks) in [(1, 0), (3, 0), (3, TASKS_PER_VM)] {
+        let (share, memory) = measure(directory, entries, tasks)?;
+        println!("{entries:>8} {tasks:>8} {:>10.2} {memory:>10.1}", share * 100.0);
     }
     Ok(())
 }
 
-fn measure(binaries: &Path, entries: usize) -> eyre::Result<(f64, f64)> {
+fn measure(binaries: &Path, entries: usize, tasks: usize) -> eyre::Result<(f64, f64)> {
     let log = PathBuf::from("/dev/null");
     let program = binaries.join("peridotfold");
     let standins = binaries.join("peridotfold-standins");
     let standin =
         |kind: &str| Process::start(kind, &standins, &words(&[kind, "--listen", ANY]), &log);
     let store = standin("store")?;
-    let worker = standin("worker")?;
+    let size = ["worker", "--listen", ANY, "--cpu-milli", "60000", "--memory-mib", "250000"];
+    let worker = Process::start("worker", &standins, &words(&size), &log)?;
     let upstream = standin("upstream")?;
-    let digest = "0".repeat(64);
     let mut running = Vec::new();
     for index in 0..entries {
         let id = format!("entry-{index}");
@@ -56,7 +64,7 @@
             "--store",
             &store,
             "--operator-digest",
-            &digest,
+            DIGEST,
         ]);
         running.push(Process::start(&id, &program, &args, &log)?);
     }
@@ -85,6 +93,9 @@
         &worker.http.to_string(),
     ]);
     let agent = Process::start("vm-1", &program, &args, &log)?;
+    if tasks > 0 {
+        submit(&program, running[0].http, tasks)?;
+    }
     std::thread::sleep(SETTLE);
     let before = ticks(agent.id())?;
     std::thread::sleep(INTERVAL);
@@ -92,6 +103,47 @@
     Ok((used / INTERVAL.as_secs_f64(), resident_mb(agent.id())?))
 }
 
+/// Configures the cell and submits a job whose tasks outlast the measurement.
+fn submit(program: &Path, entry: SocketAddr, tasks: usize) -> eyre::Result<()> {
+    let size = json!({"cpu_milli": 60_000, "memory_mib": 250_000});
+    let patch = json!({
+        "vm_sizes": {"standard": size},
+        "cells": {"central-1": {"data_centre": "dc-1"}},
+        "teams": {"team": {"token_sha256": "1".repeat(64), "quota": size}},
+        "services": {"listings": {"limit": {"cpu_milli": 10_000, "memory_mib": 20_000}}},
+        "classes": {"rebuild": {"limit": {"cpu_milli": 50_000, "memory_mib": 200_000}}},
+    });
+    let job = json!({
+        "id": "rebuild", "team": "team", "class": "rebuild", "tasks": tasks, "cell": "central-1",
+        "need": {"cpu_milli": 500, "memory_mib": 1_000}, "command": "work_ms=600000",
+    });
+    client(program, entry, &["config", "patch", "--base", "0", "-"], &patch.to_string())?;
+    let begin = Instant::now();
+    while let Err(error) = client(program, entry, &["job", "submit", "-"], &job.to_string()) {
+        // The cell has no owner until the patch is in effect and the cell was claimed.
+        ensure!(begin.elapsed() < SETTLE, "{error}");
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    Ok(())
+}
+
+fn client(program: &Path, entry: SocketAddr, args: &[&str], input: &str) -> eyre::Result<()> {
+    let mut child = Command::new(program)
+        .args(args)
+        .env("PERIDOTFOLD_ENTRY", entry.to_string())
+        .env("PERIDOTFOLD_TOKEN", TOKEN)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    if let Some(mut stdin) = child.stdin.take() {
+        stdin.write_all(input.as_bytes())?;
+    }
+    let output = child.wait_with_output()?;
+    ensure!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    Ok(())
+}
+
 fn words(parts: &[&str]) -> Vec<String> {
     parts.iter().map(|part| (*part).to_owned()).collect()
 }
