Weigh the share of failures instead of their number in the cost of an upstream

Cause: a deadline that passes in the upstream counts as a failure. At 60% load 0.1% of the requests do so, which kept the cost of healthy upstreams about 20 times too high, at random.

--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -16,13 +16,16 @@
 const RETENTION: Duration = Duration::from_secs(60);
 /// An unused latency estimate halves in this time, so that a slow upstream is tried again.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
-/// The error penalty halves in this time.
+/// The share of failures halves in this time without outcomes.
 const ERROR_HALF_LIFE: Duration = Duration::from_secs(5);
 /// Share of a new sample in the smoothed latency.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// Cost factor for each recent error. An error that returns in 1 ms must not look better than an
-/// answer in 50 ms.
-const ERROR_COST: f64 = 20.0;
+/// Share of a new outcome in the smoothed share of failures. When failures were counted instead,
+/// one missed deadline in a thousand requests raised the cost of a healthy upstream 20 times.
+const ERROR_WEIGHT: f64 = 0.02;
+/// Cost factor of an upstream that fails always. An error that returns in 1 ms must not look
+/// better than an answer in 50 ms.
+const ERROR_COST: f64 = 1_000.0;
 /// Floor of the latency estimate; below it, differences are measurement noise.
 const LATENCY_FLOOR: f64 = 0.000_5;
 /// Earlier incarnations of an agent that are remembered.
@@ -75,8 +78,9 @@
     /// Smoothed latency in seconds, as of `updated`.
     latency: f64,
     updated: Time,
+    /// Smoothed share of failures, as of `judged`.
     errors: f64,
-    failed: Time,
+    judged: Time,
 }
 
 #[derive(Debug)]
@@ -353,7 +357,7 @@
             latency: load.latency.as_secs_f64(),
             updated: now,
             errors: 0.0,
-            failed: now,
+            judged: now,
         }
     }
 
@@ -369,22 +373,26 @@
                 let sample = latency.as_secs_f64();
                 self.latency = known + SAMPLE_WEIGHT * (sample - known);
                 self.updated = now;
+                self.judge(now, 0.0);
             }
-            Feedback::Failed | Feedback::Unreachable => {
-                self.errors = 1.0 + self.errors_at(now);
-                self.failed = now;
-            }
+            Feedback::Failed | Feedback::Unreachable => self.judge(now, 1.0),
             Feedback::Abandoned => {}
         }
     }
 
+    fn judge(&mut self, now: Time, failure: f64) {
+        let known = self.errors_at(now);
+        self.errors = known + ERROR_WEIGHT * (failure - known);
+        self.judged = now;
+    }
+
     fn latency_at(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.updated).as_secs_f64();
         self.latency * 0.5_f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
     }
 
     fn errors_at(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.failed).as_secs_f64();
+        let age = now.saturating_sub(self.judged).as_secs_f64();
         self.errors * 0.5_f64.powf(age / ERROR_HALF_LIFE.as_secs_f64())
     }
 
