Eject upstreams that only fail

Cause: the latency estimate of an upstream without answers decays to its floor, so that a high cost factor alone did not keep requests away from one that fails fast. Five consecutive failures now eject it for 1 s, doubling to 30 s, never more than half of the upstreams. Refusals for lack of capacity only raise the cost: ejections under overload would shift the load to others.

--- a/crates/bench/src/requests/simulation.rs
+++ b/crates/bench/src/requests/simulation.rs
@@ -368,6 +368,7 @@
         let feedback = match reason {
             RefuseReason::Leaving | RefuseReason::WrongIncarnation => Feedback::Unreachable,
             RefuseReason::DeadlinePassed => Feedback::Abandoned,
+            RefuseReason::Overloaded => Feedback::Refused,
             _ => Feedback::Failed,
         };
         self.release(request, feedback);
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -26,6 +26,12 @@
 /// Cost factor of an upstream that fails always. An error that returns in 1 ms must not look
 /// better than an answer in 50 ms.
 const ERROR_COST: f64 = 1_000.0;
+/// Consecutive failures after which an upstream is ejected. Chance alone, at 1% failures, causes
+/// such a run once in 10 billion requests.
+const EJECT_RUN: u32 = 5;
+/// Length of the first ejection. It doubles each time that the upstream fails again after it.
+const EJECT_MIN: Duration = Duration::from_secs(1);
+const EJECT_MAX: Duration = Duration::from_secs(30);
 /// Floor of the latency estimate; below it, differences are measurement noise.
 const LATENCY_FLOOR: f64 = 0.000_5;
 /// Earlier incarnations of an agent that are remembered.
@@ -46,8 +52,11 @@
 pub enum Feedback {
     /// The head of an answer without a server error arrived after this time.
     Answered(Duration),
-    /// A server error, a refusal or an unknown outcome.
+    /// A server error or an unknown outcome.
     Failed,
+    /// Refused for lack of capacity. Raises the cost, but never ejects an upstream: that would
+    /// move its load to others that are overloaded as well.
+    Refused,
     /// The connection failed; the upstream is demoted until its next announcement.
     Unreachable,
     /// The caller gave up; says nothing about the upstream.
@@ -81,6 +90,11 @@
     /// Smoothed share of failures, as of `judged`.
     errors: f64,
     judged: Time,
+    /// Failures since the last answer.
+    run: u32,
+    /// Ejections since the last answer.
+    ejections: u32,
+    ejected_until: Time,
 }
 
 #[derive(Debug)]
@@ -151,6 +165,9 @@
         if let Some(usage) = self.usage_mut(target, service) {
             usage.learn(now, feedback);
         }
+        if feedback == Feedback::Failed {
+            self.eject(now, target, service);
+        }
         match self.upstreams.get_mut(&target.agent) {
             Some(upstream)
                 if feedback == Feedback::Unreachable
@@ -170,6 +187,7 @@
     }
 
     /// Chooses the cheaper of two random eligible upstreams of `service` that are not in `tried`.
+    /// Ejected ones are chosen only if there are no others.
     pub fn choose(
         &self,
         now: Time,
@@ -178,8 +196,12 @@
         rng: &mut fastrand::Rng,
     ) -> Option<Target> {
         let agents = self.services.get(service)?;
-        let first = self.draw(now, agents, tried, None, rng)?;
-        let second = self.draw(now, agents, tried, Some(first), rng);
+        let usable = |agent: &AgentId| !tried.contains(agent) && self.is_eligible(now, agent);
+        let sound = |agent: &AgentId| usable(agent) && !self.is_ejected(now, agent, service);
+        let Some(first) = draw(agents, sound, rng) else {
+            return self.target(draw(agents, usable, rng)?);
+        };
+        let second = draw(agents, |agent| agent != first && sound(agent), rng);
         let best = match second {
             Some(second) if self.cost(now, second, service) < self.cost(now, first, service) => {
                 second
@@ -246,27 +268,29 @@
         }
     }
 
-    fn draw<'a>(
-        &self,
-        now: Time,
-        agents: &'a [AgentId],
-        tried: &[AgentId],
-        other: Option<&str>,
-        rng: &mut fastrand::Rng,
-    ) -> Option<&'a AgentId> {
-        let fits = |agent: &AgentId| {
-            other != Some(agent.as_str())
-                && !tried.contains(agent)
-                && self.upstreams.get(agent).is_some_and(|upstream| upstream.is_eligible(now))
-        };
-        for _ in 0..DRAWS {
-            let agent = &agents[rng.usize(..agents.len())];
-            if fits(agent) {
-                return Some(agent);
-            }
+    fn is_eligible(&self, now: Time, agent: &str) -> bool {
+        self.upstreams.get(agent).is_some_and(|upstream| upstream.is_eligible(now))
+    }
+
+    fn is_ejected(&self, now: Time, agent: &str, service: &str) -> bool {
+        let usage = self.upstreams.get(agent).and_then(|upstream| upstream.usage.get(service));
+        usage.is_some_and(|usage| now < usage.ejected_until)
+    }
+
+    /// Ejects an upstream that only fails, unless half of the upstreams are ejected already: then
+    /// the cause is probably elsewhere, and the others could not take the load.
+    fn eject(&mut self, now: Time, target: &Target, service: &str) {
+        if !self.usage_mut(target, service).is_some_and(|usage| usage.is_failing(now)) {
+            return;
+        }
+        let agents = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let ejected = agents.iter().filter(|agent| self.is_ejected(now, agent, service)).count();
+        if (ejected + 1) * 2 > agents.len() {
+            return;
+        }
+        if let Some(usage) = self.usage_mut(target, service) {
+            usage.eject(now);
         }
-        let eligible: Vec<_> = agents.iter().filter(|agent| fits(agent)).collect();
-        rng.choice(eligible)
     }
 
     fn cost(&self, now: Time, agent: &str, service: &str) -> f64 {
@@ -294,6 +318,25 @@
     }
 }
 
+/// Draws one of the agents that fit.
+fn draw<'a>(
+    agents: &'a [AgentId],
+    fits: impl Fn(&AgentId) -> bool,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a AgentId> {
+    if agents.is_empty() {
+        return None;
+    }
+    for _ in 0..DRAWS {
+        let agent = &agents[rng.usize(..agents.len())];
+        if fits(agent) {
+            return Some(agent);
+        }
+    }
+    let eligible: Vec<_> = agents.iter().filter(|agent| fits(agent)).collect();
+    rng.choice(eligible)
+}
+
 impl Upstream {
     /// Tells whether `announce` is older than what is known. Incarnations have no order: one is
     /// older if it was replaced here before. While the known incarnation is silent, a replaced one
@@ -358,6 +401,9 @@
             updated: now,
             errors: 0.0,
             judged: now,
+            run: 0,
+            ejections: 0,
+            ejected_until: Time::ZERO,
         }
     }
 
@@ -374,8 +420,13 @@
                 self.latency = known + SAMPLE_WEIGHT * (sample - known);
                 self.updated = now;
                 self.judge(now, 0.0);
+                (self.run, self.ejections) = (0, 0);
+            }
+            Feedback::Refused | Feedback::Unreachable => self.judge(now, 1.0),
+            Feedback::Failed => {
+                self.judge(now, 1.0);
+                self.run = self.run.saturating_add(1);
             }
-            Feedback::Failed | Feedback::Unreachable => self.judge(now, 1.0),
             Feedback::Abandoned => {}
         }
     }
@@ -386,6 +437,18 @@
         self.judged = now;
     }
 
+    /// Tells whether the upstream has to be ejected. Failures of requests that were sent before an
+    /// ejection do not prolong it.
+    fn is_failing(&self, now: Time) -> bool {
+        self.run >= EJECT_RUN && now >= self.ejected_until
+    }
+
+    fn eject(&mut self, now: Time) {
+        let length = EJECT_MIN * 2_u32.saturating_pow(self.ejections.min(16));
+        self.ejected_until = now + length.min(EJECT_MAX);
+        self.ejections += 1;
+    }
+
     fn latency_at(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.updated).as_secs_f64();
         self.latency * 0.5_f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -252,3 +252,43 @@
         assert!(failures < 20_000 / 100, "seed {seed}: {failures} of 20000 requests failed");
     }
 }
+
+/// Guards against an upstream that fails fast and attracts requests, and against ejections that
+/// leave too few upstreams: those caused by refusals, or of more than half.
+#[test]
+fn only_failing_upstreams_are_ejected_and_at_most_half() {
+    for failing in 1..=AGENTS {
+        for feedback in [Feedback::Failed, Feedback::Refused] {
+            let mut table = Table::default();
+            for agent in 0..AGENTS {
+                table.announce(Duration::ZERO, announce(agent, 1, 1, AgentState::Ready));
+            }
+            let mut rng = fastrand::Rng::with_seed(failing as u64);
+            let mut now = Duration::ZERO;
+            let mut chosen = [0; AGENTS];
+            for number in 0..4_000 {
+                now += Duration::from_micros(100);
+                let Some(target) = table.choose(now, SERVICE, &[], &mut rng) else {
+                    panic!("no upstream is chosen with {failing} failing");
+                };
+                let index = index_of(&target);
+                let outcome = match index < failing {
+                    true => feedback,
+                    false => Feedback::Answered(Duration::from_millis(10)),
+                };
+                table.learn(now, &target, SERVICE, outcome);
+                chosen[index] += u32::from(number >= 2_000);
+            }
+            // Cost alone keeps a failing upstream idle while others answer.
+            let idle = chosen.iter().filter(|count| **count == 0).count();
+            let case = format!("{failing} with {feedback:?}: {chosen:?}");
+            assert!(chosen[failing..].iter().all(|count| *count > 0), "{case}");
+            match (feedback, failing) {
+                (Feedback::Failed, few) if few <= AGENTS / 2 => assert_eq!(idle, few, "{case}"),
+                (Feedback::Failed, AGENTS) => assert!(idle <= AGENTS / 2, "{case}"),
+                (_, AGENTS) => assert_eq!(idle, 0, "{case}"),
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/entry/src/proxy/attempt.rs
+++ b/crates/entry/src/proxy/attempt.rs
@@ -106,6 +106,9 @@
         } => Feedback::Unreachable,
         // The caller's deadline may be far below the upstream's usual latency.
         Outcome::NotRun { reason: RefuseReason::DeadlinePassed, .. } => Feedback::Abandoned,
+        Outcome::NotRun {
+            reason: RefuseReason::Overloaded | RefuseReason::KeyUnavailable, ..
+        } => Feedback::Refused,
         Outcome::Answer(_) | Outcome::NotRun { .. } | Outcome::Unknown { .. } => Feedback::Failed,
         Outcome::Abandoned { .. } => Feedback::Abandoned,
     };
