--- a/crates/core/src/colocation.rs
+++ b/crates/core/src/colocation.rs
@@ -94,6 +94,7 @@
 #[derive(Debug, Clone, Default)]
 struct ClassState {
     step: usize,
+    urgent: bool,
     /// Wait before the next restore; doubles when a restore is undone.
     restore_wait: Duration,
     restored_at: Option<Time>,
@@ -177,7 +178,8 @@
     }
 
     /// Classes that are not admitted for now: for a time after an eviction, and while one more task
-    /// of a throttled class would slow the service down too much.
+    /// of a throttled class would slow the service down too much. Urgent classes are always
+    /// admitted; other work is throttled for them.
     pub fn held(&self, now: Time) -> BTreeSet<String> {
         let known: f64 = self
             .tasks
@@ -193,6 +195,7 @@
         let held = self
             .classes
             .iter()
+            .filter(|(_, state)| !state.urgent)
             .filter(|(class, state)| now < state.held_until || crowded(class, state));
         held.map(|(class, _)| class.clone()).collect()
     }
@@ -245,6 +248,9 @@
     }
 
     fn note_tasks(&mut self, now: Time, sample: &Sample) {
+        for (class, load) in &sample.classes {
+            self.classes.entry(class.clone()).or_default().urgent = load.urgent;
+        }
         let counted = sample.classes.iter().map(|(class, load)| (class.clone(), load.tasks));
         let tasks: BTreeMap<String, u32> = counted.filter(|(_, tasks)| *tasks > 0).collect();
         if tasks != self.tasks {
