Keep the accepted epoch with the worker's claim

A restarted agent took its highest epoch from the tokens of the listed tasks only. After it had adopted a task of an earlier epoch it obeyed the former owner again, which could renew the task while the new owner, told that its epoch was accepted, gave it up after one lease: two attempts.

Taking the epoch from announce replies was ruled out: an agent that reaches only the former owner gets none. The worker now keeps the highest epoch of all claims, and a claim returns it. Reports carry the kept epoch only, and leases and starts of a higher one wait until it is kept.

Without the read-back, restarted_agent_refuses_the_owner_that_its_predecessor_had_replaced fails with a renewal and a start; without the wait, grants_of_a_new_epoch_wait_until_the_worker_keeps_it fails. The owner in the agent's tests ordered starts to agents that had not accepted its epoch, which the cell's owner never does; it now keeps that rule.

--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -175,10 +175,17 @@
     }
 
     async fn list(&self) -> Result<(), WireError> {
-        let unclaimed = self.state.lock().tasks.needs_claim();
-        if unclaimed {
-            let claim = self.worker.claim().await?;
-            self.state.lock().tasks.claimed(claim);
+        let request = self.state.lock().tasks.claim_request();
+        if let Some(request) = request {
+            let claimed = self.worker.claim(&request).await?;
+            let mut state = self.state.lock();
+            match claimed {
+                Some(claimed) => state.tasks.claimed(claimed),
+                None => {
+                    state.tasks.claim_refused();
+                    return Ok(());
+                }
+            }
         }
         let asked_at = runtime::now();
         let list = self.worker.list().await?;
--- a/crates/agent/src/batch/worker_client.rs
+++ b/crates/agent/src/batch/worker_client.rs
@@ -7,7 +7,8 @@
 use http::{Method, Response, StatusCode};
 use peridotfold_core::message::report::AttemptId;
 use peridotfold_core::tasks::worker::{
-    task_path_id, Checkpoint, CheckpointTask, Claim, RenewTasks, StopTask, ThrottleTask, WorkerList,
+    task_path_id, Checkpoint, CheckpointTask, ClaimWorker, Claimed, RenewTasks, StopTask,
+    ThrottleTask, WorkerList,
 };
 use peridotfold_core::tasks::{Action, Effect};
 use peridotfold_wire::error::{Step, WireError};
@@ -42,20 +43,24 @@
     ///
     /// Fails when the worker does not answer in time or not as agreed.
     pub async fn list(&self) -> Result<WorkerList, WireError> {
-        self.read(Method::GET, "/v1/tasks").await
+        let response = self.send(Method::GET, "/v1/tasks", Bytes::new()).await?;
+        self.read(&response)
     }
 
-    /// Claims the right to start tasks; earlier claims end.
+    /// Claims the right to start tasks; earlier claims end. `None`: the claim to keep is lost.
     ///
     /// # Errors
     ///
     /// Fails when the worker does not answer in time or not as agreed.
-    pub async fn claim(&self) -> Result<Claim, WireError> {
-        self.read(Method::POST, "/v1/claim").await
+    pub async fn claim(&self, request: &ClaimWorker) -> Result<Option<Claimed>, WireError> {
+        let response = self.post("/v1/claim", request).await?;
+        match response.status() {
+            StatusCode::CONFLICT => Ok(None),
+            _ => self.read(&response).map(Some),
+        }
     }
 
-    async fn read<T: DeserializeOwned>(&self, method: Method, path: &str) -> Result<T, WireError> {
-        let response = self.send(method, path, Bytes::new()).await?;
+    fn read<T: DeserializeOwned>(&self, response: &Response<Bytes>) -> Result<T, WireError> {
         match response.status() {
             StatusCode::OK => self.decode(response.body()),
             status => Err(self.error(Step::Receive, format!("status {status}"))),
--- a/crates/agent/tests/batch/support.rs
+++ b/crates/agent/tests/batch/support.rs
@@ -90,11 +90,16 @@
                 true => report.results.iter().map(|result| result.attempt.clone()).collect(),
                 false => Vec::new(),
             };
+            // As the cell's owner: no start before the agent has accepted the epoch.
+            let starts = match report.epoch == state.epoch {
+                true => std::mem::take(&mut state.starts),
+                false => Vec::new(),
+            };
             let orders = Orders {
                 epoch: state.epoch,
                 sequence: report.sequence,
                 lease: state.lease,
-                starts: std::mem::take(&mut state.starts),
+                starts,
                 stops: std::mem::take(&mut state.stops),
                 acknowledged,
             };
--- a/crates/agent/tests/batch/worker_contract.rs
+++ b/crates/agent/tests/batch/worker_contract.rs
@@ -6,7 +6,9 @@
 use peridotfold_agent::batch::worker_client::WorkerClient;
 use peridotfold_core::message::report::AttemptId;
 use peridotfold_core::resources::Resources;
-use peridotfold_core::tasks::worker::{Claim, StartTask, TaskLease, WorkerList, WorkerOutcome};
+use peridotfold_core::tasks::worker::{
+    Claim, ClaimWorker, Claimed, StartTask, TaskLease, WorkerList, WorkerOutcome,
+};
 use peridotfold_core::tasks::{Action, Effect};
 use peridotfold_standins::worker::{Options, Worker};
 use peridotfold_wire::runtime;
@@ -23,6 +25,10 @@
         Api { worker, client }
     }
 
+    async fn claim(&self, keep: Option<Claim>, epoch: u64) -> Option<Claimed> {
+        self.client.claim(&ClaimWorker { keep, epoch }).await.unwrap()
+    }
+
     async fn list(&self) -> WorkerList {
         self.client.list().await.unwrap()
     }
@@ -32,7 +38,7 @@
     }
 
     async fn start_task(&self, id: AttemptId, lease_ms: u64, command: &str) -> Effect {
-        let claim = self.client.claim().await.unwrap();
+        let claim = self.claim(None, 0).await.unwrap().claim;
         self.start_claimed(claim, id, lease_ms, command).await
     }
 
@@ -143,8 +149,8 @@
 fn only_the_last_claim_starts_tasks() {
     run(async {
         let api = Api::start(Options::default()).await;
-        let old = api.client.claim().await.unwrap();
-        let new = api.client.claim().await.unwrap();
+        let old = api.claim(None, 0).await.unwrap().claim;
+        let new = api.claim(None, 0).await.unwrap().claim;
         assert_eq!(api.list().await.controller, new.controller);
         let late = api.start_claimed(old, attempt("j", 1, 1), 10_000, "work_ms=10").await;
         assert!(matches!(late, Effect::Refused(_)));
@@ -217,3 +223,20 @@
         assert!(interval.end_us.unwrap() - interval.start_us >= 200_000);
     });
 }
+
+/// Guards against an epoch that a restarted agent does not find, and against one that falls.
+#[test]
+fn claims_keep_the_highest_epoch() {
+    run(async {
+        let api = Api::start(Options::default()).await;
+        let first = api.claim(None, 0).await.unwrap();
+        assert_eq!(first.epoch, 0);
+        let kept = api.claim(Some(first.claim), 7).await.unwrap();
+        assert_eq!((kept.claim, kept.epoch), (first.claim, 7), "keeping is no new claim");
+        assert_eq!(api.claim(Some(first.claim), 5).await.unwrap().epoch, 7);
+        let second = api.claim(None, 0).await.unwrap();
+        assert_eq!(second.epoch, 7);
+        assert_eq!(api.claim(Some(first.claim), 9).await, None, "the first claim has ended");
+        assert_eq!(api.claim(Some(second.claim), 0).await.unwrap().epoch, 7);
+    });
+}
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -1,9 +1,10 @@
 //! Attempts on one VM.
 //!
-//! The caller claims the worker when [`Tasks::needs_claim`] says so. It performs the actions that [`Tasks::actions`] returns, asks [`Tasks::begin`] just
-//! before each effect, and hands back what came of it with [`Tasks::performed`]. It lists the
-//! worker's tasks with [`Tasks::listed`], and sends [`Tasks::report`] to the cell's owner, whose
-//! reply goes to [`Tasks::obey`].
+//! The caller claims the worker when [`Tasks::claim_request`] says so, and hands the reply to
+//! [`Tasks::claimed`]. It performs the actions that [`Tasks::actions`] returns, asks
+//! [`Tasks::begin`] just before each effect, and hands back what came of it with
+//! [`Tasks::performed`]. It lists the worker's tasks with [`Tasks::listed`], and sends
+//! [`Tasks::report`] to the cell's owner, whose reply goes to [`Tasks::obey`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -17,7 +18,7 @@
     AttemptId, Outcome, Report, RunningTask, StartOrder, TaskResult, Token,
 };
 use crate::resources::Resources;
-use crate::tasks::worker::{Claim, StartTask, TaskLease};
+use crate::tasks::worker::{Claim, ClaimWorker, Claimed, StartTask, TaskLease};
 use crate::time::Time;
 
 mod effects;
@@ -170,6 +171,9 @@
     ledger: Ledger,
     /// Highest epoch of the cell that was seen.
     epoch: Epoch,
+    /// Epoch that the worker keeps for a successor of this process. Grants of a higher one are not
+    /// obeyed yet.
+    kept_epoch: Epoch,
     sequence: u64,
     outstanding: Option<Outstanding>,
     claim: Option<Claim>,
@@ -197,6 +201,7 @@
             identity,
             ledger: Ledger::new(Resources::default(), lag),
             epoch: 0,
+            kept_epoch: 0,
             sequence: 0,
             outstanding: None,
             claim: None,
@@ -224,14 +229,24 @@
         &self.ledger
     }
 
-    /// Tells whether the worker has to be claimed before its tasks are listed.
-    pub fn needs_claim(&self) -> bool {
-        self.claim.is_none()
+    /// Returns the claim to make before the worker's tasks are listed: when there is none, and when
+    /// the worker does not keep the epoch that was seen.
+    pub fn claim_request(&self) -> Option<ClaimWorker> {
+        let due = self.claim.is_none() || self.kept_epoch < self.epoch;
+        due.then_some(ClaimWorker { keep: self.claim, epoch: self.epoch })
     }
 
-    /// Records a claim of the worker.
-    pub fn claimed(&mut self, claim: Claim) {
-        self.claim = Some(claim);
+    /// Records the reply to a claim.
+    pub fn claimed(&mut self, claimed: Claimed) {
+        self.claim = Some(claimed.claim);
+        self.kept_epoch = claimed.epoch;
+        self.epoch = self.epoch.max(claimed.epoch);
+    }
+
+    /// Records that the worker refused to keep the claim: another agent or instance has it.
+    pub fn claim_refused(&mut self) {
+        self.event("claim_lost", None, "refused".into());
+        self.claim = None;
     }
 
     /// Tells whether the worker's tasks are known, so that reports and starts are allowed.
@@ -338,7 +353,8 @@
             rack: self.identity.rack.clone(),
             sequence: self.sequence,
             state: if self.draining { AgentState::Leaving } else { AgentState::Ready },
-            epoch: self.epoch,
+            // The owner takes this as a promise that also outlives this process.
+            epoch: self.kept_epoch,
             batch_capacity: self.ledger.batch_capacity(),
             free: self.ledger.free(),
             running,
--- a/crates/core/src/tasks/orders.rs
+++ b/crates/core/src/tasks/orders.rs
@@ -34,7 +34,8 @@
             self.obey_stop(now, stop);
         }
         let lease_until = answered.sent_at + orders.lease;
-        if lease_until <= now {
+        // A successor of this process would obey an earlier owner if the epoch were not kept first.
+        if lease_until <= now || self.kept_epoch < self.epoch {
             return;
         }
         for id in &answered.attempts {
--- a/crates/core/src/tasks/worker.rs
+++ b/crates/core/src/tasks/worker.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::TeamId;
+use crate::id::{Epoch, TeamId};
 use crate::message::report::AttemptId;
 use crate::resources::Resources;
 
@@ -59,7 +59,25 @@
     },
 }
 
-/// Reply to `POST /v1/claim`. Each claim gets a higher number.
+/// Body of `POST /v1/claim`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimWorker {
+    /// The claim to keep; refused if it is not the last one. `None` makes a new one.
+    pub keep: Option<Claim>,
+    /// Highest epoch of the cell that the agent has seen.
+    pub epoch: Epoch,
+}
+
+/// Reply to `POST /v1/claim`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimed {
+    pub claim: Claim,
+    /// Highest epoch that any claim of this instance named. Outlives the agent, so that a restarted
+    /// one obeys no owner that its predecessor had refused.
+    pub epoch: Epoch,
+}
+
+/// Right to start tasks. Each new claim gets a higher number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     pub instance: u64,
--- a/crates/core/tests/tasks/cases.rs
+++ b/crates/core/tests/tasks/cases.rs
@@ -9,7 +9,9 @@
     AttemptId, Orders, Outcome, Report, StartOrder, StopOrder, Token,
 };
 use peridotfold_core::resources::Resources;
-use peridotfold_core::tasks::worker::{Claim, WorkerList, WorkerOutcome, WorkerTask};
+use peridotfold_core::tasks::worker::{
+    Claim, ClaimWorker, Claimed, WorkerList, WorkerOutcome, WorkerTask,
+};
 use peridotfold_core::tasks::{Action, Effect, Identity, Tasks};
 
 const LEASE: Duration = Duration::from_secs(20);
@@ -59,6 +61,10 @@
     }
 }
 
+fn claimed(epoch: u64) -> Claimed {
+    Claimed { claim: Claim { instance: 1, controller: 1 }, epoch }
+}
+
 fn unclaimed() -> Tasks {
     let identity =
         Identity { agent: "a".into(), incarnation: 1, cell: "c".into(), rack: "r".into() };
@@ -72,8 +78,12 @@
 }
 
 fn adopted(now: Duration, worker: Vec<WorkerTask>) -> Tasks {
+    adopted_at(1, now, worker)
+}
+
+fn adopted_at(epoch: u64, now: Duration, worker: Vec<WorkerTask>) -> Tasks {
     let mut tasks = unclaimed();
-    tasks.claimed(Claim { instance: 1, controller: 1 });
+    tasks.claimed(claimed(epoch));
     tasks.listed(now, now, &list(now, worker));
     tasks
 }
@@ -100,10 +110,10 @@
 #[test]
 fn nothing_is_reported_before_the_worker_is_claimed_and_listed() {
     let mut tasks = unclaimed();
-    assert!(tasks.needs_claim());
+    assert_eq!(tasks.claim_request(), Some(ClaimWorker::default()));
     tasks.listed(seconds(1), seconds(1), &list(seconds(1), Vec::new()));
     assert!(tasks.report(seconds(1), 0).is_none(), "listed without a claim");
-    tasks.claimed(Claim { instance: 1, controller: 1 });
+    tasks.claimed(claimed(3));
     assert!(tasks.report(seconds(1), 0).is_none(), "claimed without a list");
     tasks.listed(seconds(1), seconds(1), &list(seconds(1), vec![listed_task(id(0, 3, 7), None)]));
     let report = tasks.report(seconds(1), 0).unwrap();
@@ -147,17 +157,65 @@
 /// Guards against orders of a replaced owner, also right after a restart.
 #[test]
 fn orders_of_an_old_epoch_are_refused() {
-    let mut tasks = adopted(seconds(1), vec![listed_task(id(0, 5, 9), None)]);
+    let mut tasks = adopted_at(5, seconds(1), vec![listed_task(id(0, 5, 9), None)]);
     let report = tasks.report(seconds(1), 0).unwrap();
     let mut old = orders(&report, 4, vec![start(id(1, 4, 1))]);
     old.stops.push(StopOrder { attempt: id(0, 5, 9), checkpoint: false });
     tasks.obey(seconds(1), old);
     assert!(tasks.actions(seconds(1)).is_empty());
+    tasks.obey(seconds(1), orders(&report, 6, Vec::new()));
+    tasks.claimed(claimed(6));
+    let report = tasks.report(seconds(1), 0).unwrap();
     tasks.obey(seconds(1), orders(&report, 6, vec![start(id(1, 6, 1))]));
     assert_eq!(tasks.epoch(), 6);
     assert_eq!(starts(&tasks.actions(seconds(1))), [id(1, 6, 1)]);
 }
 
+fn renewals(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Renew { .. })).count()
+}
+
+/// Guards against two live attempts after an agent restarts: it has adopted a task of an earlier
+/// epoch and reaches the former owner, which would renew a task that the new owner gives up.
+#[test]
+fn restarted_agent_refuses_the_owner_that_its_predecessor_had_replaced() {
+    let task = || vec![listed_task(id(0, 1, 1), None)];
+    let mut first = adopted(seconds(1), task());
+    let report = first.report(seconds(50), 0).unwrap();
+    first.obey(seconds(50), orders(&report, 2, Vec::new()));
+    let request = first.claim_request().expect("the epoch is not kept yet");
+    assert_eq!((request.keep, request.epoch), (Some(claimed(0).claim), 2));
+    first.claimed(claimed(2));
+    assert_eq!(first.report(seconds(50), 0).unwrap().epoch, 2);
+
+    let mut second = adopted_at(2, seconds(51), task());
+    let report = second.report(seconds(51), 0).unwrap();
+    assert_eq!(report.epoch, 2, "the new owner is not told that its epoch is accepted");
+    second.obey(seconds(51), orders(&report, 1, vec![start(id(1, 1, 2))]));
+    let actions = second.actions(seconds(51));
+    assert!(actions.is_empty(), "obeys the former owner: {actions:?}");
+}
+
+/// Guards against grants of a new owner that are obeyed, and an acceptance that is reported, while
+/// a restarted agent would not know of it.
+#[test]
+fn grants_of_a_new_epoch_wait_until_the_worker_keeps_it() {
+    let mut tasks = adopted(seconds(50), vec![listed_task(id(0, 1, 1), None)]);
+    for second in 50..52 {
+        let report = tasks.report(seconds(second), 0).unwrap();
+        assert_eq!(report.epoch, 1, "reported as accepted before the worker keeps it");
+        tasks.obey(seconds(second), orders(&report, 2, vec![start(id(1, 2, 2))]));
+        let actions = tasks.actions(seconds(second));
+        assert_eq!((starts(&actions).len(), renewals(&actions)), (0, 0));
+    }
+    tasks.claimed(claimed(2));
+    let report = tasks.report(seconds(52), 0).unwrap();
+    assert_eq!(report.epoch, 2);
+    tasks.obey(seconds(52), orders(&report, 2, vec![start(id(1, 2, 2))]));
+    let actions = tasks.actions(seconds(52));
+    assert_eq!((starts(&actions).len(), renewals(&actions)), (1, 1));
+}
+
 /// Guards against a newer attempt that starts beside an older one of its task.
 #[test]
 fn newer_attempt_waits_until_the_older_is_gone() {
--- a/crates/core/tests/tasks/model_worker.rs
+++ b/crates/core/tests/tasks/model_worker.rs
@@ -5,7 +5,9 @@
 
 use peridotfold_core::message::report::{AttemptId, Token};
 use peridotfold_core::resources::Resources;
-use peridotfold_core::tasks::worker::{Claim, WorkerList, WorkerOutcome, WorkerTask};
+use peridotfold_core::tasks::worker::{
+    Claim, ClaimWorker, Claimed, WorkerList, WorkerOutcome, WorkerTask,
+};
 use peridotfold_core::tasks::{Action, Effect};
 
 pub const CAPACITY: Resources = Resources::new(16_000, 60_000, 2);
@@ -22,6 +24,7 @@
 /// A worker whose times are those of its VM.
 pub struct ModelWorker {
     pub claim: Claim,
+    epoch: u64,
     /// VM time at which the worker's clock was zero.
     origin: Duration,
     last: Duration,
@@ -36,6 +39,7 @@
     pub fn new(now: Duration, instance: u64) -> ModelWorker {
         ModelWorker {
             claim: Claim { instance, controller: 0 },
+            epoch: 0,
             origin: now,
             last: now,
             tasks: BTreeMap::new(),
@@ -53,6 +57,17 @@
         *self = ModelWorker { started, completed, ..ModelWorker::new(now, instance) };
     }
 
+    /// Makes or keeps a claim; `None` when another agent holds it.
+    pub fn claim(&mut self, request: ClaimWorker) -> Option<Claimed> {
+        match request.keep {
+            Some(claim) if claim != self.claim => return None,
+            Some(_) => {}
+            None => self.claim.controller += 1,
+        }
+        self.epoch = self.epoch.max(request.epoch);
+        Some(Claimed { claim: self.claim, epoch: self.epoch })
+    }
+
     pub fn running(&self) -> impl Iterator<Item = &ModelTask> {
         self.tasks.values().filter(|task| task.info.outcome.is_none())
     }
--- a/crates/core/tests/tasks/schedules.rs
+++ b/crates/core/tests/tasks/schedules.rs
@@ -213,9 +213,10 @@
         let next = match std::mem::replace(&mut vm.cycle, Cycle::Idle) {
             Cycle::Idle if lost => Cycle::Idle,
             Cycle::Idle => {
-                if agent.needs_claim() {
-                    vm.worker.claim.controller += 1;
-                    agent.claimed(vm.worker.claim);
+                match agent.claim_request().map(|request| vm.worker.claim(request)) {
+                    Some(None) => agent.claim_refused(),
+                    Some(Some(claimed)) => agent.claimed(claimed),
+                    None => {}
                 }
                 Cycle::Asked { asked_at: clock }
             }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -160,7 +160,9 @@
         let now = self.now();
         match (method, parts.as_slice()) {
             (&Method::GET, ["v1", "tasks"]) => reply(StatusCode::OK, &simulation.list(now)),
-            (&Method::POST, ["v1", "claim"]) => reply(StatusCode::OK, &simulation.claim()),
+            (&Method::POST, ["v1", "claim"]) => {
+                reply(StatusCode::OK, &simulation.claim(read(body)?)?)
+            }
             (&Method::POST, ["v1", "tasks"]) => {
                 let start: StartTask = read(body)?;
                 let status = match simulation.start(now, start)? {
--- a/crates/standins/src/worker/simulation.rs
+++ b/crates/standins/src/worker/simulation.rs
@@ -5,10 +5,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use peridotfold_core::id::Epoch;
 use peridotfold_core::message::report::{AttemptId, Token};
 use peridotfold_core::resources::Resources;
 use peridotfold_core::tasks::worker::{
-    task_path_id, Claim, RenewTasks, StartTask, WorkerList, WorkerOutcome, WorkerTask,
+    task_path_id, Claim, ClaimWorker, Claimed, RenewTasks, StartTask, WorkerList, WorkerOutcome,
+    WorkerTask,
 };
 use serde::{Deserialize, Serialize};
 
@@ -173,6 +175,8 @@
 pub struct Simulation {
     options: Options,
     claim: Claim,
+    /// Highest epoch of all claims.
+    epoch: Epoch,
     /// Unix time, in microseconds, at which the clock was zero.
     origin_us: u64,
     tasks: BTreeMap<String, Task>,
@@ -188,6 +192,7 @@
         Simulation {
             options,
             claim: Claim { instance, controller: 0 },
+            epoch: 0,
             origin_us,
             tasks: BTreeMap::new(),
             seen: HashMap::new(),
@@ -211,10 +216,21 @@
         self.advance(now);
     }
 
-    /// Gives the right to start tasks to the caller alone.
-    pub fn claim(&mut self) -> Claim {
-        self.claim.controller += 1;
-        self.claim
+    /// Gives the right to start tasks to the caller alone, or keeps a claim with a higher epoch.
+    ///
+    /// # Errors
+    ///
+    /// Refuses to keep a claim that is not the last one.
+    pub fn claim(&mut self, request: ClaimWorker) -> Result<Claimed, Refusal> {
+        match request.keep {
+            Some(claim) if claim != self.claim => {
+                return refuse(409, "the worker was restarted or claimed by another agent");
+            }
+            Some(_) => {}
+            None => self.claim.controller += 1,
+        }
+        self.epoch = self.epoch.max(request.epoch);
+        Ok(Claimed { claim: self.claim, epoch: self.epoch })
     }
 
     /// Lists running tasks and results.
