--- /dev/null
+++ b/crates/core/tests/composed/main.rs
@@ -0,0 +1,36 @@
+//! The real owner, agent and ledger together, under seeded faults, judged by the history checker.
+
+#[path = "../support/history.rs"]
+mod history;
+#[path = "../tasks/model_worker.rs"]
+mod model_worker;
+#[path = "../support/schedules.rs"]
+mod schedules;
+mod vm;
+mod world;
+
+use peridotfold_core::cell::state::Phase;
+
+const SCHEDULES: u64 = 10_000;
+
+fn check(seed: u64) -> u64 {
+    let outcome = world::World::run(seed);
+    if let Err((violation, detail)) = history::check(&outcome.history, &outcome.end) {
+        panic!("seed {seed}: {violation:?} at {:?}: {detail}", outcome.ended_at);
+    }
+    for (id, job) in &outcome.end.jobs {
+        let ended = matches!(job.phase, Phase::Completed | Phase::Cancelled);
+        assert!(ended, "seed {seed}: job {id} ended as {:?}: {:?}", job.phase, job.reason);
+    }
+    outcome.end.jobs.values().map(|job| job.evictions).sum()
+}
+
+/// Guards invariants 1, 2 and 3 where owner, agent, ledger and worker meet: against two live
+/// attempts, two completions, a wrong checkpoint, admissions above a VM's capacity, and jobs that
+/// never end.
+#[test]
+fn owner_and_agents_keep_the_invariants_under_faults() {
+    let evictions = schedules::run(SCHEDULES, check);
+    let enough = schedules::only_seed().is_some() || evictions > schedules::count(SCHEDULES) / 2;
+    assert!(enough, "the schedules hardly evict: {evictions}");
+}
