--- a/crates/core/src/tasks/orders.rs
+++ b/crates/core/src/tasks/orders.rs
@@ -27,6 +27,9 @@
             self.event("epoch_raised", None, format!("epoch={}", orders.epoch));
             self.epoch = orders.epoch;
         }
+        if orders.challenge != 0 {
+            self.challenge = orders.challenge;
+        }
         for id in &orders.acknowledged {
             self.acknowledge(id);
         }
@@ -34,7 +37,8 @@
             self.obey_stop(now, stop);
         }
         let lease_until = answered.sent_at + orders.lease;
-        if lease_until <= now {
+        // A successor of this process would obey an earlier owner if the epoch were not kept first.
+        if lease_until <= now || self.kept_epoch < self.epoch {
             return;
         }
         for id in &answered.attempts {
