Refuse unknown variables and bad log filters, and test bad input

A misspelled variable such as PERIDOTFOLD_STROE was ignored, and `check` did not look at the log filter. Both are now problems like any other. Variables of other commands stay allowed, since a VM may set them for all.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -8,6 +8,11 @@
 pub mod job;
 pub mod status;
 
+use crate::options::Opt;
+
+/// Options of all commands.
+pub const OPTIONS: &[&[Opt]] = &[entry::OPTIONS, agent::OPTIONS, config::OPTIONS, client::OPTIONS];
+
 /// Why a command did not succeed.
 #[derive(Debug)]
 pub enum CommandError {
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -7,7 +7,7 @@
 use crate::logging;
 use crate::options::{Help, Opt, Values};
 
-const OPTIONS: &[Opt] = &[
+pub const OPTIONS: &[Opt] = &[
     Opt {
         flag: "id",
         value: "NAME",
@@ -104,7 +104,7 @@
         drain_grace: values.duration("drain-grace"),
     };
     let threads = values.number("threads") as usize;
-    let log = values.text("log");
+    let log = values.log_filter("log");
     if settings.entries.is_empty() {
         values.problem("--entries: at least one address is required (or PERIDOTFOLD_ENTRIES)");
     }
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -9,7 +9,7 @@
 use super::CommandError;
 use crate::options::{Help, Opt, Values};
 
-const OPTIONS: &[Opt] = &[Opt {
+pub const OPTIONS: &[Opt] = &[Opt {
     flag: "base",
     value: "VERSION",
     help: "Version that the patch was written against (patch)",
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -7,7 +7,7 @@
 use crate::logging;
 use crate::options::{Help, Opt, Values};
 
-const OPTIONS: &[Opt] = &[
+pub const OPTIONS: &[Opt] = &[
     Opt {
         flag: "id",
         value: "NAME",
@@ -100,7 +100,7 @@
         dead_after: values.duration("dead-after"),
     };
     let threads = values.number("threads") as usize;
-    let log = values.text("log");
+    let log = values.log_filter("log");
     if !(1..=256).contains(&threads) {
         values.problem("--threads: not between 1 and 256");
     }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,6 +4,15 @@
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::EnvFilter;
 
+/// Checks a filter.
+///
+/// # Errors
+///
+/// Returns a message when `filter` cannot be parsed.
+pub fn check(filter: &str) -> Result<(), String> {
+    EnvFilter::try_new(filter).map(|_| ()).map_err(|error| error.to_string())
+}
+
 /// Sets up logging. `filter` has the syntax of `tracing_subscriber::EnvFilter`, such as `info`.
 ///
 /// # Errors
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,11 +1,12 @@
 //! Options from flags and environment variables, with every problem reported at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::cmd::CommandError;
+use crate::cmd::{self, CommandError};
+use crate::logging;
 
 /// One option: a flag and its environment variable.
 #[derive(Debug)]
@@ -16,10 +17,12 @@
     pub default: Option<&'static str>,
 }
 
+const PREFIX: &str = "PERIDOTFOLD_";
+
 impl Opt {
     /// Name of the environment variable that sets the option.
     pub fn variable(&self) -> String {
-        format!("PERIDOTFOLD_{}", self.flag.replace('-', "_").to_uppercase())
+        format!("{PREFIX}{}", self.flag.replace('-', "_").to_uppercase())
     }
 }
 
@@ -83,6 +86,7 @@
                 given.insert(opt.flag, value);
             }
         }
+        problems.extend(unknown_variables());
         let positional = positional.into_iter();
         Some(Values { options: help.options, given, positional, problems })
     }
@@ -170,6 +174,15 @@
         value
     }
 
+    /// Returns a log filter.
+    pub fn log_filter(&mut self, flag: &'static str) -> String {
+        let value = self.text(flag);
+        if let Err(error) = logging::check(&value) {
+            self.problems.push(format!("--{flag} ({}): {error}", self.variable(flag)));
+        }
+        value
+    }
+
     /// Adds a problem found by the command itself.
     pub fn problem(&mut self, problem: impl Into<String>) {
         self.problems.push(problem.into());
@@ -225,6 +238,17 @@
     }
 }
 
+/// Reports variables with the prefix that no command has. Those of other commands are allowed: a
+/// VM may set them for all.
+fn unknown_variables() -> impl Iterator<Item = String> {
+    let known: BTreeSet<String> =
+        cmd::OPTIONS.iter().copied().flatten().map(Opt::variable).collect();
+    std::env::vars_os()
+        .map(|(name, _)| name.to_string_lossy().into_owned())
+        .filter(move |name| name.starts_with(PREFIX) && !known.contains(name))
+        .map(|name| format!("unknown variable {name}"))
+}
+
 impl Help {
     fn find(&self, flag: &str) -> Option<&'static Opt> {
         self.options.iter().copied().flatten().find(|opt| opt.flag == flag)
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,422 @@
+//! Entries and agents as processes of their own, with the stand-ins in the test's process.
+
+// Each test file uses a part.
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use peridotfold_standins::process::Process;
+use peridotfold_standins::store::{self, Faults, Mode, Store};
+use peridotfold_standins::upstream::{self, Upstream};
+use peridotfold_standins::worker::{self, Worker};
+use peridotfold_wire::body::Body;
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::http_client::HttpClient;
+use peridotfold_wire::runtime;
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_peridotfold");
+pub const SERVICE: &str = "listings";
+pub const CELL: &str = "central-1";
+pub const TEAM: &str = "guide";
+pub const TEAM_TOKEN: &str = "secret-of-the-team";
+pub const OPERATOR_TOKEN: &str = "secret-of-the-operators";
+const DATA_CENTRE: &str = "dc-1";
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Bound on preparations, which no target bounds.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// A version is in effect everywhere within this time (design, section 1.6).
+pub const IN_EFFECT: Duration = Duration::from_secs(7);
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// A command ends within this time.
+const COMMAND_LIMIT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs a test; the stand-ins use a pool of threads.
+pub fn run(test: impl Future<Output = ()>) {
+    static THREADS: OnceLock<()> = OnceLock::new();
+    THREADS.get_or_init(|| runtime::start_threads(4));
+    smol::block_on(test);
+}
+
+/// Waits until `condition` holds, and returns how long it took.
+///
+/// # Panics
+///
+/// Panics when it does not hold within `limit`.
+pub async fn within<F: Future<Output = bool>>(
+    limit: Duration,
+    what: &str,
+    mut condition: impl FnMut() -> F,
+) -> Duration {
+    let begin = runtime::now();
+    while !condition().await {
+        let elapsed = runtime::now() - begin;
+        assert!(elapsed < limit, "not within {limit:?}: {what}");
+        runtime::sleep(POLL).await;
+    }
+    runtime::now() - begin
+}
+
+/// Result of a command of the binary.
+#[derive(Debug)]
+pub struct Output {
+    /// Absent when the command had to be ended.
+    pub code: Option<i32>,
+    pub out: String,
+    pub err: String,
+}
+
+/// Runs the binary to its end, with no other variables than `variables`.
+pub fn command(args: &[&str], variables: &[(&str, &str)], input: &str) -> Output {
+    let mut child = Command::new(PROGRAM)
+        .args(args)
+        .env_clear()
+        .envs(variables.iter().copied())
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    // A command that refuses its arguments does not read its input.
+    let _ = child.stdin.take().expect("input").write_all(input.as_bytes());
+    // Output that fills a pipe would block the child, so both are read while it runs.
+    let read = |pipe: Option<Box<dyn Read + Send>>| {
+        std::thread::spawn(move || {
+            let mut bytes = Vec::new();
+            pipe.expect("output").read_to_end(&mut bytes).expect("output is read");
+            String::from_utf8_lossy(&bytes).into_owned()
+        })
+    };
+    let out = read(child.stdout.take().map(|pipe| Box::new(pipe) as _));
+    let err = read(child.stderr.take().map(|pipe| Box::new(pipe) as _));
+    let begin = Instant::now();
+    let status = loop {
+        match child.try_wait().expect("the command can be waited for") {
+            Some(status) => break Some(status),
+            None if begin.elapsed() < COMMAND_LIMIT => std::thread::sleep(POLL),
+            // A process that serves in spite of bad settings does not end by itself.
+            None => {
+                child.kill().expect("the command can be ended");
+                child.wait().expect("the command can be waited for");
+                break None;
+            }
+        }
+    };
+    Output {
+        code: status.and_then(|status| status.code()),
+        out: out.join().expect("output"),
+        err: err.join().expect("output"),
+    }
+}
+
+/// SHA-256 in hex.
+pub fn digest(token: &str) -> String {
+    Sha256::digest(token).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Worker and upstream of one VM, and its agent while it runs.
+pub struct Vm {
+    pub worker: Worker,
+    pub upstream: Upstream,
+    pub agent: Option<Process>,
+    internal: Option<SocketAddr>,
+}
+
+/// A store, entries and VMs.
+pub struct Cluster {
+    directory: tempfile::TempDir,
+    pub store: Store,
+    pub entries: Vec<Option<Process>>,
+    /// Internal and HTTP addresses, kept by a restarted entry.
+    addresses: Vec<(SocketAddr, SocketAddr)>,
+    pub vms: Vec<Vm>,
+    pub client: HttpClient,
+    /// Time after which a leaving agent closes endless responses.
+    pub drain_grace: &'static str,
+}
+
+impl Cluster {
+    /// Starts the store, the entries and the VMs, applies the first document and waits until each
+    /// entry knows each agent.
+    pub async fn start(entries: usize, vms: usize) -> Self {
+        let mut cluster = Cluster::without_agents(entries, vms).await;
+        for vm in 0..vms {
+            cluster.start_agent(vm);
+        }
+        cluster.wait_ready(vms).await;
+        cluster
+    }
+
+    /// Starts all but the agents, and applies the first document.
+    pub async fn without_agents(entries: usize, vms: usize) -> Self {
+        let store = Store::start(store::Options::default()).await.expect("store");
+        let mut cluster = Cluster {
+            directory: tempfile::tempdir().expect("directory"),
+            store,
+            entries: Vec::new(),
+            addresses: Vec::new(),
+            vms: Vec::new(),
+            client: HttpClient::default(),
+            drain_grace: "30s",
+        };
+        for _ in 0..vms {
+            let worker = Worker::start(worker::Options::default()).await.expect("worker");
+            let upstream = Upstream::start(upstream::Options::default()).await.expect("upstream");
+            cluster.vms.push(Vm { worker, upstream, agent: None, internal: None });
+        }
+        for index in 0..entries {
+            cluster.entries.push(None);
+            cluster.start_entry(index);
+        }
+        within(PATIENCE, "first document accepted", || async {
+            cluster.patch(0, 0, &first_document().to_string()).await.0 == 200
+        })
+        .await;
+        cluster.wait_version(1, PATIENCE).await;
+        cluster
+    }
+
+    /// Starts an entry, on its addresses from before if any.
+    pub fn start_entry(&mut self, index: usize) {
+        let name = format!("entry-{}", index + 1);
+        let any: SocketAddr = ANY_PORT.parse().expect("address");
+        let (internal, http) = self.addresses.get(index).copied().unwrap_or((any, any));
+        let others = self.addresses.iter().enumerate().filter(|(other, _)| *other != index);
+        let peers: Vec<String> = others.map(|(_, (internal, _))| internal.to_string()).collect();
+        let (http, internal) = (http.to_string(), internal.to_string());
+        let (store, operator) = (self.store.address().to_string(), digest(OPERATOR_TOKEN));
+        let args = [
+            ["--id", &name],
+            ["--data-centre", DATA_CENTRE],
+            ["--http", &http],
+            ["--internal", &internal],
+            ["--store", &store],
+            ["--peers", &peers.join(",")],
+            ["--operator-digest", &operator],
+            ["--log", "info,peridotfold=debug"],
+        ];
+        let process = self.process("entry", &name, args.as_flattened());
+        let addresses = (process.internal().expect("internal address"), process.http);
+        match self.addresses.get_mut(index) {
+            Some(known) => *known = addresses,
+            None => self.addresses.push(addresses),
+        }
+        self.entries[index] = Some(process);
+    }
+
+    /// Starts the agent of a VM, on its address from before if any.
+    pub fn start_agent(&mut self, index: usize) {
+        let name = format!("vm-{}", index + 1);
+        let rack = format!("rack-{}", index + 1);
+        let entries: Vec<String> = self.addresses.iter().map(|(a, _)| a.to_string()).collect();
+        let vm = &self.vms[index];
+        let internal = vm.internal.map_or(ANY_PORT.to_owned(), |address| address.to_string());
+        let (upstream, worker) = (vm.upstream.address().to_string(), vm.worker.address());
+        let (entries, worker) = (entries.join(","), worker.to_string());
+        let args = [
+            ["--id", &name],
+            ["--data-centre", DATA_CENTRE],
+            ["--rack", &rack],
+            ["--cell", CELL],
+            ["--internal", &internal],
+            ["--entries", &entries],
+            ["--service", SERVICE],
+            ["--upstream", &upstream],
+            ["--worker", &worker],
+            ["--drain-grace", self.drain_grace],
+        ];
+        let process = self.process("agent", &name, args.as_flattened());
+        self.vms[index].internal = Some(process.internal().expect("internal address"));
+        self.vms[index].agent = Some(process);
+    }
+
+    fn process(&self, kind: &str, name: &str, args: &[&str]) -> Process {
+        let args: Vec<String> =
+            std::iter::once(kind).chain(args.iter().copied()).map(str::to_owned).collect();
+        Process::start(name, Path::new(PROGRAM), &args, &self.log(name)).expect("process listens")
+    }
+
+    /// File with the log of a process.
+    pub fn log(&self, name: &str) -> PathBuf {
+        self.directory.path().join(format!("{name}.log"))
+    }
+
+    /// Text of all logs.
+    pub fn logs(&self) -> String {
+        let files = std::fs::read_dir(self.directory.path()).expect("directory");
+        files
+            .map(|file| std::fs::read_to_string(file.expect("file").path()).expect("log"))
+            .collect()
+    }
+
+    /// Running entry.
+    pub fn entry(&mut self, index: usize) -> &mut Process {
+        self.entries[index].as_mut().expect("the entry runs")
+    }
+
+    /// Running agent.
+    pub fn agent(&mut self, index: usize) -> &mut Process {
+        self.vms[index].agent.as_mut().expect("the agent runs")
+    }
+
+    /// HTTP address of an entry.
+    pub fn http(&self, entry: usize) -> SocketAddr {
+        self.addresses[entry].1
+    }
+
+    /// Internal address of an entry.
+    pub fn internal(&self, entry: usize) -> SocketAddr {
+        self.addresses[entry].0
+    }
+
+    /// HTTP addresses of all entries.
+    pub fn https(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|(_, http)| *http).collect()
+    }
+
+    /// Makes the store refuse all calls, or serve again.
+    pub fn set_store_down(&self, down: bool) {
+        let mode = if down { Mode::Refuse } else { Mode::Up };
+        self.store.set_faults(Faults { mode, ..Faults::default() });
+    }
+
+    /// Sends a request to any process.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        token: &str,
+        body: &str,
+    ) -> Result<Response<Bytes>, WireError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, address.to_string())
+            .header(http::header::AUTHORIZATION, format!("Bearer {token}"))
+            .body(Body::full(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("request");
+        self.client.exchange(address, request, CALL_LIMIT).await
+    }
+
+    /// Sends an operator's request; returns status and JSON, 0 without an answer.
+    pub async fn operate(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> (u16, Value) {
+        match self.send(address, method, path, OPERATOR_TOKEN, body).await {
+            Ok(response) => {
+                let content = serde_json::from_slice(response.body()).unwrap_or(Value::Null);
+                (response.status().as_u16(), content)
+            }
+            Err(error) => (0, json!({ "error": error.to_string() })),
+        }
+    }
+
+    /// Submits a patch.
+    pub async fn patch(&self, entry: usize, base: u64, patch: &str) -> (u16, Value) {
+        let path = format!("/v1/config?base={base}");
+        self.operate(self.http(entry), Method::PATCH, &path, patch).await
+    }
+
+    /// Version in effect at an entry, 0 while it does not answer.
+    pub async fn entry_version(&self, entry: usize) -> u64 {
+        let (_, status) = self.operate(self.http(entry), Method::GET, "/v1/status", "").await;
+        status["config_version"].as_u64().unwrap_or_default()
+    }
+
+    /// Version in effect at an agent, 0 while it does not answer.
+    pub async fn agent_version(&self, vm: usize) -> u64 {
+        let Some(agent) = &self.vms[vm].agent else { return 0 };
+        let (_, status) = self.operate(agent.http, Method::GET, "/v1/status", "").await;
+        status["config_version"].as_u64().unwrap_or_default()
+    }
+
+    /// Versions in effect at the running entries and agents.
+    pub async fn versions(&self) -> Vec<u64> {
+        let mut versions = Vec::new();
+        for index in 0..self.entries.len() {
+            if self.entries[index].is_some() {
+                versions.push(self.entry_version(index).await);
+            }
+        }
+        for index in 0..self.vms.len() {
+            if self.vms[index].agent.is_some() {
+                versions.push(self.agent_version(index).await);
+            }
+        }
+        versions
+    }
+
+    /// Waits until a version is in effect at each running process.
+    pub async fn wait_version(&self, version: u64, limit: Duration) -> Duration {
+        let what = format!("version {version} in effect everywhere");
+        within(limit, &what, || async { self.versions().await.iter().all(|v| *v == version) }).await
+    }
+
+    /// Waits until each running entry lists `count` ready upstreams.
+    pub async fn wait_ready(&self, count: usize) {
+        for entry in (0..self.entries.len()).filter(|entry| self.entries[*entry].is_some()) {
+            within(PATIENCE, "upstreams ready", || async {
+                let (_, status) =
+                    self.operate(self.http(entry), Method::GET, "/v1/status", "").await;
+                let ready = |u: &&Value| {
+                    u["state"] == "ready" && u["services"].as_array().is_some_and(|s| !s.is_empty())
+                };
+                let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
+                upstreams.iter().filter(ready).count() == count
+            })
+            .await;
+        }
+    }
+
+    /// Submits a job of `tasks` tasks through an entry, again while the cell has no owner.
+    pub async fn submit(&self, entry: usize, id: &str, tasks: u32, work_ms: u32) {
+        let job = json!({
+            "id": id, "class": "rebuild", "tasks": tasks, "cell": CELL,
+            "need": {"cpu_milli": 2000, "memory_mib": 2048, "accelerators": 0},
+            "command": format!("work_ms={work_ms}"),
+        });
+        within(PATIENCE, "job accepted", || async {
+            let address = self.http(entry);
+            let sent =
+                self.send(address, Method::POST, "/v1/jobs", TEAM_TOKEN, &job.to_string()).await;
+            sent.is_ok_and(|response| response.status().is_success())
+        })
+        .await;
+    }
+
+    /// A job as an entry shows it.
+    pub async fn job(&self, entry: usize, id: &str) -> Value {
+        let path = format!("/v1/jobs/{id}");
+        self.operate(self.http(entry), Method::GET, &path, "").await.1
+    }
+}
+
+/// The first document, for VMs like those of the stand-in worker.
+pub fn first_document() -> Value {
+    let resources = |cpu: u64, memory: u64, accelerators: u64| json!({"cpu_milli": cpu, "memory_mib": memory, "accelerators": accelerators});
+    json!({
+        "vm_sizes": {"standard": resources(16_000, 60_000, 1)},
+        "cells": {CELL: {"data_centre": DATA_CENTRE}},
+        "teams": {TEAM: {
+            "token_sha256": digest(TEAM_TOKEN), "quota": resources(64_000, 240_000, 4),
+        }},
+        "services": {SERVICE: {"teams": [TEAM], "limit": resources(10_000, 20_000, 0)}},
+        "classes": {"rebuild": {"limit": resources(6_000, 20_000, 1), "urgent": true}},
+        "closings": {},
+    })
+}
