Close listeners at the start of a shutdown

A server stopped accepting at the signal but kept its listener until its last connection had ended. The kernel completed further connections meanwhile, and their requests were never answered: with a feed open, callers of a leaving entry waited until their time limit for 30 s. The kernel's queue of 128 connections explains the number seen; keep-alive connections that are closed at the same moment were ruled out as the cause, as these would be a few at most.

The load generator counts such tries apart from unknown outcomes.

--- a/crates/standins/src/demo/checks.rs
+++ b/crates/standins/src/demo/checks.rs
@@ -87,6 +87,7 @@
             self.row("answered whole", totals.answered.to_string());
             self.row("tries answered `not run` (tried again)", totals.not_run.to_string());
             self.row("tries with unknown outcome (tried again)", totals.unknown.to_string());
+            self.row("tries without a connection (tried again)", totals.unsent.to_string());
             self.row("bids that stay unknown (never run again)", totals.unresolved.to_string());
             self.row("wrong answers / lost", format!("{} / {}", totals.wrong, totals.lost));
             let at = |quantile| totals.latency.value_at_quantile(quantile) as f64 / 1000.0;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -29,8 +29,10 @@
     pub answered: u64,
     /// Tries that were answered `not run`.
     pub not_run: u64,
-    /// Tries whose outcome is unknown: said so, cut, or without a connection.
+    /// Tries whose outcome is unknown: said so, or cut.
     pub unknown: u64,
+    /// Tries that found no connection, so that nothing was sent.
+    pub unsent: u64,
     /// Bids that ended as unknown for good, as the key's holder and its record are gone.
     pub unresolved: u64,
     /// Responses that do not belong to the request or are not whole.
@@ -52,6 +54,7 @@
             answered: 0,
             not_run: 0,
             unknown: 0,
+            unsent: 0,
             unresolved: 0,
             wrong: 0,
             lost: 0,
@@ -77,6 +80,7 @@
 enum Try {
     Answered(Bytes),
     NotRun(Duration),
+    Unsent,
     Unknown(String),
 }
 
@@ -162,6 +166,10 @@
                     self.record_not_run(kind, number, attempt);
                     runtime::sleep(after.min(Duration::from_secs(1))).await;
                 }
+                Try::Unsent => {
+                    self.totals.lock().unsent += 1;
+                    runtime::sleep(RETRY_PAUSE).await;
+                }
                 Try::Unknown(detail) => {
                     self.totals.lock().unknown += 1;
                     is_unknown = kind == Kind::Bid;
@@ -240,6 +248,7 @@
 fn classify(result: Result<Response<Bytes>, WireError>) -> Try {
     let response = match result {
         Ok(response) => response,
+        Err(error) if error.is_not_sent() => return Try::Unsent,
         Err(error) => return Try::Unknown(error.to_string()),
     };
     let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -130,6 +130,17 @@
                 }
             }
         }
+        // Connections that the kernel has completed are still served. While the listener was open,
+        // later ones would wait in its queue and never be answered.
+        while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
+            connections.push(runtime::spawn(connection(
+                stream,
+                peer,
+                handler.clone(),
+                shutdown.clone(),
+            )));
+        }
+        drop(self.listener);
         for task in connections {
             task.await;
         }
