Announce the close of HTTP connections before closing idle ones

At the signal, idle connections were closed at once. A caller that had just sent its next request on one saw the connection close and could not know whether the request ran. During a shutdown, each response now says that the connection closes, and idle connections stay open for 500 ms.

--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use http::header::{HeaderValue, CONNECTION};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,6 +22,10 @@
 /// Largest request head accepted, in bytes.
 pub const HEAD_LIMIT: usize = 32 * 1024;
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the start of a shutdown in which idle connections stay open. Callers learn from the
+/// next response that the connection closes; a request sent on a connection that is just closed
+/// would have an unknown outcome.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// Answers HTTP requests.
 pub trait HttpService: Send + Sync + 'static {
@@ -97,9 +102,16 @@
     shutdown: Shutdown,
 ) {
     let _ = stream.set_nodelay(true);
+    let stopping = shutdown.clone();
     let answer = service_fn(move |request| {
-        let service = service.clone();
-        async move { Ok::<_, Infallible>(service.call(request).await) }
+        let (service, stopping) = (service.clone(), stopping.clone());
+        async move {
+            let mut response = service.call(request).await;
+            if stopping.is_set() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -109,6 +121,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = future::or(async { Some(connection.as_mut().await) }, async {
         shutdown.wait().await;
+        runtime::sleep(LINGER).await;
         None
     });
     let result = match ended.await {
