Keep the keys of a move's witnesses at every entry, and prove not-run for keys

After an agent and then an entry restarted, each key in the moved buckets was unknown for the retention, since the restarted entry could not answer probes. Entries now fetch the list of keys that each witness dispatched before a move, from the witness or from an entry that holds it, and answer from the lists. An entry that restarts between the two steps of a move stays a witness by its earlier incarnation. Ruled out: one merged union, because it cannot tell which witness is lacking; and clearing not-run answers by lists, because an entry cut off from the store does not know that the move is open.

A refusal of one copy of a keyed request was passed on as not run although another dispatch may have run the key. It is now confirmed by each known entry; otherwise the answer is unknown.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -6,6 +6,7 @@
 
 pub mod dispatch;
 pub mod gate;
+pub mod lists;
 pub mod plan;
 
 use std::collections::BTreeMap;
@@ -47,8 +48,12 @@
 pub struct Witness {
     pub entry: EntryId,
     pub incarnation: Incarnation,
-    /// Its table of dispatched keys covered the whole retention at the time of the move.
+    /// Its table of dispatched keys covered the whole retention at the time of the move, or the
+    /// incarnation before it is a witness as well.
     pub complete: bool,
+    /// Incarnation whose record this one replaced.
+    #[serde(default)]
+    pub predecessor: Option<Incarnation>,
 }
 
 /// Whether keys of a bucket may be dispatched.
--- a/crates/core/src/keys/dispatch.rs
+++ b/crates/core/src/keys/dispatch.rs
@@ -5,13 +5,15 @@
 use bytes::Bytes;
 
 use crate::id::ServiceId;
-use crate::keys::{Holder, RETENTION};
+use crate::keys::{Generation, Holder, RETENTION};
 use crate::time::Time;
 
 /// A dispatch of a key by this entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Dispatched {
     pub holder: Holder,
+    /// Generation of the bucket at the first dispatch.
+    pub generation: Generation,
     /// Dispatches whose result is not known yet.
     open: u32,
     /// A dispatch ended with anything but a certain `not run`.
@@ -35,11 +37,18 @@
     /// # Panics
     ///
     /// Panics when the key was dispatched to another holder: the caller has to ask first.
-    pub fn begin(&mut self, now: Time, service: &str, key: &Bytes, holder: &Holder) {
+    pub fn begin(
+        &mut self,
+        now: Time,
+        service: &str,
+        key: &Bytes,
+        (holder, generation): (&Holder, Generation),
+    ) {
         let id = (service.to_owned(), key.clone());
         self.ages.push_back((now, id.clone()));
         let dispatched = self.keys.entry(id).or_insert_with(|| Dispatched {
             holder: holder.clone(),
+            generation,
             open: 0,
             settled: false,
             last: now,
@@ -83,6 +92,15 @@
         self.keys.get(&(service.to_owned(), key.clone()))
     }
 
+    /// Iterates over the remembered keys of a service with their dispatches.
+    pub fn keys<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (&'a Bytes, &'a Dispatched)> {
+        let keys = self.keys.iter().filter(move |((name, _), _)| name == service);
+        keys.map(|((_, key), dispatched)| (key, dispatched))
+    }
+
     /// Returns the number of remembered keys.
     pub fn len(&self) -> usize {
         self.keys.len()
--- a/crates/core/src/keys/gate.rs
+++ b/crates/core/src/keys/gate.rs
@@ -1,15 +1,16 @@
 //! Decides whether and where an entry may dispatch a request with a key.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use crate::id::{EntryId, Incarnation, ServiceId};
+use crate::keys::lists::{self, KeyHash, Lists};
 use crate::keys::{
-    bucket_of, DispatchTable, Generation, Holder, KeyMap, Phase, Witness, RETENTION,
+    bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, RETENTION,
 };
-use crate::message::entry::ProbeReply;
+use crate::message::entry::{KeyListReply, KeyListRequest, ProbeReply};
 use crate::time::{self, Time};
 
 /// What to do with a request that has a key.
@@ -17,12 +18,14 @@
 pub enum Decision {
     /// Dispatch to this holder; the dispatch is already recorded.
     Dispatch(Holder),
-    /// Ask these entries about the key, then call [`Gate::decide_probed`].
+    /// Ask these entries about the key, and for the lists that are lacking, then call
+    /// [`Gate::decide_probed`].
     Probe { generation: Generation, witnesses: Vec<Witness> },
     /// The key may have run at an earlier holder; it is never dispatched again.
     Unknown,
-    /// Nothing was dispatched and no holder may run the key now.
-    NotRun,
+    /// No holder may run the key now. Whether it was run before is open: ask all entries, then
+    /// call [`Gate::confirm`].
+    Refuse,
 }
 
 /// Answer of one witness; `None` when it did not answer.
@@ -52,6 +55,7 @@
     contact: Option<Time>,
     maps: HashMap<ServiceId, Adopted>,
     dispatched: DispatchTable,
+    lists: Lists,
 }
 
 impl Gate {
@@ -64,6 +68,7 @@
             contact: None,
             maps: HashMap::new(),
             dispatched: DispatchTable::default(),
+            lists: Lists::default(),
         }
     }
 
@@ -72,7 +77,7 @@
     /// rely on it to read the move.
     pub fn adopt(&mut self, start: Time, now: Time, maps: Vec<(ServiceId, KeyMap)>) {
         for (service, map) in maps {
-            self.maps.entry(service).or_default().replace(now, map);
+            self.replace(now, service, map);
         }
         self.contact = Some(start);
     }
@@ -81,7 +86,7 @@
     /// of the current round. An older map is ignored.
     pub fn adopt_one(&mut self, now: Time, service: &str, map: KeyMap) {
         if self.contact.is_some() {
-            self.maps.entry(service.to_owned()).or_default().replace(now, map);
+            self.replace(now, service.to_owned(), map);
         }
     }
 
@@ -89,6 +94,7 @@
     pub fn close(&mut self) {
         self.contact = None;
         self.maps.clear();
+        self.lists.clear();
     }
 
     /// Forgets keys after the retention.
@@ -139,13 +145,22 @@
     ) -> Decision {
         let earlier = self.dispatched.get(service, key).map(|d| d.holder.clone());
         match (self.open(now, service, key), earlier) {
-            (None, None) => Decision::NotRun,
+            (None, None) => Decision::Refuse,
             (None, Some(_)) => Decision::Unknown,
-            (Some(open), None) if is_live(&open.holder) && !open.witnesses.is_empty() => {
-                Decision::Probe { generation: open.generation, witnesses: open.witnesses }
+            (Some(open), Some(earlier)) => {
+                self.dispatch(now, service, key, open, Some(earlier), is_live)
             }
-            (Some(open), earlier) => {
-                self.dispatch(now, service, key, open.holder, earlier, is_live)
+            (Some(open), None) => {
+                let clears = |w: &Witness| self.clears(service, open.generation, w, key);
+                if open.witnesses.iter().any(|w| clears(w) == Some(false)) {
+                    return Decision::Unknown;
+                }
+                let left = |w: &&Witness| clears(w).is_none();
+                let witnesses: Vec<_> = open.witnesses.iter().filter(left).cloned().collect();
+                match witnesses.is_empty() || !is_live(&open.holder) {
+                    true => self.dispatch(now, service, key, open, None, is_live),
+                    false => Decision::Probe { generation: open.generation, witnesses },
+                }
             }
         }
     }
@@ -164,13 +179,108 @@
         match (self.open(now, service, key), earlier) {
             // Of another move that began meanwhile, the witnesses were not asked.
             (Some(open), earlier) if open.generation == generation => {
-                match results.iter().all(|result| clears(result, &open.holder)) {
-                    true => self.dispatch(now, service, key, open.holder, earlier, is_live),
+                let cleared = |w: &Witness| match self.clears(service, generation, w, key) {
+                    Some(cleared) => cleared,
+                    None => results.iter().any(|r| r.0 == *w && clears(r, &open.holder)),
+                };
+                match open.witnesses.iter().all(cleared) {
+                    true => self.dispatch(now, service, key, open, earlier, is_live),
                     false => Decision::Unknown,
                 }
             }
             (_, Some(_)) => Decision::Unknown,
-            (_, None) => Decision::NotRun,
+            (_, None) => Decision::Refuse,
+        }
+    }
+
+    /// Tells whether a key that is not dispatched now was certainly never run: each entry of
+    /// `current` was asked, has a complete table, and dispatched it nowhere, this one included.
+    ///
+    /// A list of a move does not clear a witness here: this entry may not know yet that the move
+    /// is open, and the witness may have dispatched the key to the new holder.
+    pub fn confirm(
+        &self,
+        now: Time,
+        service: &str,
+        key: &Bytes,
+        current: &[Witness],
+        results: &[ProbeResult],
+    ) -> bool {
+        let is_self = |w: &Witness| w.entry == self.entry && w.incarnation == self.incarnation;
+        let recent = self.contact.is_some_and(|at| now.saturating_sub(at) < self.outage_hold);
+        let denies = |witness: &Witness| {
+            results.iter().any(|(asked, reply)| match reply {
+                Some(ProbeReply::NotDispatched { entry, incarnation }) => {
+                    asked == witness
+                        && *entry == witness.entry
+                        && *incarnation == witness.incarnation
+                }
+                Some(ProbeReply::Dispatched { .. }) | None => false,
+            })
+        };
+        recent
+            && self.dispatched.get(service, key).is_none()
+            && !self.lists.contains(service, key)
+            && current.iter().any(is_self)
+            && current.iter().all(|w| w.complete && (is_self(w) || denies(w)))
+    }
+
+    /// Lists what is lacking of the lists of the moves that matter, to be fetched from the witness
+    /// itself or from another entry that holds its list.
+    pub fn lacking(&self, now: Time) -> Vec<KeyListRequest> {
+        let mut lacking = Vec::new();
+        for (service, adopted) in &self.maps {
+            for (generation, witnesses) in &adopted.map.moves {
+                let opened = adopted.opened.get(generation).copied().unwrap_or(now);
+                if now.saturating_sub(opened) >= time::lease_wait(RETENTION) {
+                    continue;
+                }
+                let buckets = lists::buckets_of(&adopted.map.buckets, *generation);
+                let requests =
+                    witnesses.iter().filter(|w| w.complete).map(|witness| KeyListRequest {
+                        service: service.clone(),
+                        generation: *generation,
+                        entry: witness.entry.clone(),
+                        incarnation: witness.incarnation,
+                        buckets,
+                        after: None,
+                    });
+                lacking.extend(requests.filter(|request| {
+                    let own = (&request.entry, request.incarnation);
+                    own != (&self.entry, self.incarnation) && !self.lists.holds(request)
+                }));
+            }
+        }
+        lacking
+    }
+
+    /// Answers a request for a list.
+    pub fn list(&self, request: &KeyListRequest) -> KeyListReply {
+        if (&request.entry, request.incarnation) != (&self.entry, self.incarnation) {
+            return self.lists.page(request);
+        }
+        let adopted = self.maps.get(&request.service).map(|adopted| adopted.map.generation);
+        // Before the move is adopted, keys may still be dispatched to the older holders.
+        if self.contact.is_none() || adopted.is_none_or(|adopted| adopted < request.generation) {
+            return KeyListReply::NotHeld;
+        }
+        let keys = self.dispatched.keys(&request.service);
+        let listed = |key: &Bytes, dispatched: &Dispatched| {
+            request.buckets & (1 << bucket_of(key)) != 0
+                && dispatched.generation != request.generation
+        };
+        let older = keys
+            .filter(|(key, dispatched)| listed(key, dispatched))
+            .map(|(key, _)| lists::hash_of(key))
+            .filter(|hash| request.after.is_none_or(|after| *hash > after));
+        lists::page(older.collect::<BTreeSet<_>>().into_iter())
+    }
+
+    /// Keeps a whole list.
+    pub fn keep_list(&mut self, request: &KeyListRequest, keys: BTreeSet<KeyHash>) {
+        let map = self.maps.get(&request.service).map(|adopted| &adopted.map);
+        if map.is_some_and(|map| map.moves.contains_key(&request.generation)) {
+            self.lists.insert(request, keys);
         }
     }
 
@@ -179,21 +289,47 @@
         self.dispatched.end(now, service, key, not_run);
     }
 
+    /// Tells from this entry's own memory and the lists whether a witness certainly did not
+    /// dispatch the key before a move; `None` when it has to be asked.
+    fn clears(
+        &self,
+        service: &str,
+        generation: Generation,
+        witness: &Witness,
+        key: &Bytes,
+    ) -> Option<bool> {
+        let Witness { entry, incarnation, complete, .. } = witness;
+        if *entry == self.entry && *incarnation == self.incarnation {
+            let dispatched = self.dispatched.get(service, key);
+            return Some(*complete && dispatched.is_none_or(|d| d.generation == generation));
+        }
+        let dispatched = self.lists.dispatched(service, generation, (entry, *incarnation), key)?;
+        Some(*complete && !dispatched)
+    }
+
+    fn replace(&mut self, now: Time, service: ServiceId, map: KeyMap) {
+        let adopted = self.maps.entry(service.clone()).or_default();
+        adopted.replace(now, map);
+        let moves = &adopted.map.moves;
+        self.lists.retain(&service, |generation| moves.contains_key(&generation));
+    }
+
     fn dispatch(
         &mut self,
         now: Time,
         service: &str,
         key: &Bytes,
-        holder: Holder,
+        open: OpenBucket,
         earlier: Option<Holder>,
         is_live: impl Fn(&Holder) -> bool,
     ) -> Decision {
+        let OpenBucket { holder, generation, .. } = open;
         match earlier {
             Some(earlier) if earlier != holder => Decision::Unknown,
             Some(_) if !is_live(&holder) => Decision::Unknown,
-            None if !is_live(&holder) => Decision::NotRun,
+            None if !is_live(&holder) => Decision::Refuse,
             Some(_) | None => {
-                self.dispatched.begin(now, service, key, &holder);
+                self.dispatched.begin(now, service, key, (&holder, generation));
                 Decision::Dispatch(holder)
             }
         }
--- a/crates/core/src/keys/plan.rs
+++ b/crates/core/src/keys/plan.rs
@@ -65,7 +65,7 @@
         let gone = self.gone(now, view);
         let mut map = view.map.clone();
         let changed = match gone.is_empty() || view.live.is_empty() {
-            false => begin_moves(&mut map, view, &gone, self.witnesses(view.records)),
+            false => begin_moves(&mut map, view, &gone, witnesses(self.outage_hold, view.records)),
             true if map.is_moving() => self.open_moves(&mut map, view),
             true => settle(&mut map, view.settled),
         };
@@ -127,7 +127,9 @@
                 .all(|(r, silent)| self.acknowledged(view, r, *silent, generation))
             {
                 bucket.phase = Phase::Open;
-                map.moves.insert(generation, self.witnesses(view.records));
+                let before = map.moves.remove(&generation).unwrap_or_default();
+                let current = witnesses(self.outage_hold, view.records);
+                map.moves.insert(generation, merge(&before, current));
                 changed = true;
             }
         }
@@ -146,27 +148,48 @@
             || record.adopted.get(view.service).is_some_and(|adopted| *adopted >= generation)
             || silent >= time::lease_wait(self.outage_hold)
     }
+}
 
-    /// Lists the entries that may have dispatched keys within the retention.
-    fn witnesses(&self, records: &[(EntryRecord, Duration)]) -> Vec<Witness> {
-        let retention = time::lease_wait(RETENTION);
-        let relevant = |record: &EntryRecord, silent: Duration| match record.stopped {
-            true => silent < retention,
-            // It may have dispatched without the store for the length of the outage hold.
-            false => silent < time::lease_wait(self.outage_hold) + retention,
-        };
-        let mut witnesses: Vec<_> = records
-            .iter()
-            .filter(|(record, silent)| relevant(record, *silent))
-            .map(|(record, _)| Witness {
-                entry: record.entry.clone(),
-                incarnation: record.incarnation,
-                complete: record.complete && !record.stopped,
-            })
-            .collect();
-        witnesses.sort_by(|a, b| a.entry.cmp(&b.entry));
-        witnesses
+/// Lists the entries that may have dispatched keys within the retention.
+pub fn witnesses(outage_hold: Duration, records: &[(EntryRecord, Duration)]) -> Vec<Witness> {
+    let retention = time::lease_wait(RETENTION);
+    let relevant = |record: &EntryRecord, silent: Duration| match record.stopped {
+        true => silent < retention,
+        // It may have dispatched without the store for the length of the outage hold.
+        false => silent < time::lease_wait(outage_hold) + retention,
+    };
+    let mut witnesses: Vec<_> = records
+        .iter()
+        .filter(|(record, silent)| relevant(record, *silent))
+        .map(|(record, _)| Witness {
+            entry: record.entry.clone(),
+            incarnation: record.incarnation,
+            complete: record.complete && !record.stopped,
+            predecessor: record.predecessor,
+        })
+        .collect();
+    witnesses.sort_by(|a, b| a.entry.cmp(&b.entry));
+    witnesses
+}
+
+/// Combines the witnesses at the begin of a move with those of a later time. An incarnation that
+/// ended in between stays a witness, since its list may have been fetched; the incarnation that
+/// directly followed it then needs no longer memory than its own.
+pub fn merge(begin: &[Witness], mut current: Vec<Witness>) -> Vec<Witness> {
+    let find = |entry: &str, incarnation| {
+        begin.iter().find(|w| w.entry == entry && w.incarnation == incarnation)
+    };
+    for witness in &mut current {
+        let before = find(&witness.entry, witness.incarnation);
+        let predecessor = witness.predecessor.and_then(|p| find(&witness.entry, p));
+        witness.complete |= before.is_some_and(|w| w.complete) || predecessor.is_some();
     }
+    let ended = |w: &&Witness| {
+        !current.iter().any(|c| c.entry == w.entry && c.incarnation == w.incarnation)
+    };
+    let ended: Vec<_> = begin.iter().filter(ended).cloned().collect();
+    current.extend(ended);
+    current
 }
 
 fn begin_moves(
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -26,6 +26,9 @@
     pub adopted: BTreeMap<ServiceId, u64>,
     /// The table of dispatched keys covers the whole retention, also across a restart.
     pub complete: bool,
+    /// Incarnation whose record this one replaced.
+    #[serde(default)]
+    pub predecessor: Option<Incarnation>,
     /// The entry has ended after a graceful shutdown.
     pub stopped: bool,
 }
--- a/crates/core/src/message/entry.rs
+++ b/crates/core/src/message/entry.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{AgentId, CellId, ConfigVersion, EntryId, Incarnation, ServiceId};
+use crate::keys::Generation;
 use crate::message::announce::ConfigUpdate;
 
 /// Asks whether the receiver dispatched a key to an upstream.
@@ -22,6 +23,29 @@
     Dispatched { agent: AgentId, incarnation: Incarnation },
 }
 
+/// Asks for a page of the keys that one witness of a move dispatched before it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyListRequest {
+    pub service: ServiceId,
+    pub generation: Generation,
+    /// The witness; another entry may hold its list.
+    pub entry: EntryId,
+    pub incarnation: Incarnation,
+    /// Buckets of the move; bit `n` stands for bucket `n`.
+    pub buckets: u64,
+    /// Last hash of the page before.
+    pub after: Option<u128>,
+}
+
+/// Answer to [`KeyListRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyListReply {
+    /// 128-bit hashes of keys, in ascending order.
+    Page { keys: Vec<u128>, more: bool },
+    /// The receiver does not hold the whole list, or has not adopted the move yet.
+    NotHeld,
+}
+
 /// Asks a peer entry for a newer configuration.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfigRequest {
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -27,6 +27,16 @@
     }
 }
 
+/// Guards against new keys that are `unknown` for the whole retention because an entry was killed
+/// after the move of their bucket, when another entry has its list of keys.
+#[test]
+fn new_keys_are_dispatched_after_an_agent_and_an_entry_restart() {
+    for seed in 0..SCHEDULES / 10 {
+        let closed = World::new(seed).run_restart(seed % 2 == 1);
+        assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
+    }
+}
+
 /// Guards against buckets that stay closed after all faults have ended.
 #[test]
 fn buckets_open_again_after_all_faults() {
--- a/crates/core/tests/keys_world/entry.rs
+++ b/crates/core/tests/keys_world/entry.rs
@@ -1,13 +1,14 @@
 //! One entry of the world: its rounds, with each call of the store as a step of its own.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bytes::Bytes;
 use peridotfold_core::keys::gate::ProbeResult;
-use peridotfold_core::keys::plan::{mover, View};
-use peridotfold_core::keys::{Decision, Gate, Holder, KeyMap, Planner, RETENTION};
+use peridotfold_core::keys::plan::{mover, witnesses, View};
+use peridotfold_core::keys::{Decision, Gate, Holder, KeyMap, Planner, Witness, RETENTION};
 use peridotfold_core::membership::{EntryRecord, Members};
+use peridotfold_core::message::entry::{KeyListReply, KeyListRequest};
 use peridotfold_core::time::lease_wait;
 
 use super::{Agent, Store, HOLD, SERVICE};
@@ -31,9 +32,11 @@
     pub reaches: Vec<bool>,
     pub gate: Gate,
     members: Members,
+    /// Pages of lists that are not whole yet.
+    pages: BTreeMap<(u64, String, u64), BTreeSet<u128>>,
     planner: Planner,
     started: Duration,
-    succeeded: bool,
+    predecessor: Option<u64>,
     counter: u64,
     next: Next,
     heard: BTreeMap<String, (Holder, Duration)>,
@@ -52,9 +55,10 @@
             reaches_entries: true,
             reaches: vec![true; agents],
             members: Members::new(Duration::from_secs(6)),
+            pages: BTreeMap::new(),
             planner: Planner::new(HOLD),
             started: now,
-            succeeded: false,
+            predecessor: None,
             counter: 0,
             next: Next::Beat,
             heard: BTreeMap::new(),
@@ -97,6 +101,35 @@
         self.gate.decide_probed(now, SERVICE, key, generation, results, is_live)
     }
 
+    /// Lists the entries that have to deny a key before it is reported as not run.
+    pub fn confirming(&self, now: Duration) -> Vec<Witness> {
+        let records = self.members.records(now);
+        let records: Vec<_> = records.map(|(record, age)| (record.clone(), age)).collect();
+        witnesses(HOLD, &records)
+    }
+
+    /// Takes one page of a list that another entry sent; keeps the list when it is whole.
+    pub fn take(&mut self, request: &KeyListRequest, reply: KeyListReply) {
+        let KeyListReply::Page { keys, more } = reply else { return };
+        let id = (request.generation, request.entry.clone(), request.incarnation);
+        let pages = self.pages.entry(id.clone()).or_default();
+        pages.extend(keys);
+        if !more {
+            let whole = self.pages.remove(&id).unwrap_or_default();
+            self.gate.keep_list(request, whole);
+        }
+    }
+
+    /// Returns the requests for the next pages.
+    pub fn wanted(&self, now: Duration) -> Vec<KeyListRequest> {
+        let mut requests = self.gate.lacking(now);
+        for request in &mut requests {
+            let id = (request.generation, request.entry.clone(), request.incarnation);
+            request.after = self.pages.get(&id).and_then(|keys| keys.last().copied());
+        }
+        requests
+    }
+
     /// Performs the next call of the store. It may fail before or after it took effect.
     pub fn advance(&mut self, now: Duration, store: &mut Store, rng: &mut fastrand::Rng) {
         if !self.up {
@@ -144,7 +177,9 @@
     fn beat(&mut self, now: Duration, store: &mut Store, stopped: bool) {
         self.counter += 1;
         let found = store.records.get(&self.name);
-        self.succeeded |= found.is_some_and(|(_, r)| r.incarnation != self.incarnation);
+        if let Some((_, found)) = found.filter(|(_, r)| r.incarnation != self.incarnation) {
+            self.predecessor = Some(found.incarnation);
+        }
         let record = EntryRecord {
             entry: self.name.clone(),
             incarnation: self.incarnation,
@@ -153,7 +188,8 @@
             internal: String::new(),
             data_centre: String::new(),
             adopted: self.gate.generations(),
-            complete: !self.succeeded || now - self.started >= lease_wait(RETENTION),
+            complete: self.predecessor.is_none() || now - self.started >= lease_wait(RETENTION),
+            predecessor: self.predecessor,
             stopped,
         };
         let version = found.map_or(1, |(version, _)| version + 1);
--- a/crates/core/tests/keys_world/mod.rs
+++ b/crates/core/tests/keys_world/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use peridotfold_core::keys::{Decision, Holder, KeyMap, Phase, Witness};
 use peridotfold_core::membership::EntryRecord;
-use peridotfold_core::message::entry::ProbeReply;
+use peridotfold_core::message::entry::{KeyListReply, ProbeReply};
 
 use entry::Entry;
 
@@ -38,10 +38,13 @@
     born: Duration,
     /// Holders that ran it.
     runs: BTreeSet<(String, u64)>,
+    /// Dispatches on their way when a request was answered as not run.
+    denied: BTreeSet<u64>,
 }
 
 /// A request on its way to a holder.
 struct Message {
+    number: u64,
     entry: usize,
     incarnation: u64,
     key: usize,
@@ -54,9 +57,15 @@
     entry: usize,
     incarnation: u64,
     key: usize,
-    generation: u64,
+    /// Of the move, or `None` to confirm that the key was not run.
+    generation: Option<u64>,
+    witnesses: Vec<Witness>,
     left: Vec<Witness>,
     results: Vec<(Witness, Option<ProbeReply>)>,
+    /// The key had run when the request came.
+    ran: bool,
+    /// Dispatches of the key that were on their way then.
+    before: BTreeSet<u64>,
 }
 
 pub struct World {
@@ -71,6 +80,9 @@
     keys: Vec<Key>,
     messages: Vec<Message>,
     probing: Vec<Probing>,
+    numbers: u64,
+    /// Answers of certain `not run`.
+    pub not_run: u64,
     /// No faults but those that a test causes.
     calm: bool,
 }
@@ -99,6 +111,8 @@
             keys: Vec::new(),
             messages: Vec::new(),
             probing: Vec::new(),
+            numbers: 0,
+            not_run: 0,
             calm: false,
         }
     }
@@ -111,7 +125,8 @@
             0..50 => self.entries[entry].advance(self.now, &mut self.store, &mut self.rng),
             50..65 => self.request(entry),
             65..80 => self.deliver(),
-            80..94 => self.ask(),
+            80..90 => self.ask(),
+            90..94 => self.fetch(entry),
             _ if self.calm => {}
             94 => self.split(entry),
             95 => self.change_agent(),
@@ -140,6 +155,60 @@
         }
     }
 
+    /// Restarts an agent, and then an entry as soon as another one has its list; with `outage`, the
+    /// store is down around that. Returns how many new keys each entry may not dispatch afterwards.
+    pub fn run_restart(&mut self, outage: bool) -> usize {
+        (self.calm, self.pace) = (true, 100);
+        while !self.is_open() {
+            self.step();
+        }
+        let (agent, victim) = (self.rng.usize(0..AGENTS), self.rng.usize(0..ENTRIES));
+        self.agents[agent].holder.incarnation = self.rng.u64(1..);
+        let generation = self.store.map.1.generation;
+        let other = (victim + 1 + self.rng.usize(0..ENTRIES - 1)) % ENTRIES;
+        let (name, old) = (self.entries[victim].name.clone(), self.entries[victim].incarnation);
+        let has_list = |world: &World| {
+            let entry = &world.entries[other];
+            let lacking = entry.gate.lacking(world.now);
+            entry.gate.map(SERVICE).is_some_and(|map| map.generation > generation)
+                && !lacking.iter().any(|r| r.entry == name && r.incarnation == old)
+        };
+        while !has_list(self) {
+            self.step();
+        }
+        for _ in 0..self.rng.u32(0..60) {
+            self.step();
+        }
+        self.set_store(!outage);
+        let incarnation = self.rng.u64(1..);
+        self.entries[victim] = Entry::new(victim, incarnation, self.now, AGENTS);
+        let end = self.now + HOLD / 4;
+        while self.now < end {
+            self.entries[victim].reaches_store = !outage;
+            self.step();
+        }
+        self.set_store(true);
+        let end = self.now + HOLD;
+        while self.now < end {
+            self.step();
+            (0..ENTRIES).for_each(|entry| self.fetch(entry));
+        }
+        assert!(self.is_open(), "seed {}: buckets are still closed", self.seed);
+        let mut closed = 0;
+        for (entry, number) in (0..ENTRIES).flat_map(|e| (0..200).map(move |n| (e, n))) {
+            let name = Bytes::from(format!("new-{entry}-{number}"));
+            let decision = self.entries[entry].decide(self.now, &name);
+            closed += usize::from(!matches!(decision, Decision::Dispatch(_)));
+        }
+        closed
+    }
+
+    fn set_store(&mut self, reachable: bool) {
+        for entry in &mut self.entries {
+            entry.reaches_store = reachable;
+        }
+    }
+
     /// Ends all faults and lets enough time pass for each timeout.
     pub fn heal(&mut self) {
         self.calm = true;
@@ -224,7 +293,12 @@
             Some(key) if self.rng.u32(0..8) > 0 => key,
             _ => {
                 let name = Bytes::from(format!("key-{}", self.keys.len()));
-                self.keys.push(Key { name, born: now, runs: BTreeSet::new() });
+                self.keys.push(Key {
+                    name,
+                    born: now,
+                    runs: BTreeSet::new(),
+                    denied: BTreeSet::new(),
+                });
                 self.keys.len() - 1
             }
         };
@@ -235,19 +309,41 @@
 
     fn act(&mut self, entry: usize, key: usize, decision: Decision) {
         let incarnation = self.entries[entry].incarnation;
+        let on_way = self.messages.iter().filter(|message| message.key == key);
+        let before = on_way.map(|message| message.number).collect();
+        let ran = !self.keys[key].runs.is_empty();
         match decision {
             Decision::Dispatch(holder) => {
-                self.messages.push(Message { entry, incarnation, key, holder, sent: self.now });
+                self.numbers += 1;
+                let (number, sent) = (self.numbers, self.now);
+                self.messages.push(Message { number, entry, incarnation, key, holder, sent });
             }
             Decision::Probe { generation, witnesses } => self.probing.push(Probing {
                 entry,
                 incarnation,
                 key,
-                generation,
+                generation: Some(generation),
+                witnesses: witnesses.clone(),
                 left: witnesses,
                 results: Vec::new(),
+                ran,
+                before,
             }),
-            Decision::Unknown | Decision::NotRun => {}
+            Decision::Refuse => {
+                let witnesses = self.entries[entry].confirming(self.now);
+                self.probing.push(Probing {
+                    entry,
+                    incarnation,
+                    key,
+                    generation: None,
+                    witnesses: witnesses.clone(),
+                    left: witnesses,
+                    results: Vec::new(),
+                    ran,
+                    before,
+                });
+            }
+            Decision::Unknown => {}
         }
     }
 
@@ -269,15 +365,38 @@
             self.probing.push(probing);
             return;
         }
-        let decision = self.entries[probing.entry].decide_probed(
-            self.now,
-            &name,
-            probing.generation,
-            &probing.results,
-        );
+        let Some(generation) = probing.generation else { return self.confirm(probing, &name) };
+        let (now, results) = (self.now, &probing.results);
+        let entry = &mut self.entries[probing.entry];
+        let decision = entry.decide_probed(now, &name, generation, results);
         self.act(probing.entry, probing.key, decision);
     }
 
+    /// Checks that a key which is reported as not run has not run.
+    fn confirm(&mut self, probing: Probing, name: &Bytes) {
+        let Probing { entry, key, witnesses, results, ran, before, .. } = probing;
+        let gate = &self.entries[entry].gate;
+        if gate.confirm(self.now, SERVICE, name, &witnesses, &results) {
+            self.not_run += 1;
+            assert!(!ran, "seed {}: {name:?} had run and is reported as not run", self.seed);
+            self.keys[key].denied.extend(before);
+        }
+    }
+
+    /// Lets an entry fetch a page of a list that it lacks, from any entry.
+    fn fetch(&mut self, entry: usize) {
+        let wanted = self.entries[entry].wanted(self.now);
+        let Some(request) = self.rng.choice(wanted).filter(|_| self.entries[entry].up) else {
+            return;
+        };
+        let asked = self.rng.usize(0..ENTRIES);
+        let source = &self.entries[asked];
+        if source.up && source.reaches_entries && self.entries[entry].reaches_entries {
+            let reply = cut(source.gate.list(&request), self.rng.usize(1..4));
+            self.entries[entry].take(&request, reply);
+        }
+    }
+
     fn reply(&self, asker: usize, witness: &Witness, name: &Bytes) -> Option<ProbeReply> {
         let asked = self.entries.iter().position(|entry| entry.name == witness.entry)?;
         let reachable = asked == asker
@@ -318,6 +437,12 @@
 
     fn run(&mut self, message: &Message) {
         let key = &mut self.keys[message.key];
+        assert!(
+            !key.denied.contains(&message.number),
+            "seed {}: {:?} runs after it was reported as not run",
+            self.seed,
+            key.name
+        );
         key.runs.insert((message.holder.agent.clone(), message.holder.incarnation));
         assert!(
             key.runs.len() <= 1,
@@ -329,3 +454,15 @@
         );
     }
 }
+
+/// Shortens a page, so that lists of few keys take several.
+fn cut(reply: KeyListReply, limit: usize) -> KeyListReply {
+    match reply {
+        KeyListReply::Page { mut keys, more } => {
+            let more = more || keys.len() > limit;
+            keys.truncate(limit);
+            KeyListReply::Page { keys, more }
+        }
+        KeyListReply::NotHeld => KeyListReply::NotHeld,
+    }
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -18,6 +18,7 @@
         data_centre: String::new(),
         adopted: Default::default(),
         complete: true,
+        predecessor: None,
         stopped: false,
     }
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -13,6 +13,7 @@
 use peridotfold_core::message::announce::ConfigUpdate;
 use peridotfold_core::message::request::RequestId;
 use peridotfold_core::routing::{RetryBudget, Table};
+use peridotfold_core::time::Time;
 use peridotfold_store::{ConfigRepository, Store};
 use peridotfold_wire::peer::Peers;
 use peridotfold_wire::runtime;
@@ -31,7 +32,8 @@
 /// State of an entry.
 ///
 /// Locks are taken in the order of the fields: `config`, `repository`, `upstreams`, `budget`,
-/// `keys`, `members`. No lock is held across an await.
+/// `keys`, `members`. No lock is held across an await, but for `fetched`, which is taken before the
+/// others.
 pub struct Context<S: Store> {
     pub settings: Settings,
     pub incarnation: Incarnation,
@@ -49,6 +51,8 @@
     pub members: Mutex<Members>,
     /// Time of the last heartbeat that the store took, in milliseconds since the start.
     contact: AtomicU64,
+    /// When the lists of moves were last fetched; held while they are.
+    pub fetched: smol::lock::Mutex<Option<Time>>,
     numbers: AtomicU64,
     stopping: AtomicBool,
     /// Given when endless responses have to end, some time after the start of a shutdown.
@@ -79,6 +83,7 @@
             keys: Mutex::new(gate),
             members: Mutex::new(Members::new(settings.dead_after)),
             contact: AtomicU64::new(0),
+            fetched: smol::lock::Mutex::new(None),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             drained,
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -4,7 +4,9 @@
 
 use http::StatusCode;
 use peridotfold_core::message::announce::{Announce, AnnounceReply, EntryAddress};
-use peridotfold_core::message::entry::{ConfigReply, ConfigRequest, Forward, Probe};
+use peridotfold_core::message::entry::{
+    ConfigReply, ConfigRequest, Forward, KeyListRequest, Probe,
+};
 use peridotfold_core::message::report::Report;
 use peridotfold_store::Store;
 use peridotfold_wire::error::{Step, WireError};
@@ -48,6 +50,11 @@
                 let reply = self.context.keys.lock().probe(&probe.service, &probe.key);
                 responder.reply(&reply).await
             }
+            "keylist" => {
+                let request: KeyListRequest = first(&mut receiver).await?;
+                let reply = self.context.keys.lock().list(&request);
+                responder.reply(&reply).await
+            }
             "config" => {
                 let request: ConfigRequest = first(&mut receiver).await?;
                 match self.context.update_since(request.version) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod internal;
 pub mod jobs;
+pub mod lists;
 pub mod members;
 pub mod operator;
 pub mod proxy;
@@ -109,6 +110,7 @@
     let handling = runtime::spawn(internal.serve(handler, rest_end.clone()));
     let beating = runtime::spawn(Heart::new(context.clone()).run(rest_end.clone()));
     let following = runtime::spawn(config::run(context.clone(), rest_end.clone()));
+    let fetching = runtime::spawn(lists::run(context.clone(), rest_end.clone()));
     let upkeep = runtime::spawn(upkeep(rest_end));
     tracing::info!(event = "entry_started", entry = context.settings.id, id = context.incarnation);
 
@@ -129,6 +131,7 @@
     // Connections to hosts that are gone never end.
     future::or(handling, runtime::sleep(CLOSE_LIMIT)).await;
     following.await;
+    fetching.await;
     upkeep.await;
     tracing::info!(event = "entry_stopped", entry = context.settings.id);
     Ok(())
--- /dev/null
+++ b/crates/entry/src/lists.rs
@@ -0,0 +1,112 @@
+//! Fetches the lists of keys that the witnesses of moves dispatched before them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use peridotfold_core::message::entry::{KeyListReply, KeyListRequest};
+use peridotfold_core::time::Time;
+use peridotfold_store::Store;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::context::Context;
+
+/// Time between two looks at what is lacking. Bounds how long a witness has to live after it has
+/// adopted a move.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Longest time between two tries. A list that nobody holds stays lacking for the retention.
+const PERIOD_LIMIT: Duration = Duration::from_secs(2);
+/// Time allowed for one page.
+const PAGE_TIME: Duration = Duration::from_millis(500);
+
+/// Fetches lists until the signal.
+pub async fn run<S: Store>(context: Arc<Context<S>>, shutdown: Shutdown) {
+    let (mut pause, mut before) = (PERIOD, Vec::new());
+    while !runtime::sleep_or_shutdown(pause, &shutdown).await {
+        let lacking = context.keys.lock().lacking(runtime::now());
+        if !lacking.is_empty() {
+            future::or(fetch(&context), shutdown.wait()).await;
+        }
+        pause = match lacking.is_empty() || lacking != before {
+            true => PERIOD,
+            false => (pause * 2).min(PERIOD_LIMIT),
+        };
+        before = lacking;
+    }
+}
+
+/// Fetches what is lacking. Concurrent calls wait for each other; one that comes shortly after
+/// another only waits.
+pub async fn fetch<S: Store>(context: &Arc<Context<S>>) {
+    let mut last: smol::lock::MutexGuard<'_, Option<Time>> = context.fetched.lock().await;
+    let now = runtime::now();
+    if last.is_some_and(|at| now.saturating_sub(at) < PERIOD) {
+        return;
+    }
+    let lacking = context.keys.lock().lacking(now);
+    let tasks: Vec<_> = lacking
+        .into_iter()
+        .map(|request| {
+            let context = context.clone();
+            runtime::spawn(async move { fetch_one(&context, request).await })
+        })
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+    *last = Some(runtime::now());
+}
+
+/// Fetches one list from its witness or from another entry that holds it.
+async fn fetch_one<S: Store>(context: &Arc<Context<S>>, request: KeyListRequest) {
+    for address in sources(context, &request) {
+        let Some(keys) = fetch_from(context, &address, request.clone()).await else { continue };
+        let KeyListRequest { service, generation, entry, .. } = &request;
+        let count = keys.len();
+        tracing::info!(event = "key_list_fetched", service, generation, entry, count, address);
+        context.keys.lock().keep_list(&request, keys);
+        return;
+    }
+}
+
+/// Lists the addresses to ask, the witness itself first.
+fn sources<S: Store>(context: &Arc<Context<S>>, request: &KeyListRequest) -> Vec<String> {
+    let members = context.members.lock();
+    let witness = members.record(&request.entry);
+    let witness = witness.filter(|record| record.incarnation == request.incarnation);
+    let others = members.alive().into_iter().filter(|view| {
+        view.entry != context.settings.id && view.incarnation != request.incarnation
+    });
+    let witness = witness.map(|record| record.internal.clone());
+    witness.into_iter().chain(others.map(|view| view.address)).collect()
+}
+
+async fn fetch_from<S: Store>(
+    context: &Arc<Context<S>>,
+    address: &str,
+    mut request: KeyListRequest,
+) -> Option<BTreeSet<u128>> {
+    let mut whole = BTreeSet::new();
+    loop {
+        let reply = context.peers.call(address, "keylist", &request, PAGE_TIME).await;
+        match reply {
+            Ok(KeyListReply::Page { keys, more }) => {
+                whole.extend(keys);
+                let last = whole.last().copied();
+                match more {
+                    false => return Some(whole),
+                    // A page has to bring the list forward.
+                    true if last == request.after => return None,
+                    true => request.after = last,
+                }
+            }
+            Ok(KeyListReply::NotHeld) => return None,
+            Err(error) => {
+                tracing::debug!(event = "key_list_failed", %error);
+                return None;
+            }
+        }
+    }
+}
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use peridotfold_core::id::ServiceId;
+use peridotfold_core::id::{Incarnation, ServiceId};
 use peridotfold_core::keys::plan::{self, View};
 use peridotfold_core::keys::{Holder, KeyMap, Planner, RETENTION};
 use peridotfold_core::membership::{EntryRecord, HEARTBEAT};
@@ -33,8 +33,8 @@
     counter: u64,
     /// A record of this incarnation was written.
     owned: bool,
-    /// A record of an earlier incarnation was found.
-    succeeded: bool,
+    /// The incarnation whose record was found.
+    predecessor: Option<Incarnation>,
     /// Another process has taken this entry's name.
     replaced: bool,
     planner: Planner,
@@ -49,7 +49,7 @@
             version: 0,
             counter: 0,
             owned: false,
-            succeeded: false,
+            predecessor: None,
             replaced: false,
             planner,
         }
@@ -139,7 +139,8 @@
         self.version = found.as_ref().map_or(0, |found| found.version);
         let Some(found) = found else { return Ok(()) };
         let record = decode::<EntryRecord>(key, &found);
-        if record.is_some_and(|record| record.incarnation == self.context.incarnation) {
+        let incarnation = record.map(|record| record.incarnation);
+        if incarnation == Some(self.context.incarnation) {
             self.owned = true;
             return Ok(());
         }
@@ -148,7 +149,8 @@
             self.replaced = true;
             self.context.keys.lock().close();
         }
-        self.succeeded = true;
+        // A malformed record stands for an incarnation that no list names.
+        self.predecessor = Some(incarnation.unwrap_or_default());
         Ok(())
     }
 
@@ -156,7 +158,7 @@
         let context = &self.context;
         // Until the retention has passed, keys that an earlier incarnation dispatched may matter.
         // The first write finds out by its conflict whether there was one.
-        let complete = match self.succeeded || !self.owned {
+        let complete = match self.predecessor.is_some() || !self.owned {
             true => runtime::now() >= time::lease_wait(RETENTION),
             false => true,
         };
@@ -169,6 +171,7 @@
             data_centre: context.settings.data_centre.clone(),
             adopted: context.keys.lock().generations(),
             complete,
+            predecessor: self.predecessor,
             stopped,
         }
     }
--- a/crates/entry/src/proxy/keyed.rs
+++ b/crates/entry/src/proxy/keyed.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::future;
 use http::StatusCode;
 use peridotfold_core::keys::gate::ProbeResult;
-use peridotfold_core::keys::{Decision, Holder, Witness};
+use peridotfold_core::keys::{plan, Decision, Holder, Witness};
 use peridotfold_core::message::entry::{Probe, ProbeReply};
 use peridotfold_core::message::request::RefuseReason;
 use peridotfold_core::routing::Target;
@@ -15,6 +16,7 @@
 use peridotfold_wire::shutdown::Shutdown;
 
 use crate::context::Context;
+use crate::lists;
 use crate::proxy::attempt::{self, InFlight, Outcome, RETRY_AFTER};
 use crate::proxy::call::Call;
 use crate::proxy::upload::SharedUpload;
@@ -23,6 +25,9 @@
 /// Longest wait for the answers of probes. An entry that is slower counts as unreachable.
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Longest wait for the proof that a refused key was not run: a final answer is due at once.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(100);
+
 /// Dispatches a request to the holder of its key, if that is safe.
 pub async fn run<S: Store>(
     context: &Arc<Context<S>>,
@@ -34,7 +39,9 @@
     let decision = match decide(context, call, key) {
         Decision::Probe { generation, witnesses } => {
             let limit = PROBE_LIMIT.min(call.remaining());
-            let results = probe(context, &call.service, key, witnesses, limit).await;
+            let probing = probe(context, &call.service, key, witnesses, limit);
+            let fetching = future::or(lists::fetch(context), runtime::sleep(limit));
+            let (results, ()) = future::zip(probing, fetching).await;
             decide_probed(context, call, key, generation, &results)
         }
         decision => decision,
@@ -43,19 +50,55 @@
         Decision::Dispatch(holder) => holder,
         Decision::Unknown => return (never_again(), None),
         // A probe is asked once; a second request for one means that the map changed meanwhile.
-        Decision::NotRun | Decision::Probe { .. } => return (unavailable(), None),
+        Decision::Refuse | Decision::Probe { .. } => {
+            return (confirm(context, call, key, unavailable()).await, None);
+        }
     };
     let Some(target) = target(context, call, &holder) else {
         context.keys.lock().finish(runtime::now(), &call.service, key, true);
-        return (unavailable(), None);
+        return (confirm(context, call, key, unavailable()).await, None);
     };
     let in_flight = InFlight::begin(context, &target, &call.service);
     let outcome = attempt::run(context, call, &target, upload, gone).await;
     let not_run = matches!(outcome, Outcome::NotRun { .. } | Outcome::Abandoned { not_run: true });
     context.keys.lock().finish(runtime::now(), &call.service, key, not_run);
+    let outcome = match &outcome {
+        Outcome::NotRun { reason, reached, .. } if !is_vouched(*reason, *reached) => {
+            confirm(context, call, key, outcome).await
+        }
+        _ => outcome,
+    };
     (outcome, Some(in_flight))
 }
 
+/// Tells whether a refusal proves that the key was not run by any dispatch. The holder gives these
+/// reasons only for a key that is not in its table, or whose one run was refused; older holders
+/// were excluded before the dispatch. Other refusals concern one copy of the request only.
+fn is_vouched(reason: RefuseReason, reached: bool) -> bool {
+    reached && matches!(reason, RefuseReason::Overloaded | RefuseReason::KeyUnavailable)
+}
+
+/// Returns `refusal` if no entry has dispatched the key, and otherwise that it may have run.
+async fn confirm<S: Store>(
+    context: &Arc<Context<S>>,
+    call: &Call,
+    key: &Bytes,
+    refusal: Outcome,
+) -> Outcome {
+    let witnesses = {
+        let members = context.members.lock();
+        let records: Vec<_> =
+            members.records(runtime::now()).map(|(r, silent)| (r.clone(), silent)).collect();
+        plan::witnesses(context.settings.outage_hold, &records)
+    };
+    let results = probe(context, &call.service, key, witnesses.clone(), CONFIRM_LIMIT).await;
+    let now = runtime::now();
+    match context.keys.lock().confirm(now, &call.service, key, &witnesses, &results) {
+        true => refusal,
+        false => never_again(),
+    }
+}
+
 fn decide<S: Store>(context: &Arc<Context<S>>, call: &Call, key: &Bytes) -> Decision {
     let now = runtime::now();
     let upstreams = context.upstreams.lock();
@@ -135,6 +178,6 @@
 }
 
 fn never_again() -> Outcome {
-    let error = "an earlier request with this key may have run; it is not run again";
+    let error = "an earlier request with this key may have run; this one was not run";
     Outcome::Unknown { status: StatusCode::BAD_GATEWAY, error: ErrorText::new(error) }
 }
