End a message's stream with the message itself

A call sent its message and then, separately, the end of the stream. A peer that had answered and closed the stream in between made the call fail with 'inactive stream', although its answer was there; announcements and probes failed at random. Ruled out: ignoring the error of the separate end, because the send of the last frame can carry it.

--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -42,6 +42,16 @@
         address: &str,
         kind: &str,
         message: &T,
+    ) -> Result<(FrameSender, PendingReceiver), WireError> {
+        self.begin(address, kind, message, false).await
+    }
+
+    async fn begin<T: Serialize>(
+        &self,
+        address: &str,
+        kind: &str,
+        message: &T,
+        is_last: bool,
     ) -> Result<(FrameSender, PendingReceiver), WireError> {
         let frame = frame::encode(message)
             .map_err(|error| WireError::new(Step::Connect, address, error))?;
@@ -59,7 +69,7 @@
             }
         };
         let mut sender = FrameSender { stream, peer: address.to_owned() };
-        sender.send_bytes(frame, false).await?;
+        sender.send_bytes(frame, is_last).await?;
         Ok((sender, PendingReceiver { response, peer: address.to_owned() }))
     }
 
@@ -76,8 +86,9 @@
         limit: Duration,
     ) -> Result<R, WireError> {
         let exchange = async {
-            let (mut sender, pending) = self.open(address, kind, message).await?;
-            sender.finish()?;
+            // The message ends the stream: the peer may answer, and so close it, before a
+            // separate end could be sent.
+            let (_sender, pending) = self.begin(address, kind, message, true).await?;
             let mut receiver = pending.receiver().await?;
             match receiver.next().await? {
                 Some(reply) => Ok(reply),
