--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -26,6 +26,13 @@
 /// Time for which an entry remembers a dispatched key, and for which a move is probed.
 pub const RETENTION: Duration = Duration::from_secs(10 * 60);
 
+/// Age of the list of entries up to which a key may be reported as not run.
+pub const LIST_LIMIT: Duration = Duration::from_secs(6);
+/// Time for which an entry with a new name dispatches no keys, so that each list that is recent
+/// enough for a `not run` names it. Longer than [`LIST_LIMIT`] by the time limits of the store's
+/// calls and of probes, and by clock rates.
+pub const JOIN_WAIT: Duration = Duration::from_secs(8);
+
 /// Index of a bucket.
 pub type BucketIndex = usize;
 /// Number of a change of a key map; rises with each move.
--- a/crates/core/src/keys/gate.rs
+++ b/crates/core/src/keys/gate.rs
@@ -8,7 +8,8 @@
 use crate::id::{EntryId, Incarnation, ServiceId};
 use crate::keys::lists::{self, KeyHash, Lists};
 use crate::keys::{
-    bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, RETENTION,
+    bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, JOIN_WAIT,
+    LIST_LIMIT, RETENTION,
 };
 use crate::message::entry::{KeyListReply, KeyListRequest, ProbeReply};
 use crate::time::{self, Time};
@@ -53,6 +54,10 @@
     outage_hold: Duration,
     /// Start of the last round in which the store took a heartbeat and gave the key maps.
     contact: Option<Time>,
+    /// End of the first such round.
+    first: Option<Time>,
+    /// The other entries know this entry's name from an earlier incarnation.
+    known: bool,
     maps: HashMap<ServiceId, Adopted>,
     dispatched: DispatchTable,
     lists: Lists,
@@ -66,6 +71,8 @@
             incarnation,
             outage_hold,
             contact: None,
+            first: None,
+            known: false,
             maps: HashMap::new(),
             dispatched: DispatchTable::default(),
             lists: Lists::default(),
@@ -80,6 +87,17 @@
             self.replace(now, service, map);
         }
         self.contact = Some(start);
+        self.first.get_or_insert(now);
+    }
+
+    /// Notes that an earlier incarnation of this entry had joined.
+    pub fn set_known(&mut self) {
+        self.known = true;
+    }
+
+    /// Tells whether the other entries know this one well enough for it to dispatch keys.
+    pub fn is_joined(&self, now: Time) -> bool {
+        self.known || self.first.is_some_and(|first| now.saturating_sub(first) >= JOIN_WAIT)
     }
 
     /// Takes over one key map that was read from the store, or written to it, after the heartbeat
@@ -194,7 +212,8 @@
     }
 
     /// Tells whether a key that is not dispatched now was certainly never run: each entry of
-    /// `current` was asked, has a complete table, and dispatched it nowhere, this one included.
+    /// `current`, listed from the store at `listed`, was asked, has a complete table, and
+    /// dispatched it nowhere, this one included. An older list may lack an entry that joined.
     ///
     /// A list of a move does not clear a witness here: this entry may not know yet that the move
     /// is open, and the witness may have dispatched the key to the new holder.
@@ -203,11 +222,11 @@
         now: Time,
         service: &str,
         key: &Bytes,
-        current: &[Witness],
+        (listed, current): (Option<Time>, &[Witness]),
         results: &[ProbeResult],
     ) -> bool {
         let is_self = |w: &Witness| w.entry == self.entry && w.incarnation == self.incarnation;
-        let recent = self.contact.is_some_and(|at| now.saturating_sub(at) < self.outage_hold);
+        let recent = listed.is_some_and(|at| now.saturating_sub(at) < LIST_LIMIT);
         let denies = |witness: &Witness| {
             results.iter().any(|(asked, reply)| match reply {
                 Some(ProbeReply::NotDispatched { entry, incarnation }) => {
@@ -338,7 +357,7 @@
     /// Returns the state of the key's bucket if this entry may dispatch to its holder.
     fn open(&self, now: Time, service: &str, key: &Bytes) -> Option<OpenBucket> {
         let contact = self.contact?;
-        if now.saturating_sub(contact) >= self.outage_hold {
+        if now.saturating_sub(contact) >= self.outage_hold || !self.is_joined(now) {
             return None;
         }
         let adopted = self.maps.get(service)?;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -29,6 +29,9 @@
     /// Incarnation whose record this one replaced.
     #[serde(default)]
     pub predecessor: Option<Incarnation>,
+    /// The entry may dispatch keys, since the others know its name.
+    #[serde(default)]
+    pub joined: bool,
     /// The entry has ended after a graceful shutdown.
     pub stopped: bool,
 }
@@ -110,6 +113,11 @@
             .map(move |member| (&member.record, now.saturating_sub(member.advanced)))
     }
 
+    /// Returns the time of the last successful list.
+    pub fn listed(&self) -> Option<Time> {
+        self.listed
+    }
+
     /// Returns the record of one entry.
     pub fn record(&self, entry: &str) -> Option<&EntryRecord> {
         self.members.get(entry).map(|member| &member.record)
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -139,6 +139,9 @@
         self.version = found.as_ref().map_or(0, |found| found.version);
         let Some(found) = found else { return Ok(()) };
         let record = decode::<EntryRecord>(key, &found);
+        if record.as_ref().is_some_and(|record| record.joined) {
+            self.context.keys.lock().set_known();
+        }
         let incarnation = record.map(|record| record.incarnation);
         if incarnation == Some(self.context.incarnation) {
             self.owned = true;
@@ -172,6 +175,7 @@
             adopted: context.keys.lock().generations(),
             complete,
             predecessor: self.predecessor,
+            joined: context.keys.lock().is_joined(runtime::now()),
             stopped,
         }
     }
--- a/crates/entry/src/proxy/keyed.rs
+++ b/crates/entry/src/proxy/keyed.rs
@@ -85,15 +85,16 @@
     key: &Bytes,
     refusal: Outcome,
 ) -> Outcome {
-    let witnesses = {
+    let (listed, witnesses) = {
         let members = context.members.lock();
         let records: Vec<_> =
             members.records(runtime::now()).map(|(r, silent)| (r.clone(), silent)).collect();
-        plan::witnesses(context.settings.outage_hold, &records)
+        (members.listed(), plan::witnesses(context.settings.outage_hold, &records))
     };
     let results = probe(context, &call.service, key, witnesses.clone(), CONFIRM_LIMIT).await;
     let now = runtime::now();
-    match context.keys.lock().confirm(now, &call.service, key, &witnesses, &results) {
+    let current = (listed, &witnesses[..]);
+    match context.keys.lock().confirm(now, &call.service, key, current, &results) {
         true => refusal,
         false => never_again(),
     }
