--- a/crates/bench/src/colocation/worker.rs
+++ b/crates/bench/src/colocation/worker.rs
@@ -6,7 +6,9 @@
 
 use peridotfold_core::message::report::AttemptId;
 use peridotfold_core::resources::Resources;
-use peridotfold_core::tasks::worker::{Claim, StartTask, WorkerList, WorkerOutcome, WorkerTask};
+use peridotfold_core::tasks::worker::{
+    Claim, Claimed, StartTask, WorkerList, WorkerOutcome, WorkerTask,
+};
 use peridotfold_core::tasks::{Action, Effect};
 
 /// Work that a task repeats when it resumes from its checkpoint.
@@ -64,8 +66,9 @@
         }
     }
 
-    pub fn claim(&self) -> Claim {
-        CLAIM
+    pub fn claim(&self) -> Claimed {
+        // The owner of the measured cell stays the same.
+        Claimed { claim: CLAIM, epoch: 1 }
     }
 
     /// Cores in use by class.
--- a/crates/bench/src/requests/instance.rs
+++ b/crates/bench/src/requests/instance.rs
@@ -68,6 +68,7 @@
             address: self.agent.clone(),
             state: if self.leaving { AgentState::Leaving } else { AgentState::Ready },
             services: vec![service],
+            entries_digest: 0,
             config_version: 1,
         }
     }
--- a/crates/bench/src/requests/simulation.rs
+++ b/crates/bench/src/requests/simulation.rs
@@ -451,6 +451,8 @@
                 data_centre: "dc".into(),
                 adopted: Default::default(),
                 complete: true,
+                predecessor: None,
+                joined: true,
                 stopped: false,
             });
             let records = records.collect();
--- a/crates/bench/src/scale/cell.rs
+++ b/crates/bench/src/scale/cell.rs
@@ -64,6 +64,7 @@
     Report {
         agent: format!("vm-{index}"),
         incarnation: 0x1234_5678_9abc_def0,
+        echo: 0,
         cell: "central-1".to_owned(),
         rack: format!("rack-{}", index / 3),
         sequence,
--- a/crates/bench/src/scale/entry.rs
+++ b/crates/bench/src/scale/entry.rs
@@ -84,7 +84,7 @@
     let holder = Holder { agent: "vm-12345".to_owned(), incarnation: 7 };
     for index in 0..KEYS {
         let key = Bytes::from(format!("guide\0bid-{index:032}"));
-        table.begin(Time::ZERO, "listings", &key, &holder);
+        table.begin(Time::ZERO, "listings", &key, (&holder, 1));
         table.end(Time::ZERO, "listings", &key, false);
     }
     table
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -6,6 +6,7 @@
 
 pub mod dispatch;
 pub mod gate;
+pub mod lists;
 pub mod plan;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,13 @@
 /// Time for which an entry remembers a dispatched key, and for which a move is probed.
 pub const RETENTION: Duration = Duration::from_secs(10 * 60);
 
+/// Age of the list of entries up to which a key may be reported as not run.
+pub const LIST_LIMIT: Duration = Duration::from_secs(6);
+/// Time for which an entry with a new name dispatches no keys, so that each list that is recent
+/// enough for a `not run` names it. Longer than [`LIST_LIMIT`] by the time limits of the store's
+/// calls and of probes, and by clock rates.
+pub const JOIN_WAIT: Duration = Duration::from_secs(8);
+
 /// Index of a bucket.
 pub type BucketIndex = usize;
 /// Number of a change of a key map; rises with each move.
@@ -47,8 +55,12 @@
 pub struct Witness {
     pub entry: EntryId,
     pub incarnation: Incarnation,
-    /// Its table of dispatched keys covered the whole retention at the time of the move.
+    /// Its table of dispatched keys covered the whole retention at the time of the move, or the
+    /// incarnation before it is a witness as well.
     pub complete: bool,
+    /// Incarnation whose record this one replaced.
+    #[serde(default)]
+    pub predecessor: Option<Incarnation>,
 }
 
 /// Whether keys of a bucket may be dispatched.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -10,6 +10,9 @@
 
 /// Time between two heartbeats, and between two lists.
 pub const HEARTBEAT: Duration = Duration::from_secs(2);
+/// Time after which a failed heartbeat is tried again. With a whole period in between, a few short
+/// outages that each cover one heartbeat made an entry dead.
+pub const RETRY: Duration = Duration::from_millis(500);
 /// A longer time between two successful lists is an outage of the store and does not count.
 const GAP_LIMIT: Duration = Duration::from_secs(4);
 /// The record `entries/<id>` in the store.
@@ -26,6 +29,12 @@
     pub adopted: BTreeMap<ServiceId, u64>,
     /// The table of dispatched keys covers the whole retention, also across a restart.
     pub complete: bool,
+    /// Incarnation whose record this one replaced.
+    #[serde(default)]
+    pub predecessor: Option<Incarnation>,
+    /// The entry may dispatch keys, since the others know its name.
+    #[serde(default)]
+    pub joined: bool,
     /// The entry has ended after a graceful shutdown.
     pub stopped: bool,
 }
@@ -107,6 +116,11 @@
             .map(move |member| (&member.record, now.saturating_sub(member.advanced)))
     }
 
+    /// Returns the time of the last successful list.
+    pub fn listed(&self) -> Option<Time> {
+        self.listed
+    }
+
     /// Returns the record of one entry.
     pub fn record(&self, entry: &str) -> Option<&EntryRecord> {
         self.members.get(entry).map(|member| &member.record)
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -1,10 +1,13 @@
 //! Seeded schedules of heartbeats, lists and outages.
 
+#[path = "support/schedules.rs"]
+mod schedules;
+
 use std::time::Duration;
 
-use peridotfold_core::membership::{EntryRecord, Members, HEARTBEAT};
+use peridotfold_core::membership::{EntryRecord, Members, HEARTBEAT, RETRY};
 
-const SCHEDULES: u64 = 2_000;
+const SCHEDULES: u64 = 10_000;
 const DEAD_AFTER: Duration = Duration::from_secs(6);
 const TICK: Duration = Duration::from_millis(500);
 
@@ -18,6 +21,8 @@
         data_centre: String::new(),
         adopted: Default::default(),
         complete: true,
+        predecessor: None,
+        joined: true,
         stopped: false,
     }
 }
@@ -34,9 +39,10 @@
 /// while it refuses writes only. Also against dead entries that stay alive.
 #[test]
 fn outages_kill_nobody_and_the_dead_are_noticed() {
-    for seed in 0..SCHEDULES {
+    schedules::run(SCHEDULES, |seed| {
         run(seed);
-    }
+        0
+    });
 }
 
 fn run(seed: u64) {
@@ -65,7 +71,7 @@
         }
         for writer in &mut writers {
             if writer.killed.is_none() && now >= writer.next {
-                writer.next = now + HEARTBEAT;
+                writer.next = now + if writes { HEARTBEAT } else { RETRY };
                 writer.record.counter += u64::from(writes);
             }
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod internal;
 pub mod jobs;
+pub mod lists;
 pub mod members;
 pub mod operator;
 pub mod proxy;
@@ -111,6 +112,7 @@
     let beating = runtime::spawn(Heart::new(context.clone()).run(rest_end.clone()));
     let following = runtime::spawn(config::run(context.clone(), rest_end.clone()));
     let relaying = runtime::spawn(relay::run(context.clone(), rest_end.clone()));
+    let fetching = runtime::spawn(lists::run(context.clone(), rest_end.clone()));
     let upkeep = runtime::spawn(upkeep(rest_end));
     tracing::info!(event = "entry_started", entry = context.settings.id, id = context.incarnation);
 
@@ -132,6 +134,7 @@
     future::or(handling, runtime::sleep(CLOSE_LIMIT)).await;
     following.await;
     relaying.await;
+    fetching.await;
     upkeep.await;
     tracing::info!(event = "entry_stopped", entry = context.settings.id);
     Ok(())
