Take the lock of the key table once for a heartbeat record

Cause: two lock guards in one struct expression lived to its end, so the first heartbeat of an entry locked itself out and the entry hung.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -163,6 +163,10 @@
             true => runtime::now() >= time::lease_wait(RETENTION),
             false => true,
         };
+        let (adopted, joined) = {
+            let keys = context.keys.lock();
+            (keys.generations(), keys.is_joined(runtime::now()))
+        };
         EntryRecord {
             entry: context.settings.id.clone(),
             incarnation: context.incarnation,
@@ -170,10 +174,10 @@
             http: context.http.to_string(),
             internal: context.internal.to_string(),
             data_centre: context.settings.data_centre.clone(),
-            adopted: context.keys.lock().generations(),
+            adopted,
             complete,
             predecessor: self.predecessor,
-            joined: context.keys.lock().is_joined(runtime::now()),
+            joined,
             stopped,
         }
     }
