Let an entry that is behind learn the configuration from an agent

Cause: an entry that was paused in its first seconds, has no peers in its settings and had not listed another entry knew nobody to ask while the store was down: it stayed at its version until the store came back (tests/config.rs a_paused_entry_catches_up failed in about every third run; its log shows the refused store calls and no request to another process). An agent that announces a higher version is now asked, and a watch of the store ends after 4 s so that a dead connection is noticed within the 7 s. Ruled out: a deadlock (stack traces) and a lost timer (heartbeats went on).

--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use peridotfold_core::message::entry::{ConfigReply, ConfigRequest};
 use peridotfold_core::message::request::Cancel;
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::server::{Handler, Stream};
@@ -30,11 +31,25 @@
     }
 }
 
+impl Messages {
+    /// Answers an entry that is behind, such as one that was cut off and knows no other entry.
+    async fn config(&self, mut stream: Stream) -> Result<(), WireError> {
+        match stream.receiver.next::<ConfigRequest>().await? {
+            Some(request) => {
+                let update = self.shared.view.update_since(request.version);
+                stream.responder.reply(&ConfigReply { update }).await
+            }
+            None => stream.responder.refuse(StatusCode::BAD_REQUEST, "no message".into()),
+        }
+    }
+}
+
 impl Handler for Messages {
     async fn handle(&self, stream: Stream) -> Result<(), WireError> {
         match stream.kind.as_str() {
             "request" => request::serve(&self.shared, stream).await,
             "cancel" => self.cancel(stream).await,
+            "config" => self.config(stream).await,
             kind => {
                 let detail = format!("unknown kind {kind}");
                 stream.responder.refuse(StatusCode::NOT_FOUND, detail)
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -49,6 +49,11 @@
         self.state.lock().config.version
     }
 
+    /// Returns what a process at `version` lacks.
+    pub fn update_since(&self, version: ConfigVersion) -> ConfigUpdate {
+        self.state.lock().config.update_since(version)
+    }
+
     /// Document in effect.
     pub fn document(&self) -> Option<Arc<Document>> {
         let state = self.state.lock();
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -13,8 +13,10 @@
 
 use crate::context::Context;
 
-/// Wait of one watch call. Each call counts against the store's limit on reads.
-const WATCH: Duration = Duration::from_secs(20);
+/// Wait of one watch call. Each call counts against the store's limit on reads. A watch on a
+/// connection that died silently ends after this time and the time limit of a call, which has to be
+/// within the 7 s in which a version has to be in effect.
+const WATCH: Duration = Duration::from_secs(4);
 /// Pause after a failed call of the store. With the watch and the agents' announcements it stays
 /// within the 7 s in which a version has to be in effect.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -22,7 +24,8 @@
 
 /// Follows the configuration until the signal.
 pub async fn run<S: Store>(context: Arc<Context<S>>, shutdown: Shutdown) {
-    future::or(follow(&context), shutdown.wait()).await;
+    let followed = future::or(follow(&context), follow_agents(&context));
+    future::or(followed, shutdown.wait()).await;
 }
 
 async fn follow<S: Store>(context: &Arc<Context<S>>) {
@@ -48,6 +51,19 @@
     context.install("store", &repository.update_since(version));
 }
 
+/// Asks an agent and the other entries when the agent has announced a higher version: the store, or
+/// the way to it, may be at fault here only, and an entry may know no others.
+async fn follow_agents<S: Store>(context: &Arc<Context<S>>) {
+    loop {
+        runtime::sleep(PAUSE).await;
+        let version = context.current().map_or(0, |current| current.version);
+        if let Some(agent) = context.agent_above(version) {
+            ask(context.clone(), agent, version).await;
+            ask_entries(context).await;
+        }
+    }
+}
+
 async fn recover<S: Store>(context: &Arc<Context<S>>, error: &JournalError) {
     tracing::warn!(event = "config_store_failed", %error);
     ask_entries(context).await;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -33,7 +33,7 @@
 /// State of an entry.
 ///
 /// Locks are taken in the order of the fields: `config`, `repository`, `upstreams`, `budget`,
-/// `keys`, `members`, `relays`. No lock is held across an await, but for `fetched`, which is taken
+/// `keys`, `members`, `relays`, `heard`. No lock is held across an await, but for `fetched`, which is taken
 /// before the others.
 pub struct Context<S: Store> {
     pub settings: Settings,
@@ -51,6 +51,8 @@
     pub keys: Mutex<Gate>,
     pub members: Mutex<Members>,
     pub relays: Mutex<Relays>,
+    /// Highest configuration version that an agent has announced, and the agent's address.
+    heard: Mutex<(ConfigVersion, String)>,
     /// Time of the last heartbeat that the store took, in milliseconds since the start.
     contact: AtomicU64,
     /// When the lists of moves were last fetched; held while they are.
@@ -85,6 +87,7 @@
             keys: Mutex::new(gate),
             members: Mutex::new(Members::new(settings.dead_after)),
             relays: Mutex::default(),
+            heard: Mutex::default(),
             contact: AtomicU64::new(0),
             fetched: smol::lock::Mutex::new(None),
             numbers: AtomicU64::new(0),
@@ -112,6 +115,20 @@
         self.config.read().as_ref().map(|state| state.update_since(version))
     }
 
+    /// Notes a version that an agent has announced.
+    pub fn note_version(&self, version: ConfigVersion, address: &str) {
+        let mut heard = self.heard.lock();
+        if version > heard.0 {
+            *heard = (version, address.to_owned());
+        }
+    }
+
+    /// Returns the address of an agent that has announced a version above `version`.
+    pub fn agent_above(&self, version: ConfigVersion) -> Option<String> {
+        let heard = self.heard.lock();
+        (heard.0 > version).then(|| heard.1.clone())
+    }
+
     /// Puts an update into effect. Versions that are not higher than the one in effect change
     /// nothing.
     pub fn install(&self, peer: &str, update: &ConfigUpdate) {
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -84,6 +84,7 @@
         let context = &self.context;
         let (version, cell) = (announce.config_version, announce.cell.clone());
         let known = announce.entries_digest;
+        context.note_version(version, &announce.address);
         let now = runtime::now();
         if !context.upstreams.lock().announce(now, announce.clone()) {
             return None;
