--- a/crates/standins/src/demo/checks.rs
+++ b/crates/standins/src/demo/checks.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use super::cluster::Cluster;
+use super::versions::Versions;
 use crate::load::Load;
 
 /// Interval in which a worker ran one attempt of a task.
@@ -36,6 +37,7 @@
         load: &Load,
         jobs: &[Value],
         feed: (u32, u32),
+        seen: &Versions,
     ) -> eyre::Result<Self> {
         let mut report = Report { rows: Vec::new(), faults: Vec::new() };
         report.requests(load);
@@ -45,6 +47,7 @@
         let versions: BTreeSet<u64> = cluster.versions()?.into_iter().collect();
         report.row("configuration versions in force at the end", format!("{versions:?}"));
         report.expect(versions.len() == 1, "processes have different configuration versions");
+        report.versions(seen);
         let stats = cluster.call(cluster.store_address(), Method::GET, "/stats", "")?;
         report.row("store calls", stats.to_string());
         Ok(report)
@@ -81,6 +84,18 @@
         }
     }
 
+    fn versions(&mut self, seen: &Versions) {
+        for (process, changes) in seen.changes() {
+            let texts: Vec<String> = changes
+                .iter()
+                .map(|(at, version)| format!("{version} at {:.1} s", at.as_secs_f64()))
+                .collect();
+            self.rows.push(("versions seen over time", format!("{process}: {}", texts.join(", "))));
+            let risen = changes.is_sorted_by_key(|(_, version)| *version);
+            self.expect(risen, "a process went back to an older configuration version");
+        }
+    }
+
     fn requests(&mut self, load: &Load) {
         load.totals(|totals| {
             self.row("requests sent", totals.requests.to_string());
--- a/crates/standins/src/demo/cluster.rs
+++ b/crates/standins/src/demo/cluster.rs
@@ -19,12 +19,14 @@
 pub const CELL: &str = "central-1";
 pub const TEAM: &str = "guide";
 pub const TOKEN: &str = "demo-team-token";
-const OPERATOR_TOKEN: &str = "demo-operator-token";
+pub const OPERATOR_TOKEN: &str = "demo-operator-token";
 const DATA_CENTRE: &str = "dc-1";
 /// VMs of the demo.
 pub const VMS: usize = 3;
 const ENTRIES: usize = 2;
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time in which a restarted process gets its port again.
+const START_LIMIT: Duration = Duration::from_secs(5);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 const ANY_PORT: &str = "127.0.0.1:0";
 
@@ -114,7 +116,7 @@
         args.extend(strings(&["--peers", &peers.join(",")]));
         args.extend(strings(&["--operator-digest", &digest(OPERATOR_TOKEN)]));
         let log = self.directory.join(format!("{name}.log"));
-        let process = Process::start(&name, &self.program, &args, &log)?;
+        let process = Process::start_again(&name, &self.program, &args, &log, START_LIMIT)?;
         let addresses = (process.internal()?, process.http);
         match self.addresses.get_mut(index) {
             Some(known) => *known = addresses,
@@ -141,7 +143,7 @@
         args.extend(strings(&["--upstream", &vm.upstream.http.to_string()]));
         args.extend(strings(&["--worker", &vm.worker.http.to_string()]));
         let log = self.directory.join(format!("{name}.log"));
-        let process = Process::start(&name, &self.program, &args, &log)?;
+        let process = Process::start_again(&name, &self.program, &args, &log, START_LIMIT)?;
         vm.address = Some(process.internal()?);
         vm.agent = Some(process);
         Ok(())
@@ -206,6 +208,13 @@
         self.addresses.iter().map(|(_, http)| *http).collect()
     }
 
+    /// Names and HTTP addresses of the running entries and agents.
+    pub fn processes(&self) -> Vec<(String, SocketAddr)> {
+        let agents = self.vms.iter().filter_map(|vm| vm.agent.as_ref());
+        let running = self.entries.iter().flatten().chain(agents);
+        running.map(|process| (process.name.clone(), process.http)).collect()
+    }
+
     /// Workers' and upstreams' addresses, by VM.
     pub fn vm_addresses(&self) -> Vec<(SocketAddr, SocketAddr)> {
         self.vms.iter().map(|vm| (vm.worker.http, vm.upstream.http)).collect()
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,8 +1,20 @@
 //! Command line of the stand-ins.
 
+use std::process::ExitCode;
+
 use peridotfold_standins::{demo, store, upstream, worker};
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> eyre::Result<()> {
     let mut parser = lexopt::Parser::from_env();
     match parser.next()? {
         Some(lexopt::Arg::Value(name)) if name == "store" => store::run(parser),
