--- a/tests/config.rs
+++ b/tests/config.rs
@@ -141,6 +141,8 @@
             cluster.start_agent(0);
             let agent = Sampler::start(vec![cluster.agent(0).http]);
             cluster.wait_version(version, IN_EFFECT).await;
+            within(IN_EFFECT, "the agent was seen", || async { !agent.seen.lock()[0].is_empty() })
+                .await;
             agent.check();
             assert!(agent.seen.lock()[0].iter().all(|seen| *seen == version));
             cluster.set_store_down(false);
--- a/tests/graceful.rs
+++ b/tests/graceful.rs
@@ -195,6 +195,12 @@
             let pages = agent.http;
             agent.signal("TERM").expect("signal");
             runtime::sleep(NO_NEW_WORK).await;
+            for address in cluster.https() {
+                let (_, status) = cluster.operate(address, Method::GET, "/v1/status", "").await;
+                let known = status["upstreams"].as_array().cloned().unwrap_or_default();
+                let left = known.iter().find(|upstream| upstream["agent"] == "vm-1");
+                assert!(left.is_none_or(|u| u["state"] == "leaving"), "{address}: {left:?}");
+            }
             let before = (refusals(pages).await, cluster.vms[0].upstream.executions().len());
             let elsewhere = cluster.vms[1].upstream.executions().len();
             within(PATIENCE, "the other upstream gets more bids", || async {
