Smooth the load of other entries over announcements

Cause: the announced load is up to 1 s old, in which all entries preferred the upstreams that happened to be idle at the announcement.

--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -20,6 +20,9 @@
 const ERROR_HALF_LIFE: Duration = Duration::from_secs(5);
 /// Share of a new sample in the smoothed latency.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Share of a new announcement in the smoothed load of other entries. An unsmoothed count is up to
+/// 1 s old, in which all entries send to the upstreams that happened to be idle at that moment.
+const OTHERS_WEIGHT: f64 = 0.2;
 /// Share of a new outcome in the smoothed share of failures. When failures were counted instead,
 /// one missed deadline in a thousand requests raised the cost of a healthy upstream 20 times.
 const ERROR_WEIGHT: f64 = 0.02;
@@ -82,8 +85,8 @@
     load: ServiceLoad,
     /// Requests of this entry in flight.
     in_flight: u32,
-    /// Requests of other entries at the last announcement.
-    others: u32,
+    /// Requests of other entries, smoothed over announcements.
+    others: f64,
     /// Smoothed latency in seconds, as of `updated`.
     latency: f64,
     updated: Time,
@@ -396,7 +399,7 @@
         Usage {
             load: load.clone(),
             in_flight: 0,
-            others: load.running + load.queued,
+            others: f64::from(load.running + load.queued),
             latency: load.latency.as_secs_f64(),
             updated: now,
             errors: 0.0,
@@ -408,7 +411,8 @@
     }
 
     fn refresh(&mut self, load: &ServiceLoad) {
-        self.others = (load.running + load.queued).saturating_sub(self.in_flight);
+        let others = f64::from((load.running + load.queued).saturating_sub(self.in_flight));
+        self.others += OTHERS_WEIGHT * (others - self.others);
         self.load = load.clone();
     }
 
@@ -460,7 +464,7 @@
     }
 
     fn cost(&self, now: Time) -> f64 {
-        let waiting = f64::from(self.in_flight + self.others) + 1.0;
+        let waiting = f64::from(self.in_flight) + self.others + 1.0;
         let latency = self.latency_at(now).max(LATENCY_FLOOR);
         waiting * latency * (1.0 + ERROR_COST * self.errors_at(now))
     }
