--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -69,6 +69,11 @@
         self.internal.ok_or_else(|| eyre!("{} has no internal address", self.name))
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process outright.
     ///
     /// # Errors
