Wait for the end of the caller's connection without a timer

Cause: while the entry waited for a frame of the agent, it set a timer of 100 ms to look whether the caller is gone. Each such timer wakes the thread that waits for sockets.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -72,9 +72,7 @@
 
     /// Returns once the reader is gone.
     pub async fn closed(&self) {
-        while !self.sender.is_closed() {
-            crate::runtime::sleep(std::time::Duration::from_millis(100)).await;
-        }
+        self.sender.closed().await;
     }
 }
 
