Judge histories of keyed requests, and adopt moves early

An entry that is asked for a list of a move it has not seen, or hears of a new agent, now starts a round of key maps at once (at least 500 ms after the one before). A struct literal that locked the key gate twice stopped each heartbeat; the locks are one now.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -53,6 +53,8 @@
     contact: AtomicU64,
     /// When the lists of moves were last fetched; held while they are.
     pub fetched: smol::lock::Mutex<Option<Time>>,
+    /// Asks for a round of heartbeat and key maps before the next one is due.
+    pub hurry: (async_channel::Sender<()>, async_channel::Receiver<()>),
     numbers: AtomicU64,
     stopping: AtomicBool,
     /// Given when endless responses have to end, some time after the start of a shutdown.
@@ -84,6 +86,7 @@
             members: Mutex::new(Members::new(settings.dead_after)),
             contact: AtomicU64::new(0),
             fetched: smol::lock::Mutex::new(None),
+            hurry: async_channel::bounded(1),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             drained,
@@ -143,6 +146,11 @@
         self.contact.store(at.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Asks for a round of heartbeat and key maps soon. A request that waits already is enough.
+    pub fn hurry(&self) {
+        let _ = self.hurry.0.try_send(());
+    }
+
     /// Draws the identity of a dispatch.
     pub fn next_request(&self) -> RequestId {
         let number: RequestNumber = self.numbers.fetch_add(1, Ordering::Relaxed);
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -52,7 +52,14 @@
             }
             "keylist" => {
                 let request: KeyListRequest = first(&mut receiver).await?;
-                let reply = self.context.keys.lock().list(&request);
+                let (reply, adopted) = {
+                    let keys = self.context.keys.lock();
+                    (keys.list(&request), keys.map(&request.service).map_or(0, |m| m.generation))
+                };
+                // The sender knows of a move that this entry has not seen yet.
+                if adopted < request.generation {
+                    self.context.hurry();
+                }
                 responder.reply(&reply).await
             }
             "config" => {
@@ -78,8 +85,19 @@
     fn announce(&self, announce: Announce) -> Option<AnnounceReply> {
         let context = &self.context;
         let (version, cell) = (announce.config_version, announce.cell.clone());
-        if !context.upstreams.lock().announce(runtime::now(), announce) {
-            return None;
+        let is_new = {
+            let (now, mut upstreams) = (runtime::now(), context.upstreams.lock());
+            let Announce { agent, incarnation, services, .. } = &announce;
+            let known = |service| upstreams.holder(now, agent, *incarnation, service).is_some();
+            let is_new = !services.iter().any(|load| known(&load.service));
+            if !upstreams.announce(now, announce) {
+                return None;
+            }
+            is_new
+        };
+        // It may be the successor of a holder, whose buckets have to move.
+        if is_new {
+            context.hurry();
         }
         let entries = context.alive().into_iter().map(|view| EntryAddress {
             entry: view.entry,
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -29,6 +29,7 @@
         if !lacking.is_empty() {
             future::or(fetch(&context), shutdown.wait()).await;
         }
+        // A witness is asked soon again until it has adopted the move.
         pause = match lacking.is_empty() || lacking != before {
             true => PERIOD,
             false => (pause * 2).min(PERIOD_LIMIT),
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::future;
 use peridotfold_core::id::{Incarnation, ServiceId};
 use peridotfold_core::keys::plan::{self, View};
 use peridotfold_core::keys::{Holder, KeyMap, Planner, RETENTION};
@@ -71,12 +72,23 @@
             self.context.keys.lock().prune(now);
             self.context.upstreams.lock().prune(now);
             let pause = period.saturating_sub(now.saturating_sub(start));
-            if self.replaced || runtime::sleep_or_shutdown(pause, &shutdown).await {
+            if self.replaced || self.pause(pause, &shutdown).await {
                 return self;
             }
         }
     }
 
+    /// Waits for the next round, at least [`RETRY`] when it is asked for early. Tells whether the
+    /// signal came.
+    async fn pause(&self, pause: Duration, shutdown: &Shutdown) -> bool {
+        let early = async {
+            runtime::sleep(RETRY).await;
+            let _ = self.context.hurry.1.recv().await;
+            false
+        };
+        future::or(runtime::sleep_or_shutdown(pause, shutdown), early).await
+    }
+
     /// Tells the other entries that this one has ended and dispatches nothing more.
     pub async fn farewell(&mut self) {
         for _ in 0..FAREWELL_TRIES {
@@ -163,6 +175,10 @@
             true => runtime::now() >= time::lease_wait(RETENTION),
             false => true,
         };
+        let (adopted, joined) = {
+            let keys = context.keys.lock();
+            (keys.generations(), keys.is_joined(runtime::now()))
+        };
         EntryRecord {
             entry: context.settings.id.clone(),
             incarnation: context.incarnation,
@@ -170,10 +186,10 @@
             http: context.http.to_string(),
             internal: context.internal.to_string(),
             data_centre: context.settings.data_centre.clone(),
-            adopted: context.keys.lock().generations(),
+            adopted,
             complete,
             predecessor: self.predecessor,
-            joined: context.keys.lock().is_joined(runtime::now()),
+            joined,
             stopped,
         }
     }
--- /dev/null
+++ b/crates/entry/tests/history.rs
@@ -0,0 +1,278 @@
+//! Requests with keys through two entries and whole agents under faults, judged by their history.
+
+#[path = "support/history.rs"]
+mod history;
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use history::{check, End, Fact, Violation};
+use http::{Method, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use peridotfold_agent::settings::Settings;
+use peridotfold_agent::Agent;
+use peridotfold_standins::store::{Faults, Mode};
+use peridotfold_wire::body::Body;
+use peridotfold_wire::http_client::HttpClient;
+use peridotfold_wire::http_server::{HttpServer, HttpService};
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::{self, Shutdown};
+use support::{run, store, until, Entry};
+
+const CLIENTS: u64 = 8;
+const LIMIT: Duration = Duration::from_secs(5);
+
+type Log = Arc<Mutex<Vec<Fact>>>;
+
+/// An upstream that records what it runs.
+struct Upstream {
+    log: Log,
+    runs: AtomicU64,
+}
+
+impl HttpService for Upstream {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let key = request.headers()["idempotency-key"].to_str().expect("text").to_owned();
+        let _ = request.into_body().collect().await;
+        let text = format!("{key} run {}", self.runs.fetch_add(1, Ordering::Relaxed));
+        self.log.lock().push(Fact::Executed { key, text: text.clone() });
+        runtime::sleep(Duration::from_millis(fastrand::u64(1..40))).await;
+        Response::new(Body::full(text))
+    }
+}
+
+async fn upstream(log: &Log) -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(any).await.expect("the upstream listens");
+    let address = server.address();
+    let upstream = Upstream { log: log.clone(), runs: AtomicU64::new(0) };
+    runtime::spawn(async move {
+        let (_stop, stopped) = shutdown::channel();
+        server.serve(Arc::new(upstream), stopped).await;
+    })
+    .detach();
+    address
+}
+
+async fn agent(name: &str, upstream: SocketAddr, entries: Vec<SocketAddr>) -> Agent {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = Settings {
+        id: name.into(),
+        data_centre: "dc-1".into(),
+        rack: "rack-1".into(),
+        cell: "cell-1".into(),
+        internal: any,
+        http: any,
+        entries,
+        service: "open".into(),
+        upstream,
+        // Nothing answers there: the test has no batch tasks.
+        worker: SocketAddr::from(([127, 0, 0, 1], 9)),
+        drain_grace: Duration::from_secs(1),
+    };
+    Agent::start(settings).await.expect("the agent starts")
+}
+
+struct Clients {
+    log: Log,
+    numbers: AtomicU64,
+    keys: AtomicU64,
+    /// Addresses of the entries; a restarted one has another.
+    entries: Mutex<[SocketAddr; 2]>,
+}
+
+impl Clients {
+    async fn send(&self, client: &HttpClient, entry: usize, key: &str, timeout: u64) -> End {
+        let request = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let address = self.entries.lock()[entry];
+        self.log.lock().push(Fact::Invoked { request, key: key.into() });
+        let sent = Request::builder()
+            .method(Method::POST)
+            .uri("/s/open/bid")
+            .header("host", "entry")
+            .header("idempotency-key", key)
+            .header("request-timeout-ms", timeout.to_string())
+            .body(Body::full("bid"))
+            .expect("the request is valid");
+        let end = match client.exchange(address, sent, LIMIT).await {
+            Ok(response) if response.status() == 200 => {
+                End::Answered(String::from_utf8_lossy(response.body()).into_owned())
+            }
+            Ok(response) if support::outcome(&response) == "not-run" => End::NotRun,
+            Ok(_) | Err(_) => End::Unknown,
+        };
+        self.log.lock().push(Fact::Ended { request, end: end.clone() });
+        end
+    }
+
+    /// Sends keys, some shared with other clients, and retries each through both entries.
+    async fn run(self: Arc<Self>, stop: Shutdown) {
+        let client = HttpClient::default();
+        loop {
+            let newest = self.keys.fetch_add(u64::from(fastrand::bool()), Ordering::Relaxed);
+            let key = format!("bid-{}", newest.saturating_sub(fastrand::u64(0..3)));
+            for _ in 0..fastrand::u32(1..5) {
+                let timeout = [15, 60, 1_000][fastrand::usize(0..3)];
+                self.send(&client, fastrand::usize(0..2), &key, timeout).await;
+                let pause = Duration::from_millis(fastrand::u64(1..30));
+                if runtime::sleep_or_shutdown(pause, &stop).await {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn pause(seconds: u64) {
+    runtime::sleep(Duration::from_secs(seconds)).await;
+}
+
+/// Guards against answers of other requests, keys that run twice, and keys that have run or still
+/// run although the caller was told that they were not, while agents and an entry restart and the
+/// store is down and loses answers. Also against buckets whose new keys stay `unknown` afterwards.
+#[test]
+fn histories_of_keys_are_sound_under_faults() {
+    run(async {
+        let store = store().await;
+        let one = Entry::configured("entry-1", &store).await;
+        let two = Entry::start("entry-2", store.address(), Vec::new()).await;
+        two.wait_ready().await;
+        let log = Log::default();
+        let entries = vec![one.internal, two.internal];
+        let mut upstreams = Vec::new();
+        let mut agents = Vec::new();
+        for name in ["agent-1", "agent-2", "agent-3"] {
+            let address = upstream(&log).await;
+            agents.push(agent(name, address, entries.clone()).await);
+            upstreams.push(address);
+        }
+        let clients = Arc::new(Clients {
+            log: log.clone(),
+            numbers: AtomicU64::new(0),
+            keys: AtomicU64::new(0),
+            entries: Mutex::new([one.http, two.http]),
+        });
+        let client = HttpClient::default();
+        for entry in 0..2 {
+            until("a key is answered", || async {
+                let key = format!("first-{entry}-{}", fastrand::u64(..));
+                matches!(clients.send(&client, entry, &key, 1_000).await, End::Answered(_))
+            })
+            .await;
+        }
+        let (stop, stopped) = shutdown::channel();
+        let running: Vec<_> =
+            (0..CLIENTS).map(|_| runtime::spawn(clients.clone().run(stopped.clone()))).collect();
+        let lossy = Faults { lose_probability: 0.2, ..Faults::default() };
+        store.set_faults(lossy.clone());
+        pause(1).await;
+        // An agent, and then an entry, are killed and restarted.
+        agents.remove(0);
+        agents.insert(0, agent("agent-1", upstreams[0], entries.clone()).await);
+        pause(4).await;
+        drop(two);
+        let two = Entry::start("entry-2", store.address(), vec![one.internal]).await;
+        clients.entries.lock()[1] = two.http;
+        // The moved buckets are open for new keys, though a witness of the move is gone.
+        for (entry, number) in (0..2).flat_map(|entry| (0..100).map(move |n| (entry, n))) {
+            let key = format!("new-{entry}-{number}");
+            until("a new key is answered", || async {
+                matches!(clients.send(&client, entry, &key, 1_000).await, End::Answered(_))
+            })
+            .await;
+        }
+        // Another agent restarts while the store is down.
+        store.set_faults(Faults { mode: Mode::Refuse, ..lossy.clone() });
+        agents.remove(1);
+        let entries = vec![one.internal, two.internal];
+        agents.insert(1, agent("agent-2", upstreams[1], entries).await);
+        pause(4).await;
+        store.set_faults(lossy);
+        pause(4).await;
+        store.set_faults(Faults::default());
+        stop.fire();
+        for task in running {
+            task.await;
+        }
+        let history = log.lock().clone();
+        let count = |wanted: fn(&End) -> bool| {
+            let ends = history.iter().filter_map(|fact| match fact {
+                Fact::Ended { end, .. } => Some(end),
+                Fact::Invoked { .. } | Fact::Executed { .. } => None,
+            });
+            ends.filter(|end| wanted(end)).count()
+        };
+        let counts = (
+            count(|end| matches!(end, End::Answered(_))),
+            count(|end| *end == End::NotRun),
+            count(|end| *end == End::Unknown),
+        );
+        println!("answered, not run, unknown: {counts:?}");
+        if let Err((violation, place)) = check(&history) {
+            let around = &history[place.saturating_sub(5)..=place];
+            panic!("{violation:?} at {place}: {around:?}");
+        }
+        assert!(counts.0 > 100 && counts.1 > 0 && counts.2 > 0, "too little happened: {counts:?}");
+        drop(agents);
+        one.stop().await;
+        two.stop().await;
+    });
+}
+
+/// Guards against a checker that accepts anything.
+#[test]
+fn bad_histories_are_rejected() {
+    let invoked = |request, key: &str| Fact::Invoked { request, key: key.into() };
+    let executed =
+        |key: &str, text: &str| Fact::Executed { key: key.into(), text: text.to_owned() };
+    let answered =
+        |request, text: &str| Fact::Ended { request, end: End::Answered(text.to_owned()) };
+    let not_run = |request| Fact::Ended { request, end: End::NotRun };
+    let good = vec![
+        invoked(1, "a"),
+        not_run(1),
+        invoked(2, "a"),
+        invoked(3, "b"),
+        executed("a", "a1"),
+        executed("b", "b1"),
+        answered(2, "a1"),
+        answered(3, "b1"),
+        invoked(4, "a"),
+        answered(4, "a1"),
+    ];
+    assert_eq!(check(&good), Ok(()));
+    let bad = [
+        (
+            Violation::WrongAnswer,
+            vec![
+                invoked(1, "a"),
+                invoked(2, "b"),
+                executed("a", "a1"),
+                executed("b", "b1"),
+                answered(1, "b1"),
+            ],
+        ),
+        (Violation::WrongAnswer, vec![invoked(1, "a"), answered(1, "a1")]),
+        (Violation::ExecutedTwice, vec![invoked(1, "a"), executed("a", "a1"), executed("a", "a2")]),
+        (Violation::ExecutedAfterNotRun, vec![invoked(1, "a"), not_run(1), executed("a", "a1")]),
+        (
+            Violation::NotRunAfterExecution,
+            vec![
+                invoked(1, "a"),
+                executed("a", "a1"),
+                answered(1, "a1"),
+                invoked(2, "a"),
+                not_run(2),
+            ],
+        ),
+    ];
+    for (violation, history) in bad {
+        let place = history.len() - 1;
+        assert_eq!(check(&history), Err((violation, place)), "{history:?}");
+    }
+}
