Answer keyed requests before the first configuration as unknown

The history test found a key that had run and was then answered as not run by a restarted entry without a configuration, which can ask nobody. Ruled out: the confirmation by the other entries, whose list it does not have either.

--- a/crates/entry/src/proxy/call.rs
+++ b/crates/entry/src/proxy/call.rs
@@ -52,7 +52,12 @@
     ) -> Result<Call, Box<Response<Body>>> {
         let Some(current) = context.current() else {
             let wait = Duration::from_secs(1);
-            return Err(Box::new(reply::not_run(RefuseReason::NoConfig, wait)));
+            // The key may have run through another entry, which cannot be asked yet.
+            let error = "no configuration yet; an earlier request with this key may have run";
+            return Err(Box::new(match parts.headers.contains_key(headers::KEY) {
+                true => reply::unknown(StatusCode::BAD_GATEWAY, reply::ErrorText::new(error)),
+                false => reply::not_run(RefuseReason::NoConfig, wait),
+            }));
         };
         let (name, path) = split(parts);
         let Some(service) = current.document.services.get(name) else {
--- a/crates/entry/tests/history.rs
+++ b/crates/entry/tests/history.rs
@@ -4,6 +4,7 @@
 mod history;
 mod support;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use parking_lot::Mutex;
 use peridotfold_agent::settings::Settings;
 use peridotfold_agent::Agent;
+use peridotfold_core::keys::KeyMap;
 use peridotfold_standins::store::{Faults, Mode};
 use peridotfold_wire::body::Body;
 use peridotfold_wire::http_client::HttpClient;
@@ -84,6 +86,8 @@
     keys: AtomicU64,
     /// Addresses of the entries; a restarted one has another.
     entries: Mutex<[SocketAddr; 2]>,
+    /// Entry and body of each response that is not an answer, for failures of the test.
+    details: Mutex<HashMap<u64, String>>,
 }
 
 impl Clients {
@@ -99,7 +103,15 @@
             .header("request-timeout-ms", timeout.to_string())
             .body(Body::full("bid"))
             .expect("the request is valid");
-        let end = match client.exchange(address, sent, LIMIT).await {
+        let result = client.exchange(address, sent, LIMIT).await;
+        if !result.as_ref().is_ok_and(|response| response.status() == 200) {
+            let detail = match &result {
+                Ok(response) => String::from_utf8_lossy(response.body()).into_owned(),
+                Err(error) => error.to_string(),
+            };
+            self.details.lock().insert(request, format!("entry {entry}, {timeout} ms: {detail}"));
+        }
+        let end = match result {
             Ok(response) if response.status() == 200 => {
                 End::Answered(String::from_utf8_lossy(response.body()).into_owned())
             }
@@ -156,6 +168,7 @@
             numbers: AtomicU64::new(0),
             keys: AtomicU64::new(0),
             entries: Mutex::new([one.http, two.http]),
+            details: Mutex::default(),
         });
         let client = HttpClient::default();
         for entry in 0..2 {
@@ -174,7 +187,14 @@
         // An agent, and then an entry, are killed and restarted.
         agents.remove(0);
         agents.insert(0, agent("agent-1", upstreams[0], entries.clone()).await);
-        pause(4).await;
+        until("the buckets have moved", || async {
+            let stored = store.peek("keymap/open").expect("a key map");
+            let map: KeyMap = serde_json::from_slice(&stored.1).expect("the key map is JSON");
+            map.generation > 1 && !map.is_moving()
+        })
+        .await;
+        // Until here, nobody may have fetched the list of the entry that is killed next.
+        pause(1).await;
         drop(two);
         let two = Entry::start("entry-2", store.address(), vec![one.internal]).await;
         clients.entries.lock()[1] = two.http;
@@ -214,8 +234,17 @@
         );
         println!("answered, not run, unknown: {counts:?}");
         if let Err((violation, place)) = check(&history) {
-            let around = &history[place.saturating_sub(5)..=place];
-            panic!("{violation:?} at {place}: {around:?}");
+            let key = history::key_of(&history, place);
+            for (place, fact) in history.iter().enumerate() {
+                let detail = match fact {
+                    Fact::Ended { request, .. } => clients.details.lock().get(request).cloned(),
+                    Fact::Invoked { .. } | Fact::Executed { .. } => None,
+                };
+                if history::key_of(&history, place) == key {
+                    println!("{place} {fact:?} {}", detail.unwrap_or_default());
+                }
+            }
+            panic!("{violation:?} at {place}: {:?}", history[place]);
         }
         assert!(counts.0 > 100 && counts.1 > 0 && counts.2 > 0, "too little happened: {counts:?}");
         drop(agents);
--- a/crates/entry/tests/support/history.rs
+++ b/crates/entry/tests/support/history.rs
@@ -94,3 +94,17 @@
     }
     Ok(())
 }
+
+/// Returns the key that a fact is about.
+pub fn key_of(history: &[Fact], place: usize) -> &str {
+    match &history[place] {
+        Fact::Invoked { key, .. } | Fact::Executed { key, .. } => key,
+        Fact::Ended { request: ended, .. } => {
+            let keys = history.iter().filter_map(|fact| match fact {
+                Fact::Invoked { request, key } if request == ended => Some(key.as_str()),
+                _ => None,
+            });
+            keys.last().unwrap_or_default()
+        }
+    }
+}
