--- a/crates/entry/tests/support/history.rs
+++ b/crates/entry/tests/support/history.rs
@@ -104,7 +104,7 @@
                 Fact::Invoked { request, key } if request == ended => Some(key.as_str()),
                 _ => None,
             });
-            keys.last().unwrap_or_default()
+            keys.fold("", |_, key| key)
         }
     }
 }
