--- a/crates/core/tests/keys_world/mod.rs
+++ b/crates/core/tests/keys_world/mod.rs
@@ -195,6 +195,13 @@
             (0..ENTRIES).for_each(|entry| self.fetch(entry));
         }
         assert!(self.is_open(), "seed {}: buckets are still closed", self.seed);
+        for (entry, key) in (0..ENTRIES).flat_map(|e| self.keys.iter().map(move |key| (e, key))) {
+            let decision = self.entries[entry].decide(self.now, &key.name);
+            let Decision::Dispatch(holder) = decision else { continue };
+            let holder = (holder.agent, holder.incarnation);
+            let same = key.runs.is_empty() || key.runs.contains(&holder);
+            assert!(same, "seed {}: {:?} is dispatched again", self.seed, key.name);
+        }
         let mut closed = 0;
         for (entry, number) in (0..ENTRIES).flat_map(|e| (0..200).map(move |n| (e, n))) {
             let name = Bytes::from(format!("new-{entry}-{number}"));
