--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -57,7 +57,14 @@
             }
             "keylist" => {
                 let request: KeyListRequest = first(&mut receiver).await?;
-                let reply = self.context.keys.lock().list(&request);
+                let (reply, adopted) = {
+                    let keys = self.context.keys.lock();
+                    (keys.list(&request), keys.map(&request.service).map_or(0, |m| m.generation))
+                };
+                // The sender knows of a move that this entry has not seen yet.
+                if adopted < request.generation {
+                    self.context.hurry();
+                }
                 responder.reply(&reply).await
             }
             "config" => {
@@ -86,8 +93,19 @@
         let known = announce.entries_digest;
         context.note_version(version, &announce.address);
         let now = runtime::now();
-        if !context.upstreams.lock().announce(now, announce.clone()) {
-            return None;
+        let is_new = {
+            let mut upstreams = context.upstreams.lock();
+            let Announce { agent, incarnation, services, .. } = &announce;
+            let known = |service| upstreams.holder(now, agent, *incarnation, service).is_some();
+            let is_new = !services.iter().any(|load| known(&load.service));
+            if !upstreams.announce(now, announce.clone()) {
+                return None;
+            }
+            is_new
+        };
+        // It may be the successor of a holder, whose buckets have to move.
+        if is_new {
+            context.hurry();
         }
         let entries = context.entry_addresses();
         context.relays.lock().add(&context.settings.id, now, announce, &entries);
