--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -82,11 +82,6 @@
         Ok(process)
     }
 
-    /// Process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Starts `program` again on an address that it had before. Another process may have been given
     /// the port for a moment, so the start is repeated until `limit`.
     ///
