Submit the long job of the fault tests last

Cause: the test waited for the first bids after it had submitted a job with 24 s of work; since entries wait for a whole list of entries before they dispatch keys, less than a lease (20 s) of work was left when the fault began, the tasks ended before their lease, and four cases failed with 'no lease ended during the fault'. The checks are unchanged.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -86,17 +86,19 @@
 
 async fn play(case: Case) {
     let mut cluster = Cluster::start(2, 2).await;
-    cluster.submit(0, "long", 4, LONG_WORK_MS).await;
-    cluster.submit(1, "short", 10, 1_500).await;
     let load = Load::new(&cluster.https(), SERVICE, TEAM_TOKEN);
     let tasks = load.start(LOOKUPS_PER_SECOND, BIDS_PER_SECOND);
-    within(support::PATIENCE, "long tasks run on both VMs, and bids", || async {
-        let busy = |vm: &support::Vm| {
-            let history = vm.worker.history();
-            history.iter().any(|run| run.job == "long" && run.end == "running")
-                && vm.upstream.executions().len() > 3
-        };
-        cluster.vms.iter().all(busy)
+    within(support::PATIENCE, "bids run on both VMs", || async {
+        cluster.vms.iter().all(|vm| vm.upstream.executions().len() > 3)
+    })
+    .await;
+    // Submitted last: a task that has less work left than a lease lasts ends before the lease does.
+    cluster.submit(0, "long", 4, LONG_WORK_MS).await;
+    cluster.submit(1, "short", 10, 1_500).await;
+    within(support::PATIENCE, "long tasks run on both VMs", || async {
+        let is_long =
+            |run: &worker::simulation::Interval| run.job == "long" && run.end == "running";
+        cluster.vms.iter().all(|vm| vm.worker.history().iter().any(is_long))
     })
     .await;
     let owner = owner(&cluster).await;
