--- a/crates/core/tests/colocation.rs
+++ b/crates/core/tests/colocation.rs
@@ -150,7 +150,10 @@
     }
 }
 
-fn for_each_seed(schedules: u64, check: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
+/// Runs `default` schedules, or as many as PERIDOTFOLD_SCHEDULES says.
+fn for_each_seed(default: u64, check: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
+    let count = std::env::var("PERIDOTFOLD_SCHEDULES").ok();
+    let schedules = count.map_or(default, |count| count.parse().expect("a number of schedules"));
     std::thread::scope(|scope| {
         for first in 0..THREADS {
             let check = &check;
