--- a/crates/core/tests/cell_schedules.rs
+++ b/crates/core/tests/cell_schedules.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/history.rs"]
 mod history;
+#[path = "support/owners.rs"]
+mod owners;
 #[path = "support/schedules.rs"]
 mod schedules;
 #[path = "support/vm.rs"]
--- a/crates/core/tests/colocation.rs
+++ b/crates/core/tests/colocation.rs
@@ -1,5 +1,8 @@
 //! Colocation controller against a model of a VM under seeded random loads on virtual time.
 
+#[path = "support/schedules.rs"]
+mod schedules;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
@@ -11,7 +14,6 @@
 const SCHEDULES: u64 = 2_000;
 /// For the two extreme loads, whose runs differ less from each other.
 const SCHEDULES_EXTREME: u64 = 500;
-const THREADS: u64 = 3;
 const HOUR: u64 = 3_600;
 const CALM_START: u64 = 60;
 /// First wait before a restore is 6 lags, and doubles with each restore that is undone: an hour
@@ -150,21 +152,10 @@
     }
 }
 
-/// Runs `default` schedules, or as many as PERIDOTFOLD_SCHEDULES says.
-fn for_each_seed(default: u64, check: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
-    let count = std::env::var("PERIDOTFOLD_SCHEDULES").ok();
-    let schedules = count.map_or(default, |count| count.parse().expect("a number of schedules"));
-    std::thread::scope(|scope| {
-        for first in 0..THREADS {
-            let check = &check;
-            scope.spawn(move || {
-                for seed in (first..schedules).step_by(THREADS as usize) {
-                    if std::panic::catch_unwind(|| check(seed)).is_err() {
-                        panic!("failed with seed {seed}");
-                    }
-                }
-            });
-        }
+fn for_each_seed(default: u64, check: impl Fn(u64) + Sync) {
+    schedules::run(default, |seed| {
+        check(seed);
+        1
     });
 }
 
--- a/crates/core/tests/composed/main.rs
+++ b/crates/core/tests/composed/main.rs
@@ -4,6 +4,8 @@
 mod history;
 #[path = "../tasks/model_worker.rs"]
 mod model_worker;
+#[path = "../support/owners.rs"]
+mod owners;
 #[path = "../support/schedules.rs"]
 mod schedules;
 mod vm;
--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -5,15 +5,14 @@
 
 use bytes::Bytes;
 use fastrand::Rng;
-use peridotfold_core::cell::{
-    Cell, CellSettings, CellState, Effect, Event, JobSpec, Limits, Received, SubmitReply,
-};
+use peridotfold_core::cell::{CellSettings, CellState, Effect, Event, JobSpec, SubmitReply};
 use peridotfold_core::id::{Epoch, Incarnation};
 use peridotfold_core::message::report::{Orders, Report};
 use peridotfold_core::resources::Resources;
 use peridotfold_core::time::Time;
 
 use crate::history::Fact;
+use crate::owners::{Journal, Owner};
 use crate::vm::Vm;
 
 const FAULTS_END: Time = Duration::from_secs(25);
@@ -52,22 +51,16 @@
     Fault,
 }
 
-struct Owner {
-    cell: Option<Cell>,
-    rate: f64,
+#[derive(Default)]
+struct Link {
     paused_until: Time,
     /// Cut off from the store.
     cut_until: Time,
-    batch: u64,
-    busy: bool,
-    held: BTreeMap<String, (Incarnation, u64)>,
 }
 
 #[derive(Default)]
 struct Store {
-    log: Vec<Event>,
-    epoch: Epoch,
-    last: (Epoch, u64),
+    journal: Journal,
     down_until: Time,
     slow_until: Time,
 }
@@ -84,7 +77,7 @@
     inputs: BTreeMap<(Time, u64), Input>,
     count: u64,
     store: Store,
-    owners: Vec<Owner>,
+    owners: Vec<Owner<Link>>,
     vms: Vec<Vm>,
     jobs: Vec<JobSpec>,
     tickets: BTreeMap<u64, usize>,
@@ -102,8 +95,7 @@
                 break;
             }
         }
-        let mut end = CellState::default();
-        world.store.log.iter().for_each(|event| end.apply(event));
+        let end = world.store.journal.replay();
         Outcome { history: world.history, end, ended_at: world.now }
     }
 
@@ -213,7 +205,7 @@
     }
 
     fn handle(&mut self, input: Input) {
-        let paused_until = World::target(&input).map(|owner| self.owners[owner].paused_until);
+        let paused_until = World::target(&input).map(|owner| self.owners[owner].link.paused_until);
         if let Some(until) = paused_until.filter(|until| *until > self.now) {
             return self.after(until - self.now, input);
         }
@@ -225,7 +217,7 @@
             }
             Input::Report { owner, report } => self.report(owner, report),
             Input::AnswerDue { owner, agent, incarnation, sequence } => {
-                if self.owners[owner].held.get(&agent) == Some(&(incarnation, sequence)) {
+                if self.owners[owner].is_held(&agent, incarnation, sequence) {
                     self.answer(owner, &agent);
                 }
             }
@@ -257,11 +249,11 @@
                 self.after(DETECTION, Input::TakeOver);
             }
             1 | 2 => {
-                self.owners[current].paused_until = until;
+                self.owners[current].link.paused_until = until;
                 self.after(DETECTION, Input::TakeOver);
             }
             3..=5 => {
-                self.owners[current].cut_until = until;
+                self.owners[current].link.cut_until = until;
                 self.after(DETECTION, Input::TakeOver);
             }
             6 => {
@@ -428,7 +420,7 @@
 
     fn reaches_store(&self, owner: usize) -> bool {
         self.is_calm()
-            || self.now >= self.store.down_until && self.now >= self.owners[owner].cut_until
+            || self.now >= self.store.down_until && self.now >= self.owners[owner].link.cut_until
     }
 
     fn take_over(&mut self) {
@@ -436,33 +428,9 @@
             return self.after(ms(500), Input::TakeOver);
         }
         let rate = 0.99 + 0.02 * self.rng.f64();
-        let mut state = CellState::default();
-        self.store.log.iter().for_each(|event| state.apply(event));
-        self.store.epoch += 1;
-        let (epoch, rng) = (self.store.epoch, self.rng.fork());
-        let mut cell = Cell::take_over(state, epoch, SETTINGS, self.now.mul_f64(rate), rng);
-        let all = Resources::new(9_000_000, 9_000_000, 0);
-        cell.set_limits(Limits {
-            teams: [("team".to_owned(), all)].into(),
-            classes: [("urgent".to_owned(), (all, true)), ("normal".to_owned(), (all, false))]
-                .into(),
-        });
-        let events = cell.take_batch();
-        self.history.extend(events.iter().cloned().map(Fact::Committed));
-        self.store.log.extend(events);
-        cell.note_commit();
-        let (paused_until, cut_until) = (Time::ZERO, Time::ZERO);
-        let held = BTreeMap::new();
-        let cell = Some(cell);
-        self.owners.push(Owner {
-            cell,
-            rate,
-            paused_until,
-            cut_until,
-            batch: 0,
-            busy: false,
-            held,
-        });
+        let (local, rng) = (self.now.mul_f64(rate), self.rng.fork());
+        let cell = self.store.journal.take_over(local, SETTINGS, rng, &mut self.history);
+        self.owners.push(Owner::new(cell, rate, Link::default()));
         self.after(ms(100), Input::Owner(self.owners.len() - 1));
     }
 
@@ -473,14 +441,10 @@
     fn poll(&mut self, owner: usize) {
         let (local, reached) = (self.local(owner), self.reaches_store(owner));
         let is_current = owner + 1 == self.owners.len();
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        match reached {
-            true if is_current => cell.note_store(local),
-            true => cell.stop(),
-            false => {}
+        if self.owners[owner].cell.is_none() {
+            return;
         }
-        cell.poll(local);
-        if !cell.is_stopped() || is_current {
+        if self.owners[owner].poll(local, reached, is_current) {
             self.after(OWNER_STEP, Input::Owner(owner));
         }
         self.commit_if_idle(owner);
@@ -495,23 +459,18 @@
     }
 
     fn commit(&mut self, owner: usize) {
-        let sent = self.local(owner);
-        let batch = self.owners[owner].batch;
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        let events = cell.take_batch();
-        self.owners[owner].busy = !events.is_empty();
-        if !events.is_empty() {
-            let slow = !self.is_calm() && self.now < self.store.slow_until;
-            let commit = Input::Commit { owner, batch, events, sent };
-            match slow {
-                true => {
-                    let delay = ms(self.rng.u64(500..4_000));
-                    self.after(delay, commit);
-                }
-                false => self.deliver(commit),
+        let (sent, batch) = (self.local(owner), self.owners[owner].batch);
+        let Some(events) = self.owners[owner].take_batch() else { return };
+        let slow = !self.is_calm() && self.now < self.store.slow_until;
+        let commit = Input::Commit { owner, batch, events, sent };
+        match slow {
+            true => {
+                let delay = ms(self.rng.u64(500..4_000));
+                self.after(delay, commit);
             }
-            self.after(ms(2_000), Input::Retry { owner, batch });
+            false => self.deliver(commit),
         }
+        self.after(ms(2_000), Input::Retry { owner, batch });
     }
 
     fn write(&mut self, owner: usize, batch: u64, events: Vec<Event>, sent: Time) {
@@ -519,32 +478,16 @@
             return;
         }
         let epoch = owner as Epoch + 1;
-        let fenced = epoch != self.store.epoch;
-        if !fenced && self.store.last != (epoch, batch) {
-            // A delayed copy of an earlier batch fails the compare-and-swap.
-            if self.store.last.0 == epoch && self.store.last.1 > batch {
-                return;
-            }
-            self.store.last = (epoch, batch);
-            self.history.extend(events.iter().cloned().map(Fact::Committed));
-            self.store.log.extend(events);
-        }
+        let written = self.store.journal.write(epoch, batch, events, &mut self.history);
+        let Some(fenced) = written else { return };
         self.deliver(Input::Committed { owner, batch, sent, fenced });
     }
 
     fn committed(&mut self, owner: usize, batch: u64, sent: Time, fenced: bool) {
-        let state = &mut self.owners[owner];
-        let Some(cell) = state.cell.as_mut().filter(|_| state.busy && state.batch == batch) else {
-            return;
-        };
-        if fenced {
-            return cell.stop();
+        if self.owners[owner].committed(batch, sent, fenced) {
+            self.wake(owner);
+            self.commit_if_idle(owner);
         }
-        cell.note_store(sent);
-        cell.note_commit();
-        state.busy = false;
-        self.wake(owner);
-        self.commit_if_idle(owner);
     }
 
     /// Releases the effects of what is committed.
@@ -564,9 +507,7 @@
     }
 
     fn answer_if_due(&mut self, owner: usize, agent: &str) {
-        let local = self.local(owner);
-        let Some(cell) = &self.owners[owner].cell else { return };
-        if cell.has_orders(local, agent) {
+        if self.owners[owner].has_orders(self.local(owner), agent) {
             self.answer(owner, agent);
         }
     }
@@ -579,7 +520,7 @@
         self.after(ms(3_000), Input::Submit(job));
         self.count += 1;
         let ticket = self.count;
-        let paused = self.owners[owner].paused_until > self.now;
+        let paused = self.owners[owner].link.paused_until > self.now;
         let Some(cell) = self.owners[owner].cell.as_mut().filter(|_| !paused) else { return };
         if cell.is_stopped() {
             return;
@@ -598,12 +539,10 @@
 
     fn report(&mut self, owner: usize, report: Report) {
         let local = self.local(owner);
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        if cell.report(local, &report) != Received::Accepted {
+        if !self.owners[owner].hold(local, &report) {
             return;
         }
-        let (agent, incarnation, sequence) = (report.agent, report.incarnation, report.sequence);
-        self.owners[owner].held.insert(agent.clone(), (incarnation, sequence));
+        let Report { agent, incarnation, sequence, .. } = report;
         self.commit_if_idle(owner);
         self.answer_if_due(owner, &agent);
         self.after(ms(1_000), Input::AnswerDue { owner, agent, incarnation, sequence });
@@ -611,12 +550,8 @@
 
     fn answer(&mut self, owner: usize, agent: &str) {
         let local = self.local(owner);
-        let state = &mut self.owners[owner];
-        let Some((incarnation, sequence)) = state.held.remove(agent) else { return };
-        let Some(cell) = &mut state.cell else { return };
-        let Some(orders) = cell.answer(local, agent, incarnation, sequence) else { return };
-        let acknowledged = orders.acknowledged.iter().cloned().map(Fact::Acknowledged);
-        self.history.extend(acknowledged);
+        let answered = self.owners[owner].answer(local, agent, &mut self.history);
+        let Some((incarnation, orders)) = answered else { return };
         let Some(vm) = self.vms.iter().position(|vm| vm.id == agent) else { return };
         self.deliver(Input::Orders { vm, incarnation, orders });
     }
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -1,5 +1,6 @@
 //! Seeded schedules of entries, agents and the store, on virtual time.
 
+#[path = "keys_world/world.rs"]
 mod keys_world;
 #[path = "support/schedules.rs"]
 mod schedules;
--- /dev/null
+++ b/crates/core/tests/support/owners.rs
@@ -0,0 +1,158 @@
+//! Owners of a cell, and the journal that they share.
+
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+use peridotfold_core::cell::{Cell, CellSettings, CellState, Event, Limits, Received};
+use peridotfold_core::id::{Epoch, Incarnation};
+use peridotfold_core::message::report::{Orders, Report};
+use peridotfold_core::resources::Resources;
+use peridotfold_core::time::Time;
+
+use crate::history::Fact;
+
+/// Journal of the cell.
+#[derive(Default)]
+pub struct Journal {
+    log: Vec<Event>,
+    pub epoch: Epoch,
+    last: (Epoch, u64),
+}
+
+impl Journal {
+    pub fn replay(&self) -> CellState {
+        let mut state = CellState::default();
+        self.log.iter().for_each(|event| state.apply(event));
+        state
+    }
+
+    /// Begins the next epoch. `now` is the time by the clock of its owner.
+    pub fn take_over(
+        &mut self,
+        now: Time,
+        settings: CellSettings,
+        rng: Rng,
+        history: &mut Vec<Fact>,
+    ) -> Cell {
+        self.epoch += 1;
+        let mut cell = Cell::take_over(self.replay(), self.epoch, settings, now, rng);
+        let all = Resources::new(9_000_000, 9_000_000, 0);
+        cell.set_limits(Limits {
+            teams: [("team".to_owned(), all)].into(),
+            classes: [("urgent".to_owned(), (all, true)), ("normal".to_owned(), (all, false))]
+                .into(),
+        });
+        let events = cell.take_batch();
+        self.append(events, history);
+        cell.note_commit();
+        cell
+    }
+
+    /// Appends a batch of the owner of `epoch`. Tells whether that owner is fenced off, or nothing
+    /// for a delayed copy of an earlier batch, which fails the compare-and-swap.
+    pub fn write(
+        &mut self,
+        epoch: Epoch,
+        batch: u64,
+        events: Vec<Event>,
+        history: &mut Vec<Fact>,
+    ) -> Option<bool> {
+        match (epoch == self.epoch, self.last) {
+            (false, _) => return Some(true),
+            (true, (last, newer)) if last == epoch && newer > batch => return None,
+            (true, last) if last == (epoch, batch) => {}
+            (true, _) => {
+                self.last = (epoch, batch);
+                self.append(events, history);
+            }
+        }
+        Some(false)
+    }
+
+    fn append(&mut self, events: Vec<Event>, history: &mut Vec<Fact>) {
+        history.extend(events.iter().cloned().map(Fact::Committed));
+        self.log.extend(events);
+    }
+}
+
+/// An owner process. `link` tells how it reaches the store and its agents.
+pub struct Owner<L> {
+    /// Absent once the process was killed.
+    pub cell: Option<Cell>,
+    pub rate: f64,
+    pub batch: u64,
+    pub busy: bool,
+    /// Reports that wait for their answer.
+    held: BTreeMap<String, (Incarnation, u64)>,
+    pub link: L,
+}
+
+impl<L> Owner<L> {
+    pub fn new(cell: Cell, rate: f64, link: L) -> Self {
+        Owner { cell: Some(cell), rate, batch: 0, busy: false, held: BTreeMap::new(), link }
+    }
+
+    /// Polls the cell; tells whether it is to be polled again.
+    pub fn poll(&mut self, now: Time, reaches_store: bool, is_current: bool) -> bool {
+        let Some(cell) = &mut self.cell else { return false };
+        match reaches_store {
+            true if is_current => cell.note_store(now),
+            true => cell.stop(),
+            false => {}
+        }
+        cell.poll(now);
+        !cell.is_stopped() || is_current
+    }
+
+    /// Takes the batch to write, a new one or the one whose commit is open.
+    pub fn take_batch(&mut self) -> Option<Vec<Event>> {
+        let events = self.cell.as_mut()?.take_batch();
+        self.busy = !events.is_empty();
+        self.busy.then_some(events)
+    }
+
+    /// Takes the answer of the journal; tells whether the batch is committed.
+    pub fn committed(&mut self, batch: u64, sent: Time, fenced: bool) -> bool {
+        let is_open = self.busy && self.batch == batch;
+        let Some(cell) = self.cell.as_mut().filter(|_| is_open) else { return false };
+        if fenced {
+            cell.stop();
+            return false;
+        }
+        cell.note_store(sent);
+        cell.note_commit();
+        self.busy = false;
+        true
+    }
+
+    /// Takes a report and holds it; tells whether it counts.
+    pub fn hold(&mut self, now: Time, report: &Report) -> bool {
+        let Some(cell) = &mut self.cell else { return false };
+        if cell.report(now, report) != Received::Accepted {
+            return false;
+        }
+        self.held.insert(report.agent.clone(), (report.incarnation, report.sequence));
+        true
+    }
+
+    pub fn is_held(&self, agent: &str, incarnation: Incarnation, sequence: u64) -> bool {
+        self.held.get(agent) == Some(&(incarnation, sequence))
+    }
+
+    /// Answers the held report of an agent.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        agent: &str,
+        history: &mut Vec<Fact>,
+    ) -> Option<(Incarnation, Orders)> {
+        let (incarnation, sequence) = self.held.remove(agent)?;
+        let orders = self.cell.as_mut()?.answer(now, agent, incarnation, sequence)?;
+        history.extend(orders.acknowledged.iter().cloned().map(Fact::Acknowledged));
+        Some((incarnation, orders))
+    }
+
+    pub fn has_orders(&self, now: Time, agent: &str) -> bool {
+        self.cell.as_ref().is_some_and(|cell| cell.has_orders(now, agent))
+    }
+}
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use fastrand::Rng;
 use peridotfold_core::cell::{
-    CancelReply, Cell, CellSettings, CellState, Effect, Event, JobSpec, Limits, Received,
-    SubmitReply,
+    CancelReply, CellSettings, CellState, Effect, Event, JobSpec, SubmitReply,
 };
 use peridotfold_core::id::{Epoch, Incarnation};
 use peridotfold_core::message::report::{Orders, Report};
@@ -15,6 +14,7 @@
 use peridotfold_core::time::Time;
 
 use crate::history::Fact;
+use crate::owners::{Journal, Owner};
 use crate::vm::Vm;
 
 pub const FAULTS_END: Time = Duration::from_secs(60);
@@ -48,20 +48,9 @@
     Fault,
 }
 
-struct Owner {
-    cell: Option<Cell>,
-    rate: f64,
-    cut_off: bool,
-    batch: u64,
-    busy: bool,
-    held: BTreeMap<String, (Incarnation, u64)>,
-}
-
 #[derive(Default)]
 struct Store {
-    log: Vec<Event>,
-    epoch: Epoch,
-    last: (Epoch, u64),
+    journal: Journal,
     down: bool,
 }
 
@@ -80,7 +69,8 @@
     inputs: BTreeMap<(Time, u64), Input>,
     count: u64,
     store: Store,
-    owners: Vec<Owner>,
+    /// The link tells whether the owner is cut off from the store.
+    owners: Vec<Owner<bool>>,
     vms: Vec<Vm>,
     jobs: Vec<JobSpec>,
     tickets: BTreeMap<u64, usize>,
@@ -100,8 +90,7 @@
             }
         }
         let faulty_vms = world.vms.iter().filter(|vm| vm.faulty).count();
-        let mut end = CellState::default();
-        world.store.log.iter().for_each(|event| end.apply(event));
+        let end = world.store.journal.replay();
         let (sound, ended_at) = (world.sound, world.now);
         Outcome { history: world.history, end, ended_at, sound, faulty_vms }
     }
@@ -216,7 +205,7 @@
             Input::Send { vm, incarnation, sequence } => self.send(vm, incarnation, sequence),
             Input::Report { owner, report } => self.report(owner, report),
             Input::AnswerDue { owner, agent, incarnation, sequence } => {
-                if self.owners[owner].held.get(&agent) == Some(&(incarnation, sequence)) {
+                if self.owners[owner].is_held(&agent, incarnation, sequence) {
                     self.answer(owner, &agent);
                 }
             }
@@ -241,7 +230,7 @@
                 }
             }
             Input::TakeOver => self.take_over(),
-            Input::Reconnect(owner) => self.owners[owner].cut_off = false,
+            Input::Reconnect(owner) => self.owners[owner].link = false,
             Input::Rejoin(vm) => self.vms[vm].is_cut_off = false,
             Input::StoreUp => self.store.down = false,
             Input::Submit(job) => self.submit(job),
@@ -281,7 +270,7 @@
                 self.after(ms(6_000), Input::TakeOver);
             }
             5 => {
-                self.owners[owner].cut_off = true;
+                self.owners[owner].link = true;
                 self.after(ms(6_000), Input::TakeOver);
                 let delay = self.rng.u64(1_000..120_000);
                 self.after(ms(delay), Input::Reconnect(owner));
@@ -314,34 +303,11 @@
             return self.after(ms(500), Input::TakeOver);
         }
         let rate = 0.99 + 0.02 * self.rng.f64();
-        let mut state = CellState::default();
-        self.store.log.iter().for_each(|event| state.apply(event));
-        self.store.epoch += 1;
-        let epoch = self.store.epoch;
         let settings = CellSettings { outage_hold: OUTAGE_HOLD, ..CellSettings::default() };
-        let rng = self.rng.fork();
-        let mut cell = Cell::take_over(state, epoch, settings, self.now.mul_f64(rate), rng);
-        let all = Resources::new(9_000_000, 9_000_000, 0);
-        cell.set_limits(Limits {
-            teams: [("team".to_owned(), all)].into(),
-            classes: [("urgent".to_owned(), (all, true)), ("normal".to_owned(), (all, false))]
-                .into(),
-        });
-        let events = cell.take_batch();
-        self.history.extend(events.iter().cloned().map(Fact::Committed));
-        self.store.log.extend(events);
-        cell.note_commit();
-        let owner = self.owners.len();
-        let held = BTreeMap::new();
-        self.owners.push(Owner {
-            cell: Some(cell),
-            rate,
-            cut_off: false,
-            batch: 0,
-            busy: false,
-            held,
-        });
-        self.after(ms(100), Input::Poll(owner));
+        let (local, rng) = (self.now.mul_f64(rate), self.rng.fork());
+        let cell = self.store.journal.take_over(local, settings, rng, &mut self.history);
+        self.owners.push(Owner::new(cell, rate, false));
+        self.after(ms(100), Input::Poll(self.owners.len() - 1));
     }
 
     fn local(&self, owner: usize) -> Time {
@@ -350,16 +316,12 @@
 
     fn poll(&mut self, owner: usize) {
         let local = self.local(owner);
-        let reached = !self.store.down && !self.owners[owner].cut_off;
+        let reached = !self.store.down && !self.owners[owner].link;
         let is_current = owner + 1 == self.owners.len();
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        match reached {
-            true if is_current => cell.note_store(local),
-            true => cell.stop(),
-            false => {}
+        if self.owners[owner].cell.is_none() {
+            return;
         }
-        cell.poll(local);
-        if !cell.is_stopped() || is_current {
+        if self.owners[owner].poll(local, reached, is_current) {
             self.after(ms(200), Input::Poll(owner));
         }
         self.commit_if_idle(owner);
@@ -374,49 +336,28 @@
     }
 
     fn commit(&mut self, owner: usize) {
-        let sent = self.local(owner);
-        let batch = self.owners[owner].batch;
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        let events = cell.take_batch();
-        self.owners[owner].busy = !events.is_empty();
-        if !events.is_empty() {
+        let (sent, batch) = (self.local(owner), self.owners[owner].batch);
+        if let Some(events) = self.owners[owner].take_batch() {
             self.deliver(Input::Commit { owner, batch, events, sent });
             self.after(ms(2_000), Input::Retry { owner, batch });
         }
     }
 
     fn write(&mut self, owner: usize, batch: u64, events: Vec<Event>, sent: Time) {
-        if self.store.down || self.owners[owner].cut_off {
+        if self.store.down || self.owners[owner].link {
             return;
         }
         let epoch = owner as Epoch + 1;
-        let fenced = epoch != self.store.epoch;
-        if !fenced && self.store.last != (epoch, batch) {
-            // A delayed copy of an earlier batch fails the compare-and-swap.
-            if self.store.last.0 == epoch && self.store.last.1 > batch {
-                return;
-            }
-            self.store.last = (epoch, batch);
-            self.history.extend(events.iter().cloned().map(Fact::Committed));
-            self.store.log.extend(events);
-        }
+        let written = self.store.journal.write(epoch, batch, events, &mut self.history);
+        let Some(fenced) = written else { return };
         self.deliver(Input::Committed { owner, batch, sent, fenced });
     }
 
     fn committed(&mut self, owner: usize, batch: u64, sent: Time, fenced: bool) {
-        let state = &mut self.owners[owner];
-        let Some(cell) = state.cell.as_mut().filter(|_| state.busy && state.batch == batch) else {
-            return;
-        };
-        if fenced {
-            cell.stop();
-            return;
+        if self.owners[owner].committed(batch, sent, fenced) {
+            self.wake(owner);
+            self.commit_if_idle(owner);
         }
-        cell.note_store(sent);
-        cell.note_commit();
-        state.busy = false;
-        self.wake(owner);
-        self.commit_if_idle(owner);
     }
 
     /// Releases the effects of what is committed.
@@ -436,9 +377,7 @@
     }
 
     fn answer_if_due(&mut self, owner: usize, agent: &str) {
-        let local = self.local(owner);
-        let Some(cell) = &self.owners[owner].cell else { return };
-        if cell.has_orders(local, agent) {
+        if self.owners[owner].has_orders(self.local(owner), agent) {
             self.answer(owner, agent);
         }
     }
@@ -507,12 +446,10 @@
 
     fn report(&mut self, owner: usize, report: Report) {
         let local = self.local(owner);
-        let Some(cell) = &mut self.owners[owner].cell else { return };
-        if cell.report(local, &report) != Received::Accepted {
+        if !self.owners[owner].hold(local, &report) {
             return;
         }
-        let (agent, incarnation, sequence) = (report.agent, report.incarnation, report.sequence);
-        self.owners[owner].held.insert(agent.clone(), (incarnation, sequence));
+        let Report { agent, incarnation, sequence, .. } = report;
         self.commit_if_idle(owner);
         self.answer_if_due(owner, &agent);
         self.after(ms(1_000), Input::AnswerDue { owner, agent, incarnation, sequence });
@@ -520,12 +457,8 @@
 
     fn answer(&mut self, owner: usize, agent: &str) {
         let local = self.local(owner);
-        let state = &mut self.owners[owner];
-        let Some((incarnation, sequence)) = state.held.remove(agent) else { return };
-        let Some(cell) = &mut state.cell else { return };
-        let Some(orders) = cell.answer(local, agent, incarnation, sequence) else { return };
-        let acknowledged = orders.acknowledged.iter().cloned().map(Fact::Acknowledged);
-        self.history.extend(acknowledged);
+        let answered = self.owners[owner].answer(local, agent, &mut self.history);
+        let Some((incarnation, orders)) = answered else { return };
         let Some(vm) = self.vms.iter().position(|vm| vm.id == agent) else { return };
         self.deliver(Input::Orders { vm, incarnation, orders });
     }
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -1,5 +1,6 @@
 //! The configuration through entries.
 
+#[path = "support/common.rs"]
 mod support;
 
 use http::Method;
--- a/crates/entry/tests/history.rs
+++ b/crates/entry/tests/history.rs
@@ -2,6 +2,7 @@
 
 #[path = "support/history.rs"]
 mod history;
+#[path = "support/common.rs"]
 mod support;
 
 use std::collections::HashMap;
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -1,5 +1,6 @@
 //! Requests with an idempotency key through two entries.
 
+#[path = "support/common.rs"]
 mod support;
 
 use http::Method;
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Announcements in a system with more entries than an agent has home entries.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -1,5 +1,6 @@
 //! Callers' requests through a whole entry.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::time::Duration;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -1,5 +1,6 @@
 //! The configuration across processes: in effect within 7 s, and never an older version again.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::collections::BTreeSet;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,5 +1,6 @@
 //! Pairs of failures at the same time: kills, pauses past the lease, and an outage of the store.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::collections::BTreeMap;
--- a/tests/graceful.rs
+++ b/tests/graceful.rs
@@ -1,5 +1,6 @@
 //! Planned stops under load: nothing is cut, and a leaving upstream gets no new work.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -1,5 +1,6 @@
 //! Bad input of users and peers: refused with a reason, and without effect.
 
+#[path = "support/common.rs"]
 mod support;
 
 use std::io::{Read, Write};
