--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -15,6 +15,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::accept;
 use crate::body::Body;
 use crate::runtime;
 use crate::shutdown::Shutdown;
@@ -59,39 +60,11 @@
 
     /// Serves until the signal, then lets open requests end.
     pub async fn serve<S: HttpService>(self, service: Arc<S>, shutdown: Shutdown) {
-        let mut connections = Vec::new();
-        loop {
-            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
-                shutdown.wait().await;
-                None
-            });
-            match accepted.await {
-                None => break,
-                Some(Err(error)) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    runtime::sleep(Duration::from_millis(50)).await;
-                }
-                Some(Ok((stream, peer))) => {
-                    let task = connection(stream, peer, service.clone(), shutdown.clone());
-                    connections.retain(|task: &smol::Task<()>| !task.is_finished());
-                    connections.push(runtime::spawn(task));
-                }
-            }
-        }
-        // Connections that the kernel has completed are still served. While the listener was open,
-        // later ones would wait in its queue and never be answered.
-        while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
-            connections.push(runtime::spawn(connection(
-                stream,
-                peer,
-                service.clone(),
-                shutdown.clone(),
-            )));
-        }
-        drop(self.listener);
-        for task in connections {
-            task.await;
-        }
+        let stopping = shutdown.clone();
+        accept::run(self.listener, shutdown, move |stream, peer| {
+            connection(stream, peer, service.clone(), stopping.clone())
+        })
+        .await;
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Runtime, message streams and HTTP for the processes of peridotfold.
 
+mod accept;
 pub mod body;
 pub mod error;
 pub mod frame;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::accept;
 use crate::error::{Step, WireError};
 use crate::peer::{FrameReceiver, FrameSender};
 use crate::runtime;
@@ -110,40 +111,11 @@
 
     /// Serves until the signal, then lets open streams end.
     pub async fn serve<H: Handler>(self, handler: Arc<H>, shutdown: Shutdown) {
-        let mut connections = Vec::new();
-        loop {
-            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
-                shutdown.wait().await;
-                None
-            });
-            match accepted.await {
-                None => break,
-                Some(Err(error)) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    // Accept fails without pause when file descriptors have run out.
-                    runtime::sleep(std::time::Duration::from_millis(50)).await;
-                }
-                Some(Ok((stream, peer))) => {
-                    let task = connection(stream, peer, handler.clone(), shutdown.clone());
-                    connections.retain(|task: &smol::Task<()>| !task.is_finished());
-                    connections.push(runtime::spawn(task));
-                }
-            }
-        }
-        // Connections that the kernel has completed are still served. While the listener was open,
-        // later ones would wait in its queue and never be answered.
-        while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
-            connections.push(runtime::spawn(connection(
-                stream,
-                peer,
-                handler.clone(),
-                shutdown.clone(),
-            )));
-        }
-        drop(self.listener);
-        for task in connections {
-            task.await;
-        }
+        let stopping = shutdown.clone();
+        accept::run(self.listener, shutdown, move |stream, peer| {
+            connection(stream, peer, handler.clone(), stopping.clone())
+        })
+        .await;
     }
 }
 
