--- a/crates/bench/src/scale/cell.rs
+++ b/crates/bench/src/scale/cell.rs
@@ -12,6 +12,7 @@
 use super::{encoded, grown, mean, SIZES, TASKS_PER_VM};
 
 const NEED: Resources = Resources::new(500, 1_000, 0);
+const ACCELERATED: Resources = Resources::new(500, 1_000, 1);
 const ROUNDS: u32 = 40;
 const REPORTS: usize = 20_000;
 
@@ -21,11 +22,15 @@
 ///
 /// Fails when a measurement cannot be taken.
 pub fn run() -> eyre::Result<()> {
-    println!("cell owner: workers, placement us, report and answer us, tasks in a report");
+    println!(
+        "cell owner: workers, placement us (plain, with accelerator), report and answer us, tasks"
+    );
     for workers in SIZES {
-        let placement = placement(workers);
+        let plain = micros(placement(workers, NEED));
+        let accelerated = micros(placement(workers, ACCELERATED));
         let (report, tasks) = reports(workers);
-        println!("{workers:>8} {:>10.2} {:>10.2} {tasks:>8.1}", micros(placement), micros(report));
+        let report = micros(report);
+        println!("{workers:>8} {plain:>8.2} {accelerated:>8.2} {report:>10.2} {tasks:>8.1}");
     }
     let workers = 450;
     let (full, bytes) = grown(workers, || loaded(workers).0);
@@ -70,8 +75,8 @@
         sequence,
         state: AgentState::Ready,
         epoch: 1,
-        batch_capacity: Resources::new(60_000, 250_000, 1),
-        free: Resources::new(free, 250_000, 1),
+        batch_capacity: Resources::new(60_000, 250_000, 4),
+        free: Resources::new(free, 250_000, (index % 4) as u64),
         running,
         results: Vec::new(),
         pressure_percent: (index % 50) as u32,
@@ -101,9 +106,9 @@
     }
 }
 
-fn placement(workers: usize) -> Duration {
+fn placement(workers: usize, need: Resources) -> Duration {
     let mut cell = cell(workers);
-    cell.submit(spec("job".to_owned(), 1_000_000), 1);
+    cell.submit(JobSpec { need, ..spec("job".to_owned(), 1_000_000) }, 1);
     let (mut starts, mut spent) = (0, Duration::ZERO);
     for round in 1..=ROUNDS {
         let now = Duration::from_secs(10) + Duration::from_millis(25) * round;
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -6,12 +6,14 @@
 pub mod config;
 pub mod entry;
 pub mod job;
+pub mod process;
 pub mod status;
 
 use crate::options::Opt;
 
 /// Options of all commands.
-pub const OPTIONS: &[&[Opt]] = &[entry::OPTIONS, agent::OPTIONS, config::OPTIONS, client::OPTIONS];
+pub const OPTIONS: &[&[Opt]] =
+    &[entry::OPTIONS, agent::OPTIONS, process::OPTIONS, config::OPTIONS, client::OPTIONS];
 
 /// Why a command did not succeed.
 #[derive(Debug)]
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -1,10 +1,9 @@
 //! `peridotfold agent`.
 
 use peridotfold_agent::settings::Settings;
-use peridotfold_wire::runtime;
 
+use super::process::{self, Process};
 use super::CommandError;
-use crate::logging;
 use crate::options::{Help, Opt, Values};
 
 pub const OPTIONS: &[Opt] = &[
@@ -60,35 +59,21 @@
         default: Some("30s"),
     },
     Opt { flag: "threads", value: "N", help: "Threads of the pool", default: Some("1") },
-    Opt {
-        flag: "log",
-        value: "FILTER",
-        help: "Log filter, such as info or debug",
-        default: Some("info"),
-    },
 ];
 
 pub const HELP: Help = Help {
     usage: "peridotfold agent [OPTIONS]",
     about: "Serves one worker VM: admits requests for its upstream and runs batch tasks.\n\
             Prints `listening http=IP:PORT internal=IP:PORT` once it serves; drains on SIGTERM.",
-    options: &[OPTIONS],
+    options: &[OPTIONS, process::OPTIONS],
 };
 
-/// Settings of the process and of its runtime.
-#[derive(Debug)]
-pub struct Parsed {
-    settings: Settings,
-    threads: usize,
-    log: String,
-}
-
 /// Reads and checks all settings.
 ///
 /// # Errors
 ///
 /// Returns every problem at once. `Ok(None)` means that help was printed.
-pub fn parse(parser: lexopt::Parser) -> Result<Option<Parsed>, CommandError> {
+pub fn parse(parser: lexopt::Parser) -> Result<Option<(Settings, Process)>, CommandError> {
     let Some(mut values) = Values::read(parser, &HELP) else { return Ok(None) };
     let settings = Settings {
         id: values.name("id"),
@@ -103,16 +88,12 @@
         worker: values.address("worker"),
         drain_grace: values.duration("drain-grace"),
     };
-    let threads = values.number("threads") as usize;
-    let log = values.log_filter("log");
+    let process = Process::new(&mut values);
     if settings.entries.is_empty() {
         values.problem("--entries: at least one address is required (or PERIDOTFOLD_ENTRIES)");
     }
-    if !(1..=256).contains(&threads) {
-        values.problem("--threads: not between 1 and 256");
-    }
     values.finish()?;
-    Ok(Some(Parsed { settings, threads, log }))
+    Ok(Some((settings, process)))
 }
 
 /// Runs the command.
@@ -121,7 +102,6 @@
 ///
 /// Fails on invalid settings, or when the process cannot serve.
 pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
-    let Some(parsed) = parse(parser)? else { return Ok(()) };
-    logging::start(&parsed.log).map_err(|e| CommandError::usage(format!("--log: {e}")))?;
-    Ok(runtime::run(parsed.threads, peridotfold_agent::run(parsed.settings))?)
+    let Some((settings, process)) = parse(parser)? else { return Ok(()) };
+    process.run(peridotfold_agent::run(settings))
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,10 +1,9 @@
 //! `peridotfold entry`.
 
 use peridotfold_entry::settings::Settings;
-use peridotfold_wire::runtime;
 
+use super::process::{self, Process};
 use super::CommandError;
-use crate::logging;
 use crate::options::{Help, Opt, Values};
 
 pub const OPTIONS: &[Opt] = &[
@@ -58,35 +57,21 @@
         default: Some("6s"),
     },
     Opt { flag: "threads", value: "N", help: "Threads of the pool", default: Some("2") },
-    Opt {
-        flag: "log",
-        value: "FILTER",
-        help: "Log filter, such as info or debug",
-        default: Some("info"),
-    },
 ];
 
 pub const HELP: Help = Help {
     usage: "peridotfold entry [OPTIONS]",
     about: "Serves callers and operators, routes requests to agents and schedules batch work.\n\
             Prints `listening http=IP:PORT internal=IP:PORT` once it serves; stops on SIGTERM.",
-    options: &[OPTIONS],
+    options: &[OPTIONS, process::OPTIONS],
 };
 
-/// Settings of the process and of its runtime.
-#[derive(Debug)]
-pub struct Parsed {
-    settings: Settings,
-    threads: usize,
-    log: String,
-}
-
 /// Reads and checks all settings.
 ///
 /// # Errors
 ///
 /// Returns every problem at once. `Ok(None)` means that help was printed.
-pub fn parse(parser: lexopt::Parser) -> Result<Option<Parsed>, CommandError> {
+pub fn parse(parser: lexopt::Parser) -> Result<Option<(Settings, Process)>, CommandError> {
     let Some(mut values) = Values::read(parser, &HELP) else { return Ok(None) };
     let settings = Settings {
         id: values.name("id"),
@@ -99,13 +84,9 @@
         outage_hold: values.duration("outage-hold"),
         dead_after: values.duration("dead-after"),
     };
-    let threads = values.number("threads") as usize;
-    let log = values.log_filter("log");
-    if !(1..=256).contains(&threads) {
-        values.problem("--threads: not between 1 and 256");
-    }
+    let process = Process::new(&mut values);
     values.finish()?;
-    Ok(Some(Parsed { settings, threads, log }))
+    Ok(Some((settings, process)))
 }
 
 /// Runs the command.
@@ -114,7 +95,6 @@
 ///
 /// Fails on invalid settings, or when the process cannot serve.
 pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
-    let Some(parsed) = parse(parser)? else { return Ok(()) };
-    logging::start(&parsed.log).map_err(|e| CommandError::usage(format!("--log: {e}")))?;
-    Ok(runtime::run(parsed.threads, peridotfold_entry::run(parsed.settings))?)
+    let Some((settings, process)) = parse(parser)? else { return Ok(()) };
+    process.run(peridotfold_entry::run(settings))
 }
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -174,6 +174,22 @@
     }
 }
 
+/// Guards against an option whose variable is refused as unknown, as when a command's options are
+/// left out of the list of known ones.
+#[test]
+fn each_variable_in_the_help_is_known() {
+    for role in ["entry", "agent", "config", "job", "status"] {
+        let help = command(&[role, "--help"], &[], "").out;
+        let names: Vec<&str> =
+            help.split("[env: ").skip(1).filter_map(|rest| rest.split([',', ']']).next()).collect();
+        assert!(!names.is_empty(), "{help}");
+        for name in names {
+            let err = command(&["check", "entry"], &[(name, "")], "").err;
+            assert!(!err.contains("unknown variable"), "{name}: {err}");
+        }
+    }
+}
+
 fn patches() -> Vec<(&'static str, String, Vec<&'static str>)> {
     let limit = json!({"cpu_milli": 1000, "memory_mib": 1000, "accelerators": 0});
     let closing = |start: &str, services: &[&str]| {
