--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -56,7 +56,7 @@
 }
 
 /// A cell with its owner and its journal.
-struct Office {
+struct Owner {
     cell: Cell,
     busy: bool,
     /// Commits that may be sent now, as in the entry, and when that was computed.
@@ -87,7 +87,7 @@
     rng: Rng,
     inputs: BTreeMap<(Time, u64), Input>,
     count: u64,
-    offices: Vec<Office>,
+    owners: Vec<Owner>,
     workers: Vec<Worker>,
     jobs: usize,
     /// Number of live attempts of each job, and of jobs that have one.
@@ -113,13 +113,13 @@
     fn new(workers: usize) -> Self {
         let mut rng = Rng::with_seed(workers as u64);
         let cells = workers.div_ceil(WORKERS_PER_CELL);
-        let offices = (0..cells).map(|_| Office::new(rng.fork())).collect();
+        let owners = (0..cells).map(|_| Owner::new(rng.fork())).collect();
         let mut fleet = Fleet {
             now: Time::ZERO,
             rng,
             inputs: BTreeMap::new(),
             count: 0,
-            offices,
+            owners,
             workers: Vec::new(),
             jobs: workers * JOBS_PER_WORKER,
             live: BTreeMap::new(),
@@ -161,8 +161,8 @@
                 need: NEED,
                 command: Bytes::from_static(b"rebuild"),
             };
-            let cell = index % self.offices.len();
-            let reply = self.offices[cell].cell.submit(spec, 0);
+            let cell = index % self.owners.len();
+            let reply = self.owners[cell].cell.submit(spec, 0);
             ensure!(reply == SubmitReply::Created, "job {index} is not accepted: {reply:?}");
         }
         Ok(())
@@ -221,7 +221,7 @@
             }
             Input::Report { cell, report } => self.report(cell, &report),
             Input::Release { cell, worker, incarnation, sequence } => {
-                if self.offices[cell].held.get(&worker) == Some(&(incarnation, sequence)) {
+                if self.owners[cell].held.get(&worker) == Some(&(incarnation, sequence)) {
                     self.answer(cell, worker);
                 }
             }
@@ -234,7 +234,7 @@
                 self.note_calls(1);
                 if self.now >= self.down_until {
                     let now = self.now;
-                    self.offices[cell].cell.note_store(now);
+                    self.owners[cell].cell.note_store(now);
                 }
                 self.after(CHECK_OWNER, Input::CheckOwner(cell));
             }
@@ -273,13 +273,13 @@
     fn report(&mut self, cell: usize, report: &Report) {
         let Some(worker) = worker_index(&report.agent) else { return };
         let now = self.now;
-        let office = &mut self.offices[cell];
-        if office.cell.report(now, report) != Received::Accepted {
+        let owner = &mut self.owners[cell];
+        if owner.cell.report(now, report) != Received::Accepted {
             return;
         }
         let (incarnation, sequence) = (report.incarnation, report.sequence);
-        office.held.insert(worker, (incarnation, sequence));
-        match office.cell.has_orders(now, &report.agent) {
+        owner.held.insert(worker, (incarnation, sequence));
+        match owner.cell.has_orders(now, &report.agent) {
             true => self.answer(cell, worker),
             false => {
                 self.after(HOLD_REPORT, Input::Release { cell, worker, incarnation, sequence });
@@ -289,9 +289,9 @@
 
     fn answer(&mut self, cell: usize, worker: usize) {
         let now = self.now;
-        let office = &mut self.offices[cell];
-        let Some((incarnation, sequence)) = office.held.remove(&worker) else { return };
-        let answer = office.cell.answer(now, &agent_id(worker), incarnation, sequence);
+        let owner = &mut self.owners[cell];
+        let Some((incarnation, sequence)) = owner.held.remove(&worker) else { return };
+        let answer = owner.cell.answer(now, &agent_id(worker), incarnation, sequence);
         if let Some(orders) = answer.map(Box::new) {
             let way = self.way();
             self.after(way, Input::Orders { worker, incarnation, orders });
@@ -314,20 +314,20 @@
 
     fn poll(&mut self, cell: usize) {
         let now = self.now;
-        let office = &mut self.offices[cell];
-        office.cell.poll(now);
-        let batch = office.take_batch(now);
+        let owner = &mut self.owners[cell];
+        owner.cell.poll(now);
+        let batch = owner.take_batch(now);
         self.after(OWNER_POLL, Input::Poll(cell));
         if !batch.is_empty() {
-            let office = &mut self.offices[cell];
-            office.log_bytes += batch.iter().map(Event::size).sum::<usize>();
+            let owner = &mut self.owners[cell];
+            owner.log_bytes += batch.iter().map(Event::size).sum::<usize>();
             // A full log is cleared after its snapshot is written.
-            let rotates = office.log_bytes > LOG_LIMIT;
+            let rotates = owner.log_bytes > LOG_LIMIT;
             if rotates {
-                office.log_bytes = 0;
+                owner.log_bytes = 0;
             }
             let starts = batch.iter().filter(|event| matches!(event, Event::Started { .. }));
-            office.sent_starts = starts.count() as u64;
+            owner.sent_starts = starts.count() as u64;
             self.note_calls(if rotates { 3 } else { 1 });
             let latency = Duration::from_millis(self.rng.u64(2..8));
             self.after(latency, Input::Committed(cell));
@@ -337,25 +337,25 @@
 
     fn committed(&mut self, cell: usize) {
         let (now, down) = (self.now, self.now < self.down_until);
-        let office = &mut self.offices[cell];
-        office.busy = false;
+        let owner = &mut self.owners[cell];
+        owner.busy = false;
         if down {
-            office.next_commit = now + COMMIT_RETRY;
+            owner.next_commit = now + COMMIT_RETRY;
             return;
         }
-        office.next_commit = now + COMMIT_GAP;
-        office.cell.note_store(now);
-        office.cell.note_commit();
-        self.started += office.sent_starts;
+        owner.next_commit = now + COMMIT_GAP;
+        owner.cell.note_store(now);
+        owner.cell.note_commit();
+        self.started += owner.sent_starts;
         self.wake(cell);
     }
 
     fn wake(&mut self, cell: usize) {
-        for effect in self.offices[cell].cell.take_effects() {
+        for effect in self.owners[cell].cell.take_effects() {
             let Effect::Wake(agent) = effect else { continue };
             let Some(worker) = worker_index(&agent) else { continue };
-            let office = &self.offices[cell];
-            if office.held.contains_key(&worker) && office.cell.has_orders(self.now, &agent) {
+            let owner = &self.owners[cell];
+            if owner.held.contains_key(&worker) && owner.cell.has_orders(self.now, &agent) {
                 self.answer(cell, worker);
             }
         }
@@ -381,7 +381,7 @@
     }
 }
 
-impl Office {
+impl Owner {
     fn new(rng: Rng) -> Self {
         let settings = CellSettings::default();
         let mut cell = Cell::take_over(CellState::default(), 1, settings, Time::ZERO, rng);
@@ -390,7 +390,7 @@
             teams: [("team".to_owned(), all)].into(),
             classes: [("normal".to_owned(), (all, false))].into(),
         });
-        Office {
+        Owner {
             cell,
             busy: false,
             allowance: COMMIT_RATE,
@@ -526,7 +526,7 @@
         let begin = fleet.now;
         ensure!(fleet.run_until_all_run(begin).is_some(), "not all jobs start");
         fleet.run_until(fleet.now + Duration::from_secs(30));
-        let cells = fleet.offices.len();
+        let cells = fleet.owners.len();
         // Replaced machines get no work, since no job ends: each loss takes others.
         let rack = fleet.racks(|rack| rack == cells);
         let other_rack = fleet.racks(|rack| rack == 2 * cells);
--- a/crates/core/src/cell/answer.rs
+++ b/crates/core/src/cell/answer.rs
@@ -26,13 +26,13 @@
             || worker.epoch < self.state.epoch
             || worker.candidate.is_some_and(|candidate| !candidate.sent)
             || worker.results.iter().any(|id| self.is_acknowledged(worker, id))
-            || worker.strays.values().any(|sent| is_due(*sent, now))
+            || worker.orphans.values().any(|sent| is_due(*sent, now))
             || worker.attempts.values().any(|live| {
                 self.is_stop_due(live, now) || (granting && self.is_start_due(worker, live, now))
             })
     }
 
-    /// Builds the answer to a report; `None` when this owner is no longer in office. An answer to
+    /// Builds the answer to a report; `None` when this owner is no longer the owner. An answer to
     /// anything but the agent's newest report carries no orders.
     pub fn answer(
         &mut self,
@@ -119,8 +119,8 @@
                 token: live.token,
             })
             .collect();
-        let strays = worker.strays.iter().filter(|(_, sent)| is_due(**sent, now));
-        stops.extend(strays.map(|(id, _)| id.clone()));
+        let orphans = worker.orphans.iter().filter(|(_, sent)| is_due(**sent, now));
+        stops.extend(orphans.map(|(id, _)| id.clone()));
         stops.truncate(STOPS_AT_ONCE);
         if let Some(worker) = self.workers.by_agent_mut(agent) {
             for id in &stops {
@@ -157,7 +157,7 @@
 }
 
 fn note_stop_sent(worker: &mut Worker, id: &AttemptId, now: Time) {
-    if let Some(sent) = worker.strays.get_mut(id) {
+    if let Some(sent) = worker.orphans.get_mut(id) {
         *sent = Some(now);
     } else if let Some(live) = worker.attempts.get_mut(&(id.job.clone(), id.task)) {
         live.stop_sent = Some(now);
--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -18,7 +18,7 @@
     Accepted,
     /// Overtaken by a newer report of the agent; changes nothing.
     Stale,
-    /// This owner is no longer in office.
+    /// This owner is no longer the owner.
     NotOwner,
 }
 
@@ -33,7 +33,7 @@
         }
         let slot = self.workers.insert(&report.agent, now);
         let Some(worker) = self.workers.get_mut(slot) else { return Received::Stale };
-        if worker.is_stranger(report.incarnation, report.echo) {
+        if worker.is_unverified(report.incarnation, report.echo) {
             worker.challenge(report.incarnation, self.rng.u64(1..));
             return Received::Accepted;
         }
@@ -131,15 +131,15 @@
             }
         }
         let attempts = &worker.attempts;
-        let is_stray = |id: &AttemptId| {
+        let is_orphan = |id: &AttemptId| {
             let live = attempts.get(&(id.job.clone(), id.task));
             live.is_none_or(|live| live.token != id.token)
         };
-        let strays: Vec<AttemptId> =
-            held.iter().filter(|id| is_stray(id)).map(|&id| id.clone()).collect();
-        worker.strays.retain(|id, _| held.contains(id) && strays.contains(id));
-        for id in strays {
-            worker.strays.entry(id).or_insert(None);
+        let orphans: Vec<AttemptId> =
+            held.iter().filter(|id| is_orphan(id)).map(|&id| id.clone()).collect();
+        worker.orphans.retain(|id, _| held.contains(id) && orphans.contains(id));
+        for id in orphans {
+            worker.orphans.entry(id).or_insert(None);
         }
         for id in gone {
             self.end(slot, Event::Requeued { attempt: id.clone(), checkpoint: None }, &id);
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -109,7 +109,7 @@
     /// Estimated size of the state in bytes.
     pub(super) payload: usize,
     pub(super) taken_over: Time,
-    /// Start of the last exchange with the store that showed this owner in office.
+    /// Start of the last exchange with the store that showed it to be the owner.
     store_seen: Time,
     stopped: bool,
     next_sweep: Time,
@@ -207,12 +207,12 @@
         self.limits = Some(limits);
     }
 
-    /// Notes that an exchange with the store that started at `start` showed this owner in office.
+    /// Notes that an exchange with the store that started at `start` showed it to be the owner.
     pub fn note_store(&mut self, start: Time) {
         self.store_seen = self.store_seen.max(start);
     }
 
-    /// Stops for good: another owner is in office, or the cell was handed back.
+    /// Stops for good: another entry owns the cell, or the cell was handed back.
     pub fn stop(&mut self) {
         self.stopped = true;
     }
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -96,7 +96,7 @@
     /// Ended attempts whose event is not committed yet, with its sequence.
     pub ending: BTreeMap<AttemptId, u64>,
     /// Reported attempts that are not current, with the time of the last stop order.
-    pub strays: BTreeMap<AttemptId, Option<Time>>,
+    pub orphans: BTreeMap<AttemptId, Option<Time>>,
     /// Key in the placement index, when it is there.
     pub indexed: Option<u64>,
 }
@@ -128,13 +128,13 @@
             attempts: BTreeMap::new(),
             results: Vec::new(),
             ending: BTreeMap::new(),
-            strays: BTreeMap::new(),
+            orphans: BTreeMap::new(),
             indexed: None,
         }
     }
 
     /// Tells whether a report comes from another incarnation that has not proved that it lives.
-    pub fn is_stranger(&self, incarnation: Incarnation, echo: u64) -> bool {
+    pub fn is_unverified(&self, incarnation: Incarnation, echo: u64) -> bool {
         let proved = |candidate: Candidate| {
             candidate.incarnation == incarnation && candidate.challenge == echo
         };
@@ -159,7 +159,7 @@
         if self.incarnation != Some(incarnation) {
             self.incarnation = Some(incarnation);
             self.candidate = None;
-            self.strays.clear();
+            self.orphans.clear();
         }
         self.sequence = Some(sequence);
     }
--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -117,7 +117,7 @@
             pressure_percent: 0,
         };
         self.cell.report(self.now, &report);
-        self.cell.answer(self.now, id, 1, self.sequence).expect("in office")
+        self.cell.answer(self.now, id, 1, self.sequence).expect("the owner")
     }
 
     fn obey(&mut self, agent: usize, orders: Orders) -> usize {
@@ -261,7 +261,7 @@
     for report in [&first, &second] {
         fixture.cell.report(fixture.now, report);
     }
-    let challenged = fixture.cell.answer(fixture.now, "vm-0", 99, 2).expect("in office");
+    let challenged = fixture.cell.answer(fixture.now, "vm-0", 99, 2).expect("the owner");
     assert_eq!((challenged.lease, challenged.starts.len()), (Duration::ZERO, 0));
     assert_ne!(challenged.challenge, 0);
     assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1, "taken as gone");
@@ -271,7 +271,7 @@
     let returned = Report { sequence: 3, echo: challenged.challenge, ..second };
     fixture.cell.report(fixture.now, &returned);
     assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 0);
-    assert_eq!(fixture.cell.answer(fixture.now, "vm-0", 99, 3).expect("in office").lease, LEASE);
+    assert_eq!(fixture.cell.answer(fixture.now, "vm-0", 99, 3).expect("the owner").lease, LEASE);
 }
 
 /// Guards against a replaced owner that orders what it had committed before from a replaced VM,
@@ -301,7 +301,7 @@
     for sequence in 1..4 {
         report.sequence = sequence;
         fixture.cell.report(fixture.now, &report);
-        let orders = fixture.cell.answer(fixture.now, "vm-0", 99, sequence).expect("in office");
+        let orders = fixture.cell.answer(fixture.now, "vm-0", 99, sequence).expect("the owner");
         assert!(orders.starts.is_empty(), "ordered from another incarnation");
         report.echo = report.echo.max(orders.challenge);
     }
--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -1,12 +1,12 @@
 //! Ownership of cells: takes over cells without a live owner, keeps their journals, and answers
 //! the reports of agents and the job operations of callers.
 //!
-//! Lock order: the placement of cells, the table of offices, the table of known owners, then one
-//! office's desk. No lock is held across an await.
+//! Lock order: the placement of cells, the table of owned cells, the table of known owners, then one
+//! owned cell's state. No lock is held across an await.
 
 mod claim;
 mod jobs;
-mod office;
+mod owned;
 mod record;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,7 +28,7 @@
 use peridotfold_wire::shutdown::Shutdown;
 use serde::Serialize;
 
-use self::office::Office;
+use self::owned::OwnedCell;
 use self::record::Known;
 use crate::settings::Settings;
 
@@ -75,7 +75,7 @@
     incarnation: Incarnation,
     address: String,
     outage_hold: Duration,
-    offices: Mutex<BTreeMap<CellId, Arc<Office<S>>>>,
+    owned_cells: Mutex<BTreeMap<CellId, Arc<OwnedCell<S>>>>,
     known: Mutex<BTreeMap<CellId, Known>>,
     /// Cells that are being looked at or taken over.
     busy: Mutex<BTreeSet<CellId>>,
@@ -103,7 +103,7 @@
             incarnation,
             address: internal.to_string(),
             outage_hold: settings.outage_hold,
-            offices: Mutex::default(),
+            owned_cells: Mutex::default(),
             known: Mutex::default(),
             busy: Mutex::default(),
             placement: Mutex::default(),
@@ -129,7 +129,7 @@
             self.shared.store_down.store(store_ok() > STORE_DOWN_AFTER, Ordering::Relaxed);
             let document = documents();
             *self.shared.document.lock() = document.clone();
-            self.update_offices(&document);
+            self.update_owned(&document);
             let alive = alive();
             claim::step(&self.shared, &document, &alive);
             if !self.shared.store_down.load(Ordering::Relaxed) {
@@ -144,19 +144,19 @@
         while self.shared.taking_over.load(Ordering::Acquire) > 0 && runtime::now() < deadline {
             runtime::sleep(TAKEOVER_POLL).await;
         }
-        let offices = std::mem::take(&mut *self.shared.offices.lock());
-        let releases = offices.into_values().map(|office| runtime::spawn(office.release()));
+        let owned_cells = std::mem::take(&mut *self.shared.owned_cells.lock());
+        let releases = owned_cells.into_values().map(|owned| runtime::spawn(owned.release()));
         for release in releases.collect::<Vec<_>>() {
             release.await;
         }
     }
 
-    /// Passes the configuration on, and drops offices that have ended.
-    fn update_offices(&self, document: &Arc<Document>) {
-        let mut offices = self.shared.offices.lock();
-        offices.retain(|_, office| !office.has_ended());
-        offices.values().for_each(|office| office.set_document(document));
-        metrics::gauge!("cells_owned").set(offices.len() as f64);
+    /// Passes the configuration on, and drops owned cells that have ended.
+    fn update_owned(&self, document: &Arc<Document>) {
+        let mut owned_cells = self.shared.owned_cells.lock();
+        owned_cells.retain(|_, owned| !owned.has_ended());
+        owned_cells.values().for_each(|owned| owned.set_document(document));
+        metrics::gauge!("cells_owned").set(owned_cells.len() as f64);
     }
 
     /// Answers a report: at once when there are orders, otherwise after at most a second.
@@ -166,8 +166,8 @@
     /// Fails when this entry does not own the cell.
     pub async fn report(&self, report: Report) -> Result<Orders, CellError> {
         let cell = report.cell.clone();
-        let office = self.office(&cell)?;
-        office.report(report).await.ok_or_else(|| self.not_owner(&cell))
+        let owned = self.owned(&cell)?;
+        owned.report(report).await.ok_or_else(|| self.not_owner(&cell))
     }
 
     /// Performs a job operation.
@@ -176,31 +176,31 @@
     ///
     /// Fails when this entry does not own the cell; nothing was done.
     pub async fn forward(&self, forward: Forward) -> Result<ForwardReply, CellError> {
-        let office = self.office(&forward.cell)?;
+        let owned = self.owned(&forward.cell)?;
         let store_down = self.shared.store_down.load(Ordering::Relaxed);
-        Ok(jobs::perform(&office, &forward, store_down).await)
+        Ok(jobs::perform(&owned, &forward, store_down).await)
     }
 
     /// Returns the owner of a cell, as owned here or last read from the store.
     pub fn owner(&self, cell: &str) -> Option<CellOwner> {
-        if let Some(office) = self.shared.offices.lock().get(cell).filter(|o| !o.has_ended()) {
-            return Some(office.owner());
+        if let Some(owned) = self.shared.owned_cells.lock().get(cell).filter(|o| !o.has_ended()) {
+            return Some(owned.owner());
         }
         let known = self.shared.known.lock();
         let record = &known.get(cell)?.record;
-        // A record of this entry without an office is a former one.
+        // A record of this entry without an owned cell is a former one.
         (!record.released && record.entry != self.shared.entry).then(|| record.owner())
     }
 
     /// Returns the workers of the cells owned here.
     pub fn workers(&self) -> Vec<WorkerView> {
-        let offices: Vec<_> = self.shared.offices.lock().values().cloned().collect();
-        offices.iter().flat_map(|office| office.workers()).collect()
+        let owned_cells: Vec<_> = self.shared.owned_cells.lock().values().cloned().collect();
+        owned_cells.iter().flat_map(|owned| owned.workers()).collect()
     }
 
-    fn office(&self, cell: &str) -> Result<Arc<Office<S>>, CellError> {
-        let office = self.shared.offices.lock().get(cell).cloned();
-        office.filter(|office| !office.has_ended()).ok_or_else(|| self.not_owner(cell))
+    fn owned(&self, cell: &str) -> Result<Arc<OwnedCell<S>>, CellError> {
+        let owned = self.shared.owned_cells.lock().get(cell).cloned();
+        owned.filter(|owned| !owned.has_ended()).ok_or_else(|| self.not_owner(cell))
     }
 
     fn not_owner(&self, cell: &str) -> CellError {
--- a/crates/entry/src/cells/claim.rs
+++ b/crates/entry/src/cells/claim.rs
@@ -13,7 +13,7 @@
 use peridotfold_store::{Journal, JournalError, PutOutcome, Store, StoreError};
 use peridotfold_wire::runtime;
 
-use crate::cells::office::Office;
+use crate::cells::owned::OwnedCell;
 use crate::cells::record::{journal_name, owner_key, Known, OwnerRecord, Replayed};
 use crate::cells::Shared;
 
@@ -40,7 +40,7 @@
         return;
     }
     for (cell, config) in &document.cells {
-        let owned = shared.offices.lock().contains_key(cell);
+        let owned = shared.owned_cells.lock().contains_key(cell);
         let rank = rank(shared, cell, &config.data_centre, alive);
         if owned || !is_due(shared, cell, alive, rank) {
             continue;
@@ -96,7 +96,7 @@
     }
     let now = runtime::now();
     let mut placement = shared.placement.lock();
-    let owned: Vec<CellId> = shared.offices.lock().keys().cloned().collect();
+    let owned: Vec<CellId> = shared.owned_cells.lock().keys().cloned().collect();
     let is_misplaced = |cell: &CellId| {
         let config = document.cells.get(cell);
         config.is_none_or(|config| rank(shared, cell, &config.data_centre, alive) > 0)
@@ -119,18 +119,18 @@
     }
     placement.misplaced.remove(&cell);
     placement.handed_over.insert(cell.clone(), now);
-    let office = shared.offices.lock().remove(&cell);
+    let owned = shared.owned_cells.lock().remove(&cell);
     let shared = shared.clone();
     runtime::spawn(async move {
-        if let Some(office) = office {
-            office.release().await;
+        if let Some(owned) = owned {
+            owned.release().await;
         }
         shared.busy.lock().remove(&cell);
     })
     .detach();
 }
 
-/// Tells whether the recorded owner is alive and in office.
+/// Tells whether the recorded owner is alive and still the owner.
 fn is_held(record: &OwnerRecord, alive: &[EntryView]) -> bool {
     let is_owner =
         |view: &EntryView| view.entry == record.entry && view.incarnation == record.incarnation;
@@ -190,7 +190,7 @@
 
 type Vacancy = (u64, Option<OwnerRecord>);
 
-/// Reads the record; `None` when the owner is in office.
+/// Reads the record; `None` when the owner is still the owner of record.
 async fn read<S: Store>(
     shared: &Shared<S>,
     cell: &CellId,
@@ -204,7 +204,7 @@
     };
     let known = Known { record: record.clone(), read: runtime::now() };
     shared.known.lock().insert(cell.clone(), known);
-    // An own record without an office: a takeover that did not come to its end.
+    // An own record without an owned cell: a takeover that did not come to its end.
     let is_own = record.incarnation == shared.incarnation && record.entry == shared.entry;
     match is_own || !is_held(&record, alive) {
         true => Ok(Some((found.version, Some(record)))),
@@ -238,7 +238,7 @@
     }
 }
 
-/// Replays the journal, fences off the former owner and opens the office.
+/// Replays the journal, fences off the former owner and begins to own the cell.
 async fn take_over<S: Store>(
     shared: &Arc<Shared<S>>,
     cell: &CellId,
@@ -250,7 +250,7 @@
     for _ in 0..REPLAYS {
         let mut journal: Journal<S, Replayed> =
             Journal::open(shared.store.clone(), &name, writer).await?;
-        // Taken after the replay: a former owner whose write is part of it was in office until
+        // Taken after the replay: a former owner whose write is part of it was the owner until
         // then, and a later write of it makes the append below fail.
         let now = runtime::now();
         let state = journal.state().0.clone();
@@ -266,11 +266,11 @@
             result => result?,
         }
         owned.note_commit();
-        let office = Office::open(shared, cell.clone(), epoch, owned, journal);
-        office.log(&events);
+        let owned = OwnedCell::open(shared, cell.clone(), epoch, owned, journal);
+        owned.log(&events);
         let document = shared.document.lock().clone();
-        office.set_document(&document);
-        shared.offices.lock().insert(cell.clone(), office);
+        owned.set_document(&document);
+        shared.owned_cells.lock().insert(cell.clone(), owned);
         return Ok(());
     }
     Err(JournalError::Fenced)
--- a/crates/entry/src/cells/jobs.rs
+++ b/crates/entry/src/cells/jobs.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::cells::office::Office;
+use crate::cells::owned::OwnedCell;
 
 /// Longest wait for a commit. Below the time that the forwarding entry waits.
 const COMMIT_WAIT: Duration = Duration::from_secs(4);
@@ -39,7 +39,7 @@
 
 /// Performs an operation on the jobs of an owned cell.
 pub(super) async fn perform<S: Store>(
-    office: &Office<S>,
+    owned: &OwnedCell<S>,
     forward: &Forward,
     store_down: bool,
 ) -> ForwardReply {
@@ -50,18 +50,22 @@
     };
     let job = forward.path.strip_prefix("/v1/jobs").unwrap_or_default().trim_start_matches('/');
     match (forward.method.as_str(), job) {
-        ("POST", "") => submit(office, forward, store_down).await,
+        ("POST", "") => submit(owned, forward, store_down).await,
         ("GET", "") => {
-            let jobs = office.with_desk(|desk| desk.cell.list(&office.id, team));
+            let jobs = owned.with_state(|state| state.cell.list(&owned.id, team));
             reply(200, &json!({ "jobs": jobs }))
         }
-        ("GET", id) => show(office, team, id, 200),
-        ("DELETE", id) if !id.is_empty() => cancel(office, team, id, store_down).await,
+        ("GET", id) => show(owned, team, id, 200),
+        ("DELETE", id) if !id.is_empty() => cancel(owned, team, id, store_down).await,
         _ => error(405, "only POST, GET and DELETE"),
     }
 }
 
-async fn submit<S: Store>(office: &Office<S>, forward: &Forward, store_down: bool) -> ForwardReply {
+async fn submit<S: Store>(
+    owned: &OwnedCell<S>,
+    forward: &Forward,
+    store_down: bool,
+) -> ForwardReply {
     let submission: Submission = match serde_json::from_slice(&forward.body) {
         Ok(submission) => submission,
         Err(problem) => return error(422, &problem.to_string()),
@@ -85,11 +89,11 @@
         command: command(submission.command),
     };
     let id = spec.id.clone();
-    let (answer, durable) = office.with_desk(|desk| {
-        let (ticket, durable) = desk.ticket();
-        let answer = desk.cell.submit(spec, ticket);
+    let (answer, durable) = owned.with_state(|state| {
+        let (ticket, durable) = state.ticket();
+        let answer = state.cell.submit(spec, ticket);
         if !matches!(answer, SubmitReply::Created | SubmitReply::Existing) {
-            desk.tickets.remove(&ticket);
+            state.tickets.remove(&ticket);
         }
         (answer, durable)
     });
@@ -101,13 +105,13 @@
         SubmitReply::Invalid(problems) => return invalid(&problems),
     };
     match wait(durable).await {
-        true => show(office, None, &id, status),
+        true => show(owned, None, &id, status),
         false => unavailable("not committed in time; submit the same job again to find out"),
     }
 }
 
 async fn cancel<S: Store>(
-    office: &Office<S>,
+    owned: &OwnedCell<S>,
     team: Option<&str>,
     id: &str,
     store_down: bool,
@@ -115,24 +119,24 @@
     if store_down {
         return unavailable("the store is down; the job was not cancelled");
     }
-    let (answer, durable) = office.with_desk(|desk| {
-        let (ticket, durable) = desk.ticket();
-        let answer = desk.cell.cancel(team, id, ticket);
+    let (answer, durable) = owned.with_state(|state| {
+        let (ticket, durable) = state.ticket();
+        let answer = state.cell.cancel(team, id, ticket);
         if answer != CancelReply::Accepted {
-            desk.tickets.remove(&ticket);
+            state.tickets.remove(&ticket);
         }
         (answer, durable)
     });
     match answer {
         CancelReply::NotFound => error(404, "no such job"),
         CancelReply::Ended => error(409, &format!("job {id} has ended")),
-        CancelReply::Accepted if wait(durable).await => show(office, team, id, 200),
+        CancelReply::Accepted if wait(durable).await => show(owned, team, id, 200),
         CancelReply::Accepted => unavailable("not committed in time; cancel again to find out"),
     }
 }
 
-fn show<S: Store>(office: &Office<S>, team: Option<&str>, id: &str, status: u16) -> ForwardReply {
-    match office.with_desk(|desk| desk.cell.show(&office.id, team, id)) {
+fn show<S: Store>(owned: &OwnedCell<S>, team: Option<&str>, id: &str, status: u16) -> ForwardReply {
+    match owned.with_state(|state| state.cell.show(&owned.id, team, id)) {
         Some(view) => reply(status, &view),
         None => error(404, "no such job"),
     }
--- a/crates/entry/src/cells/office.rs
+++ b/crates/entry/src/cells/owned.rs
@@ -34,9 +34,9 @@
 /// Longest time for the last commits and the release at shutdown.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
-/// What the tasks and calls of an office share.
+/// What the tasks and calls of an owned share.
 #[derive(Debug)]
-pub(super) struct Desk {
+pub(super) struct State {
     pub cell: Cell,
     pub tickets: HashMap<Ticket, Sender<()>>,
     pub next_ticket: Ticket,
@@ -46,17 +46,17 @@
 
 /// An owned cell.
 #[derive(Debug)]
-pub(super) struct Office<S: Store> {
+pub(super) struct OwnedCell<S: Store> {
     pub id: CellId,
     shared: Arc<Shared<S>>,
     epoch: Epoch,
-    desk: Mutex<Desk>,
+    state: Mutex<State>,
     ended: AtomicBool,
     /// Wakes the committing task.
     work: Sender<()>,
 }
 
-impl<S: Store> Office<S> {
+impl<S: Store> OwnedCell<S> {
     /// Starts the tasks of a cell that was taken over.
     pub fn open(
         shared: &Arc<Shared<S>>,
@@ -66,7 +66,7 @@
         journal: Journal<S, Replayed>,
     ) -> Arc<Self> {
         let (work, worked) = async_channel::bounded(1);
-        let desk = Desk {
+        let state = State {
             cell,
             tickets: HashMap::new(),
             next_ticket: 0,
@@ -75,11 +75,12 @@
         };
         let shared = shared.clone();
         let ended = AtomicBool::new(false);
-        let office = Arc::new(Office { id, shared, epoch, desk: Mutex::new(desk), ended, work });
-        runtime::spawn(office.clone().commit_all(journal, worked)).detach();
-        runtime::spawn(office.clone().poll_all()).detach();
-        runtime::spawn(office.clone().check_owner()).detach();
-        office
+        let owned =
+            Arc::new(OwnedCell { id, shared, epoch, state: Mutex::new(state), ended, work });
+        runtime::spawn(owned.clone().commit_all(journal, worked)).detach();
+        runtime::spawn(owned.clone().poll_all()).detach();
+        runtime::spawn(owned.clone().check_owner()).detach();
+        owned
     }
 
     pub fn has_ended(&self) -> bool {
@@ -95,25 +96,25 @@
     }
 
     pub fn workers(&self) -> Vec<WorkerView> {
-        let views = self.desk.lock().cell.worker_views(runtime::now());
+        let views = self.state.lock().cell.worker_views(runtime::now());
         views.into_iter().map(|worker| WorkerView { cell: self.id.clone(), worker }).collect()
     }
 
     pub fn set_document(&self, document: &Arc<Document>) {
-        let mut desk = self.desk.lock();
-        if desk.document.as_ref().is_some_and(|known| Arc::ptr_eq(known, document)) {
+        let mut state = self.state.lock();
+        if state.document.as_ref().is_some_and(|known| Arc::ptr_eq(known, document)) {
             return;
         }
-        desk.cell.set_limits(Limits::from(&**document));
-        desk.document = Some(document.clone());
+        state.cell.set_limits(Limits::from(&**document));
+        state.document = Some(document.clone());
     }
 
-    /// Runs `change` on the desk and wakes the commit for what it proposed.
-    pub fn with_desk<T>(&self, change: impl FnOnce(&mut Desk) -> T) -> T {
-        let mut desk = self.desk.lock();
-        let result = change(&mut desk);
-        desk.release_effects();
-        if desk.cell.has_uncommitted() {
+    /// Runs `change` on the state and wakes the commit for what it proposed.
+    pub fn with_state<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.state.lock();
+        let result = change(&mut state);
+        state.release_effects();
+        if state.cell.has_uncommitted() {
             let _ = self.work.try_send(());
         }
         result
@@ -122,7 +123,7 @@
     /// Takes in a report and answers it; `None` when the cell is no longer owned here.
     pub async fn report(self: &Arc<Self>, report: Report) -> Option<Orders> {
         let now = runtime::now();
-        let received = self.with_desk(|desk| desk.cell.report(now, &report));
+        let received = self.with_state(|state| state.cell.report(now, &report));
         match received {
             Received::Accepted => {}
             Received::Stale => {
@@ -151,31 +152,31 @@
         }
         let Report { agent, incarnation, sequence, .. } = report;
         let answer =
-            |desk: &mut Desk| desk.cell.answer(runtime::now(), &agent, incarnation, sequence);
-        self.with_desk(answer)
+            |state: &mut State| state.cell.answer(runtime::now(), &agent, incarnation, sequence);
+        self.with_state(answer)
     }
 
     /// Registers a wait for orders; `None` when there are some.
     fn hold(&self, agent: &AgentId) -> Option<Receiver<()>> {
-        let mut desk = self.desk.lock();
-        if desk.cell.has_orders(runtime::now(), agent) {
+        let mut state = self.state.lock();
+        if state.cell.has_orders(runtime::now(), agent) {
             return None;
         }
         let (sender, receiver) = async_channel::bounded(1);
-        desk.held.insert(agent.clone(), sender);
+        state.held.insert(agent.clone(), sender);
         Some(receiver)
     }
 
-    /// Places and checks leases until the office ends.
+    /// Places and checks leases until the owned ends.
     async fn poll_all(self: Arc<Self>) {
         while !self.has_ended() {
             let now = runtime::now();
-            self.with_desk(|desk| desk.cell.poll(now));
+            self.with_state(|state| state.cell.poll(now));
             runtime::sleep(POLL).await;
         }
     }
 
-    /// Commits until the office ends: at once when idle, otherwise in groups.
+    /// Commits until the owned ends: at once when idle, otherwise in groups.
     async fn commit_all(self: Arc<Self>, mut journal: Journal<S, Replayed>, work: Receiver<()>) {
         let mut allowance = COMMIT_RATE;
         let mut last = runtime::now();
@@ -188,7 +189,7 @@
             let refilled = allowance + (now - last).as_secs_f64() * COMMIT_RATE;
             allowance = refilled.min(COMMIT_RATE);
             last = now;
-            let events = self.desk.lock().cell.take_batch();
+            let events = self.state.lock().cell.take_batch();
             if events.is_empty() {
                 continue;
             }
@@ -214,9 +215,9 @@
         match result {
             Ok(()) => {
                 self.log(&events);
-                self.with_desk(|desk| {
-                    desk.cell.note_store(start);
-                    desk.cell.note_commit();
+                self.with_state(|state| {
+                    state.cell.note_store(start);
+                    state.cell.note_commit();
                 });
                 true
             }
@@ -232,7 +233,7 @@
         }
     }
 
-    /// Checks the owner record until the office ends. This also bounds the time for which an owner
+    /// Checks the owner record until the owned ends. This also bounds the time for which an owner
     /// without commits can go on after a successor has taken over.
     async fn check_owner(self: Arc<Self>) {
         while !self.has_ended() {
@@ -240,7 +241,7 @@
             match self.shared.store.get(&owner_key(&self.id)).await {
                 Ok(Some(found)) => match OwnerRecord::decode(&found) {
                     Some(record) if self.is_own(&record) => {
-                        self.desk.lock().cell.note_store(start);
+                        self.state.lock().cell.note_store(start);
                     }
                     _ => self.end("another owner is recorded"),
                 },
@@ -262,7 +263,7 @@
 
     fn measure(&self) {
         let (mut queued, mut running) = (0, 0);
-        for job in self.desk.lock().cell.state().jobs.values() {
+        for job in self.state.lock().cell.state().jobs.values() {
             queued += u64::from(job.waiting());
             running += job.attempts.len();
         }
@@ -270,39 +271,39 @@
         metrics::gauge!("cell_tasks_running", "cell" => self.id.clone()).set(running as f64);
     }
 
-    /// Leaves office: another owner may be in it.
+    /// Leaves owned: another owner may be in it.
     fn end(&self, reason: &str) {
         if self.ended.swap(true, Ordering::AcqRel) {
             return;
         }
-        let mut desk = self.desk.lock();
-        desk.cell.stop();
-        desk.tickets.clear();
-        desk.held.clear();
+        let mut state = self.state.lock();
+        state.cell.stop();
+        state.tickets.clear();
+        state.held.clear();
         tracing::warn!(event = "cell_lost", cell = self.id, epoch = self.epoch, reason);
     }
 
     /// Hands the cell back: stops granting, commits what is left, then marks the record.
     pub async fn release(self: Arc<Self>) {
         let deadline = runtime::now() + RELEASE_LIMIT;
-        self.with_desk(|desk| {
-            desk.cell.release();
-            desk.held.clear();
+        self.with_state(|state| {
+            state.cell.release();
+            state.held.clear();
         });
-        while self.desk.lock().cell.has_unwritten() && runtime::now() < deadline {
+        while self.state.lock().cell.has_unwritten() && runtime::now() < deadline {
             runtime::sleep(POLL).await;
             if self.has_ended() {
                 return;
             }
         }
-        let is_done = !self.desk.lock().cell.has_unwritten();
+        let is_done = !self.state.lock().cell.has_unwritten();
         if is_done && self.mark_released().await {
             tracing::info!(event = "cell_released", cell = self.id, epoch = self.epoch);
         } else {
             tracing::warn!(event = "cell_release_failed", cell = self.id, epoch = self.epoch);
         }
         self.ended.store(true, Ordering::Release);
-        self.desk.lock().tickets.clear();
+        self.state.lock().tickets.clear();
     }
 
     async fn mark_released(&self) -> bool {
@@ -327,7 +328,7 @@
     }
 }
 
-impl Desk {
+impl State {
     /// Returns a ticket, and the signal that it has become durable.
     pub fn ticket(&mut self) -> (Ticket, Receiver<()>) {
         let (sender, receiver) = async_channel::bounded(1);
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -58,7 +58,7 @@
     /// When the lists of moves were last fetched; held while they are.
     pub fetched: smol::lock::Mutex<Option<Time>>,
     /// Asks for a round of heartbeat and key maps before the next one is due.
-    pub hurry: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    pub early_round: (async_channel::Sender<()>, async_channel::Receiver<()>),
     numbers: AtomicU64,
     stopping: AtomicBool,
     /// Given when endless responses have to end, some time after the start of a shutdown.
@@ -92,7 +92,7 @@
             heard: Mutex::default(),
             contact: AtomicU64::new(0),
             fetched: smol::lock::Mutex::new(None),
-            hurry: async_channel::bounded(1),
+            early_round: async_channel::bounded(1),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             drained,
@@ -177,8 +177,8 @@
     }
 
     /// Asks for a round of heartbeat and key maps soon. A request that waits already is enough.
-    pub fn hurry(&self) {
-        let _ = self.hurry.0.try_send(());
+    pub fn request_round(&self) {
+        let _ = self.early_round.0.try_send(());
     }
 
     /// Draws the identity of a dispatch.
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -63,7 +63,7 @@
                 };
                 // The sender knows of a move that this entry has not seen yet.
                 if adopted < request.generation {
-                    self.context.hurry();
+                    self.context.request_round();
                 }
                 responder.reply(&reply).await
             }
@@ -105,7 +105,7 @@
         };
         // It may be the successor of a holder, whose buckets have to move.
         if is_new {
-            context.hurry();
+            context.request_round();
         }
         let entries = context.entry_addresses();
         context.relays.lock().add(&context.settings.id, now, announce, &entries);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,7 +33,7 @@
 use crate::context::Context;
 use crate::http::Http;
 use crate::internal::Internal;
-use crate::members::Heart;
+use crate::members::Heartbeats;
 use crate::settings::Settings;
 
 /// Time limit of one call of the store. Below the heartbeat interval, so that a slow store delays
@@ -109,7 +109,7 @@
     let owning = runtime::spawn(own_cells(context.clone(), cells_end));
     let handler = Arc::new(Internal { context: context.clone() });
     let handling = runtime::spawn(internal.serve(handler, rest_end.clone()));
-    let beating = runtime::spawn(Heart::new(context.clone()).run(rest_end.clone()));
+    let beating = runtime::spawn(Heartbeats::new(context.clone()).run(rest_end.clone()));
     let following = runtime::spawn(config::run(context.clone(), rest_end.clone()));
     let relaying = runtime::spawn(relay::run(context.clone(), rest_end.clone()));
     let fetching = runtime::spawn(lists::run(context.clone(), rest_end.clone()));
@@ -129,7 +129,7 @@
     cells.fire();
     owning.await;
     rest.fire();
-    beating.await.farewell().await;
+    beating.await.write_last().await;
     // Connections to hosts that are gone never end.
     future::or(handling, runtime::sleep(CLOSE_LIMIT)).await;
     following.await;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -21,13 +21,13 @@
 const ENTRIES: &str = "entries/";
 const KEY_MAPS: &str = "keymap/";
 /// Tries of the last heartbeat at shutdown.
-const FAREWELL_TRIES: usize = 3;
+const LAST_TRIES: usize = 3;
 
 /// A key map with its version in the store.
 type StoredMap = (ServiceId, u64, KeyMap);
 
 /// Heartbeat and key map state of this entry.
-pub struct Heart<S: Store> {
+pub struct Heartbeats<S: Store> {
     context: Arc<Context<S>>,
     /// Version of this entry's record in the store.
     version: u64,
@@ -41,11 +41,11 @@
     planner: Planner,
 }
 
-impl<S: Store> Heart<S> {
+impl<S: Store> Heartbeats<S> {
     /// Builds the state before the first heartbeat.
     pub fn new(context: Arc<Context<S>>) -> Self {
         let planner = Planner::new(context.settings.outage_hold);
-        Heart {
+        Heartbeats {
             context,
             version: 0,
             counter: 0,
@@ -83,18 +83,18 @@
     async fn pause(&self, pause: Duration, shutdown: &Shutdown) -> bool {
         let early = async {
             runtime::sleep(RETRY).await;
-            let _ = self.context.hurry.1.recv().await;
+            let _ = self.context.early_round.1.recv().await;
             false
         };
         future::or(runtime::sleep_or_shutdown(pause, shutdown), early).await
     }
 
     /// Tells the other entries that this one has ended and dispatches nothing more.
-    pub async fn farewell(&mut self) {
-        for _ in 0..FAREWELL_TRIES {
+    pub async fn write_last(&mut self) {
+        for _ in 0..LAST_TRIES {
             match self.beat(true).await {
                 Ok(()) => return,
-                Err(error) => tracing::warn!(event = "farewell_failed", %error),
+                Err(error) => tracing::warn!(event = "last_heartbeat_failed", %error),
             }
         }
     }
