Wait for the status 404 and not for a port with these digits

Cause: the entry listened on port 40473, whose digits satisfied the wait for '404', so the test went on before the cell had an owner. Now the whole status is awaited, which is stricter.

--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -244,7 +244,7 @@
         }
         let jobs: [&[&str]; 2] = [&["job", "show", "nowhere"], &["job", "cancel", "nowhere"]];
         within(support::PATIENCE, "the cell has an owner", || async {
-            call(jobs[0], OPERATOR_TOKEN, "").err.contains("404")
+            call(jobs[0], OPERATOR_TOKEN, "").err.contains("404 Not Found")
         })
         .await;
         for args in jobs {
