Refuse new handshakes before a listener is closed

The kernel completes handshakes until the listener is closed. A connection completed between the last accept and the close is reset, and its caller may have sent a request already.

Ruled out: idle connections closed while a request arrives (the linger of 500 ms covers them; no failure came from a reused connection), and a longer drain of the queue, which leaves the same gap before the close.

Change: before the last accepts, a packet filter on the listening socket drops packets that open a connection (socket2). Handshakes under way have 50 ms to end. Callers whose first packet was dropped are refused when the kernel repeats it a second later.

The test's 30 rounds now run ten at a time, since each takes a second longer; callers, rounds and the check are the same.

--- a/crates/wire/src/accept.rs
+++ b/crates/wire/src/accept.rs
@@ -6,12 +6,16 @@
 
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
+use socket2::{SockFilter, SockRef};
 
 use crate::runtime;
 use crate::shutdown::Shutdown;
 
 /// Accept fails without pause when file descriptors have run out.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// Time for handshakes that began before new ones were refused; several round trips between data
+/// centres.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
 
 /// Runs `serve` for each connection until the signal, and returns once all connections have ended.
 pub(crate) async fn run<F: Future<Output = ()> + Send + 'static>(
@@ -19,14 +23,34 @@
     shutdown: Shutdown,
     serve: impl Fn(TcpStream, SocketAddr) -> F,
 ) {
-    let mut connections: Vec<smol::Task<()>> = Vec::new();
+    let mut connections = Vec::new();
+    accept_until(&listener, shutdown.wait(), &serve, &mut connections).await;
+    // The kernel resets connections that it completes between the last accept and the close, and
+    // their callers cannot know whether a request that they sent has run.
+    if let Err(error) = reject_handshakes(&listener) {
+        tracing::warn!(event = "handshakes_not_rejected", %error);
+    }
+    accept_until(&listener, runtime::sleep(HANDSHAKE_TIME), &serve, &mut connections).await;
+    drop(listener);
+    for task in connections {
+        task.await;
+    }
+}
+
+async fn accept_until<F: Future<Output = ()> + Send + 'static>(
+    listener: &TcpListener,
+    end: impl Future<Output = ()>,
+    serve: &impl Fn(TcpStream, SocketAddr) -> F,
+    connections: &mut Vec<smol::Task<()>>,
+) {
+    let mut end = std::pin::pin!(end);
     loop {
         let accepted = future::or(async { Some(listener.accept().await) }, async {
-            shutdown.wait().await;
+            end.as_mut().await;
             None
         });
         match accepted.await {
-            None => break,
+            None => return,
             Some(Err(error)) => {
                 tracing::warn!(event = "accept_failed", %error);
                 runtime::sleep(FAILURE_PAUSE).await;
@@ -37,13 +61,21 @@
             }
         }
     }
-    // Connections that the kernel has completed are still served. While the listener was open,
-    // later ones would wait in its queue and never be answered.
-    while let Some(Ok((stream, peer))) = future::poll_once(listener.accept()).await {
-        connections.push(runtime::spawn(serve(stream, peer)));
-    }
-    drop(listener);
-    for task in connections {
-        task.await;
-    }
+}
+
+/// Drops packets that open a connection. Their senders repeat them after a second and are refused
+/// then, since the listener is closed.
+fn reject_handshakes(listener: &TcpListener) -> std::io::Result<()> {
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_SET: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    const FLAGS_OFFSET: u32 = 13;
+    const RST_OR_ACK: u32 = 0x14;
+    let filter = [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(JUMP_IF_SET, 0, 1, RST_OR_ACK),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+        SockFilter::new(RETURN, 0, 0, 0),
+    ];
+    SockRef::from(listener).attach_filter(&filter)
 }
--- a/crates/wire/tests/http_server.rs
+++ b/crates/wire/tests/http_server.rs
@@ -1,5 +1,7 @@
 //! Shutdown of the HTTP server.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +15,11 @@
 use peridotfold_wire::shutdown;
 
 const ROUNDS: usize = 30;
+/// Rounds at the same time: in each, callers wait a second for their last connection to be refused.
+const PARALLEL: usize = 10;
+const CONNECTING_ROUNDS: usize = 10;
 const CLIENTS: usize = 16;
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 const LIMIT: Duration = Duration::from_secs(10);
 
 struct Pages;
@@ -25,7 +31,7 @@
 }
 
 /// Sends requests until the server is gone; returns the first error.
-async fn send_all(client: HttpClient, address: std::net::SocketAddr) -> WireError {
+async fn send_all(client: HttpClient, address: SocketAddr) -> WireError {
     loop {
         if let Err(error) = client.simple(address, Method::GET, "/", "", LIMIT).await {
             return error;
@@ -33,32 +39,85 @@
     }
 }
 
+/// Stops a server that is under load; returns the errors of requests that may have run.
+async fn cut_by_shutdown() -> Vec<String> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(any).await.expect("server");
+    let address = server.address();
+    let (trigger, stop) = shutdown::channel();
+    let serving = runtime::spawn(server.serve(Arc::new(Pages), stop));
+    let client = HttpClient::default();
+    let clients: Vec<_> =
+        (0..CLIENTS).map(|_| runtime::spawn(send_all(client.clone(), address))).collect();
+    client.simple(address, Method::GET, "/", "", LIMIT).await.expect("an answer");
+    trigger.fire();
+    let mut cut = Vec::new();
+    for sender in clients {
+        let error = sender.await;
+        if !error.is_not_sent() {
+            cut.push(error.to_string());
+        }
+    }
+    serving.await;
+    cut
+}
+
 /// Guards against a shutdown that closes a connection on which a request has just been sent: its
-/// caller could not know whether the request ran.
+/// caller could not know whether the request ran. The same holds for a connection that the kernel
+/// completes just before the listener is closed.
 #[test]
 fn a_shutdown_under_load_cuts_no_request() {
     runtime::start_threads(4);
     smol::block_on(async {
         let mut cut = Vec::new();
-        for _ in 0..ROUNDS {
-            let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        for _ in 0..ROUNDS / PARALLEL {
+            let rounds: Vec<_> = (0..PARALLEL).map(|_| runtime::spawn(cut_by_shutdown())).collect();
+            for round in rounds {
+                cut.extend(round.await);
+            }
+        }
+        assert!(cut.is_empty(), "{} requests were cut: {:?}", cut.len(), cut.first());
+    });
+}
+
+/// Opens a connection for each request until the server refuses one; returns how many of those
+/// that were opened got no answer.
+fn unanswered(address: SocketAddr) -> usize {
+    let mut count = 0;
+    while let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_LIMIT) {
+        let request = b"GET / HTTP/1.1\r\nhost: pages\r\nconnection: close\r\n\r\n";
+        let mut answer = Vec::new();
+        let whole = stream.write_all(request).and_then(|()| stream.read_to_end(&mut answer));
+        if whole.is_err() || answer.is_empty() {
+            count += 1;
+        }
+    }
+    count
+}
+
+/// Guards against a listener that is closed while the kernel still completes handshakes: it would
+/// reset their connections after the callers have sent their requests.
+#[test]
+fn a_shutdown_answers_each_connection_that_was_opened() {
+    runtime::start_threads(4);
+    smol::block_on(async {
+        for _ in 0..CONNECTING_ROUNDS {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
             let server = HttpServer::bind(any).await.expect("server");
             let address = server.address();
             let (trigger, stop) = shutdown::channel();
             let serving = runtime::spawn(server.serve(Arc::new(Pages), stop));
-            let client = HttpClient::default();
-            let clients: Vec<_> =
-                (0..CLIENTS).map(|_| runtime::spawn(send_all(client.clone(), address))).collect();
-            client.simple(address, Method::GET, "/", "", LIMIT).await.expect("an answer");
+            let callers: Vec<_> =
+                (0..CLIENTS).map(|_| std::thread::spawn(move || unanswered(address))).collect();
+            HttpClient::default()
+                .simple(address, Method::GET, "/", "", LIMIT)
+                .await
+                .expect("an answer");
             trigger.fire();
-            for sender in clients {
-                let error = sender.await;
-                if !error.is_not_sent() {
-                    cut.push(error.to_string());
-                }
-            }
             serving.await;
+            for caller in callers {
+                assert_eq!(caller.join().expect("a caller"), 0, "connections without an answer");
+            }
         }
-        assert!(cut.is_empty(), "{} requests were cut: {:?}", cut.len(), cut.first());
     });
 }
