--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -1,14 +1,16 @@
 //! An agent whose answer is chosen by the request path.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use parking_lot::Mutex;
 use peridotfold_core::message::announce::{AgentState, Announce, AnnounceReply, ServiceLoad};
 use peridotfold_core::message::request::{
-    BodyFrame, Cancel, CancelReply, RefuseReason, RequestHead, ResponseHead,
+    BodyFrame, Cancel, CancelReply, RefuseReason, RequestHead, RequestId, ResponseHead,
 };
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::peer::{FrameReceiver, FrameSender, Peers};
@@ -23,11 +25,15 @@
 pub struct Log {
     pub heads: Vec<RequestHead>,
     pub cancels: u32,
+    /// Requests whose cancellation was answered with the proof that they were not started.
+    refused: BTreeSet<RequestId>,
 }
 
 /// A running agent. It stops to announce and to accept when dropped.
 pub struct Agent {
     pub log: Arc<Mutex<Log>>,
+    pub address: SocketAddr,
+    pub incarnation: u64,
     _stop: Trigger,
 }
 
@@ -61,7 +67,7 @@
             let announce = announce(name, incarnation, address);
             runtime::spawn(announcing(announce, entry.to_string(), stop.clone())).detach();
         }
-        Agent { log, _stop: trigger }
+        Agent { log, address, incarnation, _stop: trigger }
     }
 
     pub fn received(&self) -> usize {
@@ -105,16 +111,39 @@
     }
 }
 
+impl Answers {
+    fn cancel(&self, cancel: Option<Cancel>) -> CancelReply {
+        let mut log = self.log.lock();
+        log.cancels += 1;
+        match cancel {
+            Some(cancel) if self.proving => {
+                log.refused.insert(cancel.id);
+                CancelReply::NotStarted
+            }
+            _ => CancelReply::Running,
+        }
+    }
+}
+
 impl Handler for Answers {
     async fn handle(&self, stream: Stream) -> Result<(), WireError> {
         let Stream { kind, mut receiver, responder } = stream;
-        if kind == "cancel" {
-            let _: Option<Cancel> = receiver.next().await?;
-            self.log.lock().cancels += 1;
-            let reply = if self.proving { CancelReply::NotStarted } else { CancelReply::Running };
-            return responder.reply(&reply).await;
+        let head = match kind.as_str() {
+            "request" => receiver.next::<RequestHead>().await?,
+            "cancel" => {
+                let cancel: Option<Cancel> = receiver.next().await?;
+                return responder.reply(&self.cancel(cancel)).await;
+            }
+            kind => {
+                return responder.refuse(StatusCode::NOT_FOUND, format!("unknown kind {kind}"));
+            }
+        };
+        let Some(head) = head else { return Ok(()) };
+        if self.log.lock().refused.contains(&head.id) {
+            let retry_after = Duration::ZERO;
+            let reason = RefuseReason::Duplicate;
+            return responder.reply(&ResponseHead::NotRun { reason, retry_after }).await;
         }
-        let Some(head) = receiver.next::<RequestHead>().await? else { return Ok(()) };
         self.log.lock().heads.push(head.clone());
         if self.refusing {
             let retry_after = Duration::from_millis(1_500);
--- a/crates/entry/tests/support/common.rs
+++ b/crates/entry/tests/support/common.rs
@@ -22,7 +22,7 @@
 use peridotfold_wire::shutdown::{self, Trigger};
 
 /// Most time that a test waits for a condition.
-const WAIT: Duration = Duration::from_secs(30);
+pub const WAIT: Duration = Duration::from_secs(30);
 const LIMIT: Duration = Duration::from_secs(10);
 pub const OPERATOR: &str = "operator-token";
 /// SHA-256 of [`OPERATOR`].
