Report rejected requests with a key as unknown

Cause: a request that was rejected for its own faults (400, 401, 403, 404) carried "not-run" also when it had an idempotency key. An earlier request with the same key may have run, and a caller that repeats it with a wrong header was told that it had not.

Ruled out: asking the other entries first, as for other refusals. A caller without a credential could then make each entry probe all others.

Change: such a rejection keeps its status and tells "unknown". Keys that no entry accepts (empty, too long) are still "not-run".

--- a/crates/entry/src/proxy/call.rs
+++ b/crates/entry/src/proxy/call.rs
@@ -21,6 +21,8 @@
 /// Path prefix of callers' requests.
 pub const PREFIX: &str = "/s/";
 const KEY_LIMIT: usize = 256;
+/// The entry cannot ask others yet whether they have dispatched the key.
+const NO_CONFIG: &str = "no configuration yet; an earlier request with this key may have run";
 /// Longest deadline that is accepted, so that time arithmetic cannot overflow.
 const TIMEOUT_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
@@ -44,18 +46,28 @@
     ///
     /// # Errors
     ///
-    /// Returns the response that rejects the request.
+    /// Returns the response that rejects the request. It tells that the request was not run, unless
+    /// the request has a key: an earlier request with that key may have run.
     pub fn check<S: Store>(
         context: &Arc<Context<S>>,
         parts: &Parts,
         trace: TraceContext,
+    ) -> Result<Call, Box<Response<Body>>> {
+        Call::check_parts(context, parts, trace).map_err(|response| match has_key(parts) {
+            true => Box::new(reply::with_unknown_outcome(*response)),
+            false => response,
+        })
+    }
+
+    fn check_parts<S: Store>(
+        context: &Arc<Context<S>>,
+        parts: &Parts,
+        trace: TraceContext,
     ) -> Result<Call, Box<Response<Body>>> {
         let Some(current) = context.current() else {
             let wait = Duration::from_secs(1);
-            // The key may have run through another entry, which cannot be asked yet.
-            let error = "no configuration yet; an earlier request with this key may have run";
-            return Err(Box::new(match parts.headers.contains_key(headers::KEY) {
-                true => reply::unknown(StatusCode::BAD_GATEWAY, reply::ErrorText::new(error)),
+            return Err(Box::new(match has_key(parts) {
+                true => reply::unknown(StatusCode::BAD_GATEWAY, reply::ErrorText::new(NO_CONFIG)),
                 false => reply::not_run(RefuseReason::NoConfig, wait),
             }));
         };
@@ -142,6 +154,10 @@
     }
 }
 
+fn has_key(parts: &Parts) -> bool {
+    parts.headers.get(headers::KEY).is_some_and(|key| (1..=KEY_LIMIT).contains(&key.len()))
+}
+
 fn key(parts: &Parts, team: Option<&str>) -> Result<Option<Bytes>, Box<Response<Body>>> {
     let Some(value) = parts.headers.get(headers::KEY) else { return Ok(None) };
     if value.is_empty() || value.len() > KEY_LIMIT {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -79,7 +79,11 @@
 
 /// Returns the outcome of a request that may have run.
 pub fn unknown(status: StatusCode, error: ErrorText) -> Response<Body> {
-    let mut response = json(status, &error);
+    with_unknown_outcome(json(status, &error))
+}
+
+/// Returns the rejection of a request whose key may have run with an earlier request.
+pub fn with_unknown_outcome(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static("unknown"));
     response
 }
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -47,8 +47,8 @@
     });
 }
 
-/// Guards against callers that use a service without its credential, and against `run` claims for
-/// requests that were rejected.
+/// Guards against callers that use a service without its credential, and against outcomes that are
+/// not certain: a rejected request was not run, but its key may have been.
 #[test]
 fn requests_without_credential_are_rejected() {
     run(async {
@@ -68,6 +68,23 @@
             assert_eq!(response.status(), status, "{path}");
             assert_eq!(outcome(&response), "not-run", "{path}");
         }
+        // An earlier request with the same key may have run, with other headers or before a change
+        // of the configuration.
+        let key = ("idempotency-key", "bid-1");
+        let cases: [(&str, Headers<'_>, u16); 4] = [
+            ("/s/closed/x", &[key], 401),
+            ("/s/closed/x", &[key, wrong[0]], 401),
+            ("/s/absent/x", &[key], 404),
+            ("/s/open/x", &[key, ("request-timeout-ms", "0")], 400),
+        ];
+        for (path, headers, status) in cases {
+            let response = entry.get(path, headers).await.expect("an answer");
+            assert_eq!(
+                (response.status().as_u16(), outcome(&response)),
+                (status, "unknown"),
+                "{path}"
+            );
+        }
         let response = entry.get("/v1/config", &[("authorization", "Bearer team-token")]).await;
         assert_eq!(response.expect("an answer").status(), 403);
         entry.stop().await;
