Say why a key is unknown

Cause: the log line request_unknown and the error of the response had one text for all keys that are not dispatched, so a demo with unknown bids could not be traced. Ruled out: a log line of its own for each key; request_unknown has the trace of the request already. Conclusion: Gate::unknown_cause names the first reason that holds, and the error carries it.

--- a/crates/core/src/keys/gate.rs
+++ b/crates/core/src/keys/gate.rs
@@ -244,6 +244,26 @@
             && current.iter().all(|w| w.complete && (is_self(w) || denies(w)))
     }
 
+    /// Tells why a key is `unknown`, for logs and error messages.
+    pub fn unknown_cause(&self, now: Time, service: &str, key: &Bytes) -> &'static str {
+        let Some(open) = self.open(now, service, key) else {
+            return match self.dispatched.get(service, key) {
+                Some(_) => "dispatched before, and its bucket is closed",
+                None => "its bucket is closed, and not all entries deny it",
+            };
+        };
+        let lacks = |w: &Witness| self.clears(service, open.generation, w, key).is_none();
+        match () {
+            () if self.dispatched.get(service, key).is_some() => "dispatched before",
+            () if self.lists.contains(service, key) => "dispatched by another entry before",
+            () if open.witnesses.iter().any(|w| !w.complete) => {
+                "an entry restarted without its list of keys"
+            }
+            () if open.witnesses.iter().any(lacks) => "the list of keys of an entry is lacking",
+            () => "its holder is gone, and not all entries deny it",
+        }
+    }
+
     /// Lists what is lacking of the lists of the moves that matter, to be fetched from the witness
     /// itself or from another entry that holds its list.
     pub fn lacking(&self, now: Time) -> Vec<KeyListRequest> {
--- a/crates/entry/src/proxy/keyed.rs
+++ b/crates/entry/src/proxy/keyed.rs
@@ -48,7 +48,7 @@
     };
     let holder = match decision {
         Decision::Dispatch(holder) => holder,
-        Decision::Unknown => return (never_again(), None),
+        Decision::Unknown => return (never_again(context, call, key), None),
         // A probe is asked once; a second request for one means that the map changed meanwhile.
         Decision::Refuse | Decision::Probe { .. } => {
             return (confirm(context, call, key, unavailable()).await, None);
@@ -94,9 +94,10 @@
     let results = probe(context, &call.service, key, witnesses.clone(), CONFIRM_LIMIT).await;
     let now = runtime::now();
     let current = (listed, &witnesses[..]);
-    match context.keys.lock().confirm(now, &call.service, key, current, &results) {
+    let is_denied = context.keys.lock().confirm(now, &call.service, key, current, &results);
+    match is_denied {
         true => refusal,
-        false => never_again(),
+        false => never_again(context, call, key),
     }
 }
 
@@ -178,7 +179,8 @@
     Outcome::NotRun { reason, retry_after: RETRY_AFTER, reached: false }
 }
 
-fn never_again() -> Outcome {
-    let error = "an earlier request with this key may have run; this one was not run";
+fn never_again<S: Store>(context: &Arc<Context<S>>, call: &Call, key: &Bytes) -> Outcome {
+    let cause = context.keys.lock().unknown_cause(runtime::now(), &call.service, key);
+    let error = format!("an earlier request with this key may have run; this one was not: {cause}");
     Outcome::Unknown { status: StatusCode::BAD_GATEWAY, error: ErrorText::new(error) }
 }
