Acknowledge a move only when another entry has the list of keys

Cause: nothing tied the opening of a move to the lists. An entry that was asked for its list before it had adopted the move was asked again after up to 2 s, so its death shortly after the opening could lose the list and leave all new keys of the moved buckets unknown for 10 min. Ruled out: to let the mover wait for all lists (one more round of the store for each move); to send lists instead of fetching them (the receiver may not have adopted the move yet). Now an entry acknowledges when another one has its list or had 1 s to fetch it, and a request for an entry's own list lets it ask again at once. Conclusion: a move opens up to 1 s later when no other entry can fetch a list.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -33,6 +33,10 @@
 /// calls and of probes, and by clock rates.
 pub const JOIN_WAIT: Duration = Duration::from_secs(8);
 
+/// Time for which an entry holds back the acknowledgement of a move until another entry has its
+/// list. Bounds the delay of a move when no other entry can fetch it.
+pub const COPY_LIMIT: Duration = Duration::from_secs(1);
+
 /// Index of a bucket.
 pub type BucketIndex = usize;
 /// Number of a change of a key map; rises with each move.
--- a/crates/core/src/keys/gate.rs
+++ b/crates/core/src/keys/gate.rs
@@ -8,8 +8,8 @@
 use crate::id::{EntryId, Incarnation, ServiceId};
 use crate::keys::lists::{self, KeyHash, Lists};
 use crate::keys::{
-    bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, JOIN_WAIT,
-    LIST_LIMIT, RETENTION,
+    bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, COPY_LIMIT,
+    JOIN_WAIT, LIST_LIMIT, RETENTION,
 };
 use crate::message::entry::{KeyListReply, KeyListRequest, ProbeReply};
 use crate::time::{self, Time};
@@ -37,6 +37,12 @@
     map: KeyMap,
     /// When this entry first saw each current move open.
     opened: BTreeMap<Generation, Time>,
+    /// Generation up to which this entry acknowledged moves before it adopted `map`.
+    acknowledged: Generation,
+    /// When the first generation after `acknowledged` was adopted.
+    since: Time,
+    /// Generation up to which another entry has fetched this entry's list.
+    copied: Generation,
 }
 
 #[derive(Debug)]
@@ -125,6 +131,24 @@
         self.maps.iter().map(|(service, a)| (service.clone(), a.map.generation)).collect()
     }
 
+    /// Returns the generation of each service up to which this entry acknowledges moves: it has
+    /// adopted the move, and another entry holds its list or had [`COPY_LIMIT`] to fetch it. A
+    /// move that opens before that loses the list with this entry.
+    pub fn acknowledged(&self, now: Time) -> BTreeMap<ServiceId, Generation> {
+        let own = (self.entry.as_str(), self.incarnation);
+        self.maps.iter().map(|(service, a)| (service.clone(), a.acknowledged(now, own))).collect()
+    }
+
+    /// Notes that another entry has fetched a list as a whole. The list that the request names is
+    /// this entry's, or the note has no effect.
+    pub fn note_copied(&mut self, request: &KeyListRequest) {
+        if (&request.entry, request.incarnation) == (&self.entry, self.incarnation) {
+            if let Some(adopted) = self.maps.get_mut(&request.service) {
+                adopted.copied = adopted.copied.max(request.generation);
+            }
+        }
+    }
+
     /// Returns the adopted map of a service.
     pub fn map(&self, service: &str) -> Option<&KeyMap> {
         self.maps.get(service).map(|adopted| &adopted.map)
@@ -348,7 +372,7 @@
 
     fn replace(&mut self, now: Time, service: ServiceId, map: KeyMap) {
         let adopted = self.maps.entry(service.clone()).or_default();
-        adopted.replace(now, map);
+        adopted.replace(now, map, (&self.entry, self.incarnation));
         let moves = &adopted.map.moves;
         self.lists.retain(&service, |generation| moves.contains_key(&generation));
     }
@@ -410,10 +434,29 @@
 }
 
 impl Adopted {
-    fn replace(&mut self, now: Time, map: KeyMap) {
+    fn acknowledged(&self, now: Time, (entry, incarnation): (&str, Incarnation)) -> Generation {
+        let generation = self.map.generation;
+        let witnesses = self.map.moves.get(&generation).map_or(&[][..], Vec::as_slice);
+        // Nobody fetches the list of a witness whose table is not complete.
+        let listed = witnesses
+            .iter()
+            .any(|w| w.entry == entry && w.incarnation == incarnation && w.complete)
+            && witnesses.iter().any(|w| w.entry != entry);
+        let waited = now.saturating_sub(self.since) >= COPY_LIMIT;
+        match !listed || self.copied >= generation || waited {
+            true => generation,
+            false => self.acknowledged,
+        }
+    }
+
+    fn replace(&mut self, now: Time, map: KeyMap, own: (&str, Incarnation)) {
         if map.generation < self.map.generation {
             return;
         }
+        let acknowledged = self.acknowledged(now, own);
+        if map.generation > self.map.generation && acknowledged == self.map.generation {
+            (self.acknowledged, self.since) = (acknowledged, now);
+        }
         self.map = map;
         let map = &self.map;
         self.opened.retain(|generation, _| map.moves.contains_key(generation));
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -45,6 +45,17 @@
     assert_eq!(closed, 0);
 }
 
+/// Guards against new keys that are `unknown` for the whole retention because an entry was killed
+/// as soon as a move was open, before another entry had its list of keys.
+#[test]
+fn new_keys_are_dispatched_when_an_entry_is_killed_as_a_move_opens() {
+    schedules::run(SCHEDULES / 2, |seed| {
+        let closed = World::new(seed).run_killed_at_open();
+        assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
+        0
+    });
+}
+
 /// Guards against a restarted entry that moves the buckets of live holders which have not found it
 /// yet: the keys of these buckets are then `unknown`, since its predecessor's list is lost.
 #[test]
--- a/crates/core/tests/keys_world/entry.rs
+++ b/crates/core/tests/keys_world/entry.rs
@@ -190,7 +190,7 @@
             http: String::new(),
             internal: String::new(),
             data_centre: String::new(),
-            adopted: self.gate.generations(),
+            adopted: self.gate.acknowledged(now),
             complete: self.predecessor.is_none() || now - self.started >= lease_wait(RETENTION),
             predecessor: self.predecessor,
             joined: self.gate.is_joined(now),
--- a/crates/core/tests/keys_world/world.rs
+++ b/crates/core/tests/keys_world/world.rs
@@ -205,6 +205,38 @@
         self.count_closed("new")
     }
 
+    /// Restarts an agent, and then an entry at the moment at which the buckets are open again.
+    /// Returns how many new keys each entry may not dispatch afterwards.
+    pub fn run_killed_at_open(&mut self) -> usize {
+        (self.calm, self.pace) = (true, 100);
+        while !self.is_open() {
+            self.step();
+        }
+        let (agent, victim) = (self.rng.usize(0..AGENTS), self.rng.usize(0..ENTRIES));
+        self.agents[agent].holder.incarnation = self.rng.u64(1..);
+        let generation = self.store.map.1.generation;
+        let mut next = self.now;
+        // Rounds that follow each other at once, as while a move is in progress.
+        self.pace = 10;
+        while self.store.map.1.generation == generation || self.store.map.1.is_moving() {
+            self.step();
+            // Processes look for what is lacking at least each 100 ms after a move has begun.
+            if self.now >= next {
+                self.fetch_all();
+                next = self.now + Duration::from_millis(self.rng.u64(50..300));
+            }
+        }
+        self.pace = 100;
+        self.entries[victim] = Entry::new(victim, self.rng.u64(1..), self.now, AGENTS);
+        let end = self.now + HOLD;
+        while self.now < end {
+            self.step();
+            self.fetch_all();
+        }
+        assert!(self.is_open(), "seed {}: buckets are still closed", self.seed);
+        self.count_closed("new")
+    }
+
     /// Restarts an entry that agents find one after the other, within 8 s, as they hear of its
     /// address from other entries. Returns how often buckets moved.
     pub fn run_found_late(&mut self) -> u64 {
@@ -238,6 +270,21 @@
         closed
     }
 
+    /// Lets each entry fetch what it lacks from each other entry.
+    fn fetch_all(&mut self) {
+        for (entry, asked) in (0..ENTRIES).flat_map(|e| (0..ENTRIES).map(move |a| (e, a))) {
+            for mut request in self.entries[entry].wanted(self.now) {
+                // A second page is never needed: a schedule has few keys.
+                request.after = None;
+                let reply = self.entries[asked].gate.list(&request);
+                if matches!(reply, KeyListReply::Page { more: false, .. }) {
+                    self.entries[asked].gate.note_copied(&request);
+                }
+                self.entries[entry].take(&request, reply);
+            }
+        }
+    }
+
     fn set_store(&mut self, reachable: bool) {
         for entry in &mut self.entries {
             entry.reaches_store = reachable;
@@ -430,6 +477,9 @@
         let source = &self.entries[asked];
         if source.up && source.reaches_entries && self.entries[entry].reaches_entries {
             let reply = cut(source.gate.list(&request), self.rng.usize(1..4));
+            if matches!(reply, KeyListReply::Page { more: false, .. }) {
+                self.entries[asked].gate.note_copied(&request);
+            }
             self.entries[entry].take(&request, reply);
         }
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -59,6 +59,8 @@
     pub fetched: smol::lock::Mutex<Option<Time>>,
     /// Asks for a round of heartbeat and key maps before the next one is due.
     pub early_round: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    /// Asks for what is lacking of the lists of moves before the next try is due.
+    pub early_fetch: (async_channel::Sender<()>, async_channel::Receiver<()>),
     numbers: AtomicU64,
     stopping: AtomicBool,
     /// Given when endless responses have to end, some time after the start of a shutdown.
@@ -93,6 +95,7 @@
             contact: AtomicU64::new(0),
             fetched: smol::lock::Mutex::new(None),
             early_round: async_channel::bounded(1),
+            early_fetch: async_channel::bounded(1),
             numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             drained,
--- a/crates/entry/src/internal.rs
+++ b/crates/entry/src/internal.rs
@@ -6,7 +6,7 @@
 use peridotfold_core::homes;
 use peridotfold_core::message::announce::{Announce, AnnounceReply, Relay};
 use peridotfold_core::message::entry::{
-    ConfigReply, ConfigRequest, Forward, KeyListRequest, Probe,
+    ConfigReply, ConfigRequest, Forward, KeyListReply, KeyListRequest, Probe,
 };
 use peridotfold_core::message::report::Report;
 use peridotfold_store::Store;
@@ -57,14 +57,7 @@
             }
             "keylist" => {
                 let request: KeyListRequest = first(&mut receiver).await?;
-                let (reply, adopted) = {
-                    let keys = self.context.keys.lock();
-                    (keys.list(&request), keys.map(&request.service).map_or(0, |m| m.generation))
-                };
-                // The sender knows of a move that this entry has not seen yet.
-                if adopted < request.generation {
-                    self.context.request_round();
-                }
+                let reply = self.list(&request);
                 responder.reply(&reply).await
             }
             "config" => {
@@ -122,6 +115,25 @@
 }
 
 impl<S: Store> Internal<S> {
+    fn list(&self, request: &KeyListRequest) -> KeyListReply {
+        let now = runtime::now();
+        let mut keys = self.context.keys.lock();
+        let reply = keys.list(request);
+        if matches!(reply, KeyListReply::Page { more: false, .. }) {
+            keys.note_copied(request);
+        }
+        // The sender has adopted a move that this entry has not seen yet.
+        if keys.map(&request.service).is_none_or(|map| map.generation < request.generation) {
+            self.context.request_round();
+        }
+        // The sender's own list is final now. Without this, an entry that had asked for it too
+        // early waited up to 2 s for its next try, and the sender's death in between lost the list.
+        if keys.lacking(now).iter().any(|lacking| lacking.generation == request.generation) {
+            let _ = self.context.early_fetch.0.try_send(());
+        }
+        reply
+    }
+
     fn take_relayed(&self, relay: Relay) {
         let now = runtime::now();
         let mut upstreams = self.context.upstreams.lock();
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -21,10 +21,33 @@
 /// Time allowed for one page.
 const PAGE_TIME: Duration = Duration::from_millis(500);
 
+enum Wake {
+    Due,
+    /// Another entry has adopted a move.
+    Early,
+    Shutdown,
+}
+
 /// Fetches lists until the signal.
 pub async fn run<S: Store>(context: Arc<Context<S>>, shutdown: Shutdown) {
     let (mut pause, mut before) = (PERIOD, Vec::new());
-    while !runtime::sleep_or_shutdown(pause, &shutdown).await {
+    loop {
+        let early = async {
+            runtime::sleep(PERIOD).await;
+            let _ = context.early_fetch.1.recv().await;
+            Wake::Early
+        };
+        let due = async {
+            match runtime::sleep_or_shutdown(pause, &shutdown).await {
+                true => Wake::Shutdown,
+                false => Wake::Due,
+            }
+        };
+        match future::or(due, early).await {
+            Wake::Shutdown => return,
+            Wake::Early => before.clear(),
+            Wake::Due => {}
+        }
         let lacking = context.keys.lock().lacking(runtime::now());
         if !lacking.is_empty() {
             future::or(fetch(&context), shutdown.wait()).await;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -22,6 +22,9 @@
 const KEY_MAPS: &str = "keymap/";
 /// Tries of the last heartbeat at shutdown.
 const LAST_TRIES: usize = 3;
+/// Time between two looks at whether another entry has fetched this entry's list. The wait ends
+/// with `keys::COPY_LIMIT`.
+const COPY_POLL: Duration = Duration::from_millis(10);
 
 /// A key map with its version in the store.
 type StoredMap = (ServiceId, u64, KeyMap);
@@ -61,7 +64,10 @@
         loop {
             let start = runtime::now();
             let period = match self.round().await {
-                Ok(true) => Duration::ZERO,
+                Ok(true) => {
+                    self.wait_copied().await;
+                    Duration::ZERO
+                }
                 Ok(false) => HEARTBEAT,
                 Err(error) => {
                     tracing::warn!(event = "heartbeat_failed", %error);
@@ -89,6 +95,22 @@
         future::or(runtime::sleep_or_shutdown(pause, shutdown), early).await
     }
 
+    /// Waits until this entry may acknowledge the moves that it has adopted, so that the next
+    /// heartbeat does.
+    async fn wait_copied(&self) {
+        loop {
+            let now = runtime::now();
+            let is_copied = {
+                let keys = self.context.keys.lock();
+                keys.acknowledged(now) == keys.generations()
+            };
+            if is_copied {
+                return;
+            }
+            runtime::sleep(COPY_POLL).await;
+        }
+    }
+
     /// Tells the other entries that this one has ended and dispatches nothing more.
     pub async fn write_last(&mut self) {
         for _ in 0..LAST_TRIES {
@@ -177,7 +199,8 @@
         };
         let (adopted, joined) = {
             let keys = context.keys.lock();
-            (keys.generations(), keys.is_joined(runtime::now()))
+            let now = runtime::now();
+            (keys.acknowledged(now), keys.is_joined(now))
         };
         EntryRecord {
             entry: context.settings.id.clone(),
