--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -45,6 +45,28 @@
     assert_eq!(closed, 0);
 }
 
+/// Guards against new keys that are `unknown` for the whole retention because an entry was killed
+/// as soon as a move was open, before another entry had its list of keys.
+#[test]
+fn new_keys_are_dispatched_when_an_entry_is_killed_as_a_move_opens() {
+    schedules::run(SCHEDULES / 2, |seed| {
+        let closed = World::new(seed).run_killed_at_open();
+        assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
+        0
+    });
+}
+
+/// Guards against a restarted entry that moves the buckets of live holders which have not found it
+/// yet: the keys of these buckets are then `unknown`, since its predecessor's list is lost.
+#[test]
+fn a_restarted_entry_moves_no_buckets_of_live_holders() {
+    schedules::run(SCHEDULES, |seed| {
+        let moves = World::new(seed).run_found_late();
+        assert_eq!(moves, 0, "seed {seed}: buckets of live holders were moved");
+        0
+    });
+}
+
 /// Guards against buckets that stay closed after all faults have ended.
 #[test]
 fn buckets_open_again_after_all_faults() {
