Let a process be reached at another address than it is bound to

Cause: an entry and an agent announce the address that they are bound to, so no test across real processes can put anything between them, and neither can address translation of a platform. Ruled out: a forwarder named in `--entries` only, since agents then use the addresses of the replies; rewriting the entries' records in the fake store, since the fake would change values. Change: `--advertise` of both processes names the address at which others reach `--internal`. Without it nothing changes.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -65,6 +65,7 @@
     batch: Batch,
     announcer: Arc<Announcer>,
     http: SocketAddr,
+    internal: SocketAddr,
     leaving: Trigger,
     close_feeds: Trigger,
     stop: Trigger,
@@ -88,12 +89,14 @@
             .await
             .wrap_err_with(|| format!("step=bind field=http address={}", settings.http))?;
         let http = pages.address();
-        let shared = Arc::new(Shared::new(settings, messages.address(), left, feeds_closed));
+        let internal = messages.address();
+        let reached_at = settings.advertise.unwrap_or(internal);
+        let shared = Arc::new(Shared::new(settings, reached_at, left, feeds_closed));
         tracing::info!(
             event = "agent_started",
             agent = shared.settings.id,
             incarnation = shared.incarnation,
-            internal = %shared.address,
+            %internal,
             %http,
         );
         let batch = Batch::new(&shared.settings, shared.incarnation, shared.peers.clone());
@@ -106,7 +109,7 @@
             runtime::spawn(announcer.clone().run(stopped.clone())),
             runtime::spawn(run_batch(batch.clone(), shared.clone(), stopped)),
         ];
-        Ok(Agent { shared, batch, announcer, http, leaving, close_feeds, stop, tasks })
+        Ok(Agent { shared, batch, announcer, http, internal, leaving, close_feeds, stop, tasks })
     }
 
     /// Address for health and metrics.
@@ -116,7 +119,7 @@
 
     /// Address for messages.
     pub fn internal(&self) -> SocketAddr {
-        self.shared.address
+        self.internal
     }
 
     /// State of the agent.
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -14,6 +14,8 @@
     pub cell: CellId,
     /// Address for messages of entries.
     pub internal: SocketAddr,
+    /// Address at which entries reach `internal`, if it is another one.
+    pub advertise: Option<SocketAddr>,
     /// Address for health and metrics.
     pub http: SocketAddr,
     /// Internal addresses of entries to begin with.
--- a/crates/agent/tests/batch/support.rs
+++ b/crates/agent/tests/batch/support.rs
@@ -174,6 +174,7 @@
             rack: "r1".into(),
             cell: "c1".into(),
             internal: any,
+            advertise: None,
             http: any,
             entries: Vec::new(),
             service: "listings".into(),
--- a/crates/agent/tests/requests/support.rs
+++ b/crates/agent/tests/requests/support.rs
@@ -193,6 +193,7 @@
             rack: "r1".into(),
             cell: "cell-1".into(),
             internal: local(),
+            advertise: None,
             http: local(),
             entries: vec![entry_address],
             service: SERVICE.into(),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -39,6 +39,7 @@
     pub settings: Settings,
     pub incarnation: Incarnation,
     pub http: SocketAddr,
+    /// Address at which agents and other entries reach this one.
     pub internal: SocketAddr,
     pub store: S,
     pub peers: Arc<Peers>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -97,8 +97,8 @@
         .wrap_err_with(|| format!("step=bind peer={}", settings.internal))?;
     ready(http.address(), internal.address());
     let (drain, drained) = shutdown::channel();
-    let context =
-        Arc::new(Context::new(settings, http.address(), internal.address(), store, drained));
+    let reached_at = settings.advertise.unwrap_or(internal.address());
+    let context = Arc::new(Context::new(settings, http.address(), reached_at, store, drained));
     // Each stage of the shutdown ends only after the one before it: requests need the cells,
     // announcements and heartbeats to the end.
     let (requests, requests_end) = shutdown::channel();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -14,6 +14,8 @@
     pub http: SocketAddr,
     /// Address for agents and other entries.
     pub internal: SocketAddr,
+    /// Address at which agents and other entries reach `internal`, if it is another one.
+    pub advertise: Option<SocketAddr>,
     pub store: SocketAddr,
     /// Internal addresses of other entries, asked for the configuration at start.
     pub peers: Vec<SocketAddr>,
--- a/crates/entry/tests/cells.rs
+++ b/crates/entry/tests/cells.rs
@@ -55,6 +55,7 @@
         data_centre: "dc".to_owned(),
         http: any,
         internal: any,
+        advertise: None,
         store: store.address(),
         peers: Vec::new(),
         operator_digest: String::new(),
--- a/crates/entry/tests/history.rs
+++ b/crates/entry/tests/history.rs
@@ -70,6 +70,7 @@
         rack: "rack-1".into(),
         cell: "cell-1".into(),
         internal: any,
+        advertise: None,
         http: any,
         entries,
         service: "open".into(),
--- a/crates/entry/tests/support/common.rs
+++ b/crates/entry/tests/support/common.rs
@@ -71,6 +71,7 @@
             data_centre: "dc-1".into(),
             http: any,
             internal: any,
+            advertise: None,
             store,
             peers,
             operator_digest: OPERATOR_DIGEST.into(),
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -27,6 +27,12 @@
         help: "Address for messages of entries, as they reach it",
         default: None,
     },
+    Opt {
+        flag: "advertise",
+        value: "IP:PORT",
+        help: "Address at which others reach --internal, if it is another one",
+        default: None,
+    },
     Opt {
         flag: "http",
         value: "IP:PORT",
@@ -81,6 +87,7 @@
         rack: values.name("rack"),
         cell: values.name("cell"),
         internal: values.address("internal"),
+        advertise: values.optional_address("advertise"),
         http: values.address("http"),
         entries: values.addresses("entries"),
         service: values.name("service"),
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -26,6 +26,12 @@
         help: "Address for agents and other entries, as they reach it",
         default: None,
     },
+    Opt {
+        flag: "advertise",
+        value: "IP:PORT",
+        help: "Address at which others reach --internal, if it is another one",
+        default: None,
+    },
     Opt {
         flag: "store",
         value: "IP:PORT",
@@ -78,6 +84,7 @@
         data_centre: values.name("data-centre"),
         http: values.address("http"),
         internal: values.address("internal"),
+        advertise: values.optional_address("advertise"),
         store: values.address("store"),
         peers: values.addresses("peers"),
         operator_digest: values.digest("operator-digest"),
--- a/src/options.rs
+++ b/src/options.rs
@@ -142,6 +142,12 @@
             .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
+    /// Returns an IP address with port, if it is given.
+    pub fn optional_address(&mut self, flag: &'static str) -> Option<SocketAddr> {
+        let value = self.raw(flag).filter(|value| !value.is_empty())?;
+        self.parsed(flag, &value, "IP:PORT", str::parse)
+    }
+
     /// Returns a comma-separated list of IP addresses with ports; empty when not given.
     pub fn addresses(&mut self, flag: &'static str) -> Vec<SocketAddr> {
         let value = self.raw(flag).unwrap_or_default();
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -87,6 +87,7 @@
         (with(role, valid, &["--id", "a/b"]), &[], vec!["--id", "a/b"]),
         (with(role, valid, &["--http", "localhost:80"]), &[], vec!["--http", "localhost:80"]),
         (with(role, valid, &["--internal", "1.2.3.4"]), &[], vec!["--internal", "1.2.3.4"]),
+        (with(role, valid, &["--advertise", "1.2.3.4"]), &[], vec!["--advertise", "1.2.3.4"]),
         (with(role, valid, &["--threads", "0"]), &[], vec!["--threads"]),
         (with(role, valid, &["--log", "x=loud"]), &[], vec!["--log"]),
         (with(role, valid, &[]), &[("PERIDOTFOLD_THREADS", "many")], vec!["PERIDOTFOLD_THREADS"]),
