Make composed fail without three rules that only single cases guarded

Cause: composed did not fail when the epoch kept with the worker's claim, the incarnation that a start is meant for, or the rule about absence in a report was removed. It lacked an owner that is replaced but still grants while one agent turns to the successor and back. The new fault `Rivalry` brings this about around the submission of a job: the reports of one VM are lost, the owner is cut off from the store, all agents report to the successor, then that VM reports to the former owner again because the successor's answers are lost, its agent restarts, or its VM is replaced. Reports also follow an answer after 1 to 200 ms in place of 100 ms, so that some are sent before the worker keeps a new epoch.

Ruled out: more of the same random faults (the sequence needs four of them within 4 s).

Checks: none changed.

--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -34,10 +34,19 @@
 #[derive(Clone)]
 enum Own {
     Vms,
-    SendReport { vm: usize, incarnation: Incarnation, sequence: u64 },
+    SendReport {
+        vm: usize,
+        incarnation: Incarnation,
+        sequence: u64,
+    },
     Answer(Answer),
-    Boot(usize),
+    /// Boots an agent that hears of the given owner, or of any.
+    Boot(usize, Option<usize>),
     Fault,
+    Rivalry,
+    CutOwner(Rivalry),
+    ToSuccessor(Rivalry),
+    ToFormer(Rivalry),
 }
 
 impl From<Answer> for Own {
@@ -46,6 +55,23 @@
     }
 }
 
+/// A replaced owner that still grants, and an agent that reports to its successor and then to it
+/// again.
+#[derive(Debug, Clone, Copy)]
+struct Rivalry {
+    vm: usize,
+    former: usize,
+    cause: Cause,
+}
+
+/// Why the agent reports to the former owner again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    AnswersLost,
+    AgentRestarted,
+    VmReplaced,
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Fault {
     KillOwner,
@@ -104,7 +130,7 @@
         let mut world = World { cell: CellWorld::new(rng, TIMING), vms };
         world.add_jobs();
         world.cell.take_over();
-        (0..VMS).for_each(|vm| world.boot(vm));
+        (0..VMS).for_each(|vm| world.boot(vm, None));
         world.after(VM_STEP, Own::Vms);
         world.add_faults();
         world
@@ -127,6 +153,10 @@
             };
             let at = cell.rng.u64(0..15_000);
             cell.add_job(job, ms(at));
+            if cell.rng.u8(0..3) == 0 {
+                let lead = cell.rng.u64(0..200).min(at);
+                cell.after(ms(at - lead), Input::World(Own::Rivalry));
+            }
             if cell.rng.u8(0..4) == 0 {
                 let at = cell.rng.u64(at..22_000);
                 cell.after(ms(at), Input::Cancel(index));
@@ -157,8 +187,16 @@
                 self.send_report(vm, incarnation, sequence);
             }
             Own::Answer(answer) => self.obey(answer),
-            Own::Boot(vm) => self.boot(vm),
+            Own::Boot(vm, owner) => self.boot(vm, owner),
             Own::Fault => self.fault(),
+            Own::Rivalry => self.begin_rivalry(),
+            Own::CutOwner(Rivalry { former, .. }) => {
+                let until = self.cell.now + ms(self.cell.rng.u64(6_000..10_000));
+                self.cell.owners[former].cut_until = until.min(FAULTS_END);
+                self.cell.after(DETECTION, Input::TakeOver);
+            }
+            Own::ToSuccessor(rivalry) => self.report_to_successor(rivalry),
+            Own::ToFormer(rivalry) => self.report_to_former(rivalry),
         }
     }
 
@@ -219,21 +257,25 @@
     fn kill_agent(&mut self, vm: usize) {
         self.vms[vm].agent = None;
         let delay = ms(self.cell.rng.u64(50..6_000));
-        self.after(delay, Own::Boot(vm));
+        self.after(delay, Own::Boot(vm, None));
     }
 
     fn kill_agent_later(&mut self, vm: usize) {
         self.vms[vm].frozen_until = self.cell.now;
         let delay = ms(self.cell.rng.u64(1_000..5_000));
-        self.after(delay, Own::Boot(vm));
+        self.after(delay, Own::Boot(vm, None));
     }
 
-    fn replace(&mut self, vm: usize) {
+    fn replace_machine(&mut self, vm: usize) {
         self.observe();
         self.vms[vm].replace(self.cell.now);
         self.observe();
+    }
+
+    fn replace(&mut self, vm: usize) {
+        self.replace_machine(vm);
         let delay = ms(self.cell.rng.u64(100..10_000));
-        self.after(delay, Own::Boot(vm));
+        self.after(delay, Own::Boot(vm, None));
     }
 
     fn observe(&mut self) {
@@ -268,10 +310,60 @@
         }
     }
 
-    fn boot(&mut self, vm: usize) {
+    /// The VM's reports are lost just before the owner is cut off from the store, so that committed
+    /// starts may not have been sent.
+    fn begin_rivalry(&mut self) {
+        let rng = &mut self.cell.rng;
+        let cause =
+            [Cause::AnswersLost, Cause::AgentRestarted, Cause::VmReplaced, Cause::VmReplaced];
+        let (vm, cause) = (rng.usize(0..VMS), cause[rng.usize(0..4)]);
+        let silent = cause == Cause::VmReplaced || rng.bool();
+        let cut = ms(rng.u64(400..1_000));
+        let to_successor = cut + DETECTION + ms(rng.u64(50..600));
+        let to_former = to_successor + ms(rng.u64(300..1_500));
+        let rivalry = Rivalry { vm, former: self.cell.newest(), cause };
+        if silent {
+            self.vms[vm].up_cut_until = self.cell.now + to_successor;
+        }
+        self.after(cut, Own::CutOwner(rivalry));
+        self.after(to_successor, Own::ToSuccessor(rivalry));
+        self.after(to_former, Own::ToFormer(rivalry));
+    }
+
+    fn report_to_successor(&mut self, rivalry: Rivalry) {
+        (0..VMS).for_each(|vm| self.redirect(vm, self.cell.newest()));
+        if rivalry.cause == Cause::AnswersLost {
+            self.vms[rivalry.vm].down_cut_until = self.cell.now + ms(1_500);
+        }
+    }
+
+    fn report_to_former(&mut self, Rivalry { vm, former, cause }: Rivalry) {
+        match cause {
+            Cause::AnswersLost => {
+                self.vms[vm].down_cut_until = self.cell.now;
+                return self.redirect(vm, former);
+            }
+            Cause::AgentRestarted => self.vms[vm].agent = None,
+            Cause::VmReplaced => self.replace_machine(vm),
+        }
+        let delay = ms(self.cell.rng.u64(50..500));
+        self.after(delay, Own::Boot(vm, Some(former)));
+    }
+
+    /// The agent of a VM hears of an owner and reports to it at once.
+    fn redirect(&mut self, vm: usize, owner: usize) {
+        if let Some(agent) = &mut self.vms[vm].agent {
+            agent.owner = owner;
+            let (incarnation, sequence) = (agent.incarnation, agent.sequence);
+            self.after(ms(1), Own::SendReport { vm, incarnation, sequence });
+        }
+    }
+
+    fn boot(&mut self, vm: usize, owner: Option<usize>) {
         let newest = self.cell.newest();
         let former = !self.cell.is_calm() && self.cell.rng.bool();
-        let owner = if former { newest.saturating_sub(1) } else { newest };
+        let any = if former { newest.saturating_sub(1) } else { newest };
+        let owner = owner.unwrap_or(any);
         let incarnation = self.cell.rng.u64(1..);
         self.vms[vm].boot(incarnation, owner);
         self.after(ms(1), Own::SendReport { vm, incarnation, sequence: 0 });
@@ -341,7 +433,9 @@
         agent.tasks.obey(clock, orders);
         agent.tasks.take_events();
         if awaited {
-            self.after(ms(100), Own::SendReport { vm, incarnation, sequence });
+            // Often before the worker has kept a new epoch.
+            let delay = if calm { 100 } else { self.cell.rng.u64(1..200) };
+            self.after(ms(delay), Own::SendReport { vm, incarnation, sequence });
         }
     }
 }
