--- a/crates/entry/tests/support/real_agent.rs
+++ b/crates/entry/tests/support/real_agent.rs
@@ -15,6 +15,7 @@
         rack: "rack-1".into(),
         cell: "cell-1".into(),
         internal: any,
+        advertise: None,
         http: any,
         entries,
         service: "open".into(),
