Add an ideal policy and the lost work to the colocation measurement

Cause: it was not known what batch work is reachable at a service latency of 1.2x, nor where the controller loses work. The ideal policy knows the true interference and chooses each second the speeds that give the most batch work within the bound.

--- a/crates/bench/src/colocation/policy.rs
+++ b/crates/bench/src/colocation/policy.rs
@@ -20,11 +20,20 @@
     /// Every second one step down above a threshold and one step up below another; evicts at the
     /// lowest step. Knows the latency without batch work at the present load.
     Thresholds,
+    /// Knows the true interference, and chooses each second the speeds that give the most batch
+    /// work within the bound. Nothing is held or evicted for the latency; no calendar.
+    Ideal,
 }
 
 impl Policy {
-    pub const ALL: [Policy; 5] =
-        [Policy::NoBatch, Policy::Ours, Policy::NoControl, Policy::Separate, Policy::Thresholds];
+    pub const ALL: [Policy; 6] = [
+        Policy::NoBatch,
+        Policy::Ours,
+        Policy::NoControl,
+        Policy::Separate,
+        Policy::Thresholds,
+        Policy::Ideal,
+    ];
 
     pub fn name(self) -> &'static str {
         match self {
@@ -33,6 +42,7 @@
             Policy::NoControl => "no control",
             Policy::Separate => "separate VMs",
             Policy::Thresholds => "thresholds",
+            Policy::Ideal => "ideal",
         }
     }
 
@@ -87,6 +97,8 @@
     Free,
     Ours(Box<Colocation>),
     Thresholds(Thresholds),
+    /// The speeds are chosen in the simulation, which knows the truth.
+    Ideal,
 }
 
 /// Speeds and held classes, and a class of which the newest task is evicted.
@@ -105,6 +117,7 @@
                 Control::Ours(Box::new(Colocation::new("service".into(), LAG, target)))
             }
             Policy::Thresholds => Control::Thresholds(Thresholds::default()),
+            Policy::Ideal => Control::Ideal,
             _ => Control::Free,
         }
     }
@@ -112,7 +125,7 @@
     /// Decides from a sample; `alone` is the latency without batch work at the present load.
     pub fn observe(&mut self, now: Duration, sample: &Sample, alone: f64) -> Orders {
         match self {
-            Control::Free => Orders::default(),
+            Control::Free | Control::Ideal => Orders::default(),
             Control::Ours(controller) => {
                 let evict = match controller.observe(now, sample) {
                     Some(Decision::Evict { class }) => Some(class),
--- a/crates/bench/src/colocation/scenario.rs
+++ b/crates/bench/src/colocation/scenario.rs
@@ -118,15 +118,21 @@
         let room = self.deployment.room().cpu_milli as f64 / 1_000.0;
         let used: f64 = cores.values().sum();
         let crowding = 0.5 + used / room;
-        let harm = cores.iter().map(|(class, cores)| {
-            let pair = self.pairs.get(class).copied().unwrap_or(Pair { harm: 0.0, shift: 0.0 });
-            pair.harm * (1.0 + pair.shift * (load - 1.0)).max(0.0) * cores / room
-        });
+        let per_core = self.harm(load);
+        let harm =
+            cores.iter().map(|(class, cores)| per_core.get(class).copied().unwrap_or(0.0) * cores);
         let vm = self.deployment.vm.cpu_milli as f64 / 1_000.0;
         let over = (used + self.service_cores(load) - vm).max(0.0) / vm;
         self.alone(load) * (1.0 + harm.sum::<f64>() * crowding + 2.0 * over)
     }
 
+    /// Slow-down of the service by one core of each class, before crowding.
+    pub fn harm(&self, load: f64) -> BTreeMap<&'static str, f64> {
+        let room = self.deployment.room().cpu_milli as f64 / 1_000.0;
+        let harm = |pair: &Pair| pair.harm * (1.0 + pair.shift * (load - 1.0)).max(0.0) / room;
+        self.pairs.iter().map(|(class, pair)| (*class, harm(pair))).collect()
+    }
+
     /// Configuration; the baselines have no calendar.
     pub fn document(&self, policy: Policy) -> Document {
         let room = self.deployment.room();
--- a/crates/bench/src/colocation/simulation.rs
+++ b/crates/bench/src/colocation/simulation.rs
@@ -9,6 +9,7 @@
 use peridotfold_core::config::Document;
 use peridotfold_core::tasks::{Identity, Tasks};
 
+use super::ideal::{self, Truth};
 use super::policy::{Control, Policy, LAG};
 use super::scenario::{wall, Scenario, CLOSING, END, VMS};
 use super::worker::Worker;
@@ -27,6 +28,9 @@
 pub struct Outcome {
     pub p99: f64,
     pub work: f64,
+    /// Work not done because of reduced speeds, and thrown away by evictions, in core seconds.
+    pub slowed: f64,
+    pub lost: f64,
     pub evictions: f64,
     /// Evictions that the control of the service's latency asked for.
     pub control_evictions: f64,
@@ -87,7 +91,8 @@
         self.speeds = speeds.clone();
     }
 
-    fn control(&mut self, now: Duration, document: &Document, alone: f64) {
+    fn control(&mut self, now: Duration, document: &Document, scenario: &Scenario, load: f64) {
+        let alone = scenario.alone(load);
         let mut limits = calendar::limits(document, "service", wall(now));
         if !self.has_service {
             limits.service = Default::default();
@@ -105,7 +110,11 @@
             load.cpu_milli += usage.cpu_milli;
         }
         let sample = Sample { latency: Duration::from_secs_f64(self.measured), classes };
-        let orders = self.control.observe(now, &sample, alone);
+        let mut orders = self.control.observe(now, &sample, alone);
+        if matches!(self.control, Control::Ideal) {
+            let truth = Truth { full: self.worker.full_cores(), harm: scenario.harm(load) };
+            orders.speeds = ideal::speeds(&truth, |cores| scenario.latency(load, cores) / alone);
+        }
         if let Some(class) = &orders.evict {
             self.control_evictions += u32::from(self.tasks.evict_newest(class));
         }
@@ -159,7 +168,6 @@
             cell.submit(spec.clone(), u64::from(step));
         }
         let load = scenario.load(now, policy);
-        let alone = scenario.alone(load);
         for vm in &mut vms {
             let service_cores = if vm.has_service { scenario.service_cores(load) } else { 0.0 };
             let room = scenario.deployment.vm.cpu_milli as f64 / 1_000.0 - service_cores;
@@ -175,7 +183,7 @@
                 }
                 let smooth = std::mem::replace(&mut vm.measured, 0.0);
                 vm.measured = smooth * noise;
-                vm.control(now, &document, alone);
+                vm.control(now, &document, scenario, load);
                 vm.measured = smooth;
             }
             if vm.has_batch {
@@ -199,6 +207,8 @@
     Outcome {
         p99: percentile(latencies, 0.99),
         work: sum(|vm| vm.worker.done),
+        slowed: sum(|vm| vm.worker.slowed),
+        lost: sum(|vm| vm.worker.lost),
         evictions: sum(|vm| f64::from(vm.worker.evictions)),
         control_evictions: sum(|vm| f64::from(vm.control_evictions)),
         reversals: sum(|vm| f64::from(vm.reversals)) / hours,
--- a/crates/bench/src/colocation/worker.rs
+++ b/crates/bench/src/colocation/worker.rs
@@ -49,6 +49,10 @@
     last: Duration,
     /// Work done and not lost, in core seconds.
     pub done: f64,
+    /// Work not done because of reduced speeds, in core seconds.
+    pub slowed: f64,
+    /// Work that evictions threw away, in core seconds.
+    pub lost: f64,
     pub evictions: u32,
     /// Attempts started since they were last taken.
     pub started: Vec<AttemptId>,
@@ -61,6 +65,8 @@
             tasks: BTreeMap::new(),
             last: Duration::ZERO,
             done: 0.0,
+            slowed: 0.0,
+            lost: 0.0,
             evictions: 0,
             started: Vec::new(),
         }
@@ -80,6 +86,16 @@
         cores
     }
 
+    /// Cores that each class would use at full speed.
+    pub fn full_cores(&self) -> BTreeMap<&str, f64> {
+        let mut cores = BTreeMap::new();
+        for task in self.tasks.values().filter(|task| task.info.outcome.is_none()) {
+            *cores.entry(task.info.class.as_str()).or_default() +=
+                task.size.cpu_milli as f64 / 1_000.0;
+        }
+        cores
+    }
+
     /// Lets the tasks work until `now`, with `room` cores left by the service.
     pub fn advance(&mut self, now: Duration, room: f64) {
         let elapsed = now.saturating_sub(self.last).as_secs_f64();
@@ -92,6 +108,8 @@
             let step = step.min(task.work_ms - task.progress_ms);
             task.progress_ms += step;
             self.done += task.core_seconds(step);
+            let unused = 1.0 - f64::from(task.info.speed_percent) / 100.0;
+            self.slowed += task.core_seconds((elapsed * 1_000.0 * unused) as u64);
             if task.progress_ms >= task.work_ms {
                 task.info.outcome = Some(WorkerOutcome::Completed);
             }
@@ -171,7 +189,9 @@
             return (Effect::Refused("not running".to_owned()), None);
         };
         let kept = task.progress_ms.saturating_sub(CHECKPOINT_LOSS_MS);
-        self.done -= task.core_seconds(task.progress_ms - kept);
+        let lost = task.core_seconds(task.progress_ms - kept);
+        self.done -= lost;
+        self.lost += lost;
         self.evictions += 1;
         let checkpoint = Some(kept.to_string());
         task.info.outcome = Some(WorkerOutcome::Stopped { checkpoint: checkpoint.clone() });
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -19,7 +19,8 @@
 Usage: peridotfold-bench <MEASUREMENT>
 
   requests    request policy beside baselines, under overload and failures
-  colocation  colocation policy beside baselines, through a closing
+  colocation  colocation policy beside baselines, through a closing; with a number of seeds, a
+              shorter trial
   recovery    time until all jobs run again after losses
   scale       cost of a placement, a heartbeat and of state, by fleet size
   path        latency that entry and agent add to a direct call
@@ -29,7 +30,7 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let result = match name.as_str() {
         "requests" => requests::run(),
-        "colocation" => colocation::run(),
+        "colocation" => colocation::run(std::env::args().nth(2).as_deref()),
         "recovery" => recovery::run(),
         "scale" => scale::run(),
         "path" => path::run(),
