Start entries and agents of tests, demo and benchmarks in one place

Cause: the command lines of entries and agents stood four times: in the demo, in the tests across processes, and in two benchmarks.

Change: standins::launch builds them from typed plans. The path benchmark uses the data centre dc-1 like the others, and the scale benchmark keeps its logs in a temporary directory until it has ended.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -5,13 +5,13 @@
 //! that other load on the machine meets both.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre, WrapErr};
 use hdrhistogram::Histogram;
 use http::{Method, Request};
+use peridotfold_standins::launch::{AgentPlan, EntryPlan, Launcher, ANY_PORT};
 use peridotfold_standins::process::Process;
 use peridotfold_standins::upstream::{Behaviour, Upstream};
 use peridotfold_standins::{store, upstream, worker};
@@ -26,7 +26,7 @@
 const OPERATOR_DIGEST: &str = "03fd7a003ed7f18212c49007c77a814c51f2eeadba6b3e077c4b7325c920fbd8";
 const PATCH: &str = r#"{
     "vm_sizes": {"standard": {"cpu_milli": 16000, "memory_mib": 61440, "accelerators": 0}},
-    "cells": {"cell": {"data_centre": "dc"}},
+    "cells": {"cell": {"data_centre": "dc-1"}},
     "services": {"listings": {"limit": {"cpu_milli": 1000, "memory_mib": 1024, "accelerators": 0}}}
 }"#;
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -55,17 +55,19 @@
     let worker = worker::Worker::start(worker::Options::default()).await?;
     let directory = std::env::temp_dir().join(format!("peridotfold-path-{}", std::process::id()));
     std::fs::create_dir_all(&directory)?;
-    let entry = start(
-        &directory,
-        "entry",
-        &["--id=e1", "--data-centre=dc"],
-        &[
-            ("--http", "127.0.0.1:0".into()),
-            ("--internal", "127.0.0.1:0".into()),
-            ("--store", store.address().to_string()),
-            ("--operator-digest", OPERATOR_DIGEST.into()),
-        ],
-    )?;
+    let program = std::env::current_exe()?.with_file_name("peridotfold");
+    ensure!(program.exists(), "build the binary first: cargo build --release -p peridotfold");
+    let launcher = Launcher { program, logs: directory.clone(), limit: READY_LIMIT };
+    let entry = launcher.entry(&EntryPlan {
+        name: "e1",
+        http: ANY_PORT,
+        internal: ANY_PORT,
+        advertise: None,
+        store: store.address(),
+        peers: &[],
+        operator_digest: OPERATOR_DIGEST,
+        flags: &[],
+    })?;
     let http = HttpClient::default();
     let begin = Instant::now();
     // The entry refuses patches until it has reached the store.
@@ -73,19 +75,18 @@
         ensure!(begin.elapsed() < READY_LIMIT, "{error}");
         runtime::sleep(Duration::from_millis(50)).await;
     }
-    let agent = start(
-        &directory,
-        "agent",
-        &["--id=a1", "--data-centre=dc", "--rack=r1", "--cell=cell"],
-        &[
-            ("--internal", "127.0.0.1:0".into()),
-            ("--http", "127.0.0.1:0".into()),
-            ("--entries", entry.internal()?.to_string()),
-            ("--service", SERVICE.into()),
-            ("--upstream", upstream.address().to_string()),
-            ("--worker", worker.address().to_string()),
-        ],
-    )?;
+    let agent = launcher.agent(&AgentPlan {
+        name: "a1",
+        rack: "r1",
+        cell: "cell",
+        internal: ANY_PORT,
+        advertise: None,
+        entries: &[entry.internal()?],
+        service: SERVICE,
+        upstream: upstream.address(),
+        worker: worker.address(),
+        flags: &[],
+    })?;
     let (direct, routed) = ("/slot/1".to_owned(), format!("/s/{SERVICE}/slot/1"));
     let direct = Route { http: http.clone(), address: upstream.address(), path: direct };
     let routed = Route { http, address: entry.http, path: routed };
@@ -203,21 +204,6 @@
     Ok(Histogram::new_with_bounds(1, 10_000_000, 3)?)
 }
 
-/// Starts a subcommand of the binary beside this one.
-fn start(
-    directory: &std::path::Path,
-    name: &str,
-    flags: &[&str],
-    options: &[(&str, String)],
-) -> eyre::Result<Process> {
-    let program: PathBuf = std::env::current_exe()?.with_file_name("peridotfold");
-    ensure!(program.exists(), "build the binary first: cargo build --release -p peridotfold");
-    let mut args = vec![name.to_owned()];
-    args.extend(flags.iter().flat_map(|flag| flag.split('=').map(str::to_owned)));
-    args.extend(options.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]));
-    Process::start(name, &program, &args, &directory.join(format!("{name}.log")))
-}
-
 async fn patch(http: &HttpClient, entry: SocketAddr) -> eyre::Result<()> {
     let request = Request::builder()
         .method(Method::PATCH)
--- a/crates/bench/src/scale/agent.rs
+++ b/crates/bench/src/scale/agent.rs
@@ -2,11 +2,12 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
+use peridotfold_standins::launch::{AgentPlan, EntryPlan, Launcher, ANY_PORT};
 use peridotfold_standins::process::Process;
 use serde_json::json;
 
@@ -15,7 +16,7 @@
 const TOKEN: &str = "operator-token";
 /// SHA-256 of [`TOKEN`].
 const DIGEST: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
-const ANY: &str = "127.0.0.1:0";
+const START_LIMIT: Duration = Duration::from_secs(10);
 const SETTLE: Duration = Duration::from_secs(8);
 const INTERVAL: Duration = Duration::from_secs(20);
 /// Unit of processor time in `/proc/<pid>/stat`.
@@ -38,61 +39,47 @@
 }
 
 fn measure(binaries: &Path, entries: usize, tasks: usize) -> eyre::Result<(f64, f64)> {
-    let log = PathBuf::from("/dev/null");
+    let logs = std::env::temp_dir().join(format!("peridotfold-scale-{}", std::process::id()));
+    std::fs::create_dir_all(&logs)?;
     let program = binaries.join("peridotfold");
+    let launcher = Launcher { program: program.clone(), logs: logs.clone(), limit: START_LIMIT };
     let standins = binaries.join("peridotfold-standins");
-    let standin =
-        |kind: &str| Process::start(kind, &standins, &words(&[kind, "--listen", ANY]), &log);
-    let store = standin("store")?;
-    let size = ["worker", "--listen", ANY, "--cpu-milli", "60000", "--memory-mib", "250000"];
-    let worker = Process::start("worker", &standins, &words(&size), &log)?;
-    let upstream = standin("upstream")?;
+    let any = ANY_PORT.to_string();
+    let standin = |kind: &str, size: &[&str]| {
+        let args = words(&[&[kind, "--listen", any.as_str()][..], size].concat());
+        Process::start(kind, &standins, &args, &launcher.log(kind))
+    };
+    let store = standin("store", &[])?;
+    let worker = standin("worker", &["--cpu-milli", "60000", "--memory-mib", "250000"])?;
+    let upstream = standin("upstream", &[])?;
     let mut running = Vec::new();
     for index in 0..entries {
         let id = format!("entry-{index}");
-        let store = store.http.to_string();
-        let args = words(&[
-            "entry",
-            "--id",
-            &id,
-            "--data-centre",
-            "dc-1",
-            "--http",
-            ANY,
-            "--internal",
-            ANY,
-            "--store",
-            &store,
-            "--operator-digest",
-            DIGEST,
-        ]);
-        running.push(Process::start(&id, &program, &args, &log)?);
+        running.push(launcher.entry(&EntryPlan {
+            name: &id,
+            http: ANY_PORT,
+            internal: ANY_PORT,
+            advertise: None,
+            store: store.http,
+            peers: &[],
+            operator_digest: DIGEST,
+            flags: &[],
+        })?);
     }
-    let internal: Vec<SocketAddr> =
+    let entries: Vec<SocketAddr> =
         running.iter().map(Process::internal).collect::<eyre::Result<_>>()?;
-    let list: Vec<String> = internal.iter().map(SocketAddr::to_string).collect();
-    let args = words(&[
-        "agent",
-        "--id",
-        "vm-1",
-        "--data-centre",
-        "dc-1",
-        "--rack",
-        "r1",
-        "--cell",
-        "central-1",
-        "--internal",
-        ANY,
-        "--entries",
-        &list.join(","),
-        "--service",
-        "listings",
-        "--upstream",
-        &upstream.http.to_string(),
-        "--worker",
-        &worker.http.to_string(),
-    ]);
-    let agent = Process::start("vm-1", &program, &args, &log)?;
+    let agent = launcher.agent(&AgentPlan {
+        name: "vm-1",
+        rack: "r1",
+        cell: "central-1",
+        internal: ANY_PORT,
+        advertise: None,
+        entries: &entries,
+        service: "listings",
+        upstream: upstream.http,
+        worker: worker.http,
+        flags: &[],
+    })?;
     if tasks > 0 {
         submit(&program, running[0].http, tasks)?;
     }
@@ -100,7 +87,9 @@
     let before = ticks(agent.id())?;
     std::thread::sleep(INTERVAL);
     let used = (ticks(agent.id())? - before) / TICKS_PER_SECOND;
-    Ok((used / INTERVAL.as_secs_f64(), resident_mb(agent.id())?))
+    let memory = resident_mb(agent.id())?;
+    std::fs::remove_dir_all(&logs)?;
+    Ok((used / INTERVAL.as_secs_f64(), memory))
 }
 
 /// Configures the cell and submits a job whose tasks outlast the measurement.
--- a/crates/standins/src/demo/cluster.rs
+++ b/crates/standins/src/demo/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 
+use crate::launch::{AgentPlan, EntryPlan, Launcher, ANY_PORT, DATA_CENTRE};
 use crate::process::Process;
 
 pub const SERVICE: &str = "listings";
@@ -20,7 +21,6 @@
 pub const TEAM: &str = "guide";
 pub const TOKEN: &str = "demo-team-token";
 pub const OPERATOR_TOKEN: &str = "demo-operator-token";
-const DATA_CENTRE: &str = "dc-1";
 /// VMs of the demo.
 pub const VMS: usize = 3;
 const ENTRIES: usize = 2;
@@ -28,7 +28,6 @@
 /// Time in which a restarted process gets its port again.
 const START_LIMIT: Duration = Duration::from_secs(5);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
-const ANY_PORT: &str = "127.0.0.1:0";
 
 /// Lengthens the closing period.
 pub const SECOND_PATCH: &str = r#"{"closings":{"year-end":{"lead_s":900}}}"#;
@@ -52,8 +51,7 @@
 /// All processes of the demo.
 #[derive(Debug)]
 pub struct Cluster {
-    program: PathBuf,
-    directory: PathBuf,
+    launcher: Launcher,
     store: Process,
     entries: Vec<Option<Process>>,
     /// Internal and HTTP addresses, kept by a restarted entry like the address of its VM.
@@ -71,7 +69,7 @@
     pub fn start(program: &Path, directory: &Path) -> eyre::Result<Self> {
         let standin = |name: &str, kind: &str| {
             let log = directory.join(format!("{name}.log"));
-            let mut args = vec![kind.to_owned(), "--listen".into(), ANY_PORT.into()];
+            let mut args = vec![kind.to_owned(), "--listen".into(), ANY_PORT.to_string()];
             if kind == "upstream" {
                 args.extend(["--base-ms".to_owned(), "5".to_owned()]);
             }
@@ -85,8 +83,11 @@
             vms.push(Vm { worker, upstream, agent: None, address: None });
         }
         let mut cluster = Cluster {
-            program: program.to_owned(),
-            directory: directory.to_owned(),
+            launcher: Launcher {
+                program: program.to_owned(),
+                logs: directory.to_owned(),
+                limit: START_LIMIT,
+            },
             store,
             entries: (0..ENTRIES).map(|_| None).collect(),
             addresses: Vec::new(),
@@ -106,17 +107,19 @@
     /// Fails when it does not listen.
     pub fn start_entry(&mut self, index: usize) -> eyre::Result<()> {
         let name = format!("entry-{}", index + 1);
-        let any: SocketAddr = ANY_PORT.parse()?;
-        let (internal, http) = self.addresses.get(index).copied().unwrap_or((any, any));
+        let (internal, http) = self.addresses.get(index).copied().unwrap_or((ANY_PORT, ANY_PORT));
         let others = self.addresses.iter().enumerate().filter(|(other, _)| *other != index);
-        let peers: Vec<String> = others.map(|(_, (internal, _))| internal.to_string()).collect();
-        let mut args = strings(&["entry", "--id", &name, "--data-centre", DATA_CENTRE]);
-        args.extend(strings(&["--http", &http.to_string(), "--internal", &internal.to_string()]));
-        args.extend(strings(&["--store", &self.store.http.to_string()]));
-        args.extend(strings(&["--peers", &peers.join(",")]));
-        args.extend(strings(&["--operator-digest", &digest(OPERATOR_TOKEN)]));
-        let log = self.directory.join(format!("{name}.log"));
-        let process = Process::start_again(&name, &self.program, &args, &log, START_LIMIT)?;
+        let peers: Vec<SocketAddr> = others.map(|(_, (internal, _))| *internal).collect();
+        let process = self.launcher.entry(&EntryPlan {
+            name: &name,
+            http,
+            internal,
+            advertise: None,
+            store: self.store.http,
+            peers: &peers,
+            operator_digest: &digest(OPERATOR_TOKEN),
+            flags: &[],
+        })?;
         let addresses = (process.internal()?, process.http);
         match self.addresses.get_mut(index) {
             Some(known) => *known = addresses,
@@ -133,17 +136,21 @@
     /// Fails when it does not listen.
     pub fn start_agent(&mut self, index: usize) -> eyre::Result<()> {
         let name = format!("vm-{}", index + 1);
-        let entries: Vec<String> = self.addresses.iter().map(|(a, _)| a.to_string()).collect();
+        let entries: Vec<SocketAddr> =
+            self.addresses.iter().map(|(internal, _)| *internal).collect();
         let vm = &mut self.vms[index];
-        let internal = vm.address.map_or(ANY_PORT.to_owned(), |address| address.to_string());
-        let mut args = strings(&["agent", "--id", &name, "--data-centre", DATA_CENTRE]);
-        args.extend(strings(&["--rack", &format!("rack-{}", index + 1), "--cell", CELL]));
-        args.extend(strings(&["--internal", &internal, "--entries", &entries.join(",")]));
-        args.extend(strings(&["--service", SERVICE, "--drain-grace", "3s"]));
-        args.extend(strings(&["--upstream", &vm.upstream.http.to_string()]));
-        args.extend(strings(&["--worker", &vm.worker.http.to_string()]));
-        let log = self.directory.join(format!("{name}.log"));
-        let process = Process::start_again(&name, &self.program, &args, &log, START_LIMIT)?;
+        let process = self.launcher.agent(&AgentPlan {
+            name: &name,
+            rack: &format!("rack-{}", index + 1),
+            cell: CELL,
+            internal: vm.address.unwrap_or(ANY_PORT),
+            advertise: None,
+            entries: &entries,
+            service: SERVICE,
+            upstream: vm.upstream.http,
+            worker: vm.worker.http,
+            flags: &["--drain-grace", "3s"],
+        })?;
         vm.address = Some(process.internal()?);
         vm.agent = Some(process);
         Ok(())
@@ -361,7 +368,7 @@
     }
 
     fn client(&self, args: &[&str], input: &str, token: &str) -> eyre::Result<Answer> {
-        let mut child = Command::new(&self.program)
+        let mut child = Command::new(&self.launcher.program)
             .args(args)
             .env("PERIDOTFOLD_ENTRY", self.addresses[1].1.to_string())
             .env("PERIDOTFOLD_TOKEN", token)
@@ -402,10 +409,6 @@
     Ok(())
 }
 
-fn strings(parts: &[&str]) -> Vec<String> {
-    parts.iter().map(|part| (*part).to_owned()).collect()
-}
-
 fn digest(token: &str) -> String {
     Sha256::digest(token).iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod forwarder;
+pub mod launch;
 pub mod load;
 pub mod process;
 pub mod store;
--- a/tests/support/common.rs
+++ b/tests/support/common.rs
@@ -6,7 +6,7 @@
 use std::future::Future;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
@@ -15,6 +15,7 @@
 use http::{Method, Request, Response};
 use peridotfold_core::resources::Resources;
 use peridotfold_standins::forwarder::Forwarder;
+use peridotfold_standins::launch::{AgentPlan, EntryPlan, Launcher, ANY_PORT, DATA_CENTRE};
 use peridotfold_standins::process::Process;
 use peridotfold_standins::store::{self, Faults, Mode, Store};
 use peridotfold_standins::upstream::{self, Upstream};
@@ -32,8 +33,6 @@
 pub const TEAM: &str = "guide";
 pub const TEAM_TOKEN: &str = "secret-of-the-team";
 pub const OPERATOR_TOKEN: &str = "secret-of-the-operators";
-const DATA_CENTRE: &str = "dc-1";
-const ANY_PORT: &str = "127.0.0.1:0";
 /// Bound on preparations, which no target bounds.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// A version is in effect everywhere within this time (design, section 1.6).
@@ -258,28 +257,21 @@
     /// Starts an entry, on its addresses from before if any.
     pub fn start_entry(&mut self, index: usize) {
         let name = format!("entry-{}", index + 1);
-        let any: SocketAddr = ANY_PORT.parse().expect("address");
-        let (internal, http) = self.addresses.get(index).copied().unwrap_or((any, any));
+        let (internal, http) = self.addresses.get(index).copied().unwrap_or((ANY_PORT, ANY_PORT));
         let others = (0..self.addresses.len()).filter(|other| *other != index);
-        let peers: Vec<String> = others.map(|other| self.reached_at(other).to_string()).collect();
-        let (http, internal) = (http.to_string(), internal.to_string());
-        let (advertise, store) = match self.ways.get(index) {
-            Some(ways) => (ways.entry.address().to_string(), ways.store.address()),
-            None => (String::new(), self.store.address()),
+        let peers: Vec<SocketAddr> = others.map(|other| self.reached_at(other)).collect();
+        let ways = self.ways.get(index);
+        let plan = EntryPlan {
+            name: &name,
+            http,
+            internal,
+            advertise: ways.map(|ways| ways.entry.address()),
+            store: ways.map_or(self.store.address(), |ways| ways.store.address()),
+            peers: &peers,
+            operator_digest: &digest(OPERATOR_TOKEN),
+            flags: &["--log", "info,peridotfold=debug"],
         };
-        let (store, operator) = (store.to_string(), digest(OPERATOR_TOKEN));
-        let args = [
-            ["--id", &name],
-            ["--data-centre", DATA_CENTRE],
-            ["--http", &http],
-            ["--internal", &internal],
-            ["--advertise", &advertise],
-            ["--store", &store],
-            ["--peers", &peers.join(",")],
-            ["--operator-digest", &operator],
-            ["--log", "info,peridotfold=debug"],
-        ];
-        let process = self.process("entry", &name, args.as_flattened());
+        let process = self.launcher().entry(&plan).expect("entry listens");
         let addresses = (process.internal().expect("internal address"), process.http);
         if let Some(ways) = self.ways.get(index) {
             ways.entry.set_target(addresses.0);
@@ -294,29 +286,22 @@
     /// Starts the agent of a VM, on its address from before if any.
     pub fn start_agent(&mut self, index: usize) {
         let name = format!("vm-{}", index + 1);
-        let rack = format!("rack-{}", index + 1);
-        let entries: Vec<String> =
-            (0..self.addresses.len()).map(|entry| self.reached_at(entry).to_string()).collect();
+        let entries: Vec<SocketAddr> =
+            (0..self.addresses.len()).map(|entry| self.reached_at(entry)).collect();
         let vm = &self.vms[index];
-        let internal = vm.internal.map_or(ANY_PORT.to_owned(), |address| address.to_string());
-        let (upstream, worker) = (vm.upstream.address().to_string(), vm.worker.address());
-        let (entries, worker) = (entries.join(","), worker.to_string());
-        let way = vm.way.as_ref().map(|way| way.address().to_string());
-        let advertise = way.unwrap_or_default();
-        let args = [
-            ["--id", &name],
-            ["--data-centre", DATA_CENTRE],
-            ["--rack", &rack],
-            ["--cell", CELL],
-            ["--internal", &internal],
-            ["--advertise", &advertise],
-            ["--entries", &entries],
-            ["--service", vm.kind.service],
-            ["--upstream", &upstream],
-            ["--worker", &worker],
-            ["--drain-grace", self.drain_grace],
-        ];
-        let process = self.process("agent", &name, args.as_flattened());
+        let plan = AgentPlan {
+            name: &name,
+            rack: &format!("rack-{}", index + 1),
+            cell: CELL,
+            internal: vm.internal.unwrap_or(ANY_PORT),
+            advertise: vm.way.as_ref().map(|way| way.address()),
+            entries: &entries,
+            service: vm.kind.service,
+            upstream: vm.upstream.address(),
+            worker: vm.worker.address(),
+            flags: &["--drain-grace", self.drain_grace],
+        };
+        let process = self.launcher().agent(&plan).expect("agent listens");
         let internal = process.internal().expect("internal address");
         if let Some(way) = &self.vms[index].way {
             way.set_target(internal);
@@ -325,16 +310,14 @@
         self.vms[index].agent = Some(process);
     }
 
-    fn process(&self, kind: &str, name: &str, args: &[&str]) -> Process {
-        let args: Vec<String> =
-            std::iter::once(kind).chain(args.iter().copied()).map(str::to_owned).collect();
-        Process::start_again(name, Path::new(PROGRAM), &args, &self.log(name), CALL_LIMIT)
-            .expect("process listens")
+    fn launcher(&self) -> Launcher {
+        let logs = self.directory.path().to_owned();
+        Launcher { program: PROGRAM.into(), logs, limit: CALL_LIMIT }
     }
 
     /// File with the log of a process.
     pub fn log(&self, name: &str) -> PathBuf {
-        self.directory.path().join(format!("{name}.log"))
+        self.launcher().log(name)
     }
 
     /// Text of all logs.
