Measure the control bytes of an agent's VM

Cause: docs/CAPACITY.md assumed 350 bytes of headers for each message, and the bytes of a node are the line that breaks first.

Change: the scale benchmark puts a forwarder before each entry, and counts bytes and segments; it runs with the four home entries of the plan.

--- a/crates/bench/src/scale/agent.rs
+++ b/crates/bench/src/scale/agent.rs
@@ -7,8 +7,11 @@
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
+use peridotfold_core::homes::HOME_ENTRIES;
+use peridotfold_standins::forwarder::Forwarder;
 use peridotfold_standins::launch::{AgentPlan, EntryPlan, Launcher, ANY_PORT};
 use peridotfold_standins::process::Process;
+use peridotfold_wire::runtime;
 use serde_json::json;
 
 use super::TASKS_PER_VM;
@@ -17,28 +20,47 @@
 /// SHA-256 of [`TOKEN`].
 const DIGEST: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 const START_LIMIT: Duration = Duration::from_secs(10);
+/// Threads of the forwarders.
+const THREADS: usize = 2;
 const SETTLE: Duration = Duration::from_secs(8);
 const INTERVAL: Duration = Duration::from_secs(20);
 /// Unit of processor time in `/proc/<pid>/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 
-/// Prints what an agent uses, with 1 and with 3 entries.
+/// Prints what an agent uses, with one entry and with all its home entries.
 ///
 /// # Errors
 ///
 /// Fails when a process cannot be started.
 pub fn run() -> eyre::Result<()> {
+    runtime::run(THREADS, run_all())
+}
+
+async fn run_all() -> eyre::Result<()> {
     let directory = std::env::current_exe()?;
     let directory = directory.parent().ok_or_else(|| eyre!("no directory of binaries"))?;
-    println!("agent process: entries, batch tasks, % of a core, resident MB");
-    for (entries, tasks) in [(1, 0), (3, 0), (3, TASKS_PER_VM)] {
-        let (share, memory) = measure(directory, entries, tasks)?;
-        println!("{entries:>8} {tasks:>8} {:>10.2} {memory:>10.1}", share * 100.0);
+    println!("agent process: entries, batch tasks, % of a core, resident MB, bytes/s, segments/s");
+    for (entries, tasks) in [(1, 0), (HOME_ENTRIES, 0), (HOME_ENTRIES, TASKS_PER_VM)] {
+        let Usage { share, memory, bytes, pieces } = measure(directory, entries, tasks).await?;
+        print!("{entries:>8} {tasks:>8} {:>10.2} {memory:>10.1}", share * 100.0);
+        println!(" {bytes:>10.0} {pieces:>10.1}");
     }
     Ok(())
 }
 
-fn measure(binaries: &Path, entries: usize, tasks: usize) -> eyre::Result<(f64, f64)> {
+/// What an agent uses for control.
+struct Usage {
+    /// Of one core.
+    share: f64,
+    /// Resident, in megabytes.
+    memory: f64,
+    /// Sent and received in a second, without the headers of TCP and IP.
+    bytes: f64,
+    /// Segments that carry them, in a second.
+    pieces: f64,
+}
+
+async fn measure(binaries: &Path, entries: usize, tasks: usize) -> eyre::Result<Usage> {
     let logs = std::env::temp_dir().join(format!("peridotfold-scale-{}", std::process::id()));
     std::fs::create_dir_all(&logs)?;
     let program = binaries.join("peridotfold");
@@ -52,22 +74,24 @@
     let store = standin("store", &[])?;
     let worker = standin("worker", &["--cpu-milli", "60000", "--memory-mib", "250000"])?;
     let upstream = standin("upstream", &[])?;
-    let mut running = Vec::new();
+    let (mut running, mut ways) = (Vec::new(), Vec::new());
     for index in 0..entries {
-        let id = format!("entry-{index}");
-        running.push(launcher.entry(&EntryPlan {
-            name: &id,
+        let way = Forwarder::start().await?;
+        let entry = launcher.entry(&EntryPlan {
+            name: &format!("entry-{index}"),
             http: ANY_PORT,
             internal: ANY_PORT,
-            advertise: None,
+            advertise: Some(way.address()),
             store: store.http,
             peers: &[],
             operator_digest: DIGEST,
             flags: &[],
-        })?);
+        })?;
+        way.set_target(entry.internal()?);
+        running.push(entry);
+        ways.push(way);
     }
-    let entries: Vec<SocketAddr> =
-        running.iter().map(Process::internal).collect::<eyre::Result<_>>()?;
+    let entries: Vec<SocketAddr> = ways.iter().map(Forwarder::address).collect();
     let agent = launcher.agent(&AgentPlan {
         name: "vm-1",
         rack: "r1",
@@ -84,12 +108,19 @@
         submit(&program, running[0].http, tasks)?;
     }
     std::thread::sleep(SETTLE);
-    let before = ticks(agent.id())?;
+    let sum = |count: fn(&Forwarder) -> u64| ways.iter().map(count).sum::<u64>() as f64;
+    let before = (ticks(agent.id())?, sum(Forwarder::passed), sum(Forwarder::pieces));
     std::thread::sleep(INTERVAL);
-    let used = (ticks(agent.id())? - before) / TICKS_PER_SECOND;
+    let after = (ticks(agent.id())?, sum(Forwarder::passed), sum(Forwarder::pieces));
     let memory = resident_mb(agent.id())?;
     std::fs::remove_dir_all(&logs)?;
-    Ok((used / INTERVAL.as_secs_f64(), memory))
+    let seconds = INTERVAL.as_secs_f64();
+    Ok(Usage {
+        share: (after.0 - before.0) / TICKS_PER_SECOND / seconds,
+        memory,
+        bytes: (after.1 - before.1) / seconds,
+        pieces: (after.2 - before.2) / seconds,
+    })
 }
 
 /// Configures the cell and submits a job whose tasks outlast the measurement.
--- a/crates/standins/src/forwarder.rs
+++ b/crates/standins/src/forwarder.rs
@@ -45,6 +45,8 @@
 struct Counts {
     connections: AtomicU64,
     open: AtomicU64,
+    passed: AtomicU64,
+    pieces: AtomicU64,
     dropped: AtomicU64,
     delayed: AtomicU64,
     late: AtomicU64,
@@ -105,6 +107,17 @@
         self.state.counts.open.load(Ordering::Relaxed)
     }
 
+    /// Bytes passed on so far, in both directions.
+    pub fn passed(&self) -> u64 {
+        self.state.counts.passed.load(Ordering::Relaxed)
+    }
+
+    /// Pieces in which the bytes were passed on. As long as the forwarder keeps up with the sender,
+    /// a piece is a segment of TCP.
+    pub fn pieces(&self) -> u64 {
+        self.state.counts.pieces.load(Ordering::Relaxed)
+    }
+
     /// Bytes lost so far.
     pub fn dropped(&self) -> u64 {
         self.state.counts.dropped.load(Ordering::Relaxed)
@@ -225,6 +238,8 @@
                 if to.write_all(&bytes).await.is_err() {
                     return;
                 }
+                state.counts.passed.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                state.counts.pieces.fetch_add(1, Ordering::Relaxed);
                 if !wait.is_zero() {
                     state.counts.late.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 }
