Take over the dispatched keys of an ended entry from the holders

Cause: an entry that restarts while no bucket moves loses its table of dispatched keys, and it is an incomplete witness of each move of the next 10 min. Traced in scripts/demo: 28 of 28 bids that stayed unknown belonged to the move after the graceful stop of an agent, 14 s after entry-1 had been restarted. No other cause was seen. Ruled out: copies of each key at another entry before the dispatch (a round trip for each key, and no proof while no copy can be made); a table that a leaving holder hands over (does not help when the holder is killed later). Both are weighed in design.md 3.6. Now the restarted entry reads the tables of the holders (keytable). A holder that is asked refuses later requests of the ended incarnation. With the lists of moves, that is all the predecessor dispatched. Conclusion: what remains is a holder that ends within about 1 s of the entry's restart.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -1,18 +1,23 @@
 //! The key table with the duplicates that wait for a running request.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use parking_lot::Mutex;
+use peridotfold_core::id::{EntryId, Incarnation};
 use peridotfold_core::key_table::{Answer, Claim, KeyTable, Outcome};
+use peridotfold_core::message::entry::{KeyTableReply, KeyTableRequest};
 use peridotfold_wire::runtime;
 
 #[derive(Debug, Default)]
 struct State {
     table: KeyTable,
     joined: HashMap<Bytes, Vec<Sender<Outcome>>>,
+    /// Incarnations of entries that have ended and whose keys were taken over. Kept for the life of
+    /// the process: a copy may be on its way for any time, and entries restart rarely.
+    ended: HashSet<(EntryId, Incarnation)>,
 }
 
 /// Idempotency keys of this agent.
@@ -30,6 +35,8 @@
     Replay(Arc<Answer>),
     Unknown,
     Full,
+    /// The entry's process has ended, and another one knows its keys without this one.
+    Ended,
 }
 
 /// The one run of a key. Dropping it without [`KeyRun::settle`] leaves the outcome unknown.
@@ -41,9 +48,12 @@
 }
 
 impl Keys {
-    /// Decides about a request with `key`.
-    pub fn enter(&self, key: &Bytes) -> Entered {
+    /// Decides about a request with `key` from an incarnation of an entry.
+    pub fn enter(&self, key: &Bytes, entry: &EntryId, incarnation: Incarnation) -> Entered {
         let mut state = self.state.lock();
+        if state.ended.contains(&(entry.clone(), incarnation)) {
+            return Entered::Ended;
+        }
         match state.table.claim(runtime::now(), key) {
             Claim::Run => {
                 let key = key.clone();
@@ -60,6 +70,15 @@
         }
     }
 
+    /// Returns a page of the table, which names each key that may have run for the ended
+    /// incarnation of an entry: its later requests are refused from now on.
+    pub fn read(&self, request: &KeyTableRequest) -> KeyTableReply {
+        let mut state = self.state.lock();
+        state.ended.insert((request.entry.clone(), request.ended));
+        let (keys, more) = state.table.page(request.after);
+        KeyTableReply::Page { keys, more }
+    }
+
     /// Number of keys in the table.
     pub fn len(&self) -> usize {
         self.state.lock().table.len()
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -10,7 +10,7 @@
 use peridotfold_core::admission::{Ending, Refusal};
 use peridotfold_core::key_table::{Answer, Outcome};
 use peridotfold_core::message::request::{
-    BodyFrame, RefuseReason, RequestHead, ResponseHead, TraceContext,
+    BodyFrame, RefuseReason, RequestHead, RequestId, ResponseHead, TraceContext,
 };
 use peridotfold_core::time::Time;
 use peridotfold_wire::body::{Body, BodySender};
@@ -78,28 +78,30 @@
 impl Exchange {
     async fn run(mut self) -> Result<(), WireError> {
         if let Some(reason) = self.shared.mismatch(&self.head) {
-            let rejection = self.shared.gate.refuse(&self.head.id, reason);
-            return conclude(self.sink, rejected(rejection)).await;
+            return self.refuse(reason).await;
         }
         let Some(key) = self.head.key.clone() else {
             let (finish, permit, _) = self.execute(false).await;
             return complete(self.sink, finish, permit).await;
         };
-        match self.shared.keys.enter(&key) {
+        let RequestId { entry, incarnation, .. } = &self.head.id;
+        match self.shared.keys.enter(&key, entry, *incarnation) {
             Entered::Run(run) => self.run_key(run).await,
             // From here on the key has run or may still: it must not be reported as not run for
             // reasons that concern this copy only.
             Entered::Join(outcome) => self.join(outcome).await,
             Entered::Replay(answer) => self.replay(Outcome::Answered(answer)).await,
             Entered::Unknown => self.replay(Outcome::Unknown).await,
-            Entered::Full => {
-                let reason = RefuseReason::KeyUnavailable;
-                let rejection = self.shared.gate.refuse(&self.head.id, reason);
-                conclude(self.sink, rejected(rejection)).await
-            }
+            Entered::Full => self.refuse(RefuseReason::KeyUnavailable).await,
+            Entered::Ended => self.refuse(RefuseReason::EntryEnded).await,
         }
     }
 
+    async fn refuse(self, reason: RefuseReason) -> Result<(), WireError> {
+        let rejection = self.shared.gate.refuse(&self.head.id, reason);
+        conclude(self.sink, rejected(rejection)).await
+    }
+
     async fn run_key(mut self, run: KeyRun) -> Result<(), WireError> {
         let (finish, permit, outcome) = self.execute(true).await;
         // Settled before the caller sees the end, so that a retry after it finds the answer.
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use http::StatusCode;
-use peridotfold_core::message::entry::{ConfigReply, ConfigRequest};
+use peridotfold_core::message::entry::{
+    ConfigReply, ConfigRequest, KeyTableReply, KeyTableRequest,
+};
 use peridotfold_core::message::request::Cancel;
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::server::{Handler, Stream};
@@ -32,6 +34,16 @@
 }
 
 impl Messages {
+    async fn key_table(&self, mut stream: Stream) -> Result<(), WireError> {
+        match stream.receiver.next::<KeyTableRequest>().await? {
+            Some(request) if request.agent_incarnation == self.shared.incarnation => {
+                stream.responder.reply(&self.shared.keys.read(&request)).await
+            }
+            Some(_) => stream.responder.reply(&KeyTableReply::Restarted).await,
+            None => stream.responder.refuse(StatusCode::BAD_REQUEST, "no message".into()),
+        }
+    }
+
     /// Answers an entry that is behind, such as one that was cut off and knows no other entry.
     async fn config(&self, mut stream: Stream) -> Result<(), WireError> {
         match stream.receiver.next::<ConfigRequest>().await? {
@@ -50,6 +62,7 @@
             "request" => request::serve(&self.shared, stream).await,
             "cancel" => self.cancel(stream).await,
             "config" => self.config(stream).await,
+            "keytable" => self.key_table(stream).await,
             kind => {
                 let detail = format!("unknown kind {kind}");
                 stream.responder.refuse(StatusCode::NOT_FOUND, detail)
--- a/crates/core/src/key_table.rs
+++ b/crates/core/src/key_table.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 
+use crate::keys::{self, lists};
+use crate::message::entry::TableKey;
 use crate::time::Time;
 
 /// Time for which the outcome of a key is kept, counted from the outcome.
@@ -17,6 +19,10 @@
 /// Keys in the table. Further ones are refused until others expire.
 pub const KEY_LIMIT: usize = 64 * 1024;
 
+/// Keys in one page of the table: about 2.5 KB. A node has 4 KB/s for control, and one page is
+/// asked for each second.
+pub const TABLE_PAGE: usize = 128;
+
 /// A whole response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -112,6 +118,22 @@
         self.shrink();
     }
 
+    /// Returns the keys with a hash above `after`, as many as one page has, and whether there are
+    /// more. Keys that are settled as not run between two pages may be in neither.
+    pub fn page(&self, after: Option<u128>) -> (Vec<TableKey>, bool) {
+        let keys = self.keys.iter().map(|(key, state)| TableKey {
+            hash: lists::hash_of(key),
+            bucket: keys::bucket_of(key) as u8,
+            running: matches!(state, State::Running),
+        });
+        let mut keys: Vec<_> =
+            keys.filter(|key| after.is_none_or(|after| key.hash > after)).collect();
+        keys.sort_unstable();
+        let more = keys.len() > TABLE_PAGE;
+        keys.truncate(TABLE_PAGE);
+        (keys, more)
+    }
+
     /// Number of keys in the table.
     pub fn len(&self) -> usize {
         self.keys.len()
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -6,6 +6,7 @@
 
 pub mod dispatch;
 pub mod gate;
+pub mod inherited;
 pub mod lists;
 pub mod plan;
 
--- a/crates/core/src/keys/gate.rs
+++ b/crates/core/src/keys/gate.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 
 use crate::id::{EntryId, Incarnation, ServiceId};
+use crate::keys::inherited::{self, Base, Earlier, Inherited};
 use crate::keys::lists::{self, KeyHash, Lists};
 use crate::keys::{
     bucket_of, DispatchTable, Dispatched, Generation, Holder, KeyMap, Phase, Witness, COPY_LIMIT,
     JOIN_WAIT, LIST_LIMIT, RETENTION,
 };
-use crate::message::entry::{KeyListReply, KeyListRequest, ProbeReply};
+use crate::message::entry::{KeyListReply, KeyListRequest, ProbeReply, TableKey};
 use crate::time::{self, Time};
 
 /// What to do with a request that has a key.
@@ -67,6 +68,7 @@
     maps: HashMap<ServiceId, Adopted>,
     dispatched: DispatchTable,
     lists: Lists,
+    inherited: Inherited,
 }
 
 impl Gate {
@@ -82,6 +84,7 @@
             maps: HashMap::new(),
             dispatched: DispatchTable::default(),
             lists: Lists::default(),
+            inherited: Inherited::default(),
         }
     }
 
@@ -124,6 +127,75 @@
     /// Forgets keys after the retention.
     pub fn prune(&mut self, now: Time) {
         self.dispatched.prune(now);
+        self.inherited.prune(now);
+    }
+
+    /// Notes the incarnation before this one, whose table covered the whole retention. What it
+    /// dispatched can then be taken over from the holders; see [`Gate::recover`].
+    pub fn set_predecessor(&mut self, predecessor: Incarnation) {
+        self.inherited.set_predecessor(predecessor);
+    }
+
+    /// Tells whether this entry has taken over all that its predecessor dispatched.
+    pub fn is_recovered(&self) -> bool {
+        self.inherited.is_complete()
+    }
+
+    /// Returns the predecessor and the holders whose tables are to be read, with their services.
+    /// Empty when all is taken over, or when a part of it is lost.
+    pub fn recover(&self) -> Option<(Incarnation, Vec<(ServiceId, Holder)>)> {
+        let predecessor = self.inherited.pending().filter(|_| self.contact.is_some())?;
+        let own = (self.entry.as_str(), self.incarnation);
+        let mut holders = BTreeSet::new();
+        for (service, adopted) in &self.maps {
+            for (index, bucket) in adopted.map.buckets.iter().enumerate() {
+                match inherited::base(service, &adopted.map, index, own, &self.lists) {
+                    _ if self.inherited.covers(service, index) => {}
+                    Base::Held => {
+                        let Holder { agent, incarnation } = &bucket.holder;
+                        holders.insert((service.clone(), agent.clone(), *incarnation));
+                    }
+                    Base::Lacking => {}
+                    Base::Lost => return None,
+                }
+            }
+        }
+        let holder = |(service, agent, incarnation)| (service, Holder { agent, incarnation });
+        Some((predecessor, holders.into_iter().map(holder).collect()))
+    }
+
+    /// Takes over the whole table of a holder, which refuses requests of the predecessor since
+    /// before the table was read. Buckets whose older holders may have run more are left out.
+    pub fn inherit(&mut self, now: Time, service: &str, holder: &Holder, table: &[TableKey]) {
+        let Some(adopted) = self.maps.get(service) else { return };
+        if self.inherited.pending().is_none() {
+            return;
+        }
+        let own = (self.entry.as_str(), self.incarnation);
+        let known = |index: &usize| {
+            inherited::base(service, &adopted.map, *index, own, &self.lists) == Base::Held
+        };
+        let mut buckets = inherited::held_by(&adopted.map, holder);
+        buckets.retain(known);
+        self.inherited.cover(now, service, &adopted.map, (holder, &buckets), table);
+        let covered = self.maps.iter().all(|(service, adopted)| {
+            (0..adopted.map.buckets.len()).all(|index| self.inherited.covers(service, index))
+        });
+        if covered {
+            for service in self.maps.keys() {
+                let hashes = self.lists.hashes(service, &self.entry);
+                self.inherited.add_list(service, hashes);
+            }
+            self.inherited.set_complete();
+        }
+    }
+
+    /// Returns the dispatch of a key by this entry or its predecessor.
+    fn earlier(&self, service: &str, key: &Bytes) -> Option<Earlier> {
+        match self.dispatched.get(service, key) {
+            Some(own) => Some(Earlier::new(own)),
+            None => self.inherited.get(service, key).cloned(),
+        }
     }
 
     /// Returns the adopted generation of each service.
@@ -164,11 +236,13 @@
 
     /// Answers a probe of another entry.
     pub fn probe(&self, service: &str, key: &Bytes) -> ProbeReply {
-        match self.dispatched.get(service, key) {
-            Some(dispatched) => ProbeReply::Dispatched {
-                agent: dispatched.holder.agent.clone(),
-                incarnation: dispatched.holder.incarnation,
-            },
+        match self.earlier(service, key) {
+            Some(earlier) => {
+                // No agent has an empty name.
+                let former = || Holder { agent: String::new(), incarnation: 0 };
+                let Holder { agent, incarnation } = earlier.holder.unwrap_or_else(former);
+                ProbeReply::Dispatched { agent, incarnation }
+            }
             None => ProbeReply::NotDispatched {
                 entry: self.entry.clone(),
                 incarnation: self.incarnation,
@@ -185,7 +259,7 @@
         key: &Bytes,
         is_live: impl Fn(&Holder) -> bool,
     ) -> Decision {
-        let earlier = self.dispatched.get(service, key).map(|d| d.holder.clone());
+        let earlier = self.earlier(service, key).map(|earlier| earlier.holder);
         match (self.open(now, service, key), earlier) {
             (None, None) => Decision::Refuse,
             (None, Some(_)) => Decision::Unknown,
@@ -217,7 +291,7 @@
         results: &[ProbeResult],
         is_live: impl Fn(&Holder) -> bool,
     ) -> Decision {
-        let earlier = self.dispatched.get(service, key).map(|d| d.holder.clone());
+        let earlier = self.earlier(service, key).map(|earlier| earlier.holder);
         match (self.open(now, service, key), earlier) {
             // Of another move that began meanwhile, the witnesses were not asked.
             (Some(open), earlier) if open.generation == generation => {
@@ -262,7 +336,7 @@
             })
         };
         recent
-            && self.dispatched.get(service, key).is_none()
+            && self.earlier(service, key).is_none()
             && !self.lists.contains(service, key)
             && current.iter().any(is_self)
             && current.iter().all(|w| w.complete && (is_self(w) || denies(w)))
@@ -271,14 +345,14 @@
     /// Tells why a key is `unknown`, for logs and error messages.
     pub fn unknown_cause(&self, now: Time, service: &str, key: &Bytes) -> &'static str {
         let Some(open) = self.open(now, service, key) else {
-            return match self.dispatched.get(service, key) {
+            return match self.earlier(service, key) {
                 Some(_) => "dispatched before, and its bucket is closed",
                 None => "its bucket is closed, and not all entries deny it",
             };
         };
         let lacks = |w: &Witness| self.clears(service, open.generation, w, key).is_none();
         match () {
-            () if self.dispatched.get(service, key).is_some() => "dispatched before",
+            () if self.earlier(service, key).is_some() => "dispatched before",
             () if self.lists.contains(service, key) => "dispatched by another entry before",
             () if open.witnesses.iter().any(|w| !w.complete) => {
                 "an entry restarted without its list of keys"
@@ -335,6 +409,7 @@
         let older = keys
             .filter(|(key, dispatched)| listed(key, dispatched))
             .map(|(key, _)| lists::hash_of(key))
+            .chain(self.inherited.older(&request.service, request.buckets, request.generation))
             .filter(|hash| request.after.is_none_or(|after| *hash > after));
         lists::page(older.collect::<BTreeSet<_>>().into_iter())
     }
@@ -363,8 +438,8 @@
     ) -> Option<bool> {
         let Witness { entry, incarnation, complete, .. } = witness;
         if *entry == self.entry && *incarnation == self.incarnation {
-            let dispatched = self.dispatched.get(service, key);
-            return Some(*complete && dispatched.is_none_or(|d| d.generation == generation));
+            let earlier = self.earlier(service, key);
+            return Some(*complete && earlier.is_none_or(|e| e.generation == generation));
         }
         let dispatched = self.lists.dispatched(service, generation, (entry, *incarnation), key)?;
         Some(*complete && !dispatched)
@@ -383,12 +458,12 @@
         service: &str,
         key: &Bytes,
         open: OpenBucket,
-        earlier: Option<Holder>,
+        earlier: Option<Option<Holder>>,
         is_live: impl Fn(&Holder) -> bool,
     ) -> Decision {
         let OpenBucket { holder, generation, .. } = open;
         match earlier {
-            Some(earlier) if earlier != holder => Decision::Unknown,
+            Some(earlier) if earlier.as_ref() != Some(&holder) => Decision::Unknown,
             Some(_) if !is_live(&holder) => Decision::Unknown,
             None if !is_live(&holder) => Decision::Refuse,
             Some(_) | None => {
--- a/crates/core/src/keys/lists.rs
+++ b/crates/core/src/keys/lists.rs
@@ -95,6 +95,12 @@
         self.lists.iter().any(|((name, ..), list)| name == service && list.keys.contains(&hash))
     }
 
+    /// Returns the hashes in all lists of an entry.
+    pub fn hashes(&self, service: &str, entry: &str) -> Vec<KeyHash> {
+        let own = self.lists.iter().filter(|((name, _, e, _), _)| name == service && e == entry);
+        own.flat_map(|(_, list)| list.keys.iter().copied()).collect()
+    }
+
     /// Drops the lists of moves for which `is_current` does not hold.
     pub fn retain(&mut self, service: &str, is_current: impl Fn(Generation) -> bool) {
         self.lists.retain(|(name, generation, ..), _| name != service || is_current(*generation));
--- a/crates/core/src/message/entry.rs
+++ b/crates/core/src/message/entry.rs
@@ -46,6 +46,37 @@
     NotHeld,
 }
 
+/// Asks an agent for a page of its key table, on behalf of a restarted entry. The agent refuses
+/// requests of the ended process from then on, so that the pages name all that it ran for it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyTableRequest {
+    /// The agent incarnation that the entry means; another one has another table.
+    pub agent_incarnation: Incarnation,
+    pub entry: EntryId,
+    /// The incarnation of the entry that has ended.
+    pub ended: Incarnation,
+    /// Last hash of the page before.
+    pub after: Option<u128>,
+}
+
+/// A key in the table of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TableKey {
+    /// 128-bit hash of the key.
+    pub hash: u128,
+    pub bucket: u8,
+    pub running: bool,
+}
+
+/// Answer to [`KeyTableRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyTableReply {
+    /// In ascending order of hashes.
+    Page { keys: Vec<TableKey>, more: bool },
+    /// The agent is another incarnation.
+    Restarted,
+}
+
 /// Asks a peer entry for a newer configuration.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfigRequest {
--- a/crates/core/src/message/request.rs
+++ b/crates/core/src/message/request.rs
@@ -74,6 +74,8 @@
     DeadlinePassed,
     /// The caller's quota is used up.
     Quota,
+    /// A later incarnation of the entry has taken over what this one dispatched.
+    EntryEnded,
 }
 
 /// First frame of an agent's answer to a [`RequestHead`].
--- a/crates/core/tests/key_table.rs
+++ b/crates/core/tests/key_table.rs
@@ -4,14 +4,16 @@
 #[path = "support/schedules.rs"]
 mod schedules;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use peridotfold_core::key_table::{
-    Answer, Claim, KeyTable, Outcome, ANSWER_LIMIT, KEY_LIMIT, RETENTION, STORED_LIMIT,
+    Answer, Claim, KeyTable, Outcome, ANSWER_LIMIT, KEY_LIMIT, RETENTION, STORED_LIMIT, TABLE_PAGE,
 };
+use peridotfold_core::keys::bucket_of;
+use peridotfold_core::keys::lists::hash_of;
 use peridotfold_core::time::Time;
 
 const SCHEDULES: u64 = 10_000;
@@ -145,3 +147,36 @@
     assert_eq!(table.claim(RETENTION, &key(0)), Claim::Run);
     assert_eq!((table.len(), table.stored()), (1, 0));
 }
+
+/// Guards against a key that a restarted entry does not find in the pages of a holder's table: it
+/// would take the key for one that never ran.
+#[test]
+fn pages_name_every_key() {
+    schedules::run(500, |seed| {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut table = KeyTable::default();
+        let count = rng.usize(0..TABLE_PAGE * 3);
+        let mut expected = BTreeMap::new();
+        for number in 0..count {
+            let key = key(number);
+            assert_eq!(table.claim(Time::ZERO, &key), Claim::Run);
+            let running = rng.bool();
+            if !running {
+                table.settle(Time::ZERO, &key, Outcome::Unknown);
+            }
+            expected.insert(hash_of(&key), (bucket_of(&key), running));
+        }
+        let (mut found, mut after) = (BTreeMap::new(), None);
+        loop {
+            let (keys, more) = table.page(after);
+            assert!(keys.len() <= TABLE_PAGE);
+            after = keys.last().map(|key| key.hash);
+            found.extend(keys.iter().map(|k| (k.hash, (usize::from(k.bucket), k.running))));
+            if !more {
+                break;
+            }
+        }
+        assert_eq!(found, expected, "seed {seed}");
+        count as u64
+    });
+}
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -67,6 +67,27 @@
     });
 }
 
+/// Guards against new keys that are `unknown` for the whole retention because an entry had been
+/// restarted before a bucket moved, and its predecessor's table was lost.
+#[test]
+fn new_keys_are_dispatched_when_an_agent_ends_after_an_entry_restart() {
+    schedules::run(SCHEDULES / 2, |seed| {
+        let closed = World::new(seed).run_ended_later();
+        assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
+        0
+    });
+}
+
+/// Guards against a restarted entry that claims to know all that its predecessor dispatched, though
+/// a request of it is still on its way, or a part of its table is lost.
+#[test]
+fn no_key_runs_again_after_an_entry_took_over() {
+    schedules::run(SCHEDULES, |seed| {
+        World::new(seed).run_taken_over();
+        0
+    });
+}
+
 /// Guards against buckets that stay closed after all faults have ended.
 #[test]
 fn buckets_open_again_after_all_faults() {
--- a/crates/core/tests/keys_world/entry.rs
+++ b/crates/core/tests/keys_world/entry.rs
@@ -182,6 +182,9 @@
             if found.joined {
                 self.gate.set_known();
             }
+            if found.complete {
+                self.gate.set_predecessor(found.incarnation);
+            }
         }
         let record = EntryRecord {
             entry: self.name.clone(),
@@ -191,7 +194,9 @@
             internal: String::new(),
             data_centre: String::new(),
             adopted: self.gate.acknowledged(now),
-            complete: self.predecessor.is_none() || now - self.started >= lease_wait(RETENTION),
+            complete: self.predecessor.is_none()
+                || now - self.started >= lease_wait(RETENTION)
+                || self.gate.is_recovered(),
             predecessor: self.predecessor,
             joined: self.gate.is_joined(now),
             stopped,
--- a/crates/core/tests/keys_world/world.rs
+++ b/crates/core/tests/keys_world/world.rs
@@ -1,6 +1,7 @@
 //! A world of entries, agents and a store for the schedules of keys.
 
 mod entry;
+mod recovery;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -31,6 +32,8 @@
     pub holder: Holder,
     pub up: bool,
     pub leaving: bool,
+    /// Entries, with the incarnation, whose requests are refused.
+    ended: Vec<(usize, u64)>,
 }
 
 struct Key {
@@ -50,6 +53,10 @@
     key: usize,
     holder: Holder,
     sent: Duration,
+    /// The key had run when the request came.
+    ran: bool,
+    /// Dispatches of the key that were on their way then.
+    before: BTreeSet<u64>,
 }
 
 /// A request whose witnesses are being asked, one after the other.
@@ -99,6 +106,7 @@
                 holder: Holder { agent: format!("agent-{index}"), incarnation: rng.u64(1..) },
                 up: true,
                 leaving: false,
+                ended: Vec::new(),
             })
             .collect();
         World {
@@ -127,7 +135,8 @@
             50..65 => self.request(entry),
             65..80 => self.deliver(),
             80..90 => self.ask(),
-            90..94 => self.fetch(entry),
+            90..92 => self.fetch(entry),
+            92..94 => self.recover(entry),
             _ if self.calm => {}
             94 => self.split(entry),
             95 => self.change_agent(),
@@ -205,86 +214,6 @@
         self.count_closed("new")
     }
 
-    /// Restarts an agent, and then an entry at the moment at which the buckets are open again.
-    /// Returns how many new keys each entry may not dispatch afterwards.
-    pub fn run_killed_at_open(&mut self) -> usize {
-        (self.calm, self.pace) = (true, 100);
-        while !self.is_open() {
-            self.step();
-        }
-        let (agent, victim) = (self.rng.usize(0..AGENTS), self.rng.usize(0..ENTRIES));
-        self.agents[agent].holder.incarnation = self.rng.u64(1..);
-        let generation = self.store.map.1.generation;
-        let mut next = self.now;
-        // Rounds that follow each other at once, as while a move is in progress.
-        self.pace = 10;
-        while self.store.map.1.generation == generation || self.store.map.1.is_moving() {
-            self.step();
-            // Processes look for what is lacking at least each 100 ms after a move has begun.
-            if self.now >= next {
-                self.fetch_all();
-                next = self.now + Duration::from_millis(self.rng.u64(50..300));
-            }
-        }
-        self.pace = 100;
-        self.entries[victim] = Entry::new(victim, self.rng.u64(1..), self.now, AGENTS);
-        let end = self.now + HOLD;
-        while self.now < end {
-            self.step();
-            self.fetch_all();
-        }
-        assert!(self.is_open(), "seed {}: buckets are still closed", self.seed);
-        self.count_closed("new")
-    }
-
-    /// Restarts an entry that agents find one after the other, within 8 s, as they hear of its
-    /// address from other entries. Returns how often buckets moved.
-    pub fn run_found_late(&mut self) -> u64 {
-        (self.calm, self.pace) = (true, 100);
-        while !self.is_open() {
-            self.step();
-        }
-        let generation = self.store.map.1.generation;
-        let victim = self.rng.usize(0..ENTRIES);
-        self.entries[victim] = Entry::new(victim, self.rng.u64(1..), self.now, AGENTS);
-        let found: Vec<_> =
-            (0..AGENTS).map(|_| self.now + Duration::from_millis(self.rng.u64(0..8_000))).collect();
-        let end = self.now + HOLD / 2;
-        while self.now < end {
-            for (reaches, found) in self.entries[victim].reaches.iter_mut().zip(&found) {
-                *reaches = self.now >= *found;
-            }
-            self.step();
-        }
-        self.store.map.1.generation - generation
-    }
-
-    /// Counts the new keys that each entry may not dispatch.
-    fn count_closed(&mut self, prefix: &str) -> usize {
-        let mut closed = 0;
-        for (entry, number) in (0..ENTRIES).flat_map(|e| (0..200).map(move |n| (e, n))) {
-            let name = Bytes::from(format!("{prefix}-{entry}-{number}"));
-            let decision = self.entries[entry].decide(self.now, &name);
-            closed += usize::from(!matches!(decision, Decision::Dispatch(_)));
-        }
-        closed
-    }
-
-    /// Lets each entry fetch what it lacks from each other entry.
-    fn fetch_all(&mut self) {
-        for (entry, asked) in (0..ENTRIES).flat_map(|e| (0..ENTRIES).map(move |a| (e, a))) {
-            for mut request in self.entries[entry].wanted(self.now) {
-                // A second page is never needed: a schedule has few keys.
-                request.after = None;
-                let reply = self.entries[asked].gate.list(&request);
-                if matches!(reply, KeyListReply::Page { more: false, .. }) {
-                    self.entries[asked].gate.note_copied(&request);
-                }
-                self.entries[entry].take(&request, reply);
-            }
-        }
-    }
-
     fn set_store(&mut self, reachable: bool) {
         for entry in &mut self.entries {
             entry.reaches_store = reachable;
@@ -348,6 +277,7 @@
             _ => {
                 agent.holder.incarnation = self.rng.u64(1..);
                 (agent.up, agent.leaving) = (true, false);
+                agent.ended.clear();
             }
         }
     }
@@ -401,7 +331,9 @@
             Decision::Dispatch(holder) => {
                 self.numbers += 1;
                 let (number, sent) = (self.numbers, self.now);
-                self.messages.push(Message { number, entry, incarnation, key, holder, sent });
+                let message =
+                    Message { number, entry, incarnation, key, holder, sent, ran, before };
+                self.messages.push(message);
             }
             Decision::Probe { generation, witnesses } => self.probing.push(Probing {
                 entry,
@@ -415,25 +347,28 @@
                 ran,
                 before,
             }),
-            Decision::Refuse => {
-                let (listed, witnesses) = self.entries[entry].confirming(self.now);
-                self.probing.push(Probing {
-                    entry,
-                    incarnation,
-                    key,
-                    generation: None,
-                    listed,
-                    witnesses: witnesses.clone(),
-                    left: witnesses,
-                    results: Vec::new(),
-                    ran,
-                    before,
-                });
-            }
+            Decision::Refuse => self.begin_confirm(entry, key, ran, before),
             Decision::Unknown => {}
         }
     }
 
+    /// Begins to ask all entries whether a refused key was run by another dispatch.
+    fn begin_confirm(&mut self, entry: usize, key: usize, ran: bool, before: BTreeSet<u64>) {
+        let (listed, witnesses) = self.entries[entry].confirming(self.now);
+        self.probing.push(Probing {
+            entry,
+            incarnation: self.entries[entry].incarnation,
+            key,
+            generation: None,
+            listed,
+            witnesses: witnesses.clone(),
+            left: witnesses,
+            results: Vec::new(),
+            ran,
+            before,
+        });
+    }
+
     /// Asks the next witness of a random request, or decides when all were asked.
     fn ask(&mut self) {
         if self.probing.is_empty() {
@@ -505,7 +440,8 @@
         let agent = self.agents.iter().find(|agent| agent.holder.agent == message.holder.agent);
         let agent = agent.expect("holders are agents");
         let present = agent.up && agent.holder == message.holder;
-        let in_time = self.now - message.sent < REQUEST_TIME;
+        let ended = agent.ended.contains(&(message.entry, message.incarnation));
+        let in_time = self.now - message.sent < REQUEST_TIME && !ended;
         let leaving = agent.leaving;
         let lost = self.rng.u32(0..5) == 0;
         let not_run = match (present && in_time, leaving) {
@@ -522,6 +458,10 @@
         if entry.incarnation == message.incarnation && entry.up {
             let name = &self.keys[message.key].name;
             entry.gate.finish(self.now, SERVICE, name, not_run);
+            // This copy was not run; another one may have been.
+            if not_run {
+                self.begin_confirm(message.entry, message.key, message.ran, message.before);
+            }
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod operator;
 pub mod proxy;
+pub mod recovery;
 pub mod relay;
 pub mod reply;
 pub mod settings;
@@ -113,6 +114,7 @@
     let following = runtime::spawn(config::run(context.clone(), rest_end.clone()));
     let relaying = runtime::spawn(relay::run(context.clone(), rest_end.clone()));
     let fetching = runtime::spawn(lists::run(context.clone(), rest_end.clone()));
+    let recovering = runtime::spawn(recovery::run(context.clone(), rest_end.clone()));
     let upkeep = runtime::spawn(upkeep(rest_end));
     tracing::info!(event = "entry_started", entry = context.settings.id, id = context.incarnation);
 
@@ -135,6 +137,7 @@
     following.await;
     relaying.await;
     fetching.await;
+    recovering.await;
     upkeep.await;
     tracing::info!(event = "entry_stopped", entry = context.settings.id);
     Ok(())
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -174,6 +174,7 @@
         if record.as_ref().is_some_and(|record| record.joined) {
             self.context.keys.lock().set_known();
         }
+        let is_complete = record.as_ref().is_some_and(|record| record.complete);
         let incarnation = record.map(|record| record.incarnation);
         if incarnation == Some(self.context.incarnation) {
             self.owned = true;
@@ -184,6 +185,9 @@
             self.replaced = true;
             self.context.keys.lock().close();
         }
+        if let Some(predecessor) = incarnation.filter(|_| is_complete) {
+            self.context.keys.lock().set_predecessor(predecessor);
+        }
         // A malformed record stands for an incarnation that no list names.
         self.predecessor = Some(incarnation.unwrap_or_default());
         Ok(())
@@ -191,10 +195,13 @@
 
     fn record(&self, stopped: bool) -> EntryRecord {
         let context = &self.context;
-        // Until the retention has passed, keys that an earlier incarnation dispatched may matter.
+        // Until the retention has passed, keys that an earlier incarnation dispatched may matter,
+        // unless they were taken over.
         // The first write finds out by its conflict whether there was one.
         let complete = match self.predecessor.is_some() || !self.owned {
-            true => runtime::now() >= time::lease_wait(RETENTION),
+            true => {
+                runtime::now() >= time::lease_wait(RETENTION) || context.keys.lock().is_recovered()
+            }
             false => true,
         };
         let (adopted, joined) = {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -96,6 +96,7 @@
         RefuseReason::UpstreamUnreachable => "the upstream is unreachable",
         RefuseReason::NoUpstream => "no live upstream",
         RefuseReason::KeyUnavailable => "no upstream may run this key now",
+        RefuseReason::EntryEnded => "the entry was replaced by a later process",
         RefuseReason::DeadlinePassed => "the deadline passed",
         RefuseReason::Quota => "quota used up",
     }
