Guard the check of the entry's own table in confirm

Cause: no test failed without it. The schedules asked other entries only for keys without a holder, and never after a holder had refused a copy, which is where the entry's own earlier dispatch matters. Now a refused copy is confirmed in the schedules as in the entry, and a_refused_duplicate_of_a_key_that_ran_is_not_reported_as_not_run sends duplicates whose holder leaves.

--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -78,6 +78,16 @@
     });
 }
 
+/// Guards against a key that is reported as not run because a duplicate was refused, though the
+/// same entry had dispatched it before and it ran.
+#[test]
+fn a_refused_duplicate_of_a_key_that_ran_is_not_reported_as_not_run() {
+    schedules::run(SCHEDULES, |seed| {
+        World::new(seed).run_refused_duplicates();
+        0
+    });
+}
+
 /// Guards against a restarted entry that claims to know all that its predecessor dispatched, though
 /// a request of it is still on its way, or a part of its table is lost.
 #[test]
--- a/crates/core/tests/keys_world/recovery.rs
+++ b/crates/core/tests/keys_world/recovery.rs
@@ -162,6 +162,25 @@
         }
     }
 
+    /// Sends each young key again through an entry while its first request has run, and lets the
+    /// holder refuse what is on its way then.
+    pub fn run_refused_duplicates(&mut self) {
+        (self.calm, self.pace) = (true, 100);
+        while !self.is_open() {
+            self.step();
+        }
+        let entry = self.rng.usize(0..ENTRIES);
+        for _ in 0..20 {
+            self.request(entry);
+            self.settle_requests(|_| true);
+            self.request(entry);
+        }
+        for agent in &mut self.agents {
+            agent.leaving = true;
+        }
+        self.settle_requests(|_| true);
+    }
+
     /// Restarts an entry, with requests of it on their way, and cuts agents off from all entries,
     /// in any order; callers retry all keys through all entries in between.
     pub fn run_taken_over(&mut self) {
