Print the shortest failing schedule that was found

Cause: a failing seed left it to the reader which of its faults matter. support/schedules.rs now runs a failing seed with growing prefixes of its steps, then leaves out each step that the failure does not need (at most 2,000 runs), and prints the rest with the message. Worlds name their steps with `schedules::step`: faults in composed, cell_schedules and tasks, calls in key_table, admission, ledger and routing. keys, colocation and membership have none yet and print the seed as before.

--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -191,7 +191,9 @@
     }
 
     fn step(&mut self) {
-        match self.rng.u32(0..100) {
+        let kind = self.rng.u32(0..100);
+        match kind {
+            _ if !schedules::step(|| format!("{:?} kind {kind}", self.now)) => {}
             0..=39 => {
                 let id = self.fresh();
                 self.offer(id);
--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -10,6 +10,7 @@
 use peridotfold_core::time::Time;
 
 use crate::cell_world::{ms, Answer, CellWorld, Input, Outcome, Timing};
+use crate::schedules;
 use crate::vm::Vm;
 
 const FAULTS_END: Time = Duration::from_secs(25);
@@ -205,6 +206,10 @@
         let current = self.cell.newest();
         let until = self.cell.now + ms(self.cell.rng.u64(500..15_000));
         let fault = FAULTS[usize::from(self.cell.rng.u8(0..FAULTS.len() as u8))];
+        let now = self.cell.now;
+        if !schedules::step(|| format!("{now:?} {fault:?}, VM {vm}, until {until:?}")) {
+            return;
+        }
         match fault {
             Fault::KillOwner => {
                 self.cell.owners[current].cell = None;
@@ -322,6 +327,10 @@
         let to_successor = cut + DETECTION + ms(rng.u64(50..600));
         let to_former = to_successor + ms(rng.u64(300..1_500));
         let rivalry = Rivalry { vm, former: self.cell.newest(), cause };
+        let now = self.cell.now;
+        if !schedules::step(|| format!("{now:?} {rivalry:?}, reports lost: {silent}")) {
+            return;
+        }
         if silent {
             self.vms[vm].up_cut_until = self.cell.now + to_successor;
         }
--- a/crates/core/tests/key_table.rs
+++ b/crates/core/tests/key_table.rs
@@ -86,8 +86,11 @@
     }
 
     fn step(&mut self) {
-        let key = key(self.rng.usize(0..KEYS));
-        match self.rng.u32(0..10) {
+        let (key, kind) = (key(self.rng.usize(0..KEYS)), self.rng.u32(0..10));
+        if !schedules::step(|| format!("{:?} kind {kind}, {key:?}", self.now)) {
+            return;
+        }
+        match kind {
             0..=4 => self.claim(&key),
             5..=7 => self.settle(&key),
             8 => self.now += Duration::from_secs(self.rng.u64(0..30)),
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -92,13 +92,15 @@
     }
 
     fn step(&mut self) {
-        match self.rng.u8(..100) {
+        let kind = self.rng.u8(..100);
+        match kind {
+            75.. => {}
+            _ if !schedules::step(|| format!("{:?} kind {kind}", self.now)) => {}
             0..40 => self.admit(),
             40..60 => self.grow(),
             60..63 => self.change_closing(),
             63..66 => self.restart(),
-            66..75 => self.finish_one(),
-            _ => {}
+            _ => self.finish_one(),
         }
         self.settle();
     }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -100,7 +100,11 @@
     fn step(&mut self) {
         self.now += Duration::from_millis(self.rng.u64(0..400));
         let index = self.rng.usize(0..AGENTS);
-        match self.rng.u32(0..20) {
+        let kind = self.rng.u32(0..20);
+        if !schedules::step(|| format!("{:?} kind {kind}, agent {index}", self.now)) {
+            return;
+        }
+        match kind {
             0 => {
                 let incarnation = self.rng.u64(1..);
                 let model = &mut self.models[index];
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -12,6 +12,7 @@
 use peridotfold_core::time::Time;
 
 use crate::cell_world::{ms, Answer, CellWorld, Input, Outcome, Timing};
+use crate::schedules;
 use crate::vm::Vm;
 
 const FAULTS_END: Time = Duration::from_secs(60);
@@ -187,6 +188,9 @@
         let owner = self.cell.newest();
         let fault = FAULTS[usize::from(self.cell.rng.u8(0..FAULTS.len() as u8))];
         let now = self.cell.now;
+        if !schedules::step(|| format!("{now:?} {fault:?}, VM {vm}")) {
+            return;
+        }
         match fault {
             Fault::CutVm => {
                 self.vms[vm].is_cut_off = true;
--- a/crates/core/tests/tasks/schedules.rs
+++ b/crates/core/tests/tasks/schedules.rs
@@ -123,6 +123,12 @@
         self.faulty && self.rng.u32(..1_000) < per_mille
     }
 
+    /// A chance that is a step of the schedule.
+    fn fault(&mut self, name: &str, per_mille: u32) -> bool {
+        let now = self.now;
+        self.chance(per_mille) && support::step(|| format!("{now:?} {name}"))
+    }
+
     fn step(&mut self) {
         self.now += STEP;
         for vm in &mut self.vms {
@@ -130,7 +136,7 @@
             vm.worker.advance(clock);
         }
         self.owner.expire(self.now);
-        if self.chance(3) {
+        if self.fault("owner replaced", 3) {
             self.owner.take_over(self.now);
         }
         for index in 0..VMS {
@@ -147,21 +153,21 @@
     fn inject_faults(&mut self, index: usize) {
         let millis = self.rng.u64(100..6_000);
         let until = self.now + Duration::from_millis(millis);
-        if self.chance(8) {
+        if self.fault(&format!("agent {index} frozen"), 8) {
             self.vms[index].frozen_until = until;
         }
-        if self.chance(4) {
+        if self.fault(&format!("agent {index} killed"), 4) {
             let vm = &mut self.vms[index];
             vm.agent = None;
             vm.cycle = Cycle::Idle;
             vm.frozen_until = until;
         }
-        if self.chance(1) {
+        if self.fault(&format!("worker {index} restarted"), 1) {
             let vm = &mut self.vms[index];
             let clock = vm.clock(self.now);
             vm.worker.restart(clock);
         }
-        if self.chance(10) {
+        if self.fault(&format!("old orders to agent {index}"), 10) {
             self.send_old_epoch(index);
         }
     }
