--- a/crates/agent/tests/requests/keys.rs
+++ b/crates/agent/tests/requests/keys.rs
@@ -26,6 +26,27 @@
     });
 }
 
+/// Guards against a duplicate that joins the running request of another key, or gets the kept
+/// answer of another key.
+#[test]
+fn duplicates_of_different_keys_get_their_own_answers() {
+    run(async {
+        let setup = Setup::start(Plan::default()).await;
+        setup.behave(300.0);
+        let bids = [("k1", "100"), ("k2", "200"), ("k3", "300")];
+        let first = bids.map(|(key, body)| setup.spawn(setup.bid(key), body));
+        wait_until("all run", || setup.upstream.running() == 3).await;
+        let joined = bids.map(|(key, body)| setup.spawn(setup.bid(key), body));
+        for (((key, bid), first), joined) in bids.into_iter().zip(first).zip(joined) {
+            let first = first.await.whole();
+            assert!(first.ends_with(&format!("of {bid}\n")), "{key} got {first}");
+            assert_eq!(joined.await.whole(), first, "a duplicate of {key} joined");
+            assert_eq!(setup.send(&setup.bid(key), bid).await.whole(), first, "replay of {key}");
+        }
+        assert_eq!(setup.upstream.executions().len(), 3);
+    });
+}
+
 #[test]
 fn answer_outlives_the_entry_that_asked_first() {
     run(async {
