Drive the agent of composed and tasks by one model of a VM

Cause: composed/vm.rs and tasks/schedules.rs each had a VM with clock, delayed requests, claim, list and effects. support/machine.rs now has it once. composed runs the cycle until it waits, tasks one part a step, each with the odds that it had.

Ruled out: a change of the checks. All assertions stand; capacity and ledger are now checked by the same function in both, and tasks looks for overlaps after each part of a cycle instead of after each effect. In composed a list may also wait before it is made, as in tasks. The schedules of both change.

--- a/crates/core/tests/composed/main.rs
+++ b/crates/core/tests/composed/main.rs
@@ -4,6 +4,8 @@
 mod cell_world;
 #[path = "../support/history.rs"]
 mod history;
+#[path = "../support/machine.rs"]
+mod machine;
 #[path = "../tasks/model_worker.rs"]
 mod model_worker;
 #[path = "../support/owners.rs"]
--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -361,9 +361,9 @@
 
     /// The agent of a VM hears of an owner and reports to it at once.
     fn redirect(&mut self, vm: usize, owner: usize) {
-        if let Some(agent) = &mut self.vms[vm].agent {
-            agent.owner = owner;
+        if let Some(agent) = &self.vms[vm].agent {
             let (incarnation, sequence) = (agent.incarnation, agent.sequence);
+            self.vms[vm].owner = owner;
             self.after(ms(1), Own::SendReport { vm, incarnation, sequence });
         }
     }
@@ -389,19 +389,21 @@
         let clock = state.clock(self.cell.now);
         let frozen = !calm && self.cell.now < state.frozen_until;
         let cut = !calm && self.cell.now < state.up_cut_until;
-        let Some(agent) = &mut state.agent else { return };
-        if (agent.incarnation, agent.sequence) != (incarnation, sequence) {
+        let known = state.agent.as_ref().map(|agent| (agent.incarnation, agent.sequence));
+        if known != Some((incarnation, sequence)) {
             return;
         }
         let again = Own::SendReport { vm, incarnation, sequence };
         if frozen {
             return self.after(VM_STEP, again);
         }
-        if !agent.answered && !keeps {
-            agent.owner = newest;
+        if !state.answered && !keeps {
+            state.owner = newest;
         } else if goes_back {
-            agent.owner = newest.saturating_sub(1);
+            state.owner = newest.saturating_sub(1);
         }
+        let owner = state.owner;
+        let Some(agent) = &mut state.agent else { return };
         let Some(mut report) = agent.tasks.report(clock, 0) else {
             return self.after(VM_STEP, again);
         };
@@ -410,8 +412,8 @@
             report.free = report.batch_capacity;
         }
         agent.sequence = report.sequence;
-        agent.answered = false;
-        let (owner, sequence) = (agent.owner, report.sequence);
+        state.answered = false;
+        let sequence = report.sequence;
         if !cut {
             self.cell.deliver(Input::Report { owner, report });
         }
@@ -436,11 +438,12 @@
             return self.after(delay, Own::Answer(answer));
         }
         let Answer { incarnation, orders, .. } = answer;
-        let awaited = orders.sequence == agent.sequence && !agent.answered;
         let sequence = agent.sequence;
-        agent.answered |= awaited;
+        let newest = orders.sequence == sequence;
         agent.tasks.obey(clock, orders);
         agent.tasks.take_events();
+        let awaited = newest && !state.answered;
+        state.answered |= awaited;
         if awaited {
             // Often before the worker has kept a new epoch.
             let delay = if calm { 100 } else { self.cell.rng.u64(1..200) };
