Check that an owner keeps the checkpoint that an agent reported

Cause: no test of the core failed when the owner dropped the checkpoint of an evicted attempt (`note_result` in cell/attempts.rs): the history checker took the checkpoint from the owner's own event. The history now has what agents reported, and an eviction that is committed with another checkpoint is a WrongCheckpoint. An attempt can be reported with several checkpoints, by an agent and its successor; any of them is accepted.

Checks: stricter in composed and cell_schedules; `cell_history` has one more bad history. The `Outcome` of a schedule is now `Ended`, since the name is that of a message.

--- a/crates/core/tests/cell_history.rs
+++ b/crates/core/tests/cell_history.rs
@@ -47,6 +47,11 @@
     Fact::Committed(Event::Evicted { attempt: id(number), checkpoint })
 }
 
+fn reported(number: u64, checkpoint: &'static str) -> Fact {
+    let checkpoint = Some(Bytes::from_static(checkpoint.as_bytes()));
+    Fact::ReportedEvicted { attempt: id(number), checkpoint }
+}
+
 fn cancelled() -> Fact {
     Fact::Committed(Event::CancelRequested { job: "job".to_owned() })
 }
@@ -90,6 +95,10 @@
             Violation::WrongCheckpoint,
             [&run(1)[..], &[evicted(1, Some("half")), started(2), begun(2)]].concat(),
         ),
+        (
+            Violation::WrongCheckpoint,
+            [&run(1)[..], &[reported(1, "half"), evicted(1, None)]].concat(),
+        ),
         (Violation::StartAfterCancel, vec![cancelled(), started(1)]),
         (Violation::StartAfterCancel, vec![started(1), cancelled(), evicted(1, None), begun(1)]),
         (Violation::StartAfterEnd, [&run(1)[..], &[completed(1), started(2)]].concat()),
--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -9,7 +9,7 @@
 use peridotfold_core::resources::Resources;
 use peridotfold_core::time::Time;
 
-use crate::cell_world::{ms, Answer, CellWorld, Input, Outcome, Timing};
+use crate::cell_world::{ms, Answer, CellWorld, Ended, Input, Timing};
 use crate::schedules;
 use crate::vm::Vm;
 
@@ -117,7 +117,7 @@
 }
 
 impl World {
-    pub fn run(seed: u64) -> Outcome {
+    pub fn run(seed: u64) -> Ended {
         let mut world = World::new(seed);
         while let Some(input) = world.cell.next() {
             world.handle(input);
--- a/crates/core/tests/support/cell_world.rs
+++ b/crates/core/tests/support/cell_world.rs
@@ -9,7 +9,7 @@
     CancelReply, CellSettings, CellState, Effect, Event, JobSpec, SubmitReply,
 };
 use peridotfold_core::id::{Epoch, Incarnation};
-use peridotfold_core::message::report::{Orders, Report};
+use peridotfold_core::message::report::{Orders, Outcome, Report};
 use peridotfold_core::time::Time;
 
 use crate::history::{self, Fact};
@@ -63,13 +63,13 @@
     pub slow_until: Time,
 }
 
-pub struct Outcome {
+pub struct Ended {
     pub history: Vec<Fact>,
     pub end: CellState,
     pub ended_at: Time,
 }
 
-impl Outcome {
+impl Ended {
     /// # Panics
     ///
     /// Panics when the history breaks a rule.
@@ -141,9 +141,9 @@
         None
     }
 
-    pub fn end(self) -> Outcome {
+    pub fn end(self) -> Ended {
         let end = self.store.journal.replay();
-        Outcome { history: self.history, end, ended_at: self.now }
+        Ended { history: self.history, end, ended_at: self.now }
     }
 
     pub fn add_job(&mut self, job: JobSpec, submit_at: Time) -> usize {
@@ -340,7 +340,13 @@
         if !self.owners[owner].hold(local, &report) {
             return;
         }
-        let Report { agent, incarnation, sequence, .. } = report;
+        let Report { agent, incarnation, sequence, results, .. } = report;
+        self.history.extend(results.into_iter().filter_map(|result| match result.outcome {
+            Outcome::Evicted { checkpoint } => {
+                Some(Fact::ReportedEvicted { attempt: result.attempt, checkpoint })
+            }
+            _ => None,
+        }));
         self.commit_if_idle(owner);
         self.answer_if_due(owner, &agent);
         self.after(ms(1_000), Input::AnswerDue { owner, agent, incarnation, sequence });
--- a/crates/core/tests/support/history.rs
+++ b/crates/core/tests/support/history.rs
@@ -19,6 +19,11 @@
     Ended {
         attempt: AttemptId,
     },
+    /// An owner took in a report that the attempt was evicted.
+    ReportedEvicted {
+        attempt: AttemptId,
+        checkpoint: Option<Bytes>,
+    },
     Committed(Event),
     /// A submitter was told that the job is accepted.
     Promised(JobId),
@@ -73,6 +78,7 @@
     jobs: BTreeMap<JobId, Job>,
     live: BTreeMap<(JobId, TaskIndex), Token>,
     begun: BTreeSet<AttemptId>,
+    reported: BTreeMap<AttemptId, Vec<Option<Bytes>>>,
     promised: BTreeSet<JobId>,
 }
 
@@ -108,6 +114,10 @@
                 }
                 Ok(())
             }
+            Fact::ReportedEvicted { attempt, checkpoint } => {
+                self.reported.entry(attempt.clone()).or_default().push(checkpoint.clone());
+                Ok(())
+            }
             Fact::Committed(event) => self.commit(event),
             Fact::Promised(job) => {
                 self.promised.insert(job.clone());
@@ -159,6 +169,11 @@
                 }
                 Ok(())
             }
+            Event::Evicted { attempt, checkpoint }
+                if self.reported.get(attempt).is_some_and(|all| !all.contains(checkpoint)) =>
+            {
+                Err(Violation::WrongCheckpoint)
+            }
             Event::Evicted { attempt, checkpoint } | Event::Requeued { attempt, checkpoint } => {
                 self.give_up(attempt, checkpoint.clone());
                 Ok(())
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -11,7 +11,7 @@
 use peridotfold_core::resources::Resources;
 use peridotfold_core::time::Time;
 
-use crate::cell_world::{ms, Answer, CellWorld, Input, Outcome, Timing};
+use crate::cell_world::{ms, Answer, CellWorld, Ended, Input, Timing};
 use crate::schedules;
 use crate::vm::Vm;
 
@@ -80,7 +80,7 @@
 ];
 
 pub struct Judged {
-    pub outcome: Outcome,
+    pub outcome: Ended,
     /// Jobs without a flaw of their own.
     pub sound: BTreeSet<String>,
     pub faulty_vms: usize,
