Weight the rivalries towards restarts, and find the seeds again

Cause: with the VM model shared with tasks, the epoch not read back at a claim failed with seed 3296 of 10,000 only. Restarts of the agent are now as frequent as replacements of the VM; both need a longer sequence than lost answers.

The removed refusal of a lower epoch passes 50,000 seeds again.

Checks: none changed. Unmodified, composed passes 10,000 seeds.

--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -73,6 +73,15 @@
     VmReplaced,
 }
 
+/// Causes by weight: restarts and replacements lead to a conflict less often.
+const CAUSES: [Cause; 5] = [
+    Cause::AnswersLost,
+    Cause::AgentRestarted,
+    Cause::AgentRestarted,
+    Cause::VmReplaced,
+    Cause::VmReplaced,
+];
+
 #[derive(Debug, Clone, Copy)]
 enum Fault {
     KillOwner,
@@ -319,9 +328,7 @@
     /// starts may not have been sent.
     fn begin_rivalry(&mut self) {
         let rng = &mut self.cell.rng;
-        let cause =
-            [Cause::AnswersLost, Cause::AgentRestarted, Cause::VmReplaced, Cause::VmReplaced];
-        let (vm, cause) = (rng.usize(0..VMS), cause[rng.usize(0..4)]);
+        let (vm, cause) = (rng.usize(0..VMS), rng.choice(CAUSES).expect("a cause"));
         let silent = cause == Cause::VmReplaced || rng.bool();
         let cut = ms(rng.u64(400..1_000));
         let to_successor = cut + DETECTION + ms(rng.u64(50..600));
