--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -9,7 +9,8 @@
 use peridotfold_core::resources::Resources;
 use peridotfold_core::time::Time;
 
-use crate::cell_world::{ms, Answer, CellWorld, Input, Outcome, Timing};
+use crate::cell_world::{ms, Answer, CellWorld, Ended, Input, Timing};
+use crate::schedules;
 use crate::vm::Vm;
 
 const FAULTS_END: Time = Duration::from_secs(25);
@@ -72,6 +73,15 @@
     VmReplaced,
 }
 
+/// Causes by weight: restarts and replacements lead to a conflict less often.
+const CAUSES: [Cause; 5] = [
+    Cause::AnswersLost,
+    Cause::AgentRestarted,
+    Cause::AgentRestarted,
+    Cause::VmReplaced,
+    Cause::VmReplaced,
+];
+
 #[derive(Debug, Clone, Copy)]
 enum Fault {
     KillOwner,
@@ -116,7 +126,7 @@
 }
 
 impl World {
-    pub fn run(seed: u64) -> Outcome {
+    pub fn run(seed: u64) -> Ended {
         let mut world = World::new(seed);
         while let Some(input) = world.cell.next() {
             world.handle(input);
@@ -205,6 +215,10 @@
         let current = self.cell.newest();
         let until = self.cell.now + ms(self.cell.rng.u64(500..15_000));
         let fault = FAULTS[usize::from(self.cell.rng.u8(0..FAULTS.len() as u8))];
+        let now = self.cell.now;
+        if !schedules::step(|| format!("{now:?} {fault:?}, VM {vm}, until {until:?}")) {
+            return;
+        }
         match fault {
             Fault::KillOwner => {
                 self.cell.owners[current].cell = None;
@@ -314,14 +328,16 @@
     /// starts may not have been sent.
     fn begin_rivalry(&mut self) {
         let rng = &mut self.cell.rng;
-        let cause =
-            [Cause::AnswersLost, Cause::AgentRestarted, Cause::VmReplaced, Cause::VmReplaced];
-        let (vm, cause) = (rng.usize(0..VMS), cause[rng.usize(0..4)]);
+        let (vm, cause) = (rng.usize(0..VMS), rng.choice(CAUSES).expect("a cause"));
         let silent = cause == Cause::VmReplaced || rng.bool();
         let cut = ms(rng.u64(400..1_000));
         let to_successor = cut + DETECTION + ms(rng.u64(50..600));
         let to_former = to_successor + ms(rng.u64(300..1_500));
         let rivalry = Rivalry { vm, former: self.cell.newest(), cause };
+        let now = self.cell.now;
+        if !schedules::step(|| format!("{now:?} {rivalry:?}, reports lost: {silent}")) {
+            return;
+        }
         if silent {
             self.vms[vm].up_cut_until = self.cell.now + to_successor;
         }
@@ -352,9 +368,9 @@
 
     /// The agent of a VM hears of an owner and reports to it at once.
     fn redirect(&mut self, vm: usize, owner: usize) {
-        if let Some(agent) = &mut self.vms[vm].agent {
-            agent.owner = owner;
+        if let Some(agent) = &self.vms[vm].agent {
             let (incarnation, sequence) = (agent.incarnation, agent.sequence);
+            self.vms[vm].owner = owner;
             self.after(ms(1), Own::SendReport { vm, incarnation, sequence });
         }
     }
@@ -380,19 +396,21 @@
         let clock = state.clock(self.cell.now);
         let frozen = !calm && self.cell.now < state.frozen_until;
         let cut = !calm && self.cell.now < state.up_cut_until;
-        let Some(agent) = &mut state.agent else { return };
-        if (agent.incarnation, agent.sequence) != (incarnation, sequence) {
+        let known = state.agent.as_ref().map(|agent| (agent.incarnation, agent.sequence));
+        if known != Some((incarnation, sequence)) {
             return;
         }
         let again = Own::SendReport { vm, incarnation, sequence };
         if frozen {
             return self.after(VM_STEP, again);
         }
-        if !agent.answered && !keeps {
-            agent.owner = newest;
+        if !state.answered && !keeps {
+            state.owner = newest;
         } else if goes_back {
-            agent.owner = newest.saturating_sub(1);
+            state.owner = newest.saturating_sub(1);
         }
+        let owner = state.owner;
+        let Some(agent) = &mut state.agent else { return };
         let Some(mut report) = agent.tasks.report(clock, 0) else {
             return self.after(VM_STEP, again);
         };
@@ -401,8 +419,8 @@
             report.free = report.batch_capacity;
         }
         agent.sequence = report.sequence;
-        agent.answered = false;
-        let (owner, sequence) = (agent.owner, report.sequence);
+        state.answered = false;
+        let sequence = report.sequence;
         if !cut {
             self.cell.deliver(Input::Report { owner, report });
         }
@@ -427,11 +445,12 @@
             return self.after(delay, Own::Answer(answer));
         }
         let Answer { incarnation, orders, .. } = answer;
-        let awaited = orders.sequence == agent.sequence && !agent.answered;
         let sequence = agent.sequence;
-        agent.answered |= awaited;
+        let newest = orders.sequence == sequence;
         agent.tasks.obey(clock, orders);
         agent.tasks.take_events();
+        let awaited = newest && !state.answered;
+        state.answered |= awaited;
         if awaited {
             // Often before the worker has kept a new epoch.
             let delay = if calm { 100 } else { self.cell.rng.u64(1..200) };
