--- a/crates/entry/tests/history.rs
+++ b/crates/entry/tests/history.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/history.rs"]
 mod history;
+#[path = "support/real_agent.rs"]
+mod real_agent;
 #[path = "support/common.rs"]
 mod support;
 
@@ -16,8 +18,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use peridotfold_agent::settings::Settings;
-use peridotfold_agent::Agent;
 use peridotfold_core::keys::KeyMap;
 use peridotfold_standins::store::{Faults, Mode};
 use peridotfold_wire::body::Body;
@@ -62,26 +62,6 @@
     address
 }
 
-async fn agent(name: &str, upstream: SocketAddr, entries: Vec<SocketAddr>) -> Agent {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let settings = Settings {
-        id: name.into(),
-        data_centre: "dc-1".into(),
-        rack: "rack-1".into(),
-        cell: "cell-1".into(),
-        internal: any,
-        advertise: None,
-        http: any,
-        entries,
-        service: "open".into(),
-        upstream,
-        // Nothing answers there: the test has no batch tasks.
-        worker: SocketAddr::from(([127, 0, 0, 1], 9)),
-        drain_grace: Duration::from_secs(1),
-    };
-    Agent::start(settings).await.expect("the agent starts")
-}
-
 struct Clients {
     log: Log,
     numbers: AtomicU64,
@@ -162,7 +142,7 @@
         let mut agents = Vec::new();
         for name in ["agent-1", "agent-2", "agent-3"] {
             let address = upstream(&log).await;
-            agents.push(agent(name, address, entries.clone()).await);
+            agents.push(real_agent::start(name, address, entries.clone()).await);
             upstreams.push(address);
         }
         let clients = Arc::new(Clients {
@@ -188,7 +168,7 @@
         pause(1).await;
         // An agent, and then an entry, are killed and restarted.
         agents.remove(0);
-        agents.insert(0, agent("agent-1", upstreams[0], entries.clone()).await);
+        agents.insert(0, real_agent::start("agent-1", upstreams[0], entries.clone()).await);
         until("the buckets have moved", || async {
             let stored = store.peek("keymap/open").expect("a key map");
             let map: KeyMap = serde_json::from_slice(&stored.1).expect("the key map is JSON");
@@ -212,7 +192,7 @@
         store.set_faults(Faults { mode: Mode::Refuse, ..lossy.clone() });
         agents.remove(1);
         let entries = vec![one.internal, two.internal];
-        agents.insert(1, agent("agent-2", upstreams[1], entries).await);
+        agents.insert(1, real_agent::start("agent-2", upstreams[1], entries).await);
         pause(4).await;
         store.set_faults(lossy);
         pause(4).await;
