--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -33,7 +33,7 @@
 const DETECTION: Duration = Duration::from_secs(2);
 
 #[derive(Clone)]
-enum Own {
+enum WorldInput {
     Vms,
     SendReport {
         vm: usize,
@@ -44,22 +44,22 @@
     /// Boots an agent that hears of the given owner, or of any.
     Boot(usize, Option<usize>),
     Fault,
-    Rivalry,
-    CutOwner(Rivalry),
-    ToSuccessor(Rivalry),
-    ToFormer(Rivalry),
+    SplitBrain,
+    CutOwner(SplitBrain),
+    ToSuccessor(SplitBrain),
+    ToFormer(SplitBrain),
 }
 
-impl From<Answer> for Own {
+impl From<Answer> for WorldInput {
     fn from(answer: Answer) -> Self {
-        Own::Answer(answer)
+        WorldInput::Answer(answer)
     }
 }
 
 /// A replaced owner that still grants, and an agent that reports to its successor and then to it
 /// again.
 #[derive(Debug, Clone, Copy)]
-struct Rivalry {
+struct SplitBrain {
     vm: usize,
     former: usize,
     cause: Cause,
@@ -121,7 +121,7 @@
 ];
 
 pub struct World {
-    cell: CellWorld<Own>,
+    cell: CellWorld<WorldInput>,
     vms: Vec<Vm>,
 }
 
@@ -141,7 +141,7 @@
         world.add_jobs();
         world.cell.take_over();
         (0..VMS).for_each(|vm| world.boot(vm, None));
-        world.after(VM_STEP, Own::Vms);
+        world.after(VM_STEP, WorldInput::Vms);
         world.add_faults();
         world
     }
@@ -165,7 +165,7 @@
             cell.add_job(job, ms(at));
             if cell.rng.u8(0..3) == 0 {
                 let lead = cell.rng.u64(0..200).min(at);
-                cell.after(ms(at - lead), Input::World(Own::Rivalry));
+                cell.after(ms(at - lead), Input::World(WorldInput::SplitBrain));
             }
             if cell.rng.u8(0..4) == 0 {
                 let at = cell.rng.u64(at..22_000);
@@ -178,35 +178,35 @@
     fn add_faults(&mut self) {
         for _ in 0..self.cell.rng.usize(1..6) {
             let at = self.cell.rng.u64(1_000..FAULTS_END.as_millis() as u64 - 2_000);
-            self.after(ms(at), Own::Fault);
+            self.after(ms(at), WorldInput::Fault);
             if self.cell.rng.bool() {
                 let second = at + self.cell.rng.u64(0..2_000);
-                self.after(ms(second), Own::Fault);
+                self.after(ms(second), WorldInput::Fault);
             }
         }
     }
 
-    fn after(&mut self, delay: Duration, input: Own) {
+    fn after(&mut self, delay: Duration, input: WorldInput) {
         self.cell.after(delay, Input::World(input));
     }
 
-    fn handle(&mut self, input: Own) {
+    fn handle(&mut self, input: WorldInput) {
         match input {
-            Own::Vms => self.step_vms(),
-            Own::SendReport { vm, incarnation, sequence } => {
+            WorldInput::Vms => self.step_vms(),
+            WorldInput::SendReport { vm, incarnation, sequence } => {
                 self.send_report(vm, incarnation, sequence);
             }
-            Own::Answer(answer) => self.obey(answer),
-            Own::Boot(vm, owner) => self.boot(vm, owner),
-            Own::Fault => self.fault(),
-            Own::Rivalry => self.begin_rivalry(),
-            Own::CutOwner(Rivalry { former, .. }) => {
+            WorldInput::Answer(answer) => self.obey(answer),
+            WorldInput::Boot(vm, owner) => self.boot(vm, owner),
+            WorldInput::Fault => self.fault(),
+            WorldInput::SplitBrain => self.begin_split_brain(),
+            WorldInput::CutOwner(SplitBrain { former, .. }) => {
                 let until = self.cell.now + ms(self.cell.rng.u64(6_000..10_000));
                 self.cell.owners[former].cut_until = until.min(FAULTS_END);
                 self.cell.after(DETECTION, Input::TakeOver);
             }
-            Own::ToSuccessor(rivalry) => self.report_to_successor(rivalry),
-            Own::ToFormer(rivalry) => self.report_to_former(rivalry),
+            WorldInput::ToSuccessor(split_brain) => self.report_to_successor(split_brain),
+            WorldInput::ToFormer(split_brain) => self.report_to_former(split_brain),
         }
     }
 
@@ -271,13 +271,13 @@
     fn kill_agent(&mut self, vm: usize) {
         self.vms[vm].agent = None;
         let delay = ms(self.cell.rng.u64(50..6_000));
-        self.after(delay, Own::Boot(vm, None));
+        self.after(delay, WorldInput::Boot(vm, None));
     }
 
     fn kill_agent_later(&mut self, vm: usize) {
         self.vms[vm].frozen_until = self.cell.now;
         let delay = ms(self.cell.rng.u64(1_000..5_000));
-        self.after(delay, Own::Boot(vm, None));
+        self.after(delay, WorldInput::Boot(vm, None));
     }
 
     fn replace_machine(&mut self, vm: usize) {
@@ -289,7 +289,7 @@
     fn replace(&mut self, vm: usize) {
         self.replace_machine(vm);
         let delay = ms(self.cell.rng.u64(100..10_000));
-        self.after(delay, Own::Boot(vm, None));
+        self.after(delay, WorldInput::Boot(vm, None));
     }
 
     fn observe(&mut self) {
@@ -310,7 +310,7 @@
     }
 
     fn step_vms(&mut self) {
-        self.after(VM_STEP, Own::Vms);
+        self.after(VM_STEP, WorldInput::Vms);
         let faulty = !self.cell.is_calm();
         for index in 0..VMS {
             if self.vms[index].land_flights(self.cell.now) {
@@ -326,34 +326,34 @@
 
     /// The VM's reports are lost just before the owner is cut off from the store, so that committed
     /// starts may not have been sent.
-    fn begin_rivalry(&mut self) {
+    fn begin_split_brain(&mut self) {
         let rng = &mut self.cell.rng;
         let (vm, cause) = (rng.usize(0..VMS), rng.choice(CAUSES).expect("a cause"));
         let silent = cause == Cause::VmReplaced || rng.bool();
         let cut = ms(rng.u64(400..1_000));
         let to_successor = cut + DETECTION + ms(rng.u64(50..600));
         let to_former = to_successor + ms(rng.u64(300..1_500));
-        let rivalry = Rivalry { vm, former: self.cell.newest(), cause };
+        let split_brain = SplitBrain { vm, former: self.cell.newest(), cause };
         let now = self.cell.now;
-        if !schedules::step(|| format!("{now:?} {rivalry:?}, reports lost: {silent}")) {
+        if !schedules::step(|| format!("{now:?} {split_brain:?}, reports lost: {silent}")) {
             return;
         }
         if silent {
             self.vms[vm].up_cut_until = self.cell.now + to_successor;
         }
-        self.after(cut, Own::CutOwner(rivalry));
-        self.after(to_successor, Own::ToSuccessor(rivalry));
-        self.after(to_former, Own::ToFormer(rivalry));
+        self.after(cut, WorldInput::CutOwner(split_brain));
+        self.after(to_successor, WorldInput::ToSuccessor(split_brain));
+        self.after(to_former, WorldInput::ToFormer(split_brain));
     }
 
-    fn report_to_successor(&mut self, rivalry: Rivalry) {
+    fn report_to_successor(&mut self, split_brain: SplitBrain) {
         (0..VMS).for_each(|vm| self.redirect(vm, self.cell.newest()));
-        if rivalry.cause == Cause::AnswersLost {
-            self.vms[rivalry.vm].down_cut_until = self.cell.now + ms(1_500);
+        if split_brain.cause == Cause::AnswersLost {
+            self.vms[split_brain.vm].down_cut_until = self.cell.now + ms(1_500);
         }
     }
 
-    fn report_to_former(&mut self, Rivalry { vm, former, cause }: Rivalry) {
+    fn report_to_former(&mut self, SplitBrain { vm, former, cause }: SplitBrain) {
         match cause {
             Cause::AnswersLost => {
                 self.vms[vm].down_cut_until = self.cell.now;
@@ -363,7 +363,7 @@
             Cause::VmReplaced => self.replace_machine(vm),
         }
         let delay = ms(self.cell.rng.u64(50..500));
-        self.after(delay, Own::Boot(vm, Some(former)));
+        self.after(delay, WorldInput::Boot(vm, Some(former)));
     }
 
     /// The agent of a VM hears of an owner and reports to it at once.
@@ -371,7 +371,7 @@
         if let Some(agent) = &self.vms[vm].agent {
             let (incarnation, sequence) = (agent.incarnation, agent.sequence);
             self.vms[vm].owner = owner;
-            self.after(ms(1), Own::SendReport { vm, incarnation, sequence });
+            self.after(ms(1), WorldInput::SendReport { vm, incarnation, sequence });
         }
     }
 
@@ -382,7 +382,7 @@
         let owner = owner.unwrap_or(any);
         let incarnation = self.cell.rng.u64(1..);
         self.vms[vm].boot(incarnation, owner);
-        self.after(ms(1), Own::SendReport { vm, incarnation, sequence: 0 });
+        self.after(ms(1), WorldInput::SendReport { vm, incarnation, sequence: 0 });
     }
 
     /// Sends the next report, unless another one is sent before.
@@ -400,7 +400,7 @@
         if known != Some((incarnation, sequence)) {
             return;
         }
-        let again = Own::SendReport { vm, incarnation, sequence };
+        let again = WorldInput::SendReport { vm, incarnation, sequence };
         if frozen {
             return self.after(VM_STEP, again);
         }
@@ -424,7 +424,7 @@
         if !cut {
             self.cell.deliver(Input::Report { owner, report });
         }
-        self.after(ms(2_000), Own::SendReport { vm, incarnation, sequence });
+        self.after(ms(2_000), WorldInput::SendReport { vm, incarnation, sequence });
     }
 
     fn obey(&mut self, answer: Answer) {
@@ -442,7 +442,7 @@
         }
         if !calm && self.cell.now < until {
             let delay = until - self.cell.now;
-            return self.after(delay, Own::Answer(answer));
+            return self.after(delay, WorldInput::Answer(answer));
         }
         let Answer { incarnation, orders, .. } = answer;
         let sequence = agent.sequence;
@@ -454,7 +454,7 @@
         if awaited {
             // Often before the worker has kept a new epoch.
             let delay = if calm { 100 } else { self.cell.rng.u64(1..200) };
-            self.after(ms(delay), Own::SendReport { vm, incarnation, sequence });
+            self.after(ms(delay), WorldInput::SendReport { vm, incarnation, sequence });
         }
     }
 }
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -30,7 +30,7 @@
 }
 
 #[derive(Debug, Clone)]
-enum Own {
+enum WorldInput {
     Send { vm: usize, incarnation: Incarnation, sequence: u64 },
     Answer(Answer),
     Vm(usize),
@@ -41,9 +41,9 @@
     Fault,
 }
 
-impl From<Answer> for Own {
+impl From<Answer> for WorldInput {
     fn from(answer: Answer) -> Self {
-        Own::Answer(answer)
+        WorldInput::Answer(answer)
     }
 }
 
@@ -87,7 +87,7 @@
 }
 
 pub struct World {
-    cell: CellWorld<Own>,
+    cell: CellWorld<WorldInput>,
     vms: Vec<Vm>,
     sound: BTreeSet<String>,
 }
@@ -113,12 +113,12 @@
         }
         for _ in 0..world.cell.rng.u64(2..12) {
             let at = world.cell.rng.u64(1_000..FAULTS_END.as_millis() as u64);
-            world.after(ms(at), Own::Fault);
+            world.after(ms(at), WorldInput::Fault);
         }
         world
     }
 
-    fn after(&mut self, delay: Duration, input: Own) {
+    fn after(&mut self, delay: Duration, input: WorldInput) {
         self.cell.after(delay, Input::World(input));
     }
 
@@ -162,24 +162,24 @@
         }
     }
 
-    fn handle(&mut self, input: Own) {
+    fn handle(&mut self, input: WorldInput) {
         match input {
-            Own::Send { vm, incarnation, sequence } => self.send(vm, incarnation, sequence),
-            Own::Answer(Answer { agent, incarnation, orders }) => {
+            WorldInput::Send { vm, incarnation, sequence } => self.send(vm, incarnation, sequence),
+            WorldInput::Answer(Answer { agent, incarnation, orders }) => {
                 if let Some(vm) = self.vms.iter().position(|vm| vm.id == agent) {
                     self.obey(vm, incarnation, orders);
                 }
             }
-            Own::Vm(vm) => self.advance(vm),
-            Own::Boot(vm) => self.boot(vm),
-            Own::Thaw(vm) => self.thaw(vm),
-            Own::Stay(vm) => {
+            WorldInput::Vm(vm) => self.advance(vm),
+            WorldInput::Boot(vm) => self.boot(vm),
+            WorldInput::Thaw(vm) => self.thaw(vm),
+            WorldInput::Stay(vm) => {
                 if let Some(agent) = &mut self.vms[vm].agent {
                     agent.leaving = false;
                 }
             }
-            Own::Rejoin(vm) => self.vms[vm].is_cut_off = false,
-            Own::Fault => self.fault(),
+            WorldInput::Rejoin(vm) => self.vms[vm].is_cut_off = false,
+            WorldInput::Fault => self.fault(),
         }
     }
 
@@ -195,24 +195,24 @@
             Fault::CutVm => {
                 self.vms[vm].is_cut_off = true;
                 let delay = self.cell.rng.u64(1_000..50_000);
-                self.after(ms(delay), Own::Rejoin(vm));
+                self.after(ms(delay), WorldInput::Rejoin(vm));
             }
             Fault::KillAgent => {
                 self.vms[vm].agent = None;
                 let delay = self.cell.rng.u64(100..30_000);
-                self.after(ms(delay), Own::Boot(vm));
+                self.after(ms(delay), WorldInput::Boot(vm));
             }
             Fault::FreezeAgent => {
                 if let Some(agent) = &mut self.vms[vm].agent {
                     agent.frozen = true;
                     let delay = self.cell.rng.u64(100..40_000);
-                    self.after(ms(delay), Own::Thaw(vm));
+                    self.after(ms(delay), WorldInput::Thaw(vm));
                 }
             }
             Fault::ReplaceVm => {
                 self.vms[vm].replace(&mut self.cell.history);
                 let delay = self.cell.rng.u64(100..30_000);
-                self.after(ms(delay), Own::Boot(vm));
+                self.after(ms(delay), WorldInput::Boot(vm));
             }
             Fault::KillOwner => {
                 self.cell.owners[owner].cell = None;
@@ -238,7 +238,7 @@
                 self.vms[vm].evict(now, false, &mut self.cell.history);
                 if let Some(agent) = &mut self.vms[vm].agent {
                     agent.leaving = true;
-                    self.after(ms(10_000), Own::Stay(vm));
+                    self.after(ms(10_000), WorldInput::Stay(vm));
                 }
             }
             Fault::CancelHalf => {
@@ -259,7 +259,7 @@
     fn send_next(&mut self, vm: usize, delay: Duration) {
         if let Some(agent) = &self.vms[vm].agent {
             let (incarnation, sequence) = (agent.incarnation, agent.sequence);
-            self.after(delay, Own::Send { vm, incarnation, sequence });
+            self.after(delay, WorldInput::Send { vm, incarnation, sequence });
         }
     }
 
@@ -303,7 +303,7 @@
 
     fn watch(&mut self, vm: usize) {
         if let Some(due) = self.vms[vm].next_due() {
-            self.after(due.saturating_sub(self.cell.now), Own::Vm(vm));
+            self.after(due.saturating_sub(self.cell.now), WorldInput::Vm(vm));
         }
     }
 
