Pause after a failed read of a holder's key table

Cause: a restarted entry looks each 100 ms for holders to read, so one that does not answer would be called about twice a second for 10 min. Now a failed read waits for 1 s. Conclusion: holders that appear meanwhile are read up to 1 s later, only while another one fails.

--- a/crates/entry/src/recovery.rs
+++ b/crates/entry/src/recovery.rs
@@ -95,6 +95,8 @@
             Ok(KeyTableReply::Restarted) => return None,
             Err(error) => {
                 tracing::info!(event = "key_table_failed", agent = holder.agent, %error);
+                // A holder that does not answer is not asked at the rate of the first looks.
+                runtime::sleep(PAGE_PAUSE).await;
                 return None;
             }
         }
