Kill the agent when the cut to the store begins

Cause, shown by the logs of a run without the outage hold: the patch with the lost answer took 6 s or more to be reported, the agent was killed only after it, and by then the other entry had taken the cell over and the agent had confirmed its tasks. So the check for tasks in two places could not fail. Change: the agent is killed at the moment the cut begins. The proofs name the removal of the outage hold, which the test now finds: "("long", 1) ran twice at a time".

--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -323,17 +323,17 @@
         cluster.ways[hit]
             .store
             .set_flows(Flows { to_client: Flow::Delay(SLOW), ..Flows::default() });
+        let mut agent = cluster.vms[0].agent.take().expect("the agent runs");
         let patch = timeout_patch(2_000);
         let (lost, begin) = smol::future::zip(cluster.patch(hit, 1, &patch), async {
             within(PATIENCE, "the store applies the patch", || async { log() != log_before }).await;
             let silent = Flows { to_client: Flow::Drop, ..Flows::default() };
             cluster.ways[hit].store.set_flows(silent);
+            agent.kill().expect("kill");
             runtime::now()
         })
         .await;
         assert_eq!(lost.0, 504, "the answer of the write was lost: {}", lost.1);
-        cluster.agent(0).kill().expect("kill");
-        cluster.vms[0].agent = None;
         let (status, answer) = cluster.patch(hit, 2, &timeout_patch(2_001)).await;
         assert_eq!(status, 503, "nothing was sent: {answer}");
         cluster.wait_version(2, IN_EFFECT).await;
