See each process before it is paused or killed

Cause: `a_paused_entry_catches_up` failed once, with load averages of about 30 to 34: "process … was never seen" (checks.rs:120). An entry that is paused before its first sample may not be sampled before the check at the end; that this happened is inferred from the order of the steps, not traced. Change: tests that pause or kill processes wait until each was seen. The check is the same, and a sample from before the fault is now certain, so it is stricter.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -53,6 +53,7 @@
         for store_down in [false, true] {
             let mut cluster = Cluster::start(2, 2).await;
             let sampler = Sampler::start(processes(&cluster));
+            sampler.wait_seen().await;
             cluster.entry(0).signal("STOP").expect("signal");
             let mut version = 1;
             for _ in 0..4 {
@@ -79,6 +80,7 @@
     run(async {
         let mut cluster = Cluster::start(2, 2).await;
         let sampler = Sampler::start(processes(&cluster));
+        sampler.wait_seen().await;
         for store_down in [false, true] {
             let version = advance(&cluster, 1).await;
             cluster.wait_version(version, IN_EFFECT).await;
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -312,6 +312,7 @@
     run(async {
         let mut cluster = Cluster::start_plan(forwarded(2, 2)).await;
         let sampler = Sampler::start(processes(&cluster));
+        sampler.wait_seen().await;
         cluster.submit(0, "long", 4, WORK_MS).await;
         within(PATIENCE, "tasks run on both VMs", || async {
             cluster.vms.iter().all(|vm| !vm.worker.history().is_empty())
--- a/tests/support/checks.rs
+++ b/tests/support/checks.rs
@@ -16,7 +16,7 @@
 use peridotfold_wire::runtime;
 use serde_json::Value;
 
-use crate::support::{Cluster, OPERATOR_TOKEN};
+use crate::support::{within, Cluster, OPERATOR_TOKEN, PATIENCE};
 
 /// Begin of the body of a bid without a key, which is not one of the load.
 pub const PROBE: &str = "probe-";
@@ -110,6 +110,14 @@
         Sampler { seen, _tasks }
     }
 
+    /// Waits until each process was seen. One that is paused before that may be missed.
+    pub async fn wait_seen(&self) {
+        within(PATIENCE, "each process was seen", || async {
+            self.seen.lock().iter().all(|versions| !versions.is_empty())
+        })
+        .await;
+    }
+
     /// Checks that no process went back to an older version, and that each was seen.
     ///
     /// # Panics
