--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -88,7 +88,7 @@
         };
         let state = State {
             tasks: Tasks::new(identity, MEASUREMENT_LAG),
-            colocation: Colocation::new(settings.service.clone(), MEASUREMENT_LAG, DEFAULT_TARGET),
+            colocation: Colocation::new(MEASUREMENT_LAG, DEFAULT_TARGET),
             next_control: Duration::ZERO,
             worker_ok: true,
             owner_ok: true,
--- a/crates/bench/src/colocation/policy.rs
+++ b/crates/bench/src/colocation/policy.rs
@@ -114,7 +114,7 @@
         match policy {
             Policy::Ours => {
                 let target = Duration::from_millis(50);
-                Control::Ours(Box::new(Colocation::new("service".into(), LAG, target)))
+                Control::Ours(Box::new(Colocation::new(LAG, target)))
             }
             Policy::Thresholds => Control::Thresholds(Thresholds::default()),
             Policy::Ideal => Control::Ideal,
--- a/crates/core/tests/colocation.rs
+++ b/crates/core/tests/colocation.rs
@@ -71,7 +71,7 @@
             noise: 0.02,
             smoothed: base,
             classes: classes.collect(),
-            controller: Colocation::new("listings".into(), lag, Duration::from_millis(50)),
+            controller: Colocation::new(lag, Duration::from_millis(50)),
             evictions: 0,
             slow: 0,
             throughput: 0.0,
