Relate the uncertainty of a colocation score to the whole class

Cause, from a trace: on some VMs the baseline had fallen to 0.88 and a harmless class with few cores had a score of 0.15 a core for minutes. A first small task gave its class a large variance per core, and the large errors of new classes were taken for a change of the service's load. The variance is now bounded by the slow-down of the whole class, and a change of load has to exceed the uncertainty of the predictions.

--- a/crates/core/src/colocation/scores.rs
+++ b/crates/core/src/colocation/scores.rs
@@ -21,6 +21,8 @@
 /// Mean error of the predictions above which the load of the service is taken to have changed, and
 /// what the baseline and each slow-down may then change by in a second.
 const JUMP: f64 = 0.04;
+/// The same in standard deviations. A class that was never seen gives large errors as well.
+const SURPRISE: f64 = 1.5;
 const BASELINE_JUMP: f64 = 0.02;
 const SCORE_JUMP: f64 = 0.1;
 /// Least cores of a class that a score is related to.
@@ -39,6 +41,8 @@
     largest: Vec<f64>,
     /// Mean error of the latest predictions.
     error: f64,
+    /// The same, in standard deviations of a prediction.
+    surprise: f64,
 }
 
 impl Scores {
@@ -53,6 +57,7 @@
             shown: vec![1.0],
             largest: vec![1.0],
             error: 0.0,
+            surprise: 0.0,
         }
     }
 
@@ -75,15 +80,20 @@
     pub fn learn(&mut self, elapsed: f64, lag: f64, latency: f64, cores: &BTreeMap<String, f64>) {
         self.show(elapsed, lag, cores);
         self.drift(elapsed);
-        let gains = self.gains();
+        let products = self.products();
+        let spread: f64 = products.iter().zip(&self.shown).map(|(one, two)| one * two).sum();
+        let total = spread + MEASUREMENT.powi(2);
+        let gains: Vec<f64> = products.iter().map(|product| product / total).collect();
         let predicted: f64 = self.values.iter().zip(&self.shown).map(|(one, two)| one * two).sum();
         let error = latency / self.unit - predicted;
-        self.error += (error - self.error) * (1.0 - (-elapsed / (2.0 * lag)).exp());
+        let weight = 1.0 - (-elapsed / (2.0 * lag)).exp();
+        self.error += (error - self.error) * weight;
+        self.surprise += (error / total.sqrt() - self.surprise) * weight;
         for (value, gain) in self.values.iter_mut().zip(&gains) {
             *value = (*value + gain * error).max(0.0);
         }
         self.values[0] = self.values[0].max(0.01);
-        self.update_covariance(&gains);
+        self.update_covariance(&gains, &products);
     }
 
     /// Lets the cores follow with the lag of the latency.
@@ -99,6 +109,21 @@
             self.shown[*index] += (now - self.shown[*index]) * weight;
             self.largest[*index] = self.largest[*index].max(now);
         }
+        self.bound_covariance();
+    }
+
+    /// Reduces what is unknown of a score when its class grows: the bound is on the slow-down by
+    /// the whole class, and a first task may be small.
+    fn bound_covariance(&mut self) {
+        for index in 1..self.values.len() {
+            let most = (UNKNOWN / self.largest[index]).powi(2);
+            let variance = self.covariance[index][index];
+            if variance > most {
+                let factor = (most / variance).sqrt();
+                self.covariance[index].iter_mut().for_each(|value| *value *= factor);
+                self.covariance.iter_mut().for_each(|row| row[index] *= factor);
+            }
+        }
     }
 
     fn add(&mut self, class: &str, cores: f64) {
@@ -116,7 +141,7 @@
     }
 
     fn drift(&mut self, elapsed: f64) {
-        let jump = self.error.abs() > JUMP;
+        let jump = self.error.abs() > JUMP && self.surprise.abs() > SURPRISE;
         self.covariance[0][0] += BASELINE_DRIFT.powi(2) * elapsed;
         if jump {
             self.covariance[0][0] += BASELINE_JUMP.powi(2) * elapsed;
@@ -125,28 +150,18 @@
             let part = if jump { SCORE_JUMP } else { SCORE_DRIFT };
             let least = SLOWDOWN_DRIFT / self.largest[index];
             let drift = (part * self.values[index]).max(least);
-            let most = (UNKNOWN / self.largest[index]).powi(2);
-            let variance = &mut self.covariance[index][index];
-            *variance = (*variance + drift.powi(2) * elapsed).min(most.max(*variance));
+            self.covariance[index][index] += drift.powi(2) * elapsed;
         }
     }
 
-    fn gains(&self) -> Vec<f64> {
-        let products = self.products();
-        let spread: f64 = products.iter().zip(&self.shown).map(|(one, two)| one * two).sum();
-        let total = spread + MEASUREMENT.powi(2);
-        products.iter().map(|product| product / total).collect()
-    }
-
     fn products(&self) -> Vec<f64> {
         let row = |row: &Vec<f64>| row.iter().zip(&self.shown).map(|(one, two)| one * two).sum();
         self.covariance.iter().map(row).collect()
     }
 
-    fn update_covariance(&mut self, gains: &[f64]) {
-        let products = self.products();
+    fn update_covariance(&mut self, gains: &[f64], products: &[f64]) {
         for (row, gain) in self.covariance.iter_mut().zip(gains) {
-            for (value, product) in row.iter_mut().zip(&products) {
+            for (value, product) in row.iter_mut().zip(products) {
                 *value -= gain * product;
             }
         }
