Try a throttled class again after 2 minutes instead of 10

Cause: a score that is too high is not corrected while its class hardly runs. The prediction limits the harm of a try to one step of 10 %, and a try that is undone doubles the wait.

--- a/crates/core/src/colocation.rs
+++ b/crates/core/src/colocation.rs
@@ -34,7 +34,7 @@
 /// First wait before a restore, in lags. A throttle waits two lags.
 const RESTORE_LAGS: u32 = 6;
 /// Quiet time after which a throttle is loosened against the prediction, which may be out of date.
-const EXPLORE_WAIT: Duration = Duration::from_secs(10 * 60);
+const EXPLORE_WAIT: Duration = Duration::from_secs(2 * 60);
 const RESTORE_WAIT_MAX: Duration = Duration::from_secs(30 * 60);
 /// Slow-down by a class below which throttling it further is no use.
 const NEGLIGIBLE: f64 = 0.02;
