--- a/crates/core/src/colocation/scores.rs
+++ b/crates/core/src/colocation/scores.rs
@@ -1,7 +1,7 @@
 //! Estimate of a service's latency without batch work, and of what one core of each class adds.
 //!
-//! A Kalman filter over the baseline and one score per class. Each sample counts, since the cores
-//! in use change all the time: waiting for steady loads left most scores unlearned.
+//! A Kalman filter over the baseline and one score per class. It learns from each sample, since
+//! the cores in use change with every start and end of a task.
 
 use std::collections::BTreeMap;
 
