Let the owner of a cell respect class limits

Cause: the owner knew the free capacity of a worker but not what each class holds, so it ordered starts that the ledger refused, and each refusal wrote two events and kept the worker out of placement for 1 s. The owner now counts the larger of declared and reported usage of each class, and places nothing on a worker on which a class is above its limit.

Ruled out: a new field in the report. Limits come from the configuration, and the usage of each attempt is already reported. The ledger still decides.

--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -1,12 +1,13 @@
 //! Reports of agents, and the ends of attempts.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::cell::owner::{Cell, Effect};
 use crate::cell::state::{Event, Phase};
 use crate::cell::worker::{Live, Stage};
 use crate::id::{AgentId, JobId, TaskIndex};
 use crate::message::report::{AttemptId, Outcome, Report, TaskResult};
+use crate::resources::Resources;
 use crate::time::{lease_wait, Time};
 
 const REASON_LIMIT: usize = 256;
@@ -118,12 +119,15 @@
     /// Compares the attempts that the agent holds with those that it should hold.
     fn note_running(&mut self, slot: usize, report: &Report) {
         let confirms = report.epoch == self.state.epoch;
-        let held: BTreeSet<&AttemptId> = report.running.iter().map(|task| &task.attempt).collect();
+        let held: BTreeMap<&AttemptId, &Resources> =
+            report.running.iter().map(|task| (&task.attempt, &task.measured)).collect();
         let Some(worker) = self.workers.get_mut(slot) else { return };
         let mut gone = Vec::new();
         for ((job, task), live) in &mut worker.attempts {
             let id = AttemptId { job: job.clone(), task: *task, token: live.token };
-            live.seen = held.contains(&id);
+            let measured = held.get(&id);
+            live.seen = measured.is_some();
+            live.measured = measured.copied().copied().unwrap_or_default();
             if live.seen {
                 live.stage = Stage::Running;
             } else if is_gone(live, report, confirms) {
@@ -136,8 +140,8 @@
             live.is_none_or(|live| live.token != id.token)
         };
         let orphans: Vec<AttemptId> =
-            held.iter().filter(|id| is_orphan(id)).map(|&id| id.clone()).collect();
-        worker.orphans.retain(|id, _| held.contains(id) && orphans.contains(id));
+            held.keys().filter(|id| is_orphan(id)).map(|&id| id.clone()).collect();
+        worker.orphans.retain(|id, _| held.contains_key(id) && orphans.contains(id));
         for id in orphans {
             worker.orphans.entry(id).or_insert(None);
         }
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -86,6 +86,10 @@
     pub(super) settings: CellSettings,
     /// Nothing is placed or submitted before the limits are known.
     pub(super) limits: Option<Limits>,
+    /// Number of each class that was ever known here.
+    class_numbers: BTreeMap<String, usize>,
+    /// Limit on a VM of each class, by its number; zero for a class that is not configured.
+    pub(super) class_limits: Vec<Resources>,
     pub(super) workers: Workers,
     pub(super) index: Index,
     pub(super) queue: Queue,
@@ -132,6 +136,8 @@
             state,
             settings,
             limits: None,
+            class_numbers: BTreeMap::new(),
+            class_limits: Vec::new(),
             workers: Workers::default(),
             index: Index::default(),
             queue: Queue::default(),
@@ -173,6 +179,8 @@
                 let live = Live {
                     token: attempt.token,
                     need: job.spec.need,
+                    measured: Resources::default(),
+                    class: number(&mut self.class_numbers, &job.spec.class),
                     stage: Stage::Inherited,
                     meant_for: None,
                     start_after: 0,
@@ -204,9 +212,20 @@
 
     /// Replaces the limits by those of the current configuration.
     pub fn set_limits(&mut self, limits: Limits) {
+        self.class_limits.fill(Resources::default());
+        for (class, (limit, _)) in &limits.classes {
+            let number = number(&mut self.class_numbers, class);
+            self.class_limits.resize(self.class_numbers.len(), Resources::default());
+            self.class_limits[number] = *limit;
+        }
         self.limits = Some(limits);
     }
 
+    /// Returns the number of a configured class.
+    pub(super) fn class_number(&self, class: &str) -> Option<usize> {
+        self.class_numbers.get(class).copied()
+    }
+
     /// Notes that an exchange with the store that started at `start` showed it to be the owner.
     pub fn note_store(&mut self, start: Time) {
         self.store_seen = self.store_seen.max(start);
@@ -372,3 +391,12 @@
         }
     }
 }
+
+/// Returns the number of a class, and adds the class if it is new.
+fn number(numbers: &mut BTreeMap<String, usize>, class: &str) -> usize {
+    if let Some(number) = numbers.get(class) {
+        return *number;
+    }
+    numbers.insert(class.to_owned(), numbers.len());
+    numbers.len() - 1
+}
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -100,7 +100,7 @@
         lane: Lane,
         id: &JobId,
         limit: usize,
-        full: &mut HashSet<(u64, u64, u64)>,
+        full: &mut HashSet<(usize, Resources)>,
     ) -> usize {
         let mut starts = 0;
         while starts < limit && !self.cancelling.contains(id) {
@@ -109,7 +109,8 @@
             }
             let Some(job) = self.state.jobs.get(id) else { break };
             let Some(task) = next_task(job, lane) else { break };
-            let shape = shape(&job.spec.need);
+            let Some(class) = self.class_number(&job.spec.class) else { break };
+            let shape = (class, job.spec.need);
             let is_free_to_choose = job.failed_on.is_empty();
             if is_free_to_choose && full.contains(&shape) {
                 break;
@@ -241,9 +242,11 @@
     fn search(&self, now: Time, wish: &Wish, rng: &mut fastrand::Rng) -> Option<usize> {
         let need = &wish.job.spec.need;
         let index = self.index.of(need);
+        let class = self.class_number(&wish.job.spec.class)?;
         let suits = |slot: usize| {
             self.workers.get(slot).is_some_and(|worker| {
                 need.fits_in(&worker.available)
+                    && worker.has_class_room(&self.class_limits, class, need)
                     && self.is_usable(now, worker)
                     && accepts(wish, worker)
             })
@@ -295,6 +298,7 @@
         let attempt = AttemptId { job: id.clone(), task, token };
         self.propose(Event::Started { attempt, agent: agent.clone() });
         let Some(job) = self.state.jobs.get(id) else { return };
+        let Some(class) = self.class_number(&job.spec.class) else { return };
         let (need, urgent) = (job.spec.need, job.urgent);
         let used = self.team_used.entry(job.spec.team.clone()).or_default();
         *used = used.plus(&need);
@@ -303,6 +307,8 @@
             let live = Live {
                 token,
                 need,
+                measured: Resources::default(),
+                class,
                 stage: Stage::Ordered,
                 meant_for: worker.incarnation,
                 start_after,
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -33,6 +33,10 @@
 pub(super) struct Live {
     pub token: Token,
     pub need: Resources,
+    /// Usage in the last report; zero while none is known.
+    pub measured: Resources,
+    /// Number of the class within the cell.
+    pub class: usize,
     pub stage: Stage,
     /// Incarnation that the order is meant for; `None` if an earlier owner ordered it.
     pub meant_for: Option<Incarnation>,
@@ -46,6 +50,13 @@
     pub seen: bool,
 }
 
+impl Live {
+    /// What the agent's ledger reserves for the attempt.
+    pub fn amount(&self) -> Resources {
+        self.need.max(&self.measured)
+    }
+}
+
 /// An incarnation that may be newer than the current one. Incarnations are random, so a report of
 /// an unknown one may also be a delayed report of a predecessor. Only a live process can return the
 /// challenge.
@@ -76,6 +87,8 @@
     pub free: Resources,
     /// Reported free capacity minus what was ordered and is not part of it yet.
     pub available: Resources,
+    /// What the attempts of each class hold, by number of the class.
+    pub class_used: Vec<Resources>,
     pub pressure: u32,
     pub last_report: Option<Time>,
     /// Time at which each lease that any owner may have granted has certainly run out.
@@ -116,6 +129,7 @@
             largest: Resources::default(),
             free: Resources::default(),
             available: Resources::default(),
+            class_used: Vec::new(),
             pressure: 0,
             last_report: None,
             expires,
@@ -188,6 +202,21 @@
         let unseen = self.attempts.values().filter(|live| !live.seen);
         let ordered = unseen.fold(Resources::default(), |sum, live| sum.plus(&live.need));
         self.available = self.free.minus(&ordered);
+        self.class_used.clear();
+        for live in self.attempts.values() {
+            if self.class_used.len() <= live.class {
+                self.class_used.resize(live.class + 1, Resources::default());
+            }
+            self.class_used[live.class] = self.class_used[live.class].plus(&live.amount());
+        }
+    }
+
+    /// Tells whether the class limits, by number of the class, leave room for `need`. The ledger
+    /// admits nothing while any class holds more than its limit.
+    pub fn has_class_room(&self, limits: &[Resources], class: usize, need: &Resources) -> bool {
+        let used = self.class_used.get(class).copied().unwrap_or_default();
+        limits.get(class).is_some_and(|limit| used.plus(need).fits_in(limit))
+            && self.class_used.iter().zip(limits).all(|(used, limit)| used.fits_in(limit))
     }
 
     /// Tells whether nothing is known of this worker that is not durable.
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of each resource of a VM.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Resources {
     /// Processors, in thousandths of a core.
--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -49,6 +49,8 @@
     log: Vec<Event>,
     agents: Vec<(String, Vec<StartOrder>, Vec<TaskResult>)>,
     capacity: Resources,
+    /// Usage that is reported for each task.
+    measured: Resources,
 }
 
 impl Fixture {
@@ -65,6 +67,7 @@
             log: Vec::new(),
             agents: agents.collect(),
             capacity: Resources::new(cpu, 64_000, 0),
+            measured: Resources::default(),
         };
         fixture.round(ms(10));
         fixture.round(ms(6_000));
@@ -98,7 +101,7 @@
         let held = running.iter().fold(Resources::default(), |sum, start| sum.plus(&start.need));
         let tasks = running.iter().map(|start| RunningTask {
             attempt: start.attempt.clone(),
-            measured: Resources::default(),
+            measured: self.measured,
             speed_percent: 100,
         });
         let report = Report {
@@ -514,3 +517,22 @@
     fixture.round(ms(1_000));
     assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1);
 }
+
+/// Guards against starts that the ledger must refuse because a class is at its limit, and against
+/// a full class that keeps others off the worker.
+#[test]
+fn a_class_is_filled_up_to_its_limit_only() {
+    let mut fixture = Fixture::new(1, 60_000, 1 << 40);
+    fixture.submit(spec("many", "normal", 40, 1_000));
+    fixture.submit(spec("now", "urgent", 3, 1_000));
+    fixture.round(ms(500));
+    assert_eq!(fixture.cell.state().jobs["many"].attempts.len(), 16);
+    assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 3);
+    // Above the limit the ledger admits nothing.
+    fixture.measured = Resources::new(1_001, 100, 0);
+    fixture.round(ms(500));
+    fixture.submit(spec("later", "urgent", 1, 1_000));
+    fixture.round(ms(500));
+    fixture.round(ms(500));
+    assert_eq!(fixture.cell.state().jobs["later"].attempts.len(), 0);
+}
