Apply the limit of a prepared closing to urgent work only from its start

Cause: at the start of the lead time the batch limit falls at once, in the measurement to 60 %, on all workers. The ledger then admitted nothing until other work had ended: 90 of 98 late urgent starts fell into these 300 s.

Urgent work may now use the VM's batch room until the closing starts. The report carries that room as `urgent_free`, and the owner's index is ordered by it. From the start of the closing its limit holds for all work, as before.

Ruled out: evicting other work in the lead time. Far more than the size of an urgent task would have to go before the VM is below the new limit.

--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -456,6 +456,7 @@
             epoch: self.epoch,
             batch_capacity: CAPACITY,
             free: self.free(),
+            urgent_free: self.free(),
             running: running.collect(),
             results: self.results.clone(),
             pressure_percent: 0,
--- a/crates/bench/src/scale/cell.rs
+++ b/crates/bench/src/scale/cell.rs
@@ -77,6 +77,7 @@
         epoch: 1,
         batch_capacity: Resources::new(60_000, 250_000, 4),
         free: Resources::new(free, 250_000, (index % 4) as u64),
+        urgent_free: Resources::new(free, 250_000, (index % 4) as u64),
         running,
         results: Vec::new(),
         pressure_percent: (index % 50) as u32,
--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -63,6 +63,7 @@
         worker.set_state(report.state);
         worker.capacity = report.batch_capacity;
         worker.free = report.free;
+        worker.urgent_free = report.urgent_free;
         worker.pressure = report.pressure_percent;
         worker.last_report = Some(now);
         worker.results = report.results.iter().map(|result| result.attempt.clone()).collect();
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -34,7 +34,7 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_secs(60);
 
-/// Workers that may get work, ordered by available CPU.
+/// Workers that may get work, ordered by the CPU that is available to urgent work.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Index {
     all: BTreeSet<(u64, usize)>,
@@ -243,10 +243,10 @@
         let need = &wish.job.spec.need;
         let index = self.index.of(need);
         let class = self.class_number(&wish.job.spec.class)?;
-        let keeps_room = !wish.job.urgent && self.has_urgent_class();
+        let keeps_share = self.has_urgent_class();
         let suits = |slot: usize| {
             self.workers.get(slot).is_some_and(|worker| {
-                need.fits_in(&worker.room(keeps_room))
+                need.fits_in(&worker.room(wish.job.urgent, keeps_share))
                     && worker.has_class_room(&self.class_limits, class, need)
                     && self.is_usable(now, worker)
                     && accepts(wish, worker)
@@ -288,7 +288,7 @@
         };
         let racks = self.racks.get(&job.spec.id);
         let tasks = racks.and_then(|racks| racks.get(&worker.rack_number)).copied().unwrap_or(0);
-        let left = worker.available.cpu_milli.saturating_sub(job.spec.need.cpu_milli);
+        let left = worker.room(job.urgent, false).cpu_milli.saturating_sub(job.spec.need.cpu_milli);
         let pressure = worker.pressure / PRESSURE_STEP;
         (worker.failed_jobs.len(), tasks, pressure, worker.succeeded.is_empty(), left, slot)
     }
@@ -351,10 +351,11 @@
 
     fn insert_index(&mut self, slot: usize) {
         let Some(worker) = self.workers.get_mut(slot) else { return };
-        let cpu = worker.available.cpu_milli;
+        // Urgent work may take at least what other work may take.
+        let cpu = worker.urgent_available.cpu_milli;
         worker.indexed = Some(cpu);
         self.index.all.insert((cpu, slot));
-        if worker.available.accelerators > 0 {
+        if worker.urgent_available.accelerators > 0 {
             self.index.accelerated.insert((cpu, slot));
         }
     }
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -89,8 +89,11 @@
     /// Largest capacity reported; a closing lowers the current one for a while.
     pub largest: Resources,
     pub free: Resources,
+    pub urgent_free: Resources,
     /// Reported free capacity minus what was ordered and is not part of it yet.
     pub available: Resources,
+    /// The same for urgent work.
+    pub urgent_available: Resources,
     /// What the attempts of each class hold, by number of the class.
     pub class_used: Vec<Resources>,
     pub pressure: u32,
@@ -132,7 +135,9 @@
             capacity: Resources::default(),
             largest: Resources::default(),
             free: Resources::default(),
+            urgent_free: Resources::default(),
             available: Resources::default(),
+            urgent_available: Resources::default(),
             class_used: Vec::new(),
             pressure: 0,
             last_report: None,
@@ -206,6 +211,7 @@
         let unseen = self.attempts.values().filter(|live| !live.seen);
         let ordered = unseen.fold(Resources::default(), |sum, live| sum.plus(&live.need));
         self.available = self.free.minus(&ordered);
+        self.urgent_available = self.urgent_free.minus(&ordered);
         self.class_used.clear();
         for live in self.attempts.values() {
             if self.class_used.len() <= live.class {
@@ -215,11 +221,13 @@
         }
     }
 
-    /// Returns what a start may take, without the share for urgent work if `keeps_room`. An idle
-    /// worker keeps none, so that a task that needs all of it can run.
-    pub fn room(&self, keeps_room: bool) -> Resources {
-        if !keeps_room || self.attempts.is_empty() {
-            return self.available;
+    /// Returns what a start may take. With `keeps_share`, work that is not urgent leaves the share
+    /// for urgent work free, except on an idle worker: a task may need all of it.
+    pub fn room(&self, urgent: bool, keeps_share: bool) -> Resources {
+        match () {
+            () if urgent => return self.urgent_available,
+            () if !keeps_share || self.attempts.is_empty() => return self.available,
+            () => {}
         }
         let Resources { cpu_milli, memory_mib, .. } = self.capacity;
         let kept = Resources::new(cpu_milli / URGENT_SHARE, memory_mib / URGENT_SHARE, 0);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -160,6 +160,15 @@
         self.batch_capacity().minus(&self.reserved())
     }
 
+    /// Part that urgent work may take. The limit of a closing holds for it only from the start of
+    /// the closing: it must start within seconds, while the preparation takes minutes.
+    pub fn urgent_free(&self) -> Resources {
+        match &self.limits {
+            Some(_) => self.enforced_capacity().minus(&self.reserved()),
+            None => Resources::default(),
+        }
+    }
+
     /// Tells whether running tasks hold more than is allowed.
     pub fn is_over(&self) -> bool {
         self.excess(|_| true).is_some()
@@ -191,8 +200,12 @@
                 return Err(Refusal::NotInClosing);
             }
         }
+        let capacity = match task.urgent {
+            true => self.enforced_capacity(),
+            false => self.batch_capacity(),
+        };
         // The limit of a closing that is only being prepared may be exceeded as well.
-        if self.is_over() || !self.reserved().fits_in(&self.batch_capacity()) {
+        if self.is_over() || !self.reserved().fits_in(&capacity) {
             return Err(Refusal::Relieving);
         }
         let need = task.need.max(&task.measured);
@@ -200,8 +213,8 @@
         if !used.plus(&need).fits_in(class_limit) {
             return Err(Refusal::ClassLimit { need, room: class_limit.minus(&used) });
         }
-        if !self.reserved().plus(&need).fits_in(&self.batch_capacity()) {
-            return Err(Refusal::Capacity { need, room: self.free() });
+        if !self.reserved().plus(&need).fits_in(&capacity) {
+            return Err(Refusal::Capacity { need, room: capacity.minus(&self.reserved()) });
         }
         self.adopt(attempt, task);
         Ok(())
--- a/crates/core/src/message/report.rs
+++ b/crates/core/src/message/report.rs
@@ -81,6 +81,8 @@
     pub batch_capacity: Resources,
     /// Part of `batch_capacity` that is not reserved.
     pub free: Resources,
+    /// What urgent work may take; more than `free` while a closing is being prepared.
+    pub urgent_free: Resources,
     /// All attempts on the VM, also those that are starting or stopping.
     pub running: Vec<RunningTask>,
     pub results: Vec<TaskResult>,
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -361,6 +361,7 @@
             epoch: self.kept_epoch,
             batch_capacity: self.ledger.batch_capacity(),
             free: self.ledger.free(),
+            urgent_free: self.ledger.urgent_free(),
             running,
             results,
             pressure_percent,
--- a/crates/core/tests/composed/world.rs
+++ b/crates/core/tests/composed/world.rs
@@ -383,6 +383,7 @@
         // The owner's view of a VM may be wrong: the agent has to refuse what does not fit.
         if overstates {
             report.free = report.batch_capacity;
+            report.urgent_free = report.batch_capacity;
         }
         agent.sequence = report.sequence;
         agent.answered = false;
--- a/crates/core/tests/support/vm.rs
+++ b/crates/core/tests/support/vm.rs
@@ -194,6 +194,7 @@
             epoch: agent.epoch,
             batch_capacity: self.capacity,
             free,
+            urgent_free: free,
             running: running.collect(),
             results: results.collect(),
             pressure_percent: 0,
--- a/crates/entry/tests/cells.rs
+++ b/crates/entry/tests/cells.rs
@@ -150,6 +150,7 @@
             epoch: self.epoch,
             batch_capacity: CAPACITY,
             free: CAPACITY,
+            urgent_free: CAPACITY,
             running: Vec::new(),
             results: self.results.values().cloned().collect(),
             pressure_percent: 0,
