Place tasks by the usage of earlier tasks of their job

Cause: declared sizes are off by 0.5x to 3x, and most evictions come from the ledger after usage above a class limit. The ledger remembers usage only on the VM where a task ran, so an evicted task outgrew the next worker as well.

The owner keeps the largest usage at full speed of each job that has not ended and places by the larger of it and the declaration; running tasks count with the growth that is still expected. Urgent work is placed by its declaration, so that a wrong usage does not delay it, and the expectation is at most the class limit. An idle worker takes any task that fits by its declaration.

--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -6,7 +6,7 @@
 use crate::cell::state::{Event, Phase};
 use crate::cell::worker::{Live, Stage};
 use crate::id::{AgentId, JobId, TaskIndex};
-use crate::message::report::{AttemptId, Outcome, Report, TaskResult};
+use crate::message::report::{AttemptId, Outcome, Report, RunningTask, TaskResult};
 use crate::resources::Resources;
 use crate::time::{lease_wait, Time};
 
@@ -117,18 +117,34 @@
         }
     }
 
+    /// Notes the usage of jobs. A throttled task shows less than it uses at full speed.
+    fn note_usage(&mut self, report: &Report) {
+        let full = |task: &&RunningTask| task.speed_percent == 100 && !task.measured.is_zero();
+        for task in report.running.iter().filter(full) {
+            let id = &task.attempt.job;
+            match self.usage.get_mut(id) {
+                Some(usage) => *usage = usage.max(&task.measured),
+                None if self.state.jobs.get(id).is_some_and(|job| !job.phase.is_final()) => {
+                    self.usage.insert(id.clone(), task.measured);
+                }
+                None => {}
+            }
+        }
+    }
+
     /// Compares the attempts that the agent holds with those that it should hold.
     fn note_running(&mut self, slot: usize, report: &Report) {
         let confirms = report.epoch == self.state.epoch;
         let held: BTreeMap<&AttemptId, &Resources> =
             report.running.iter().map(|task| (&task.attempt, &task.measured)).collect();
+        self.note_usage(report);
         let Some(worker) = self.workers.get_mut(slot) else { return };
         let mut gone = Vec::new();
         for ((job, task), live) in &mut worker.attempts {
             let id = AttemptId { job: job.clone(), task: *task, token: live.token };
-            let measured = held.get(&id);
-            live.seen = measured.is_some();
-            live.measured = measured.copied().copied().unwrap_or_default();
+            live.seen = held.contains_key(&id);
+            live.measured = held.get(&id).map_or(Resources::default(), |measured| **measured);
+            live.expected = self.usage.get(job).copied().unwrap_or_default();
             if live.seen {
                 live.stage = Stage::Running;
             } else if is_gone(live, report, confirms) {
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -106,6 +106,8 @@
     pub(super) team_used: BTreeMap<TeamId, Resources>,
     /// Running tasks of each urgent job by rack.
     pub(super) racks: BTreeMap<JobId, BTreeMap<usize, u32>>,
+    /// Largest usage at full speed of the tasks of each job that has not ended.
+    pub(super) usage: BTreeMap<JobId, Resources>,
     /// Last failure of each job that has not ended.
     pub(super) failed_at: BTreeMap<JobId, Time>,
     /// Whether a need fits some known worker when that is empty.
@@ -151,6 +153,7 @@
             ending: BTreeMap::new(),
             team_used: BTreeMap::new(),
             racks: BTreeMap::new(),
+            usage: BTreeMap::new(),
             failed_at: BTreeMap::new(),
             fits: HashMap::new(),
             payload: 0,
@@ -180,6 +183,7 @@
                     token: attempt.token,
                     need: job.spec.need,
                     measured: Resources::default(),
+                    expected: Resources::default(),
                     class: number(&mut self.class_numbers, &job.spec.class),
                     stage: Stage::Inherited,
                     meant_for: None,
@@ -326,6 +330,7 @@
             if job.phase.is_final() {
                 self.ending.entry(id.clone()).or_insert(self.proposed);
                 self.racks.remove(id);
+                self.usage.remove(id);
                 self.failed_at.remove(id);
             }
         }
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -243,9 +243,12 @@
         let need = &wish.job.spec.need;
         let index = self.index.of(need);
         let class = self.class_number(&wish.job.spec.class)?;
+        let expected = self.expected(wish.job, class);
         let keeps_share = self.has_urgent_class();
         let suits = |slot: usize| {
             self.workers.get(slot).is_some_and(|worker| {
+                // An idle worker takes a task whatever it is expected to use.
+                let need = if worker.attempts.is_empty() { need } else { &expected };
                 need.fits_in(&worker.room(wish.job.urgent, keeps_share))
                     && worker.has_class_room(&self.class_limits, class, need)
                     && self.is_usable(now, worker)
@@ -264,6 +267,16 @@
         found.into_iter().min_by_key(|slot| self.rank(*slot, wish.job))
     }
 
+    /// Returns what a task is expected to use: of urgent work what it declares, so that a wrong
+    /// usage does not delay it; otherwise at most the class limit, which no worker exceeds.
+    fn expected(&self, job: &Job, class: usize) -> Resources {
+        let need = job.spec.need;
+        match (self.usage.get(&job.spec.id), self.class_limits.get(class)) {
+            (Some(usage), Some(limit)) if !job.urgent => need.max(&usage.min(limit)),
+            _ => need,
+        }
+    }
+
     /// Adds workers from random places of the index.
     fn probe(
         &self,
@@ -309,6 +322,7 @@
                 token,
                 need,
                 measured: Resources::default(),
+                expected: self.usage.get(id).copied().unwrap_or_default(),
                 class,
                 stage: Stage::Ordered,
                 meant_for: worker.incarnation,
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -39,6 +39,8 @@
     pub need: Resources,
     /// Usage in the last report; zero while none is known.
     pub measured: Resources,
+    /// Largest usage of the job's tasks at full speed that was known at the last report.
+    pub expected: Resources,
     /// Number of the class within the cell.
     pub class: usize,
     pub stage: Stage,
@@ -96,6 +98,10 @@
     pub urgent_available: Resources,
     /// What the attempts of each class hold, by number of the class.
     pub class_used: Vec<Resources>,
+    /// The same with the growth that is expected.
+    pub class_planned: Vec<Resources>,
+    /// Growth that is expected of all attempts.
+    pub growth: Resources,
     pub pressure: u32,
     pub last_report: Option<Time>,
     /// Time at which each lease that any owner may have granted has certainly run out.
@@ -139,6 +145,8 @@
             available: Resources::default(),
             urgent_available: Resources::default(),
             class_used: Vec::new(),
+            class_planned: Vec::new(),
+            growth: Resources::default(),
             pressure: 0,
             last_report: None,
             expires,
@@ -213,11 +221,20 @@
         self.available = self.free.minus(&ordered);
         self.urgent_available = self.urgent_free.minus(&ordered);
         self.class_used.clear();
+        self.class_planned.clear();
+        self.growth = Resources::default();
         for live in self.attempts.values() {
             if self.class_used.len() <= live.class {
                 self.class_used.resize(live.class + 1, Resources::default());
+                self.class_planned.resize(live.class + 1, Resources::default());
             }
-            self.class_used[live.class] = self.class_used[live.class].plus(&live.amount());
+            let amount = live.amount();
+            let growth = live.expected.minus(&amount);
+            self.growth = self.growth.plus(&growth);
+            let (used, planned) =
+                (&mut self.class_used[live.class], &mut self.class_planned[live.class]);
+            *used = used.plus(&amount);
+            *planned = planned.plus(&amount).plus(&growth);
         }
     }
 
@@ -226,18 +243,19 @@
     pub fn room(&self, urgent: bool, keeps_share: bool) -> Resources {
         match () {
             () if urgent => return self.urgent_available,
-            () if !keeps_share || self.attempts.is_empty() => return self.available,
+            () if self.attempts.is_empty() => return self.available,
+            () if !keeps_share => return self.available.minus(&self.growth),
             () => {}
         }
         let Resources { cpu_milli, memory_mib, .. } = self.capacity;
         let kept = Resources::new(cpu_milli / URGENT_SHARE, memory_mib / URGENT_SHARE, 0);
-        self.available.minus(&kept)
+        self.available.minus(&self.growth).minus(&kept)
     }
 
     /// Tells whether the class limits, by number of the class, leave room for `need`. The ledger
     /// admits nothing while any class holds more than its limit.
     pub fn has_class_room(&self, limits: &[Resources], class: usize, need: &Resources) -> bool {
-        let used = self.class_used.get(class).copied().unwrap_or_default();
+        let used = self.class_planned.get(class).copied().unwrap_or_default();
         limits.get(class).is_some_and(|limit| used.plus(need).fits_in(limit))
             && self.class_used.iter().zip(limits).all(|(used, limit)| used.fits_in(limit))
     }
--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -565,3 +565,21 @@
     fixture.round(ms(500));
     assert_eq!(fixture.cell.state().jobs["large"].attempts.len(), 1);
 }
+
+/// Guards against evicted tasks that are placed by their declaration again and outgrow the class
+/// limit again.
+#[test]
+fn tasks_are_placed_by_the_usage_of_earlier_tasks_of_their_job() {
+    let mut fixture = Fixture::new(1, 60_000, 1 << 40);
+    fixture.submit(spec("many", "normal", 16, 1_000));
+    fixture.round(ms(500));
+    fixture.measured = Resources::new(2_000, 100, 0);
+    fixture.round(ms(500));
+    fixture.round(ms(500));
+    assert_eq!(fixture.agents[0].1.len(), 16);
+    fixture.end_all(0, &Outcome::Evicted { checkpoint: None });
+    fixture.round(ms(500));
+    fixture.round(ms(500));
+    fixture.round(ms(500));
+    assert_eq!(fixture.agents[0].1.len(), 8);
+}
