Let tasks of a removed class not bar others from their worker

Cause: the owner's list of class limits held zero for a class that was removed from the configuration, so its running tasks looked like usage above the limit, and the owner placed nothing on their worker. The ledger applies limits of configured classes only.

The new test a_removed_class_does_not_bar_others fails before this change and passes after it. Ruled out: dropping the class from the counts, because a class may be configured again while its tasks run.

--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -88,8 +88,8 @@
     pub(super) limits: Option<Limits>,
     /// Number of each class that was ever known here.
     class_numbers: BTreeMap<String, usize>,
-    /// Limit on a VM of each class, by its number; zero for a class that is not configured.
-    pub(super) class_limits: Vec<Resources>,
+    /// Limit on a VM of each class, by its number; `None` for a class that was removed.
+    pub(super) class_limits: Vec<Option<Resources>>,
     pub(super) workers: Workers,
     pub(super) index: Index,
     pub(super) queue: Queue,
@@ -216,11 +216,11 @@
 
     /// Replaces the limits by those of the current configuration.
     pub fn set_limits(&mut self, limits: Limits) {
-        self.class_limits.fill(Resources::default());
+        self.class_limits.fill(None);
         for (class, (limit, _)) in &limits.classes {
             let number = number(&mut self.class_numbers, class);
-            self.class_limits.resize(self.class_numbers.len(), Resources::default());
-            self.class_limits[number] = *limit;
+            self.class_limits.resize(self.class_numbers.len(), None);
+            self.class_limits[number] = Some(*limit);
         }
         self.limits = Some(limits);
     }
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -272,7 +272,7 @@
     fn expected(&self, job: &Job, class: usize) -> Resources {
         let need = job.spec.need;
         match (self.usage.get(&job.spec.id), self.class_limits.get(class)) {
-            (Some(usage), Some(limit)) if !job.urgent => need.max(&usage.min(limit)),
+            (Some(usage), Some(Some(limit))) if !job.urgent => need.max(&usage.min(limit)),
             _ => need,
         }
     }
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -253,11 +253,18 @@
     }
 
     /// Tells whether the class limits, by number of the class, leave room for `need`. The ledger
-    /// admits nothing while any class holds more than its limit.
-    pub fn has_class_room(&self, limits: &[Resources], class: usize, need: &Resources) -> bool {
-        let used = self.class_planned.get(class).copied().unwrap_or_default();
-        limits.get(class).is_some_and(|limit| used.plus(need).fits_in(limit))
-            && self.class_used.iter().zip(limits).all(|(used, limit)| used.fits_in(limit))
+    /// admits nothing while any class holds more than its limit; a class that was removed has none.
+    pub fn has_class_room(
+        &self,
+        limits: &[Option<Resources>],
+        class: usize,
+        need: &Resources,
+    ) -> bool {
+        let planned = self.class_planned.get(class).copied().unwrap_or_default();
+        let is_within =
+            |used: &Resources, limit: &Option<Resources>| limit.is_none_or(|l| used.fits_in(&l));
+        limits.get(class).is_some_and(|limit| limit.is_some_and(|l| planned.plus(need).fits_in(&l)))
+            && self.class_used.iter().zip(limits).all(|(used, limit)| is_within(used, limit))
     }
 
     /// Tells whether nothing is known of this worker that is not durable.
--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -583,3 +583,17 @@
     fixture.round(ms(500));
     assert_eq!(fixture.agents[0].1.len(), 8);
 }
+
+/// Guards against a removed class whose running tasks keep all others off their worker.
+#[test]
+fn a_removed_class_does_not_bar_others() {
+    let mut fixture = Fixture::new(1, 8_000, 1 << 40);
+    fixture.submit(spec("old", "normal", 2, 1_000));
+    fixture.round(ms(500));
+    let mut limits = limits(1 << 40);
+    limits.classes.remove("normal");
+    fixture.cell.set_limits(limits);
+    fixture.submit(spec("now", "urgent", 1, 1_000));
+    fixture.round(ms(500));
+    assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 1);
+}
