--- a/crates/core/src/cell/attempts.rs
+++ b/crates/core/src/cell/attempts.rs
@@ -1,12 +1,13 @@
 //! Reports of agents, and the ends of attempts.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::cell::owner::{Cell, Effect};
 use crate::cell::state::{Event, Phase};
 use crate::cell::worker::{Live, Stage};
 use crate::id::{AgentId, JobId, TaskIndex};
-use crate::message::report::{AttemptId, Outcome, Report, TaskResult};
+use crate::message::report::{AttemptId, Outcome, Report, RunningTask, TaskResult};
+use crate::resources::Resources;
 use crate::time::{lease_wait, Time};
 
 const REASON_LIMIT: usize = 256;
@@ -62,6 +63,7 @@
         worker.set_state(report.state);
         worker.capacity = report.batch_capacity;
         worker.free = report.free;
+        worker.urgent_free = report.urgent_free;
         worker.pressure = report.pressure_percent;
         worker.last_report = Some(now);
         worker.results = report.results.iter().map(|result| result.attempt.clone()).collect();
@@ -115,15 +117,34 @@
         }
     }
 
+    /// Notes the usage of jobs. A throttled task shows less than it uses at full speed.
+    fn note_usage(&mut self, report: &Report) {
+        let full = |task: &&RunningTask| task.speed_percent == 100 && !task.measured.is_zero();
+        for task in report.running.iter().filter(full) {
+            let id = &task.attempt.job;
+            match self.usage.get_mut(id) {
+                Some(usage) => *usage = usage.max(&task.measured),
+                None if self.state.jobs.get(id).is_some_and(|job| !job.phase.is_final()) => {
+                    self.usage.insert(id.clone(), task.measured);
+                }
+                None => {}
+            }
+        }
+    }
+
     /// Compares the attempts that the agent holds with those that it should hold.
     fn note_running(&mut self, slot: usize, report: &Report) {
         let confirms = report.epoch == self.state.epoch;
-        let held: BTreeSet<&AttemptId> = report.running.iter().map(|task| &task.attempt).collect();
+        let held: BTreeMap<&AttemptId, &Resources> =
+            report.running.iter().map(|task| (&task.attempt, &task.measured)).collect();
+        self.note_usage(report);
         let Some(worker) = self.workers.get_mut(slot) else { return };
         let mut gone = Vec::new();
         for ((job, task), live) in &mut worker.attempts {
             let id = AttemptId { job: job.clone(), task: *task, token: live.token };
-            live.seen = held.contains(&id);
+            live.seen = held.contains_key(&id);
+            live.measured = held.get(&id).map_or(Resources::default(), |measured| **measured);
+            live.expected = self.usage.get(job).copied().unwrap_or_default();
             if live.seen {
                 live.stage = Stage::Running;
             } else if is_gone(live, report, confirms) {
@@ -136,8 +157,8 @@
             live.is_none_or(|live| live.token != id.token)
         };
         let orphans: Vec<AttemptId> =
-            held.iter().filter(|id| is_orphan(id)).map(|&id| id.clone()).collect();
-        worker.orphans.retain(|id, _| held.contains(id) && orphans.contains(id));
+            held.keys().filter(|id| is_orphan(id)).map(|&id| id.clone()).collect();
+        worker.orphans.retain(|id, _| held.contains_key(id) && orphans.contains(id));
         for id in orphans {
             worker.orphans.entry(id).or_insert(None);
         }
--- a/crates/core/src/cell/owner.rs
+++ b/crates/core/src/cell/owner.rs
@@ -86,6 +86,10 @@
     pub(super) settings: CellSettings,
     /// Nothing is placed or submitted before the limits are known.
     pub(super) limits: Option<Limits>,
+    /// Number of each class that was ever known here.
+    class_numbers: BTreeMap<String, usize>,
+    /// Limit on a VM of each class, by its number; `None` for a class that was removed.
+    pub(super) class_limits: Vec<Option<Resources>>,
     pub(super) workers: Workers,
     pub(super) index: Index,
     pub(super) queue: Queue,
@@ -102,6 +106,8 @@
     pub(super) team_used: BTreeMap<TeamId, Resources>,
     /// Running tasks of each urgent job by rack.
     pub(super) racks: BTreeMap<JobId, BTreeMap<usize, u32>>,
+    /// Largest usage at full speed of the tasks of each job that has not ended.
+    pub(super) usage: BTreeMap<JobId, Resources>,
     /// Last failure of each job that has not ended.
     pub(super) failed_at: BTreeMap<JobId, Time>,
     /// Whether a need fits some known worker when that is empty.
@@ -132,6 +138,8 @@
             state,
             settings,
             limits: None,
+            class_numbers: BTreeMap::new(),
+            class_limits: Vec::new(),
             workers: Workers::default(),
             index: Index::default(),
             queue: Queue::default(),
@@ -145,6 +153,7 @@
             ending: BTreeMap::new(),
             team_used: BTreeMap::new(),
             racks: BTreeMap::new(),
+            usage: BTreeMap::new(),
             failed_at: BTreeMap::new(),
             fits: HashMap::new(),
             payload: 0,
@@ -173,6 +182,9 @@
                 let live = Live {
                     token: attempt.token,
                     need: job.spec.need,
+                    measured: Resources::default(),
+                    expected: Resources::default(),
+                    class: number(&mut self.class_numbers, &job.spec.class),
                     stage: Stage::Inherited,
                     meant_for: None,
                     start_after: 0,
@@ -204,9 +216,26 @@
 
     /// Replaces the limits by those of the current configuration.
     pub fn set_limits(&mut self, limits: Limits) {
+        self.class_limits.fill(None);
+        for (class, (limit, _)) in &limits.classes {
+            let number = number(&mut self.class_numbers, class);
+            self.class_limits.resize(self.class_numbers.len(), None);
+            self.class_limits[number] = Some(*limit);
+        }
         self.limits = Some(limits);
     }
 
+    /// Tells whether urgent work is to be expected.
+    pub(super) fn has_urgent_class(&self) -> bool {
+        let classes = self.limits.iter().flat_map(|limits| limits.classes.values());
+        classes.into_iter().any(|(_, urgent)| *urgent)
+    }
+
+    /// Returns the number of a configured class.
+    pub(super) fn class_number(&self, class: &str) -> Option<usize> {
+        self.class_numbers.get(class).copied()
+    }
+
     /// Notes that an exchange with the store that started at `start` showed it to be the owner.
     pub fn note_store(&mut self, start: Time) {
         self.store_seen = self.store_seen.max(start);
@@ -301,6 +330,7 @@
             if job.phase.is_final() {
                 self.ending.entry(id.clone()).or_insert(self.proposed);
                 self.racks.remove(id);
+                self.usage.remove(id);
                 self.failed_at.remove(id);
             }
         }
@@ -372,3 +402,12 @@
         }
     }
 }
+
+/// Returns the number of a class, and adds the class if it is new.
+fn number(numbers: &mut BTreeMap<String, usize>, class: &str) -> usize {
+    if let Some(number) = numbers.get(class) {
+        return *number;
+    }
+    numbers.insert(class.to_owned(), numbers.len());
+    numbers.len() - 1
+}
--- a/crates/core/src/cell/placement.rs
+++ b/crates/core/src/cell/placement.rs
@@ -34,7 +34,7 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_secs(60);
 
-/// Workers that may get work, ordered by available CPU.
+/// Workers that may get work, ordered by the CPU that is available to urgent work.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Index {
     all: BTreeSet<(u64, usize)>,
@@ -100,7 +100,7 @@
         lane: Lane,
         id: &JobId,
         limit: usize,
-        full: &mut HashSet<(u64, u64, u64)>,
+        full: &mut HashSet<(usize, Resources)>,
     ) -> usize {
         let mut starts = 0;
         while starts < limit && !self.cancelling.contains(id) {
@@ -109,7 +109,8 @@
             }
             let Some(job) = self.state.jobs.get(id) else { break };
             let Some(task) = next_task(job, lane) else { break };
-            let shape = shape(&job.spec.need);
+            let Some(class) = self.class_number(&job.spec.class) else { break };
+            let shape = (class, job.spec.need);
             let is_free_to_choose = job.failed_on.is_empty();
             if is_free_to_choose && full.contains(&shape) {
                 break;
@@ -241,9 +242,15 @@
     fn search(&self, now: Time, wish: &Wish, rng: &mut fastrand::Rng) -> Option<usize> {
         let need = &wish.job.spec.need;
         let index = self.index.of(need);
+        let class = self.class_number(&wish.job.spec.class)?;
+        let expected = self.expected(wish.job, class);
+        let keeps_share = self.has_urgent_class();
         let suits = |slot: usize| {
             self.workers.get(slot).is_some_and(|worker| {
-                need.fits_in(&worker.available)
+                // An idle worker takes a task whatever it is expected to use.
+                let need = if worker.attempts.is_empty() { need } else { &expected };
+                need.fits_in(&worker.room(wish.job.urgent, keeps_share))
+                    && worker.has_class_room(&self.class_limits, class, need)
                     && self.is_usable(now, worker)
                     && accepts(wish, worker)
             })
@@ -260,6 +267,16 @@
         found.into_iter().min_by_key(|slot| self.rank(*slot, wish.job))
     }
 
+    /// Returns what a task is expected to use: of urgent work what it declares, so that a wrong
+    /// usage does not delay it; otherwise at most the class limit, which no worker exceeds.
+    fn expected(&self, job: &Job, class: usize) -> Resources {
+        let need = job.spec.need;
+        match (self.usage.get(&job.spec.id), self.class_limits.get(class)) {
+            (Some(usage), Some(Some(limit))) if !job.urgent => need.max(&usage.min(limit)),
+            _ => need,
+        }
+    }
+
     /// Adds workers from random places of the index.
     fn probe(
         &self,
@@ -284,7 +301,7 @@
         };
         let racks = self.racks.get(&job.spec.id);
         let tasks = racks.and_then(|racks| racks.get(&worker.rack_number)).copied().unwrap_or(0);
-        let left = worker.available.cpu_milli.saturating_sub(job.spec.need.cpu_milli);
+        let left = worker.room(job.urgent, false).cpu_milli.saturating_sub(job.spec.need.cpu_milli);
         let pressure = worker.pressure / PRESSURE_STEP;
         (worker.failed_jobs.len(), tasks, pressure, worker.succeeded.is_empty(), left, slot)
     }
@@ -295,6 +312,7 @@
         let attempt = AttemptId { job: id.clone(), task, token };
         self.propose(Event::Started { attempt, agent: agent.clone() });
         let Some(job) = self.state.jobs.get(id) else { return };
+        let Some(class) = self.class_number(&job.spec.class) else { return };
         let (need, urgent) = (job.spec.need, job.urgent);
         let used = self.team_used.entry(job.spec.team.clone()).or_default();
         *used = used.plus(&need);
@@ -303,6 +321,9 @@
             let live = Live {
                 token,
                 need,
+                measured: Resources::default(),
+                expected: self.usage.get(id).copied().unwrap_or_default(),
+                class,
                 stage: Stage::Ordered,
                 meant_for: worker.incarnation,
                 start_after,
@@ -344,10 +365,11 @@
 
     fn insert_index(&mut self, slot: usize) {
         let Some(worker) = self.workers.get_mut(slot) else { return };
-        let cpu = worker.available.cpu_milli;
+        // Urgent work may take at least what other work may take.
+        let cpu = worker.urgent_available.cpu_milli;
         worker.indexed = Some(cpu);
         self.index.all.insert((cpu, slot));
-        if worker.available.accelerators > 0 {
+        if worker.urgent_available.accelerators > 0 {
             self.index.accelerated.insert((cpu, slot));
         }
     }
--- a/crates/core/src/cell/worker.rs
+++ b/crates/core/src/cell/worker.rs
@@ -10,6 +10,10 @@
 use crate::resources::Resources;
 use crate::time::Time;
 
+/// An eighth of a worker's capacity is kept free for urgent work: other work that grows or is
+/// throttled keeps its reservations for minutes.
+const URGENT_SHARE: u64 = 8;
+
 /// How far an attempt has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -33,6 +37,12 @@
 pub(super) struct Live {
     pub token: Token,
     pub need: Resources,
+    /// Usage in the last report; zero while none is known.
+    pub measured: Resources,
+    /// Largest usage of the job's tasks at full speed that was known at the last report.
+    pub expected: Resources,
+    /// Number of the class within the cell.
+    pub class: usize,
     pub stage: Stage,
     /// Incarnation that the order is meant for; `None` if an earlier owner ordered it.
     pub meant_for: Option<Incarnation>,
@@ -46,6 +56,13 @@
     pub seen: bool,
 }
 
+impl Live {
+    /// What the agent's ledger reserves for the attempt.
+    pub fn amount(&self) -> Resources {
+        self.need.max(&self.measured)
+    }
+}
+
 /// An incarnation that may be newer than the current one. Incarnations are random, so a report of
 /// an unknown one may also be a delayed report of a predecessor. Only a live process can return the
 /// challenge.
@@ -74,8 +91,17 @@
     /// Largest capacity reported; a closing lowers the current one for a while.
     pub largest: Resources,
     pub free: Resources,
+    pub urgent_free: Resources,
     /// Reported free capacity minus what was ordered and is not part of it yet.
     pub available: Resources,
+    /// The same for urgent work.
+    pub urgent_available: Resources,
+    /// What the attempts of each class hold, by number of the class.
+    pub class_used: Vec<Resources>,
+    /// The same with the growth that is expected.
+    pub class_planned: Vec<Resources>,
+    /// Growth that is expected of all attempts.
+    pub growth: Resources,
     pub pressure: u32,
     pub last_report: Option<Time>,
     /// Time at which each lease that any owner may have granted has certainly run out.
@@ -115,7 +141,12 @@
             capacity: Resources::default(),
             largest: Resources::default(),
             free: Resources::default(),
+            urgent_free: Resources::default(),
             available: Resources::default(),
+            urgent_available: Resources::default(),
+            class_used: Vec::new(),
+            class_planned: Vec::new(),
+            growth: Resources::default(),
             pressure: 0,
             last_report: None,
             expires,
@@ -188,6 +219,52 @@
         let unseen = self.attempts.values().filter(|live| !live.seen);
         let ordered = unseen.fold(Resources::default(), |sum, live| sum.plus(&live.need));
         self.available = self.free.minus(&ordered);
+        self.urgent_available = self.urgent_free.minus(&ordered);
+        self.class_used.clear();
+        self.class_planned.clear();
+        self.growth = Resources::default();
+        for live in self.attempts.values() {
+            if self.class_used.len() <= live.class {
+                self.class_used.resize(live.class + 1, Resources::default());
+                self.class_planned.resize(live.class + 1, Resources::default());
+            }
+            let amount = live.amount();
+            let growth = live.expected.minus(&amount);
+            self.growth = self.growth.plus(&growth);
+            let (used, planned) =
+                (&mut self.class_used[live.class], &mut self.class_planned[live.class]);
+            *used = used.plus(&amount);
+            *planned = planned.plus(&amount).plus(&growth);
+        }
+    }
+
+    /// Returns what a start may take. With `keeps_share`, work that is not urgent leaves the share
+    /// for urgent work free, except on an idle worker: a task may need all of it.
+    pub fn room(&self, urgent: bool, keeps_share: bool) -> Resources {
+        match () {
+            () if urgent => return self.urgent_available,
+            () if self.attempts.is_empty() => return self.available,
+            () if !keeps_share => return self.available.minus(&self.growth),
+            () => {}
+        }
+        let Resources { cpu_milli, memory_mib, .. } = self.capacity;
+        let kept = Resources::new(cpu_milli / URGENT_SHARE, memory_mib / URGENT_SHARE, 0);
+        self.available.minus(&self.growth).minus(&kept)
+    }
+
+    /// Tells whether the class limits, by number of the class, leave room for `need`. The ledger
+    /// admits nothing while any class holds more than its limit; a class that was removed has none.
+    pub fn has_class_room(
+        &self,
+        limits: &[Option<Resources>],
+        class: usize,
+        need: &Resources,
+    ) -> bool {
+        let planned = self.class_planned.get(class).copied().unwrap_or_default();
+        let is_within =
+            |used: &Resources, limit: &Option<Resources>| limit.is_none_or(|l| used.fits_in(&l));
+        limits.get(class).is_some_and(|limit| limit.is_some_and(|l| planned.plus(need).fits_in(&l)))
+            && self.class_used.iter().zip(limits).all(|(used, limit)| is_within(used, limit))
     }
 
     /// Tells whether nothing is known of this worker that is not durable.
