Protect the configured target until a latency without batch work is known

Cause: after a restart beside running tasks the first latency was taken as the baseline, so any rise above it throttled batch work. The contract of set_target is that the target counts until a baseline is known, as before the scores per core.

--- a/crates/core/src/colocation.rs
+++ b/crates/core/src/colocation.rs
@@ -272,10 +272,14 @@
             self.classes.iter().map(|(class, state)| (class.clone(), state.cores)).collect();
         let idle = cores.values().all(|cores| *cores == 0.0);
         let (latency, reference) = (self.latency, self.reference());
-        let scores = self.scores.get_or_insert_with(|| match idle {
-            true => Scores::new(latency, true),
-            false => Scores::new(latency.min(reference), false),
-        });
+        // Beside batch work, as after a restart, a low latency does not show what the baseline is.
+        let within_target = latency <= self.target.as_secs_f64();
+        let scores = match (&mut self.scores, idle) {
+            (Some(scores), _) => scores,
+            (none, true) => none.insert(Scores::new(latency, true)),
+            (_, false) if within_target => return,
+            (none, false) => none.insert(Scores::new(reference, false)),
+        };
         scores.learn(elapsed, self.lag.as_secs_f64(), latency, &cores);
     }
 
