Throttle at 1.16, and run 10,000 schedules of each core

With 10,000, constant_load_settles_without_oscillation failed at seed 6323: slow for 12.1 % of the hour, 10 % allowed. The bound of 1.17 is too close to 1.2 for the error of the learned baseline.

Ruled out: a larger allowance. It is derived from the target.

Change: bounds of 1.16 and 1.14.

Result: all tests of the core pass with 10,000 schedules, 100 s in all.

--- a/crates/core/src/colocation.rs
+++ b/crates/core/src/colocation.rs
@@ -20,10 +20,11 @@
 
 /// Latency above the baseline at which batch work is throttled. Below the target of 1.2, so that
 /// the tail stays under it while an effect is awaited. With 1.18, and 1.16 as the aim, the service
-/// stayed slow for 87 % of an hour under constant load in one seed of the test.
-const HIGH: f64 = 1.17;
+/// stayed slow for 87 % of an hour under constant load in one seed of the test; with 1.17 and 1.15,
+/// for 12.1 % in another.
+const HIGH: f64 = 1.16;
 /// Predicted latency up to which a throttle is loosened, and to which batch work is throttled.
-const AIM: f64 = 1.15;
+const AIM: f64 = 1.14;
 /// Smallest difference that counts; keeps the noise of very short latencies out.
 const NOISE: Duration = Duration::from_micros(300);
 /// Consecutive high samples before the first action.
--- a/crates/core/tests/colocation.rs
+++ b/crates/core/tests/colocation.rs
@@ -11,9 +11,7 @@
 use peridotfold_core::config::{Closing, Document, JobClass, Service};
 use peridotfold_core::resources::Resources;
 
-const SCHEDULES: u64 = 2_000;
-/// For the two extreme loads, whose runs differ less from each other.
-const SCHEDULES_EXTREME: u64 = 500;
+const SCHEDULES: u64 = 10_000;
 const HOUR: u64 = 3_600;
 const CALM_START: u64 = 60;
 /// First wait before a restore is 6 lags, and doubles with each restore that is undone: an hour
@@ -198,7 +196,7 @@
 /// evicts it again and again.
 #[test]
 fn harmful_class_is_evicted_when_throttling_fails() {
-    for_each_seed(SCHEDULES_EXTREME, |seed| {
+    for_each_seed(SCHEDULES, |seed| {
         let mut model = Model::new(seed, 4.0..8.0);
         model.run(HOUR);
         assert!(model.evictions > 0, "a service slowed by 40 % and more is left alone");
@@ -212,7 +210,7 @@
 /// Guards against batch work that stays throttled for load that it does not cause.
 #[test]
 fn harmless_work_runs_at_full_speed_again_after_the_services_own_load_rises() {
-    for_each_seed(SCHEDULES_EXTREME, |seed| {
+    for_each_seed(SCHEDULES, |seed| {
         let mut model = Model::new(seed, 0.0..1e-9);
         model.run(300);
         model.base *= 1.5;
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -37,7 +37,7 @@
 /// after the move of their bucket, when another entry has its list of keys.
 #[test]
 fn new_keys_are_dispatched_after_an_agent_and_an_entry_restart() {
-    let closed = schedules::run(SCHEDULES / 2, |seed| {
+    let closed = schedules::run(SCHEDULES, |seed| {
         let closed = World::new(seed).run_restart(seed % 2 == 1);
         assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
         closed as u64
@@ -49,7 +49,7 @@
 /// as soon as a move was open, before another entry had its list of keys.
 #[test]
 fn new_keys_are_dispatched_when_an_entry_is_killed_as_a_move_opens() {
-    schedules::run(SCHEDULES / 2, |seed| {
+    schedules::run(SCHEDULES, |seed| {
         let closed = World::new(seed).run_killed_at_open();
         assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
         0
@@ -71,7 +71,7 @@
 /// restarted before a bucket moved, and its predecessor's table was lost.
 #[test]
 fn new_keys_are_dispatched_when_an_agent_ends_after_an_entry_restart() {
-    schedules::run(SCHEDULES / 2, |seed| {
+    schedules::run(SCHEDULES, |seed| {
         let closed = World::new(seed).run_ended_later();
         assert_eq!(closed, 0, "seed {seed}: new keys are not dispatched");
         0
@@ -101,7 +101,7 @@
 /// Guards against buckets that stay closed after all faults have ended.
 #[test]
 fn buckets_open_again_after_all_faults() {
-    schedules::run(SCHEDULES / 2, |seed| {
+    schedules::run(SCHEDULES, |seed| {
         let mut world = World::new(seed);
         for _ in 0..800 {
             world.step();
