--- a/crates/core/tests/cell_owner.rs
+++ b/crates/core/tests/cell_owner.rs
@@ -161,6 +161,11 @@
         assert_eq!(self.cell.submit(spec, 1), SubmitReply::Created);
     }
 
+    /// Number of the job's attempts that have not ended.
+    fn running(&self, job: &str) -> usize {
+        self.cell.state().jobs[job].attempts.len()
+    }
+
     fn phase(&self, job: &str) -> Option<Phase> {
         self.cell.state().jobs.get(job).map(|job| job.phase)
     }
@@ -232,9 +237,9 @@
     fixture.take_over();
     fixture.agents[0].1.clear();
     fixture.report(0, 1);
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1);
+    assert_eq!(fixture.running("job"), 1);
     fixture.report(0, 2);
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 0);
+    assert_eq!(fixture.running("job"), 0);
 }
 
 /// Guards against a delayed report of a dead predecessor that passes for a restart: its successor
@@ -269,13 +274,13 @@
     let challenged = fixture.cell.answer(fixture.now, "vm-0", 99, 2).expect("the owner");
     assert_eq!((challenged.lease, challenged.starts.len()), (Duration::ZERO, 0));
     assert_ne!(challenged.challenge, 0);
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1, "taken as gone");
+    assert_eq!(fixture.running("job"), 1, "taken as gone");
     assert_eq!(fixture.report(0, 1).lease, LEASE, "the live agent is ignored");
 
     // A live successor returns the challenge, and then its reports count.
     let returned = Report { sequence: 3, echo: challenged.challenge, ..second };
     fixture.cell.report(fixture.now, &returned);
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 0);
+    assert_eq!(fixture.running("job"), 0);
     assert_eq!(fixture.cell.answer(fixture.now, "vm-0", 99, 3).expect("the owner").lease, LEASE);
 }
 
@@ -311,10 +316,10 @@
         assert!(orders.starts.is_empty(), "ordered from another incarnation");
         report.echo = report.echo.max(orders.challenge);
     }
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1, "gone before the epoch");
+    assert_eq!(fixture.running("job"), 1, "gone before the epoch");
     report = Report { sequence: 4, epoch: 1, ..report };
     fixture.cell.report(fixture.now, &report);
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 0, "waits for ever");
+    assert_eq!(fixture.running("job"), 0, "waits for ever");
 }
 
 /// Guards against an owner that grants after a successor may have taken over.
@@ -360,7 +365,7 @@
     assert!(reason("quota").contains("quota"));
     assert_eq!(fixture.phase("worker"), Some(Phase::Unrunnable));
     assert!(reason("worker").contains("worker"));
-    assert_eq!(fixture.cell.state().jobs["fine"].attempts.len(), 2);
+    assert_eq!(fixture.running("fine"), 2);
 }
 
 /// Guards against a team that takes more of the cell than its quota.
@@ -371,7 +376,7 @@
     for _ in 0..5 {
         fixture.round(ms(200));
     }
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 3);
+    assert_eq!(fixture.running("job"), 3);
 }
 
 /// Guards against a faulty worker that drains the queue, and against jobs blamed for it.
@@ -431,7 +436,7 @@
     for round in 0..50 {
         fixture.round(ms(20));
         if round == 0 {
-            assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 10);
+            assert_eq!(fixture.running("now"), 10);
         }
     }
     let starts = fixture.cell.state().jobs["job"].started - before;
@@ -523,7 +528,7 @@
     assert_eq!(fixture.phase("job"), Some(Phase::Active), "the team is not known yet");
     fixture.cell.set_limits(limits(1 << 40));
     fixture.round(ms(1_000));
-    assert_eq!(fixture.cell.state().jobs["job"].attempts.len(), 1);
+    assert_eq!(fixture.running("job"), 1);
 }
 
 /// Guards against starts that the ledger must refuse because a class is at its limit, and against
@@ -534,15 +539,15 @@
     fixture.submit(spec("many", "normal", 40, 1_000));
     fixture.submit(spec("now", "urgent", 3, 1_000));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["many"].attempts.len(), 16);
-    assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 3);
+    assert_eq!(fixture.running("many"), 16);
+    assert_eq!(fixture.running("now"), 3);
     // Above the limit the ledger admits nothing.
     fixture.measured = Resources::new(1_001, 100, 0);
     fixture.round(ms(500));
     fixture.submit(spec("later", "urgent", 1, 1_000));
     fixture.round(ms(500));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["later"].attempts.len(), 0);
+    assert_eq!(fixture.running("later"), 0);
 }
 
 /// Guards against urgent work that waits until other work ends.
@@ -551,10 +556,10 @@
     let mut fixture = Fixture::new(1, 8_000, 1 << 40);
     fixture.submit(spec("many", "normal", 10, 1_000));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["many"].attempts.len(), 7);
+    assert_eq!(fixture.running("many"), 7);
     fixture.submit(spec("now", "urgent", 1, 1_000));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 1);
+    assert_eq!(fixture.running("now"), 1);
 }
 
 /// Guards against a task that waits for ever because it needs the share for urgent work as well.
@@ -563,7 +568,7 @@
     let mut fixture = Fixture::new(1, 8_000, 1 << 40);
     fixture.submit(spec("large", "normal", 1, 8_000));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["large"].attempts.len(), 1);
+    assert_eq!(fixture.running("large"), 1);
 }
 
 /// Guards against evicted tasks that are placed by their declaration again and outgrow the class
@@ -595,5 +600,5 @@
     fixture.cell.set_limits(limits);
     fixture.submit(spec("now", "urgent", 1, 1_000));
     fixture.round(ms(500));
-    assert_eq!(fixture.cell.state().jobs["now"].attempts.len(), 1);
+    assert_eq!(fixture.running("now"), 1);
 }
