Serve the users' platform: hosted entry and agent, the owner of jobs with steps, and the adapter

Cause: nothing of the product ran on the users' platform, whose jobs have steps, holds and fenced orders that the cell core does not know. Ruled out: extending the cell core (its events are of flat jobs); a store write for each start.

--- /dev/null
+++ b/crates/core/src/flow/message.rs
@@ -0,0 +1,226 @@
+//! Messages between the owner, the agents and the other entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::model::{JobNumber, Run, TaskId};
+use super::progress::Phase;
+use crate::resources::Resources;
+
+/// Number of an end in one life of a worker.
+pub type EndNumber = u64;
+/// Order authority at a worker: owner's epoch, session, and step within the session.
+pub type Token = u64;
+
+const SESSION_SHIFT: u32 = 12;
+const EPOCH_SHIFT: u32 = 32;
+
+/// Builds the first token of a session.
+pub fn session_token(epoch: u32, session: u32) -> Token {
+    (u64::from(epoch) << EPOCH_SHIFT) | (u64::from(session) << SESSION_SHIFT)
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndKind {
+    Done,
+    /// By its own or the worker's fault.
+    Failed,
+    Stopped,
+    /// Its permission had run out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// Its gang was not complete in time.
+    Alone,
+}
+
+/// An end that a worker lists until it is acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    pub number: EndNumber,
+    pub task: TaskId,
+    pub run: Run,
+    pub kind: EndKind,
+    /// Newest checkpoint; empty: none.
+    pub saved: String,
+}
+
+/// A run that a worker lists.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    pub task: TaskId,
+    pub run: Run,
+    pub saved: String,
+    pub percent: u32,
+    /// Tail latency in ms of a serving task, otherwise thousandths of a core.
+    pub load: u64,
+}
+
+/// A worker in one life.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerInfo {
+    /// New in each life.
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub room: Resources,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+    pub draining: bool,
+    /// Shortest time that a draining worker has left.
+    pub remaining: Option<Duration>,
+}
+
+/// What an agent needs to know of a task to pace it and to judge its progress.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskTraits {
+    pub lasting: bool,
+    pub fills: bool,
+    pub target_ms: u32,
+    pub cpu_milli: u64,
+}
+
+/// An order to start a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    pub task: TaskId,
+    pub run: Run,
+    pub command: String,
+    pub checkpoint: String,
+    pub ticket: String,
+    pub traits: TaskTraits,
+}
+
+/// From an agent to the owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Up {
+    /// The worker's state after it has refused all older orders. `None`: no worker runs here.
+    Attach {
+        worker: Option<WorkerInfo>,
+        running: Vec<Running>,
+        ends: Vec<End>,
+    },
+    Ends {
+        worker: String,
+        ends: Vec<End>,
+    },
+    /// The start was not carried out and never will be.
+    NotStarted {
+        task: TaskId,
+        run: Run,
+        reason: String,
+    },
+    /// The worker is leaving.
+    Draining {
+        worker: String,
+        remaining: Option<Duration>,
+    },
+    /// The worker has ended, with all that ran on it.
+    Gone {
+        worker: String,
+    },
+    /// Newest checkpoints of what runs.
+    Saved {
+        rows: Vec<(TaskId, Run, String)>,
+    },
+    /// The task makes no progress.
+    Stalled {
+        task: TaskId,
+        run: Run,
+    },
+    /// Asks for permission to go on; `sent` is the agent's clock and comes back unchanged.
+    Ping {
+        sent: Duration,
+    },
+}
+
+/// From the owner to an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Down {
+    Welcome {
+        token: Token,
+        /// Other entries to ask when this one is lost.
+        entries: Vec<SocketAddr>,
+    },
+    /// Another process owns the work, or nobody that is known here.
+    Redirect {
+        owner: Option<SocketAddr>,
+    },
+    Start(Box<Start>),
+    Stop {
+        task: TaskId,
+        run: Run,
+    },
+    /// Ends up to this number are durable.
+    Seen {
+        worker: String,
+        number: EndNumber,
+    },
+    Traits {
+        rows: Vec<(TaskId, TaskTraits)>,
+    },
+    /// Permission until `sent` plus `permission`.
+    Pong {
+        sent: Duration,
+        permission: Duration,
+        entries: Vec<SocketAddr>,
+    },
+}
+
+/// From an entry to the owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    State {
+        query: u64,
+        job: JobNumber,
+    },
+    Waiting {
+        query: u64,
+        queue: String,
+    },
+    /// Stores a job for an entry that the store turns away. `record` is its stored form.
+    Submit {
+        query: u64,
+        job: JobNumber,
+        record: Bytes,
+    },
+    Cancel {
+        query: u64,
+        job: JobNumber,
+    },
+    Ping,
+}
+
+/// From the owner to an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    Redirect { owner: Option<SocketAddr> },
+    State { query: u64, state: Option<Phase> },
+    Waiting { query: u64, count: Option<u64> },
+    Stored { query: u64, outcome: Stored },
+    Pong { entries: Vec<SocketAddr> },
+}
+
+/// Outcome of storing a job or a cancel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stored {
+    /// It lasts, or did before.
+    Yes,
+    /// Nothing was stored and nothing will be.
+    No,
+    /// There is no such job.
+    Unknown,
+    /// It may or may not be stored.
+    Unclear,
+}
+
+/// First bytes on an internal connection: who connects.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Greeting {
+    Agent { node: String },
+    Entry { node: String, address: SocketAddr },
+}
--- /dev/null
+++ b/crates/core/src/flow/place.rs
@@ -0,0 +1,309 @@
+//! Which waiting task starts next, and on which worker.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
+use super::owner::{Job, Node, Owner, Slot};
+use super::progress::{Phase, Progress};
+use crate::resources::Resources;
+use crate::time::Time;
+
+/// Late jobs still earn up to this many times their objective.
+const LATE_FACTOR: u32 = 3;
+/// A fill task may start on a worker that leaves it this part of what it asks for, if no other
+/// fill task is there.
+const LEAST_FILL_PERCENT: u64 = 50;
+/// Steps looked at in one round, so that a long queue does not hold up the process.
+const STEPS_PER_ROUND: usize = 400;
+
+/// Order of waiting steps: smaller goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// 0: can still be in time; 1: late; 2: too late to matter.
+    lateness: u8,
+    priority: u8,
+    /// Work left in the job, so that many small jobs do not wait for a large one.
+    work: u64,
+    since: Time,
+}
+
+/// A step with waiting tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    rank: Rank,
+    job: JobNumber,
+    occurrence: u32,
+    step: u16,
+}
+
+/// Preference among workers: smaller is better.
+type Score = (bool, bool, bool, Reverse<u64>, u64);
+
+impl Owner {
+    /// Opens the occurrences whose time has come.
+    pub(super) fn release_due(&mut self, now: Time, wall: WallMs) {
+        for job in self.jobs.values_mut().filter(|job| !job.phase.is_final()) {
+            let Some(table) = job.spec.timetable else { continue };
+            let due = |k: u32| table.first + u64::from(k) * table.interval_ms;
+            while job.next_occurrence < table.times && wall >= due(job.next_occurrence) {
+                job.open(job.next_occurrence, &Progress::default());
+                job.next_occurrence += 1;
+                let objective = job.objective.saturating_sub(job.since);
+                job.since = now;
+                job.objective = now + objective;
+                self.must_place = true;
+            }
+        }
+    }
+
+    /// Starts what fits.
+    pub(super) fn place(&mut self, now: Time) {
+        let mut candidates = self.candidates(now);
+        candidates.sort_unstable();
+        // Steps with the same demands as one that found no worker will not find one either.
+        let mut blocked: Vec<(Resources, bool)> = Vec::new();
+        for candidate in candidates.into_iter().take(STEPS_PER_ROUND) {
+            let spec = self.jobs[&candidate.job].spec.clone();
+            let step = &spec.steps[usize::from(candidate.step)];
+            let is_plain = step.requires.is_none() && step.per_worker == 0;
+            if is_plain && blocked.contains(&(step.need, step.fills)) {
+                continue;
+            }
+            let is_placed = match step.gang {
+                true => self.place_gang(now, &candidate, &spec, step),
+                false => self.place_tasks(now, &candidate, &spec, step),
+            };
+            if !is_placed && is_plain {
+                blocked.push((step.need, step.fills));
+            }
+        }
+    }
+
+    fn candidates(&mut self, now: Time) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        let is_quiet = self.quiet_at.is_none();
+        for (number, job) in &mut self.jobs {
+            if job.phase.is_final() || (job.is_inherited && !is_quiet) {
+                continue;
+            }
+            let rank = rank(job, now);
+            for (occurrence, steps) in &mut job.occurrences {
+                for index in 0..steps.len() {
+                    let step = &job.spec.steps[index];
+                    let is_done = |after: &u16| {
+                        steps[usize::from(*after)].is_done(&job.spec.steps[usize::from(*after)])
+                    };
+                    let is_ready = !steps[index].waiting.is_empty()
+                        && (steps[index].ready_since.is_some() || step.after.iter().all(is_done));
+                    if is_ready {
+                        steps[index].ready_since.get_or_insert(now);
+                        candidates.push(Candidate {
+                            rank: if step.lasting { Rank { work: 0, ..rank } } else { rank },
+                            job: *number,
+                            occurrence: *occurrence,
+                            step: index as u16,
+                        });
+                    }
+                }
+            }
+        }
+        candidates
+    }
+
+    /// Starts waiting tasks of a step while they fit; tells whether all fit.
+    fn place_tasks(
+        &mut self,
+        now: Time,
+        candidate: &Candidate,
+        spec: &Arc<JobSpec>,
+        step: &Step,
+    ) -> bool {
+        let (job, occurrence) = (candidate.job, candidate.occurrence);
+        let base = self.run_base();
+        let waiting: Vec<u32> = self.state(candidate).waiting.iter().copied().collect();
+        let rack = if step.tight { self.tight_rack(now, candidate, spec, step) } else { None };
+        for index in waiting {
+            let task = TaskId { job, occurrence, step: candidate.step, index };
+            let avoid = self.state(candidate).avoid.get(&index).copied();
+            let rack = rack.as_deref().or(step.near.as_deref());
+            let extra = BTreeMap::new();
+            match self.choose(now, candidate, spec, step, avoid, rack, &extra) {
+                Some(slot) => {
+                    let run = self.state(candidate).next_run(index, base);
+                    self.start(slot, task, run);
+                }
+                None => return false,
+            }
+        }
+        true
+    }
+
+    /// Starts all members of a gang at once, or none.
+    fn place_gang(
+        &mut self,
+        now: Time,
+        candidate: &Candidate,
+        spec: &Arc<JobSpec>,
+        step: &Step,
+    ) -> bool {
+        if !self.state(candidate).running.is_empty() {
+            return true;
+        }
+        let rack = self.tight_rack(now, candidate, spec, step);
+        let rack = rack.as_deref().or(step.near.as_deref());
+        let waiting: Vec<u32> = self.state(candidate).waiting.iter().copied().collect();
+        let mut extra: BTreeMap<Slot, u32> = BTreeMap::new();
+        let mut slots = Vec::with_capacity(waiting.len());
+        for index in &waiting {
+            let avoid = self.state(candidate).avoid.get(index).copied();
+            let Some(slot) = self.choose(now, candidate, spec, step, avoid, rack, &extra) else {
+                return false;
+            };
+            *extra.entry(slot).or_default() += 1;
+            slots.push(slot);
+        }
+        let base = self.run_base();
+        let state = self.state(candidate);
+        let run = waiting.iter().map(|index| state.next_run(*index, base)).max().unwrap_or(base);
+        for (index, slot) in waiting.into_iter().zip(slots) {
+            let (job, occurrence, step) = (candidate.job, candidate.occurrence, candidate.step);
+            self.start(slot, TaskId { job, occurrence, step, index }, run);
+        }
+        true
+    }
+
+    /// Returns the rack on which a step whose tasks must be close has most room.
+    fn tight_rack(
+        &self,
+        now: Time,
+        candidate: &Candidate,
+        spec: &Arc<JobSpec>,
+        step: &Step,
+    ) -> Option<String> {
+        if !step.tight {
+            return None;
+        }
+        let mut fits: BTreeMap<&str, u64> = BTreeMap::new();
+        for node in self.nodes.iter().filter(|node| node.may_start(now, spec, step)) {
+            let rack = node.rack()?;
+            let count = (node.free_cpu() / step.need.cpu_milli.max(1)).min(u64::from(step.count));
+            *fits.entry(rack).or_default() += count;
+        }
+        let used = self.state(candidate).running.values().next();
+        match used.and_then(|attempt| self.nodes[attempt.slot].rack()) {
+            Some(rack) => Some(rack.to_owned()),
+            None => fits.into_iter().max_by_key(|(_, count)| *count).map(|(r, _)| r.to_owned()),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn choose(
+        &self,
+        now: Time,
+        candidate: &Candidate,
+        spec: &Arc<JobSpec>,
+        step: &Step,
+        avoid: Option<Slot>,
+        rack: Option<&str>,
+        extra: &BTreeMap<Slot, u32>,
+    ) -> Option<Slot> {
+        let state = self.state(candidate);
+        let mut best: Option<(Score, Slot)> = None;
+        for (slot, node) in self.nodes.iter().enumerate() {
+            let here = extra.get(&slot).copied().unwrap_or(0);
+            let same = state.per_worker.get(&slot).copied().unwrap_or(0) + here;
+            if !node.may_start(now, spec, step)
+                || !node.has_room(step, u64::from(here))
+                || (step.per_worker > 0 && same >= step.per_worker)
+            {
+                continue;
+            }
+            let taken = u64::from(here) * step.need.cpu_milli;
+            let free = node.free_cpu().saturating_sub(taken);
+            let score = (
+                avoid == Some(slot),
+                node.streak > 0,
+                rack.is_some_and(|rack| node.rack() != Some(rack)),
+                Reverse(if step.lasting { node.lasting_cpu } else { 0 }),
+                match (step.lasting, step.fills) {
+                    (true, _) => free,
+                    (false, true) => {
+                        // Fill tasks disturb lasting ones.
+                        node.lasting_cpu * 4 + u64::MAX / 4 - free
+                    }
+                    (false, false) => u64::MAX / 4 - free,
+                },
+            );
+            if best.is_none_or(|(known, _)| score < known) {
+                best = Some((score, slot));
+            }
+        }
+        best.map(|(_, slot)| slot)
+    }
+
+    fn state(&self, candidate: &Candidate) -> &super::step::StepState {
+        &self.jobs[&candidate.job].occurrences[&candidate.occurrence][usize::from(candidate.step)]
+    }
+}
+
+fn rank(job: &Job, now: Time) -> Rank {
+    let objective = job.objective.saturating_sub(job.since);
+    let lateness = match now {
+        _ if now <= job.objective => 0,
+        _ if now <= job.since + objective * LATE_FACTOR => 1,
+        _ => 2,
+    };
+    Rank { lateness, priority: job.spec.queue.priority, work: job.work, since: job.since }
+}
+
+impl Node {
+    /// Rack of the worker: its second label.
+    pub(super) fn rack(&self) -> Option<&str> {
+        self.worker.as_ref()?.labels.get(1).map(String::as_str)
+    }
+
+    /// Processors that neither reservations nor fill tasks take.
+    pub(super) fn free_cpu(&self) -> u64 {
+        let room = self.worker.as_ref().map_or(0, |worker| worker.room.cpu_milli);
+        room.saturating_sub(self.used.cpu_milli + self.filled_cpu)
+    }
+
+    /// Tells whether tasks of the step may start here at all.
+    pub(super) fn may_start(&self, now: Time, spec: &JobSpec, step: &Step) -> bool {
+        let Some(worker) = &self.worker else { return false };
+        self.is_attached
+            && self.is_listed
+            && !worker.draining
+            && self.foreign.is_empty()
+            && now >= self.rests_until
+            && worker.service == spec.queue.service
+            && step.requires.as_ref().is_none_or(|label| worker.labels.contains(label))
+    }
+
+    fn has_room(&self, step: &Step, taken: u64) -> bool {
+        let Some(worker) = &self.worker else { return false };
+        let reserved = step.reserved();
+        let mut used = self.used.plus(&reserved);
+        for _ in 0..taken {
+            used = used.plus(&reserved);
+        }
+        let free = self.free_cpu().saturating_sub(taken * step.need.cpu_milli);
+        let fill_fits = !step.fills
+            || free >= step.need.cpu_milli
+            || (self.filled_cpu == 0
+                && free * 100 >= step.need.cpu_milli * LEAST_FILL_PERCENT
+                && step.need.cpu_milli > worker.room.cpu_milli / 2);
+        fill_fits && used.fits_in(&worker.room)
+    }
+}
+
+impl Owner {
+    /// Tells whether a job has begun.
+    pub(super) fn note_running(&mut self, number: JobNumber) {
+        if let Some(job) = self.jobs.get_mut(&number).filter(|job| job.phase == Phase::Queued) {
+            job.phase = Phase::Running;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/recovery.rs
@@ -0,0 +1,179 @@
+//! Takeover from another owner, and sessions with agents whose workers already run tasks.
+
+use std::time::Duration;
+
+use super::message::{Down, End, Running, WorkerInfo};
+use super::model::{JobNumber, JobSpec, TaskId};
+use super::owner::{traits, Owner, Slot};
+use super::progress::Progress;
+use super::step::Attempt;
+use crate::time::Time;
+
+/// Addition to the wait for agents that are not heard: covers rounding of lease times.
+const QUIET_MARGIN: Duration = Duration::from_millis(300);
+
+impl Owner {
+    /// Takes over a stored job. Its tasks wait until every agent of `roster` has been heard.
+    pub fn inherit(&mut self, now: Time, number: JobNumber, spec: JobSpec, progress: Progress) {
+        self.insert(now, number, spec, progress, true);
+    }
+
+    /// Adds the record of a job that has ended.
+    pub fn inherit_ended(&mut self, now: Time, number: JobNumber, progress: Progress) {
+        let queue = super::model::Queue {
+            name: String::new(),
+            service: String::new(),
+            priority: 0,
+            attempts: 1,
+            stretch: 1.0,
+            slack_ms: 0,
+            advice: None,
+        };
+        let spec = JobSpec {
+            queue,
+            command: String::new(),
+            steps: Vec::new(),
+            timetable: None,
+            submitted: 0,
+        };
+        self.insert(now, number, spec, progress, true);
+    }
+
+    /// Names the agents that a predecessor may have given permission until now.
+    pub fn set_predecessor(&mut self, now: Time, roster: Vec<String>) {
+        self.unheard = roster.into_iter().collect();
+        self.quiet_at = Some(now + self.settings.permission + QUIET_MARGIN);
+        self.change_roster();
+    }
+
+    /// Ends the wait for agents of a predecessor once all were heard or their permission is over.
+    pub(super) fn settle_inherited(&mut self, now: Time) {
+        let Some(at) = self.quiet_at else { return };
+        if now >= at || self.unheard.is_empty() {
+            let detail = format!("unheard={}", self.unheard.len());
+            self.log("takeover_settled", None, detail);
+            self.quiet_at = None;
+            self.unheard.clear();
+            self.must_place = true;
+            self.change_roster();
+        }
+    }
+
+    /// Compares what a worker lists with what is known, after it has refused all older orders.
+    pub(super) fn attach(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        worker: Option<WorkerInfo>,
+        running: Vec<Running>,
+        ends: Vec<End>,
+    ) {
+        let known = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
+        if known.is_some() && known != worker.as_ref().map(|worker| worker.id.clone()) {
+            self.lose_worker(slot, "replaced");
+        }
+        let name = self.nodes[slot].name.clone();
+        self.unheard.remove(&name);
+        let node = &mut self.nodes[slot];
+        node.foreign.clear();
+        node.is_attached = true;
+        node.last_pong = now;
+        if !node.is_listed {
+            self.change_roster();
+        }
+        let detail = format!(
+            "node={name} worker={} running={} ends={}",
+            worker.as_ref().map_or("none", |worker| worker.id.as_str()),
+            running.len(),
+            ends.len()
+        );
+        self.log("agent_attached", None, detail);
+        let Some(worker) = worker else { return };
+        let id = worker.id.clone();
+        let (is_draining, remaining) = (worker.draining, worker.remaining);
+        self.nodes[slot].worker = Some(worker);
+        self.ends(now, slot, &id, ends);
+        self.forget_unlisted(slot, &running);
+        let mut rows = Vec::new();
+        for run in &running {
+            if self.adopt(slot, run) {
+                if let Some((spec, _)) = self.step_mut(&run.task) {
+                    rows.push((run.task, traits(&spec.steps[usize::from(run.task.step)])));
+                }
+            } else {
+                self.send(slot, Down::Stop { task: run.task, run: run.run });
+            }
+        }
+        if !rows.is_empty() {
+            self.send(slot, Down::Traits { rows });
+        }
+        if is_draining {
+            if let Some(worker) = self.nodes[slot].worker.as_mut() {
+                worker.draining = false;
+            }
+            self.nodes[slot].leaves_at = None;
+            self.draining(now, slot, &id, remaining);
+        }
+        self.must_place = true;
+    }
+
+    /// Requeues what was ordered in an older session and is not on the worker.
+    fn forget_unlisted(&mut self, slot: Slot, running: &[Running]) {
+        let is_listed =
+            |task: &TaskId, run: u32| running.iter().any(|r| r.task == *task && r.run == run);
+        let lost: Vec<_> = self.nodes[slot]
+            .tasks
+            .iter()
+            .filter(|(task, run)| !is_listed(task, **run))
+            .map(|(task, run)| (*task, *run))
+            .collect();
+        for (task, run) in lost {
+            self.log("run_lost", Some(task.job), format!("task={task} run={run}"));
+            self.drop_run(&task, run);
+        }
+    }
+
+    /// Takes a listed run over. Returns whether it may go on.
+    fn adopt(&mut self, slot: Slot, listed: &Running) -> bool {
+        let task = listed.task;
+        let is_over = self.jobs.get(&task.job).is_none_or(|job| job.phase.is_final());
+        if is_over {
+            return self.hold_foreign(slot, listed);
+        }
+        let is_open = self.open_occurrence(task.job, task.occurrence);
+        let Some((spec, state)) = self.step_mut(&task).filter(|_| is_open) else { return false };
+        let step = spec.steps[usize::from(task.step)].clone();
+        match state.running.get(&task.index) {
+            Some(attempt) if attempt.run == listed.run && attempt.slot == slot => {
+                return !attempt.is_stopping;
+            }
+            Some(_) => return self.hold_foreign(slot, listed),
+            None if state.done.contains(task.index) => return self.hold_foreign(slot, listed),
+            None => {}
+        }
+        if !listed.saved.is_empty() {
+            state.saved.insert(if step.gang { 0 } else { task.index }, listed.saved.clone());
+        }
+        state.begin(task.index, Attempt { run: listed.run, slot, is_stopping: false });
+        self.reserve(slot, task, listed.run, &step);
+        self.note_running(task.job);
+        true
+    }
+
+    /// Opens an occurrence that a predecessor had begun.
+    fn open_occurrence(&mut self, number: JobNumber, occurrence: u32) -> bool {
+        let Some(job) = self.jobs.get_mut(&number) else { return false };
+        while job.next_occurrence <= occurrence && job.spec.timetable.is_some() {
+            job.open(job.next_occurrence, &Progress::default());
+            job.next_occurrence += 1;
+        }
+        job.occurrences.contains_key(&occurrence)
+    }
+
+    /// Keeps a worker from starting anything beside a run that is about to be stopped and whose
+    /// needs may be unknown.
+    fn hold_foreign(&mut self, slot: Slot, listed: &Running) -> bool {
+        self.nodes[slot].foreign.insert((listed.task, listed.run));
+        false
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/routes.rs
@@ -0,0 +1,35 @@
+//! Which queue a caller's request belongs to.
+
+use std::collections::HashMap;
+
+use super::model::Queue;
+
+/// The queues of one configuration version.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Routes {
+    pub version: u64,
+    /// By host; the longest prefix first.
+    hosts: HashMap<String, Vec<(String, Queue)>>,
+}
+
+impl Routes {
+    /// Builds the table from hosts, prefixes and queues.
+    pub fn new(version: u64, rows: impl IntoIterator<Item = (String, String, Queue)>) -> Self {
+        let mut hosts: HashMap<String, Vec<(String, Queue)>> = HashMap::new();
+        for (host, prefix, queue) in rows {
+            hosts.entry(host).or_default().push((prefix, queue));
+        }
+        for prefixes in hosts.values_mut() {
+            prefixes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+        }
+        Routes { version, hosts }
+    }
+
+    /// Returns the queue of a request, and what follows its prefix.
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let prefixes = self.hosts.get(host)?;
+        prefixes.iter().find_map(|(prefix, queue)| {
+            path.strip_prefix(prefix.as_str()).map(|rest| (queue, rest))
+        })
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cell;
 pub mod colocation;
 pub mod config;
+pub mod flow;
 pub mod hash;
 pub mod homes;
 pub mod id;
--- /dev/null
+++ b/crates/hosted/src/agent.rs
@@ -0,0 +1,221 @@
+//! The agent: a loop around [`Node`], with one connection to the owner.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use peridotfold_core::flow::message::{Down, Greeting, Up, WorkerInfo};
+use peridotfold_core::flow::node::{Action, Call, Node, Outcome};
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::connection::{self, Inbox, Outbox};
+use crate::decisions;
+use crate::directory::{self, Directory};
+use crate::ports::{Store, Worker, WorkerAnswer};
+
+/// Silence after which the owner is taken to be lost: two pongs missed.
+const SILENCE: Duration = Duration::from_millis(2_300);
+/// Events that may wait for the loop.
+const EVENTS: usize = 1_024;
+
+/// What the worker tells about itself.
+#[derive(Debug)]
+pub enum Beat {
+    Report { info: WorkerInfo, sequence: u64 },
+    SignOff { id: String },
+}
+
+#[derive(Debug)]
+enum Event {
+    Beat(Beat),
+    Answer(Call, WorkerAnswer),
+    LinkUp(Outbox<Up>),
+    LinkDown,
+    Down(Vec<Down>),
+}
+
+/// An agent that is about to run.
+#[derive(Debug)]
+pub struct Agent<S, W> {
+    node: String,
+    store: S,
+    worker: W,
+    sender: Sender<Event>,
+    events: Receiver<Event>,
+}
+
+/// Passes on what the worker tells.
+#[derive(Debug, Clone)]
+pub struct Beats(Sender<Event>);
+
+impl Beats {
+    /// Passes a report or sign-off on.
+    pub async fn tell(&self, beat: Beat) {
+        if self.0.send(Event::Beat(beat)).await.is_err() {
+            tracing::info!(event = "beat_dropped", reason = "stopping");
+        }
+    }
+}
+
+impl<S: Store, W: Worker> Agent<S, W> {
+    /// Builds an agent.
+    pub fn new(node: String, store: S, worker: W) -> Self {
+        let (sender, events) = async_channel::bounded(EVENTS);
+        Agent { node, store, worker, sender, events }
+    }
+
+    /// Where the worker's reports go.
+    pub fn beats(&self) -> Beats {
+        Beats(self.sender.clone())
+    }
+
+    /// Runs until the shutdown.
+    pub async fn run(self, shutdown: Shutdown) {
+        tracing::info!(event = "agent_started", node = self.node);
+        let linking = link(&self.node, &self.store, &self.sender);
+        let working = work(&self.worker, &self.sender, &self.events);
+        future::or(shutdown.wait(), future::or(linking, working)).await;
+        tracing::info!(event = "agent_stopped", node = self.node);
+    }
+}
+
+async fn work<W: Worker>(worker: &W, sender: &Sender<Event>, events: &Receiver<Event>) {
+    let mut node = Node::default();
+    let mut outbox: Option<Outbox<Up>> = None;
+    loop {
+        let pause = node.next_poll(runtime::now());
+        let event = future::or(async { events.recv().await.ok() }, async {
+            runtime::sleep(pause).await;
+            None
+        })
+        .await;
+        let now = runtime::now();
+        match event {
+            None => node.poll(now),
+            Some(Event::Beat(Beat::Report { info, sequence })) => node.beat(now, info, sequence),
+            Some(Event::Beat(Beat::SignOff { id })) => node.leave(now, &id),
+            Some(Event::LinkUp(link)) => outbox = Some(link),
+            Some(Event::LinkDown) => {
+                outbox = None;
+                node.disconnected();
+            }
+            Some(Event::Down(messages)) => {
+                messages.into_iter().for_each(|message| node.receive(now, message));
+            }
+            Some(Event::Answer(call, answer)) => apply(&mut node, now, call, answer),
+        }
+        for action in node.take_actions() {
+            match action {
+                Action::Log(decision) => decisions::log(&decision),
+                Action::Send(message) => {
+                    let is_lost = outbox.as_ref().is_some_and(|o| o.try_send(message).is_err());
+                    if is_lost {
+                        tracing::warn!(event = "owner_too_slow");
+                        outbox = None;
+                    }
+                }
+                Action::Call(call) => {
+                    let (worker, sender) = (worker.clone(), sender.clone());
+                    runtime::spawn(async move {
+                        let answer = worker.call(call.clone()).await;
+                        if sender.send(Event::Answer(call, answer)).await.is_err() {
+                            tracing::debug!(event = "answer_dropped", reason = "stopping");
+                        }
+                    })
+                    .detach();
+                }
+            }
+        }
+    }
+}
+
+fn apply(node: &mut Node, now: Duration, call: Call, answer: WorkerAnswer) {
+    match (call, answer) {
+        (Call::Look { worker, .. }, WorkerAnswer::Listed { token, clock, running, ends }) => {
+            node.listed(now, &worker, token, clock, running, ends);
+        }
+        (Call::Look { worker, token, .. }, WorkerAnswer::Other(outcome)) => {
+            node.look_failed(now, &worker, token, &outcome);
+        }
+        (Call::Start { worker, start, .. }, WorkerAnswer::Other(outcome)) => {
+            node.started(now, &worker, start.task, start.run, outcome);
+        }
+        (Call::Stop { task, .. } | Call::Pace { task, .. }, WorkerAnswer::Other(outcome)) => {
+            if outcome != Outcome::Done {
+                tracing::info!(event = "order_failed", %task, ?outcome);
+                node.order_failed(task);
+            }
+        }
+        (call, WorkerAnswer::Listed { .. }) => {
+            tracing::error!(event = "answer_unexpected", ?call);
+        }
+    }
+}
+
+/// Keeps a connection to the owner.
+async fn link<S: Store>(node: &str, store: &S, sender: &Sender<Event>) {
+    let mut directory = Directory::default();
+    let mut hint = None;
+    loop {
+        let address = match hint.take() {
+            Some(address) => Some(address),
+            None => match directory::lock(store).await {
+                Ok(lock) => lock.map(|(lock, _)| lock.address),
+                Err(error) => {
+                    tracing::info!(event = "lock_not_read", %error);
+                    directory.next()
+                }
+            },
+        };
+        if let Some(address) = address {
+            match connected(node, address, sender, &mut directory).await {
+                Ok(owner) => hint = owner.filter(|owner| *owner != address),
+                Err(error) => tracing::info!(event = "owner_lost", owner = %address, %error),
+            }
+            if sender.send(Event::LinkDown).await.is_err() {
+                return;
+            }
+        }
+        runtime::sleep(directory::pause()).await;
+    }
+}
+
+/// Serves one connection; returns where it was told to go.
+async fn connected(
+    node: &str,
+    owner: SocketAddr,
+    sender: &Sender<Event>,
+    directory: &mut Directory,
+) -> Result<Option<SocketAddr>, WireError> {
+    let stream = connection::connect(owner).await?;
+    let greeting = Greeting::Agent { node: node.to_owned() };
+    connection::greet(&stream, &greeting, owner).await?;
+    let outbox = connection::start_writer(stream.clone(), owner.to_string());
+    let mut inbox = Inbox::new(stream, owner.to_string());
+    let mut is_up = false;
+    loop {
+        let messages: Vec<Down> = inbox.receive(SILENCE).await?;
+        for message in &messages {
+            match message {
+                Down::Redirect { owner } => return Ok(*owner),
+                Down::Welcome { entries, .. } | Down::Pong { entries, .. } => {
+                    directory.learn(entries.iter().copied());
+                }
+                _ => {}
+            }
+        }
+        if !is_up {
+            is_up = true;
+            tracing::info!(event = "owner_found", %owner);
+            if sender.send(Event::LinkUp(outbox.clone())).await.is_err() {
+                return Ok(None);
+            }
+        }
+        if sender.send(Event::Down(messages)).await.is_err() {
+            return Ok(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hosted/src/connection.rs
@@ -0,0 +1,164 @@
+//! Connections between the hosted processes: frames in both directions on one stream.
+//!
+//! Messages that wait are written together, since each system call costs as much as several
+//! messages on a machine with a tenth of a core.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use bytes::BytesMut;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use peridotfold_core::flow::message::Greeting;
+use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::{frame, runtime};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use smol::net::TcpStream;
+
+/// Messages that may wait for a slow peer before the connection is given up.
+const QUEUE_LIMIT: usize = 8_192;
+const READ_BYTES: usize = 16 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Bytes written at a time.
+const WRITE_BYTES: usize = 64 * 1024;
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Queue of a connection's writer.
+pub(crate) type Outbox<T> = Sender<T>;
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, WireError> {
+    let peer = address.to_string();
+    let connecting = async {
+        TcpStream::connect(address)
+            .await
+            .map_err(|error| WireError::new(Step::Connect, peer.as_str(), error))
+    };
+    let stream = runtime::timeout(CONNECT_TIMEOUT, &peer, connecting).await?;
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::warn!(event = "nodelay_not_set", %peer, %error);
+    }
+    Ok(stream)
+}
+
+/// Writes the first message of a connection.
+pub(crate) async fn greet(
+    stream: &TcpStream,
+    greeting: &Greeting,
+    peer: SocketAddr,
+) -> Result<(), WireError> {
+    let fail = |error: String| WireError::new(Step::Send, peer.to_string(), error);
+    let bytes = frame::encode(greeting).map_err(fail)?;
+    stream.clone().write_all(&bytes).await.map_err(|error| fail(error.to_string()))
+}
+
+/// Starts the writer of a connection. The connection closes when the outbox is dropped.
+pub(crate) fn start_writer<T: Serialize + Send + 'static>(
+    stream: TcpStream,
+    peer: String,
+) -> Outbox<T> {
+    let (sender, receiver) = async_channel::bounded(QUEUE_LIMIT);
+    runtime::spawn(async move {
+        if let Err(error) = write_all(&stream, &peer, receiver).await {
+            tracing::info!(event = "connection_lost", %peer, %error);
+        }
+        // Wakes the reader too. The peer may have closed first.
+        if let Err(error) = stream.shutdown(std::net::Shutdown::Both) {
+            tracing::debug!(event = "shutdown_failed", %peer, %error);
+        }
+    })
+    .detach();
+    sender
+}
+
+async fn write_all<T: Serialize>(
+    stream: &TcpStream,
+    peer: &str,
+    receiver: Receiver<T>,
+) -> Result<(), WireError> {
+    let mut stream = stream.clone();
+    while let Ok(message) = receiver.recv().await {
+        let fail = |error: String| WireError::new(Step::Send, peer, error);
+        let mut buffer = BytesMut::from(&frame::encode(&message).map_err(fail)?[..]);
+        while buffer.len() < WRITE_BYTES {
+            let Ok(message) = receiver.try_recv() else { break };
+            buffer.extend_from_slice(&frame::encode(&message).map_err(fail)?);
+        }
+        let writing =
+            async { stream.write_all(&buffer).await.map_err(|error| fail(error.to_string())) };
+        runtime::timeout(WRITE_TIMEOUT, peer, writing).await?;
+    }
+    Ok(())
+}
+
+/// Reads the messages of a connection.
+#[derive(Debug)]
+pub(crate) struct Inbox {
+    stream: TcpStream,
+    peer: String,
+    buffer: BytesMut,
+}
+
+impl Inbox {
+    pub(crate) fn new(stream: TcpStream, peer: String) -> Self {
+        Inbox { stream, peer, buffer: BytesMut::new() }
+    }
+
+    pub(crate) fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Returns the next message alone; later ones stay in the buffer.
+    pub(crate) async fn receive_one<T: DeserializeOwned>(
+        &mut self,
+        silence: Duration,
+    ) -> Result<T, WireError> {
+        loop {
+            if let Some(message) = self.decode()? {
+                return Ok(message);
+            }
+            self.fill(silence).await?;
+        }
+    }
+
+    /// Returns the next messages, at least one; fails when none comes within `silence`.
+    pub(crate) async fn receive<T: DeserializeOwned>(
+        &mut self,
+        silence: Duration,
+    ) -> Result<Vec<T>, WireError> {
+        loop {
+            let mut messages = Vec::new();
+            while let Some(message) = self.decode()? {
+                messages.push(message);
+            }
+            if !messages.is_empty() {
+                return Ok(messages);
+            }
+            self.fill(silence).await?;
+        }
+    }
+
+    fn decode<T: DeserializeOwned>(&mut self) -> Result<Option<T>, WireError> {
+        frame::decode(&mut self.buffer)
+            .map_err(|error| WireError::new(Step::Decode, self.peer.as_str(), error))
+    }
+
+    async fn fill(&mut self, silence: Duration) -> Result<(), WireError> {
+        let mut chunk = [0; READ_BYTES];
+        let read = future::or(async { Some(self.stream.read(&mut chunk).await) }, async {
+            runtime::sleep(silence).await;
+            None
+        });
+        let fail = |step, detail: String| Err(WireError::new(step, self.peer.as_str(), detail));
+        match read.await {
+            Some(Ok(0)) => fail(Step::Receive, "closed".to_owned()),
+            Some(Ok(count)) => {
+                self.buffer.extend_from_slice(&chunk[..count]);
+                Ok(())
+            }
+            Some(Err(error)) => fail(Step::Receive, error.to_string()),
+            None => fail(Step::Timeout, format!("silent for {silence:?}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hosted/src/decisions.rs
@@ -0,0 +1,16 @@
+//! Log lines of decisions.
+
+use peridotfold_core::flow::owner::Decision;
+
+/// Writes one line for a decision.
+pub(crate) fn log(decision: &Decision) {
+    let Decision { event, job, detail } = decision;
+    metrics::counter!("decisions", "event" => *event).increment(1);
+    match job {
+        Some(job) => {
+            let id = format!("{job:016x}");
+            tracing::info!(event, id, detail);
+        }
+        None => tracing::info!(event, detail),
+    }
+}
--- /dev/null
+++ b/crates/hosted/src/follower.rs
@@ -0,0 +1,145 @@
+//! An entry's connection to the owner.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use futures_lite::future;
+use parking_lot::Mutex;
+use peridotfold_core::flow::message::{Answer, Ask, Greeting};
+use peridotfold_wire::error::WireError;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::Shutdown;
+
+use crate::connection::{self, Inbox, Outbox};
+
+const PING_INTERVAL: Duration = Duration::from_millis(800);
+/// Silence after which the owner is taken to be lost: two pongs missed.
+const SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Asks the owner.
+#[derive(Debug)]
+pub(crate) struct Follower {
+    outbox: Outbox<Ask>,
+    waiting: Mutex<HashMap<u64, Sender<Answer>>>,
+    next_query: AtomicU64,
+}
+
+/// How a connection to a supposed owner ended.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    Lost(WireError),
+    Redirected(Option<SocketAddr>),
+    Shutdown,
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Ended::Lost(error) => error.fmt(f),
+            Ended::Redirected(owner) => write!(f, "it is not the owner; owner={owner:?}"),
+            Ended::Shutdown => f.write_str("shutdown"),
+        }
+    }
+}
+
+impl Follower {
+    /// Sends a question and waits for its answer.
+    pub(crate) async fn ask(
+        &self,
+        limit: Duration,
+        ask: impl FnOnce(u64) -> Ask,
+    ) -> Option<Answer> {
+        let query = self.next_query.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiting.lock().insert(query, sender);
+        let sent = self.outbox.try_send(ask(query));
+        let answer = match sent {
+            Err(_) => None,
+            Ok(()) => {
+                future::or(async { receiver.recv().await.ok() }, async {
+                    runtime::sleep(limit).await;
+                    None
+                })
+                .await
+            }
+        };
+        self.waiting.lock().remove(&query);
+        answer
+    }
+
+    fn resolve(&self, query: u64, answer: Answer) {
+        if let Some(sender) = self.waiting.lock().remove(&query) {
+            // The asker may have given up.
+            let _ = sender.try_send(answer);
+        }
+    }
+}
+
+/// Connects to `owner` and serves questions until the connection ends. `joined` gets the follower
+/// once the owner has answered, and the entries the owner knows.
+pub(crate) async fn run(
+    owner: SocketAddr,
+    node: &str,
+    address: SocketAddr,
+    shutdown: &Shutdown,
+    joined: impl Fn(&Arc<Follower>, Vec<SocketAddr>),
+) -> Ended {
+    let stream = match connection::connect(owner).await {
+        Ok(stream) => stream,
+        Err(error) => return Ended::Lost(error),
+    };
+    let greeting = Greeting::Entry { node: node.to_owned(), address };
+    if let Err(error) = connection::greet(&stream, &greeting, owner).await {
+        return Ended::Lost(error);
+    }
+    let outbox = connection::start_writer(stream.clone(), owner.to_string());
+    let follower = Arc::new(Follower {
+        outbox: outbox.clone(),
+        waiting: Mutex::new(HashMap::new()),
+        next_query: AtomicU64::new(1),
+    });
+    let pinging = async {
+        loop {
+            if outbox.try_send(Ask::Ping).is_err() {
+                future::pending::<()>().await;
+            }
+            runtime::sleep(PING_INTERVAL).await;
+        }
+    };
+    let reading = async {
+        let mut inbox = Inbox::new(stream, owner.to_string());
+        loop {
+            match inbox.receive::<Answer>(SILENCE).await {
+                Err(error) => return Ended::Lost(error),
+                Ok(answers) => {
+                    for answer in answers {
+                        match answer {
+                            Answer::Redirect { owner } => return Ended::Redirected(owner),
+                            Answer::Pong { entries } => joined(&follower, entries),
+                            Answer::State { query, .. }
+                            | Answer::Waiting { query, .. }
+                            | Answer::Stored { query, .. } => follower.resolve(query, answer),
+                        }
+                    }
+                }
+            }
+        }
+    };
+    let stopping = async {
+        shutdown.wait().await;
+        Ended::Shutdown
+    };
+    future::or(
+        reading,
+        future::or(stopping, async {
+            pinging.await;
+            Ended::Shutdown
+        }),
+    )
+    .await
+}
--- a/crates/wire/src/runtime.rs
+++ b/crates/wire/src/runtime.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::OnceLock;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_executor::{Executor, Task};
 use async_signal::{Signal, Signals};
@@ -13,7 +13,7 @@
 use crate::shutdown::Shutdown;
 
 static EXECUTOR: Executor<'static> = Executor::new();
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
 
 /// Runs `main` on a pool of `threads` threads and returns its result.
 pub fn run<T>(threads: usize, main: impl Future<Output = T>) -> T {
@@ -38,9 +38,12 @@
     EXECUTOR.spawn(task)
 }
 
-/// Returns the monotonic time since the start of the process.
+/// Returns the monotonic time since the start of the process. Time in which the machine was
+/// suspended counts, so that leases run out meanwhile.
 pub fn now() -> Duration {
-    START.get_or_init(Instant::now).elapsed()
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let time = Duration::new(time.tv_sec as u64, time.tv_nsec as u32);
+    time.saturating_sub(*START.get_or_init(|| time))
 }
 
 /// Waits for `duration`.
@@ -90,3 +93,14 @@
     signals.next().await;
     Ok(())
 }
+
+/// Waits for SIGHUP, which no longer ends the process once this was called.
+///
+/// # Errors
+///
+/// Fails when the signal handler cannot be installed.
+pub async fn hung_up() -> std::io::Result<()> {
+    let mut signals = Signals::new([Signal::Hup])?;
+    signals.next().await;
+    Ok(())
+}
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod config;
 pub mod entry;
+pub mod hosted;
 pub mod job;
 pub mod process;
 pub mod status;
@@ -13,7 +14,7 @@
 
 /// Options of all commands.
 pub const OPTIONS: &[&[Opt]] =
-    &[entry::OPTIONS, agent::OPTIONS, process::OPTIONS, config::OPTIONS, client::OPTIONS];
+    &[entry::OPTIONS, agent::OPTIONS, hosted::OPTIONS, process::OPTIONS, config::OPTIONS, client::OPTIONS];
 
 /// Why a command did not succeed.
 #[derive(Debug)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 Commands:
   entry    Serve callers and operators, and schedule batch work (runs on an entry VM)
   agent    Serve one worker VM beside its upstream
+  hosted   Run a role on the users' platform
   config   Show, check and patch the configuration
   job      Submit, list, show and cancel batch jobs
   status   Show entries, upstreams and workers
@@ -62,6 +63,7 @@
     match name {
         "entry" => cmd::entry::run(parser),
         "agent" => cmd::agent::run(parser),
+        "hosted" => cmd::hosted::run(parser),
         "config" => cmd::config::run(parser),
         "job" => cmd::job::run(parser),
         "status" => cmd::status::run(parser),
