Count failures by run, use rested workers again, and stay linked while the store is away

(3) With the store away, agents left an owner that nobody replaced, and lost seconds. Tests: a_failure_that_is_listed_again_after_a_takeover_counts_once, a_worker_that_has_rested_is_used_again_without_other_events (seen red: 0 of 2 tasks started).

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -163,7 +163,8 @@
     Traits {
         rows: Vec<(TaskId, TaskTraits)>,
     },
-    /// Permission until `sent` plus `permission`.
+    /// Permission until `sent` plus `permission`. None while the owner cannot renew its lease: the
+    /// agent looks whether there is another owner, and stays if not.
     Pong {
         sent: Duration,
         permission: Duration,
@@ -198,11 +199,26 @@
 /// From the owner to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    Redirect { owner: Option<SocketAddr> },
-    State { query: u64, state: Option<Phase> },
-    Waiting { query: u64, count: Option<u64> },
-    Stored { query: u64, outcome: Stored },
-    Pong { entries: Vec<SocketAddr> },
+    Redirect {
+        owner: Option<SocketAddr>,
+    },
+    State {
+        query: u64,
+        state: Option<Phase>,
+    },
+    Waiting {
+        query: u64,
+        count: Option<u64>,
+    },
+    Stored {
+        query: u64,
+        outcome: Stored,
+    },
+    /// `is_valid`: whether the owner's lease is renewed.
+    Pong {
+        entries: Vec<SocketAddr>,
+        is_valid: bool,
+    },
 }
 
 /// Outcome of storing a job or a cancel.
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -336,7 +336,7 @@
 
     /// Takes the outcome of a start.
     pub fn started(&mut self, now: Time, worker: &str, task: TaskId, run: Run, outcome: Outcome) {
-        if !self.worker.as_ref().is_some_and(|known| known.info.id == worker) {
+        if self.worker.as_ref().is_none_or(|known| known.info.id != worker) {
             return;
         }
         let Some(known) = self.runs.get_mut(&task).filter(|known| known.run == run) else { return };
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -140,6 +140,9 @@
     pub(super) is_listed: bool,
 }
 
+/// What the write under way will make durable: versions of jobs, and nodes of the roster.
+type InFlight = (Vec<(JobNumber, u64)>, Vec<Slot>);
+
 /// The owner.
 #[derive(Debug)]
 pub struct Owner {
@@ -158,10 +161,11 @@
     dirty_since: Option<Time>,
     is_urgent: bool,
     roster_changed: bool,
-    in_flight: Option<(Vec<(JobNumber, u64)>, Vec<Slot>)>,
+    in_flight: Option<InFlight>,
     expired: Vec<JobNumber>,
     pub(super) must_place: bool,
     next_expiry: Time,
+    last_sweep: Time,
 }
 
 impl Owner {
@@ -185,6 +189,7 @@
             expired: Vec::new(),
             must_place: false,
             next_expiry: now,
+            last_sweep: now,
         }
     }
 
@@ -365,11 +370,14 @@
             }
             Up::Stalled { task, run } => self.stalled(now, slot, task, run),
             Up::Ping { sent } => {
-                if self.is_valid(now) {
-                    self.nodes[slot].last_pong = now;
-                    let permission = self.settings.permission;
-                    self.send(slot, Down::Pong { sent, permission, entries: Vec::new() });
-                }
+                let permission = match self.is_valid(now) {
+                    true => {
+                        self.nodes[slot].last_pong = now;
+                        self.settings.permission
+                    }
+                    false => Duration::ZERO,
+                };
+                self.send(slot, Down::Pong { sent, permission, entries: Vec::new() });
             }
         }
     }
@@ -418,7 +426,7 @@
     }
 
     pub(super) fn ends(&mut self, now: Time, slot: Slot, worker: &str, ends: Vec<End>) {
-        if !self.nodes[slot].worker.as_ref().is_some_and(|known| known.id == worker) {
+        if self.nodes[slot].worker.as_ref().is_none_or(|known| known.id != worker) {
             return;
         }
         for end in ends {
@@ -510,9 +518,12 @@
         let limit = spec.queue.attempts.max(1);
         let is_gang = spec.steps[usize::from(task.step)].gang;
         let key = if is_gang { 0 } else { task.index };
-        let count = state.failures.entry(key).or_default();
-        *count += 1;
-        let is_last = *count >= limit;
+        let failures = state.failures.entry(key).or_default();
+        if !failures.insert(end.run) {
+            return;
+        }
+        let count = failures.len() as u32;
+        let is_last = count >= limit;
         let detail = format!("task={task} run={} failures={count} limit={limit}", end.run);
         state.avoid.insert(task.index, slot);
         self.log("task_failed", Some(task.job), format!("{detail} node={}", self.nodes[slot].name));
@@ -703,8 +714,9 @@
                 self.expired.push(number);
             }
         }
-        let is_resting = self.nodes.iter().any(|node| node.rests_until > now);
-        self.must_place |= is_resting;
+        let since = std::mem::replace(&mut self.last_sweep, now);
+        let has_rested = |node: &Node| node.rests_until > since && node.rests_until <= now;
+        self.must_place |= self.nodes.iter().any(has_rested);
     }
 
     /// Time until the next call of [`Owner::poll`] is due, without further input.
--- a/crates/core/src/flow/progress.rs
+++ b/crates/core/src/flow/progress.rs
@@ -1,9 +1,11 @@
 //! What lasts of a job: its phase, the tasks that are done and their failures.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+use super::model::Run;
+
 /// Where a job stands.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -69,8 +71,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
     pub done: IndexSet,
-    /// Failures of tasks that are not done.
-    pub failures: BTreeMap<u32, u32>,
+    /// Runs that failed, of tasks that are not done. Run numbers tell an end that a worker lists
+    /// again after a takeover from a new one.
+    pub failures: BTreeMap<u32, BTreeSet<Run>>,
 }
 
 /// The record of a job.
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -22,7 +22,7 @@
     pub running: BTreeMap<u32, Attempt>,
     pub done: IndexSet,
     pub done_count: u32,
-    pub failures: BTreeMap<u32, u32>,
+    pub failures: BTreeMap<u32, BTreeSet<Run>>,
     /// Newest checkpoints.
     pub saved: HashMap<u32, String>,
     /// Last run numbers in use.
--- /dev/null
+++ b/crates/core/tests/flow/load.rs
@@ -0,0 +1,1 @@
+//! Patterns of heavy load.
--- /dev/null
+++ b/crates/core/tests/flow/main.rs
@@ -0,0 +1,6 @@
+//! The owner of jobs with steps, and the agent that carries out its orders, on virtual time.
+
+mod load;
+mod node;
+mod owner;
+mod support;
--- /dev/null
+++ b/crates/core/tests/flow/owner.rs
@@ -0,0 +1,118 @@
+//! What the owner may and may not do.
+
+use std::time::Duration;
+
+use peridotfold_core::flow::message::EndKind;
+use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::progress::Phase;
+
+use crate::support::{job, ms, step, World};
+
+fn task(job: u64, step: u16, index: u32) -> TaskId {
+    TaskId { job, occurrence: 0, step, index }
+}
+
+/// Guards against a step that begins before its predecessors are done.
+#[test]
+fn a_step_begins_after_all_its_predecessors() {
+    let mut world = World::new(2, 10_000);
+    let mut second = step(1, 1_000, 500);
+    second.after = vec![0];
+    world.submit(7, job(2, vec![step(3, 1_000, 500), second]));
+    assert_eq!(world.running().len(), 3);
+    world.end_all(EndKind::Done, |task| task.index < 2);
+    assert!(world.running().iter().all(|(_, task)| task.step == 0));
+    world.end_all(EndKind::Done, |task| task.step == 0);
+    assert_eq!(world.running().len(), 1);
+    world.end_all(EndKind::Done, |_| true);
+    assert_eq!(world.owner.phase(7), Some(Phase::Completed));
+}
+
+/// Guards against more work on a worker than it has room for, while ends are not listed.
+#[test]
+fn a_worker_is_never_given_more_than_its_room() {
+    let mut world = World::new(2, 2_000);
+    world.submit(7, job(2, vec![step(9, 1_000, 500)]));
+    assert_eq!(world.running().len(), 4);
+    assert!(world.workers.iter().all(|worker| worker.running.len() <= 2));
+}
+
+/// Guards against counting one failure twice: a worker lists an end again when the owner that
+/// committed it was lost before it acknowledged it.
+#[test]
+fn a_failure_that_is_listed_again_after_a_takeover_counts_once() {
+    let mut world = World::new(2, 10_000);
+    let spec = job(2, vec![step(1, 1_000, 500)]);
+    world.submit(7, spec.clone());
+    let index = world.running()[0].0;
+    world.end(index, task(7, 0, 0), EndKind::Failed);
+    let failed = world.workers[index].ends.clone();
+    world.advance(ms(200));
+    assert!(world.workers[index].ends.is_empty());
+    // The acknowledgement was lost with the old owner.
+    world.workers[index].ends = failed;
+    world.workers.iter_mut().for_each(|worker| worker.running.clear());
+    world.take_over(&[(7, spec)]);
+    (0..2).for_each(|index| world.attach(index));
+    world.advance(ms(200));
+    assert_eq!(world.owner.phase(7), Some(Phase::Running), "{:?}", world.logs);
+    assert_eq!(world.running().len(), 1);
+}
+
+/// Guards against a waiting task that nothing wakes once the only worker has rested.
+#[test]
+fn a_worker_that_has_rested_is_used_again_without_other_events() {
+    let mut world = World::new(1, 10_000);
+    for number in 1..=2 {
+        world.submit(number, job(3, vec![step(1, 1_000, 500)]));
+    }
+    world.end_all(EndKind::Failed, |_| true);
+    assert!(world.running().is_empty(), "two jobs failed in a row: the worker rests");
+    world.advance(Duration::from_secs(4));
+    assert_eq!(world.running().len(), 2);
+}
+
+/// Guards against a second run of a task whose first may go on under the predecessor's permission.
+#[test]
+fn a_successor_waits_for_workers_that_it_does_not_hear() {
+    let mut world = World::new(2, 10_000);
+    let spec = job(2, vec![step(2, 9_000, 500)]);
+    world.submit(7, spec.clone());
+    assert_eq!(world.running().len(), 2);
+    world.take_over(&[(7, spec)]);
+    world.attach(0);
+    world.advance(Duration::from_secs(6));
+    assert_eq!(world.running().len(), 2, "only what ran before");
+    world.workers[1].running.clear();
+    world.advance(Duration::from_secs(1));
+    let adopted = world.running();
+    world.end_all(EndKind::Done, |_| true);
+    assert_eq!((adopted.len(), world.running().len()), (1, 1));
+}
+
+/// Guards against a start of a task whose job was cancelled, and against one that runs on.
+#[test]
+fn a_cancelled_job_is_stopped_and_starts_nothing() {
+    let mut world = World::new(1, 2_000);
+    world.submit(7, job(2, vec![step(4, 1_000, 500)]));
+    world.owner.cancel(7);
+    world.settle();
+    assert!(world.running().is_empty());
+    assert_eq!(world.owner.phase(7), Some(Phase::Cancelled));
+}
+
+/// Guards against an end that is acknowledged, or a completion that is shown, before it lasts.
+#[test]
+fn nothing_is_acknowledged_or_shown_before_it_is_written() {
+    let mut world = World::new(1, 2_000);
+    world.submit(7, job(2, vec![step(1, 1_000, 500)]));
+    world.store_is_up = false;
+    world.end_all(EndKind::Done, |_| true);
+    world.advance(ms(500));
+    assert_eq!(world.workers[0].seen, 0);
+    assert_eq!(world.owner.phase(7), Some(Phase::Running));
+    world.store_is_up = true;
+    world.advance(ms(200));
+    assert_eq!(world.workers[0].seen, 1);
+    assert_eq!(world.owner.phase(7), Some(Phase::Completed));
+}
--- /dev/null
+++ b/crates/core/tests/flow/support.rs
@@ -0,0 +1,256 @@
+//! An owner with workers that do what they are told.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use peridotfold_core::flow::message::{Down, End, EndKind, Running, Start, Up, WorkerInfo};
+use peridotfold_core::flow::model::{JobNumber, JobSpec, Queue, Run, Step, TaskId};
+use peridotfold_core::flow::owner::{Commit, Effect, Owner, OwnerSettings, Session, Slot};
+use peridotfold_core::flow::progress::Progress;
+use peridotfold_core::resources::Resources;
+use peridotfold_core::time::Time;
+
+pub const PERMISSION: Duration = Duration::from_secs(6);
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn settings(epoch: u32) -> OwnerSettings {
+    OwnerSettings {
+        epoch,
+        permission: PERMISSION,
+        keep_ended: Duration::from_secs(120),
+        remote_slowdown: 1.5,
+    }
+}
+
+pub fn queue(attempts: u32) -> Queue {
+    Queue {
+        name: "host.example/queue/".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts,
+        stretch: 2.0,
+        slack_ms: 1_000,
+        advice: None,
+    }
+}
+
+pub fn step(count: u32, cpu: u64, estimate_ms: u64) -> Step {
+    Step { count, need: Resources::new(cpu, 100, 0), estimate_ms, ..Step::default() }
+}
+
+pub fn job(attempts: u32, steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        queue: queue(attempts),
+        command: "run".to_owned(),
+        steps,
+        timetable: None,
+        submitted: 0,
+    }
+}
+
+/// A worker as its agent reports it.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    pub info: WorkerInfo,
+    pub slot: Slot,
+    pub session: Session,
+    pub running: BTreeMap<TaskId, Start>,
+    pub ends: Vec<End>,
+    pub seen: u64,
+    next_end: u64,
+}
+
+/// The owner, its workers and the time.
+#[derive(Debug)]
+pub struct World {
+    pub now: Time,
+    pub owner: Owner,
+    pub workers: Vec<Worker>,
+    pub commits: Vec<Commit>,
+    pub stopped: Vec<(TaskId, Run)>,
+    pub started: Vec<(Time, usize, TaskId, Run)>,
+    pub logs: Vec<(&'static str, String)>,
+    /// Whether the store takes writes.
+    pub store_is_up: bool,
+}
+
+impl World {
+    pub fn new(workers: usize, cpu: u64) -> Self {
+        let owner = Owner::new(settings(1), Time::ZERO);
+        let mut world = World {
+            now: ms(1),
+            owner,
+            workers: Vec::new(),
+            commits: Vec::new(),
+            stopped: Vec::new(),
+            started: Vec::new(),
+            logs: Vec::new(),
+            store_is_up: true,
+        };
+        world.owner.set_valid(Time::MAX);
+        for index in 0..workers {
+            world.add_worker(index, cpu);
+        }
+        world.settle();
+        world
+    }
+
+    pub fn add_worker(&mut self, index: usize, cpu: u64) {
+        let info = WorkerInfo {
+            id: format!("life-{index}"),
+            service: "svc".to_owned(),
+            zone: "zone".to_owned(),
+            room: Resources::new(cpu, 1_000_000, 0),
+            labels: vec!["a".to_owned(), format!("r{}", index / 3)],
+            draining: false,
+            remaining: None,
+        };
+        let (slot, session, _) = self.owner.connect(self.now, &format!("node-{index}"));
+        let worker = Worker {
+            info: info.clone(),
+            slot,
+            session,
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            seen: 0,
+            next_end: 1,
+        };
+        self.workers.push(worker);
+        self.attach(index);
+    }
+
+    /// Reports all of a worker in its session.
+    pub fn attach(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        let running = worker.running.values().map(|start| Running {
+            task: start.task,
+            run: start.run,
+            saved: String::new(),
+            percent: 0,
+            load: 0,
+        });
+        let up = Up::Attach {
+            worker: Some(worker.info.clone()),
+            running: running.collect(),
+            ends: worker.ends.clone(),
+        };
+        let (slot, session) = (worker.slot, worker.session);
+        self.owner.receive(self.now, slot, session, up);
+    }
+
+    /// Replaces the owner by a new one that reads what was written.
+    pub fn take_over(&mut self, jobs: &[(JobNumber, JobSpec)]) {
+        let epoch = 2;
+        let mut records: BTreeMap<JobNumber, Progress> = BTreeMap::new();
+        let mut roster = Vec::new();
+        for commit in &self.commits {
+            for record in &commit.records {
+                records.insert(record.job, record.progress.clone());
+            }
+            roster = commit.roster.clone().unwrap_or(roster);
+        }
+        self.owner = Owner::new(settings(epoch), self.now);
+        self.owner.set_valid(Time::MAX);
+        self.owner.set_predecessor(self.now, roster);
+        for (number, spec) in jobs {
+            let progress = records.remove(number).unwrap_or_default();
+            self.owner.inherit(self.now, *number, spec.clone(), progress);
+        }
+        for index in 0..self.workers.len() {
+            let (slot, session, _) = self.owner.connect(self.now, &format!("node-{index}"));
+            self.workers[index].slot = slot;
+            self.workers[index].session = session;
+        }
+    }
+
+    /// Performs effects and writes until nothing changes.
+    pub fn settle(&mut self) {
+        for _ in 0..20 {
+            self.owner.poll(self.now, 0);
+            if self.store_is_up {
+                if let Some(commit) = self.owner.take_commit(self.now) {
+                    self.commits.push(commit);
+                    self.owner.committed();
+                }
+            }
+            self.owner.poll(self.now, 0);
+            for effect in self.owner.take_effects() {
+                match effect {
+                    Effect::Log(decision) => self.logs.push((decision.event, decision.detail)),
+                    Effect::Send { session, message, .. } => self.deliver(session, message),
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, session: Session, message: Down) {
+        let Some(index) = self.workers.iter().position(|worker| worker.session == session) else {
+            return;
+        };
+        match message {
+            Down::Start(start) => {
+                self.started.push((self.now, index, start.task, start.run));
+                self.workers[index].running.insert(start.task, *start);
+            }
+            Down::Stop { task, run } => {
+                self.stopped.push((task, run));
+                if self.workers[index].running.contains_key(&task) {
+                    self.end(index, task, EndKind::Stopped);
+                }
+            }
+            Down::Seen { number, .. } => {
+                let worker = &mut self.workers[index];
+                worker.seen = number;
+                worker.ends.retain(|end| end.number > number);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends a task on a worker and reports it.
+    pub fn end(&mut self, index: usize, task: TaskId, kind: EndKind) {
+        let worker = &mut self.workers[index];
+        let Some(start) = worker.running.remove(&task) else { return };
+        let end = End { number: worker.next_end, task, run: start.run, kind, saved: String::new() };
+        worker.next_end += 1;
+        worker.ends.push(end.clone());
+        let up = Up::Ends { worker: worker.info.id.clone(), ends: vec![end] };
+        self.owner.receive(self.now, worker.slot, worker.session, up);
+    }
+
+    /// Ends every running task that `pick` names.
+    pub fn end_all(&mut self, kind: EndKind, pick: impl Fn(&TaskId) -> bool) {
+        for index in 0..self.workers.len() {
+            let tasks: Vec<TaskId> =
+                self.workers[index].running.keys().filter(|task| pick(task)).copied().collect();
+            for task in tasks {
+                self.end(index, task, kind);
+            }
+        }
+        self.settle();
+    }
+
+    pub fn advance(&mut self, by: Duration) {
+        let step = ms(100);
+        let until = self.now + by;
+        while self.now < until {
+            self.now = (self.now + step).min(until);
+            self.settle();
+        }
+    }
+
+    pub fn submit(&mut self, number: JobNumber, spec: JobSpec) {
+        self.owner.submit(self.now, number, spec);
+        self.settle();
+    }
+
+    /// Tasks that run, with their workers.
+    pub fn running(&self) -> Vec<(usize, TaskId)> {
+        let rows = self.workers.iter().enumerate();
+        rows.flat_map(|(index, worker)| worker.running.keys().map(move |task| (index, *task)))
+            .collect()
+    }
+}
--- a/crates/hosted/src/agent.rs
+++ b/crates/hosted/src/agent.rs
@@ -171,7 +171,7 @@
             },
         };
         if let Some(address) = address {
-            match connected(node, address, sender, &mut directory).await {
+            match connected(node, address, store, sender, &mut directory).await {
                 Ok(owner) => hint = owner.filter(|owner| *owner != address),
                 Err(error) => tracing::info!(event = "owner_lost", owner = %address, %error),
             }
@@ -184,9 +184,10 @@
 }
 
 /// Serves one connection; returns where it was told to go.
-async fn connected(
+async fn connected<S: Store>(
     node: &str,
     owner: SocketAddr,
+    store: &S,
     sender: &Sender<Event>,
     directory: &mut Directory,
 ) -> Result<Option<SocketAddr>, WireError> {
@@ -198,8 +199,10 @@
     let mut is_up = false;
     loop {
         let messages: Vec<Down> = inbox.receive(SILENCE).await?;
+        let mut has_lapsed = false;
         for message in &messages {
             match message {
+                Down::Pong { permission, .. } if permission.is_zero() => has_lapsed = true,
                 Down::Redirect { owner } => return Ok(*owner),
                 Down::Welcome { entries, .. } | Down::Pong { entries, .. } => {
                     directory.learn(entries.iter().copied());
@@ -217,5 +220,8 @@
         if sender.send(Event::Down(messages)).await.is_err() {
             return Ok(None);
         }
+        if has_lapsed && directory::is_replaced(store, owner).await {
+            return Ok(None);
+        }
     }
 }
--- a/crates/hosted/src/directory.rs
+++ b/crates/hosted/src/directory.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// Tells whether the store names another owner than the one at `address`.
+pub(crate) async fn is_replaced<S: Store>(store: &S, address: SocketAddr) -> bool {
+    match lock(store).await {
+        Ok(Some((lock, _))) => lock.address != address,
+        Ok(None) => false,
+        Err(error) => {
+            tracing::info!(event = "lock_not_read", %error);
+            false
+        }
+    }
+}
+
 /// Pause before the next search.
 pub(crate) fn pause() -> Duration {
     SEARCH_PAUSE + Duration::from_millis(fastrand::u64(0..SEARCH_SPREAD_MS))
--- a/crates/hosted/src/election.rs
+++ b/crates/hosted/src/election.rs
@@ -64,12 +64,18 @@
 ) -> Ended {
     let known = parking_lot::Mutex::new(Vec::new());
     let identity = &entry.identity;
-    let ended =
-        follower::run(owner, &identity.node, identity.address, shutdown, |follower, entries| {
+    let ended = follower::run(
+        &entry.store,
+        owner,
+        &identity.node,
+        identity.address,
+        shutdown,
+        |follower, entries| {
             entry.set_role(Role::Follower(follower.clone()), Some(owner));
             known.lock().extend(entries);
-        })
-        .await;
+        },
+    )
+    .await;
     entry.set_role(Role::None, None);
     directory.learn(known.into_inner());
     ended
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -16,6 +16,8 @@
 use peridotfold_wire::shutdown::Shutdown;
 
 use crate::connection::{self, Inbox, Outbox};
+use crate::directory;
+use crate::ports::Store;
 
 const PING_INTERVAL: Duration = Duration::from_millis(800);
 /// Silence after which the owner is taken to be lost: two pongs missed.
@@ -82,7 +84,8 @@
 
 /// Connects to `owner` and serves questions until the connection ends. `joined` gets the follower
 /// once the owner has answered, and the entries the owner knows.
-pub(crate) async fn run(
+pub(crate) async fn run<S: Store>(
+    store: &S,
     owner: SocketAddr,
     node: &str,
     address: SocketAddr,
@@ -120,7 +123,12 @@
                     for answer in answers {
                         match answer {
                             Answer::Redirect { owner } => return Ended::Redirected(owner),
-                            Answer::Pong { entries } => joined(&follower, entries),
+                            Answer::Pong { entries, is_valid } => {
+                                joined(&follower, entries);
+                                if !is_valid && directory::is_replaced(store, owner).await {
+                                    return Ended::Redirected(None);
+                                }
+                            }
                             Answer::State { query, .. }
                             | Answer::Waiting { query, .. }
                             | Answer::Stored { query, .. } => follower.resolve(query, answer),
--- a/crates/hosted/src/keeper.rs
+++ b/crates/hosted/src/keeper.rs
@@ -21,7 +21,9 @@
 /// Part of it that the owner uses; the rest covers clock rates and delays.
 const VALID_PERCENT: u32 = 90;
 const RENEW_INTERVAL: Duration = Duration::from_millis(700);
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two tries of a write while the store is away.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest wait of one watch; bounds the time for which a silent connection goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
@@ -284,6 +286,7 @@
             }
         };
         let begun = runtime::now();
+        let mut pause = RETRY_PAUSE;
         loop {
             match self.store.write(&write).await {
                 Ok(Written::Done(revision)) => {
@@ -321,7 +324,8 @@
                 }
                 Err(error) => {
                     tracing::warn!(event = "write_repeated", sequence = fence.sequence, %error);
-                    runtime::sleep(RETRY_PAUSE).await;
+                    runtime::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
                 }
             }
         }
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -118,10 +118,13 @@
     peer: &str,
 ) {
     match ask {
-        // Without a valid lease another owner may know better: no answer, no pong.
-        Ask::Ping | Ask::State { .. } | Ask::Waiting { .. }
+        // Without a valid lease another owner may know better.
+        Ask::State { .. } | Ask::Waiting { .. }
             if !office.read(|owner, now| owner.is_valid(now)) => {}
-        Ask::Ping => send(outbox, Answer::Pong { entries: office.entries() }, peer),
+        Ask::Ping => {
+            let is_valid = office.read(|owner, now| owner.is_valid(now));
+            send(outbox, Answer::Pong { entries: office.entries(), is_valid }, peer);
+        }
         Ask::State { query, job } => {
             let state = office.read(|owner, _| owner.phase(job));
             send(outbox, Answer::State { query, state }, peer);
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -13,8 +13,14 @@
 use crate::options::Opt;
 
 /// Options of all commands.
-pub const OPTIONS: &[&[Opt]] =
-    &[entry::OPTIONS, agent::OPTIONS, hosted::OPTIONS, process::OPTIONS, config::OPTIONS, client::OPTIONS];
+pub const OPTIONS: &[&[Opt]] = &[
+    entry::OPTIONS,
+    agent::OPTIONS,
+    hosted::OPTIONS,
+    process::OPTIONS,
+    config::OPTIONS,
+    client::OPTIONS,
+];
 
 /// Why a command did not succeed.
 #[derive(Debug)]
