--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -589,6 +589,7 @@
         let detail =
             format!("task={task} run={run} node={} reason={reason}", self.nodes[slot].name);
         self.log("start_rejected", Some(task.job), detail);
+        self.must_place |= self.nodes[slot].foreign.remove(&(task, run));
         if self.drop_run(&task, run).is_some() {
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoid.insert(task.index, slot);
--- a/crates/hosted/src/agent.rs
+++ b/crates/hosted/src/agent.rs
@@ -110,6 +110,8 @@
         for action in node.take_actions() {
             match action {
                 Action::Log(decision) => decisions::log(&decision),
+                // Closes the connection, which the reader reports.
+                Action::Relink => outbox = None,
                 Action::Send(message) => {
                     let is_lost = outbox.as_ref().is_some_and(|o| o.try_send(message).is_err());
                     if is_lost {
@@ -196,7 +198,7 @@
     connection::greet(&stream, &greeting, owner).await?;
     let outbox = connection::start_writer(stream.clone(), owner.to_string());
     let mut inbox = Inbox::new(stream, owner.to_string());
-    let mut is_up = false;
+    let mut outbox = Some(outbox);
     loop {
         let messages: Vec<Down> = inbox.receive(SILENCE).await?;
         let mut has_lapsed = false;
@@ -210,10 +212,9 @@
                 _ => {}
             }
         }
-        if !is_up {
-            is_up = true;
+        if let Some(outbox) = outbox.take() {
             tracing::info!(event = "owner_found", %owner);
-            if sender.send(Event::LinkUp(outbox.clone())).await.is_err() {
+            if sender.send(Event::LinkUp(outbox)).await.is_err() {
                 return Ok(None);
             }
         }
