Place fill tasks by what lasting tasks leave unused and by the pressure beside them

Cause: batch work waited though its workers had idle processors: lasting tasks declare about twice what they use, and pressed workers (pace under 60 %) were given more and more fill tasks. Ruled out: overload (the auction's workers showed pace 100 and full speed for every fill task).

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -95,6 +95,21 @@
     pub traits: TaskTraits,
 }
 
+/// How the tasks that serve on a worker fare beside those that fill.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pressure {
+    /// Pace of the fill tasks, in percent.
+    pub level: u32,
+    /// Highest tail latency, in percent of its target.
+    pub tail_percent: u32,
+}
+
+impl Default for Pressure {
+    fn default() -> Self {
+        Pressure { level: 100, tail_percent: 0 }
+    }
+}
+
 /// From an agent to the owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Up {
@@ -135,6 +150,7 @@
     /// Asks for permission to go on; `sent` is the agent's clock and comes back unchanged.
     Ping {
         sent: Duration,
+        pressure: Pressure,
     },
 }
 
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -610,7 +610,8 @@
         let (token, is_attached) = (link.token, link.is_attached);
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
-            self.actions.push(Action::Send(Up::Ping { sent: now }));
+            let pressure = self.pacer.pressure();
+            self.actions.push(Action::Send(Up::Ping { sent: now, pressure }));
         }
         if self.is_empty && self.worker.is_none() && !is_attached && self.candidate.is_none() {
             // Nothing of the last worker can run any more.
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use super::message::{
-    session_token, Down, End, EndKind, EndNumber, Start, TaskTraits, Token, Up, WorkerInfo,
+    session_token, Down, End, EndKind, EndNumber, Pressure, Start, TaskTraits, Token, Up,
+    WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::progress::{Phase, Progress};
@@ -128,6 +129,7 @@
     pub filled_cpu: u64,
     /// Processors of lasting tasks.
     pub lasting_cpu: u64,
+    pub pressure: Pressure,
     pub tasks: BTreeMap<TaskId, Run>,
     pub last_end: EndNumber,
     pub(super) unseen: VecDeque<(EndNumber, JobNumber, u64)>,
@@ -369,7 +371,9 @@
                 }
             }
             Up::Stalled { task, run } => self.stalled(now, slot, task, run),
-            Up::Ping { sent } => {
+            Up::Ping { sent, pressure } => {
+                self.must_place |= pressure != self.nodes[slot].pressure;
+                self.nodes[slot].pressure = pressure;
                 let permission = match self.is_valid(now) {
                     true => {
                         self.nodes[slot].last_pong = now;
@@ -661,6 +665,7 @@
         node.used = Resources::default();
         node.filled_cpu = 0;
         node.lasting_cpu = 0;
+        node.pressure = Pressure::default();
         node.last_end = 0;
         node.unseen.clear();
         node.leaves_at = None;
@@ -872,6 +877,7 @@
             used: Resources::default(),
             filled_cpu: 0,
             lasting_cpu: 0,
+            pressure: Pressure::default(),
             tasks: BTreeMap::new(),
             last_end: 0,
             unseen: VecDeque::new(),
--- a/crates/core/src/flow/pace.rs
+++ b/crates/core/src/flow/pace.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::message::Pressure;
 use crate::time::Time;
 
 /// Shares of the target: over it, near it, and far enough below it to give fill tasks more. The
@@ -26,12 +27,13 @@
 #[derive(Debug, Clone)]
 pub struct Pacer {
     level: u32,
+    tail_percent: u32,
     changed: Option<Time>,
 }
 
 impl Default for Pacer {
     fn default() -> Self {
-        Pacer { level: 100, changed: None }
+        Pacer { level: 100, tail_percent: 0, changed: None }
     }
 }
 
@@ -43,6 +45,7 @@
             .map(|(tail, target)| tail * 100 / u64::from(target))
             .max()
             .unwrap_or(0);
+        self.tail_percent = worst.min(u64::from(u32::MAX)) as u32;
         let is_settled = self.changed.is_none_or(|at| now >= at + SETTLE);
         let level = match worst {
             0 => 100,
@@ -61,6 +64,11 @@
         self.level
     }
 
+    /// Level in force and the last tail.
+    pub fn pressure(&self) -> Pressure {
+        Pressure { level: self.level, tail_percent: self.tail_percent }
+    }
+
     /// Level in force.
     pub fn level(&self) -> u32 {
         self.level
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::message::Pressure;
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
 use super::owner::{Job, Node, Owner, Slot};
 use super::progress::{Phase, Progress};
@@ -15,6 +16,13 @@
 /// A fill task may start on a worker that leaves it this part of what it asks for, if no other
 /// fill task is there.
 const LEAST_FILL_PERCENT: u64 = 50;
+/// Part of their declared processors that lasting tasks are taken to use: their load is about half
+/// of it and swings by half of that.
+const LASTING_USE_PERCENT: u64 = 65;
+/// Pace below which a worker gets no more fill tasks: those it has finish sooner.
+const LEAST_LEVEL: u32 = 60;
+/// Tail, in percent of its target, from which a worker gets no more fill tasks.
+const MOST_TAIL: u32 = 92;
 /// Steps looked at in one round, so that a long queue does not hold up the process.
 const STEPS_PER_ROUND: usize = 400;
 
@@ -229,10 +237,7 @@
                 Reverse(if step.lasting { node.lasting_cpu } else { 0 }),
                 match (step.lasting, step.fills) {
                     (true, _) => free,
-                    (false, true) => {
-                        // Fill tasks disturb lasting ones.
-                        node.lasting_cpu * 4 + u64::MAX / 4 - free
-                    }
+                    (false, true) => node.fill_cost(taken),
                     (false, false) => u64::MAX / 4 - free,
                 },
             );
@@ -266,8 +271,32 @@
 
     /// Processors that neither reservations nor fill tasks take.
     pub(super) fn free_cpu(&self) -> u64 {
-        let room = self.worker.as_ref().map_or(0, |worker| worker.room.cpu_milli);
-        room.saturating_sub(self.used.cpu_milli + self.filled_cpu)
+        self.room_cpu().saturating_sub(self.used.cpu_milli + self.filled_cpu)
+    }
+
+    fn room_cpu(&self) -> u64 {
+        self.worker.as_ref().map_or(0, |worker| worker.room.cpu_milli)
+    }
+
+    /// Processors that fill tasks are expected to get, beyond those that are there.
+    fn unused_cpu(&self) -> u64 {
+        let idle = self.lasting_cpu * (100 - LASTING_USE_PERCENT) / 100;
+        (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
+    }
+
+    /// Preference among workers for a fill task, beside `taken` processors given away in the same
+    /// decision: little fill work and a low tail.
+    fn fill_cost(&self, taken: u64) -> u64 {
+        let share = (self.filled_cpu + taken) * 100 / self.room_cpu().max(1);
+        share + u64::from(self.pressure.tail_percent) / 2 + u64::from(100 - self.pressure.level)
+    }
+
+    /// Tells whether fill tasks would disturb the tasks here too much.
+    fn is_pressed(&self) -> bool {
+        let Pressure { level, tail_percent } = self.pressure;
+        self.lasting_cpu > 0
+            && (level < LEAST_LEVEL || tail_percent >= MOST_TAIL)
+            && self.filled_cpu > 0
     }
 
     /// Tells whether tasks of the step may start here at all.
@@ -289,9 +318,9 @@
         for _ in 0..taken {
             used = used.plus(&reserved);
         }
-        let free = self.free_cpu().saturating_sub(taken * step.need.cpu_milli);
+        let free = self.unused_cpu().saturating_sub(taken * step.need.cpu_milli);
         let fill_fits = !step.fills
-            || free >= step.need.cpu_milli
+            || (!self.is_pressed() && free >= step.need.cpu_milli)
             || (self.filled_cpu == 0
                 && free * 100 >= step.need.cpu_milli * LEAST_FILL_PERCENT
                 && step.need.cpu_milli > worker.room.cpu_milli / 2);
