Read the keys of a job in the order in which its end changes them

Ruled out: a watch that fell behind (the owner was not asked). Test: entry::a_job_that_ends_between_two_reads_is_known, red with the old order (unknown after one read).

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -146,7 +146,6 @@
     next_look: Time,
     next_ping: Time,
     next_saved: Time,
-    next_usage: Time,
     pacer: Pacer,
     actions: Vec<Action>,
 }
@@ -416,37 +415,10 @@
         }
         self.compare(now, token, &running);
         self.pace(now, &running);
-        self.trace_usage(now, &running);
         self.next_look = if is_unseen { now + UNSEEN_PAUSE } else { now };
         self.poll(now);
     }
 
-    fn trace_usage(&mut self, now: Time, running: &[Running]) {
-        if now < self.next_usage {
-            return;
-        }
-        self.next_usage = now + Duration::from_secs(1);
-        let mut text = String::new();
-        for row in running {
-            if let Some(run) = self.runs.get(&row.task) {
-                let kind = if run.traits.lasting {
-                    'L'
-                } else if run.traits.fills {
-                    'F'
-                } else {
-                    'n'
-                };
-                text += &format!(
-                    "{kind}:{}/{}/{}/{} ",
-                    run.traits.cpu_milli, row.load, run.traits.target_ms, row.percent
-                );
-            }
-        }
-        let room = self.worker.as_ref().map_or(0, |w| w.info.room.cpu_milli);
-        let level = self.pacer.level();
-        self.log("usage", format!("room={room} level={level} {text}"));
-    }
-
     fn adopt_candidate(&mut self, id: &str) {
         let is_candidate = self.candidate.as_ref().is_some_and(|(info, _)| info.id == id);
         match self.candidate.take() {
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -360,22 +360,7 @@
     /// Reads the phase of a job that the owner does not know or tell.
     async fn stored_state(&self, job: JobNumber) -> StateAnswer {
         let id = format!("{job:016x}");
-        let read = async {
-            if let Some(item) = self.store.get(&records::progress_key(job)).await? {
-                return match records::decode::<Progress>(&item.value) {
-                    Ok(progress) if progress.phase.is_final() => {
-                        Ok(StateAnswer::Known(progress.phase))
-                    }
-                    Ok(_) => Ok(StateAnswer::Known(Phase::Running)),
-                    Err(error) => Err(StoreError::Refused(error)),
-                };
-            }
-            Ok(match self.store.get(&records::job_key(job)).await? {
-                Some(_) => StateAnswer::Known(Phase::Queued),
-                None => StateAnswer::Unknown,
-            })
-        };
-        match read.await {
+        match self.read_state(job).await {
             Ok(answer) => {
                 tracing::info!(event = "state_from_store", id, ?answer);
                 answer
@@ -387,6 +372,20 @@
         }
     }
 
+    async fn read_state(&self, job: JobNumber) -> Result<StateAnswer, StoreError> {
+        // In this order: the end of a job removes its first key in the write that sets the second,
+        // so a job that is known is in one of them.
+        let is_open = self.store.get(&records::job_key(job)).await?.is_some();
+        let stored = self.store.get(&records::progress_key(job)).await?;
+        let progress = stored.map(|item| records::decode::<Progress>(&item.value)).transpose();
+        Ok(match progress.map_err(StoreError::Refused)? {
+            Some(progress) if progress.phase.is_final() => StateAnswer::Known(progress.phase),
+            Some(_) => StateAnswer::Known(Phase::Running),
+            None if is_open => StateAnswer::Known(Phase::Queued),
+            None => StateAnswer::Unknown,
+        })
+    }
+
     /// Counts the jobs of a queue that have not begun; `None` when the owner does not answer.
     pub async fn waiting(&self, queue: &str) -> Option<u64> {
         match self.role().0 {
--- /dev/null
+++ b/crates/hosted/tests/suite/entry.rs
@@ -0,0 +1,133 @@
+//! What an entry answers, against a store that changes and fails at chosen moments.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::support::MemoryStore;
+use peridotfold_core::flow::message::Stored;
+use peridotfold_core::flow::model::{JobSpec, Queue, Step};
+use peridotfold_core::flow::owner::OwnerSettings;
+use peridotfold_core::flow::progress::{Phase, Progress};
+use peridotfold_hosted::entry::{Entry, EntrySettings, StateAnswer};
+use peridotfold_hosted::ports::{Store, Write};
+use peridotfold_hosted::records;
+
+const JOB: u64 = 7;
+const LIMIT: Duration = Duration::from_secs(1);
+
+fn entry(store: &MemoryStore) -> Entry<MemoryStore> {
+    let settings = EntrySettings {
+        node: "front".to_owned(),
+        internal: SocketAddr::from(([127, 0, 0, 1], 1)),
+        cores: 1.0,
+        owner: OwnerSettings {
+            epoch: 0,
+            permission: Duration::from_secs(6),
+            keep_ended: Duration::from_secs(60),
+            remote_slowdown: 1.5,
+        },
+    };
+    Entry::new(settings, store.clone())
+}
+
+fn spec() -> JobSpec {
+    let queue = Queue {
+        name: "q".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1.0,
+        slack_ms: 0,
+        advice: None,
+    };
+    let steps = vec![Step { count: 1, ..Step::default() }];
+    JobSpec { queue, command: String::new(), steps, timetable: None, submitted: 0 }
+}
+
+fn end() -> Write {
+    let progress = Progress { phase: Phase::Completed, ..Progress::default() };
+    Write {
+        expect: Vec::new(),
+        puts: vec![(records::progress_key(JOB), records::encode(&progress).unwrap(), None)],
+        removes: vec![records::job_key(JOB)],
+    }
+}
+
+/// Guards against a job that is called unknown because it ended between the two reads of its keys:
+/// seen on scale-2 of the auction.
+#[test]
+fn a_job_that_ends_between_two_reads_is_known() {
+    for reads in 0..3 {
+        let store = MemoryStore::default();
+        let entry = entry(&store);
+        smol::block_on(async {
+            assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::Yes);
+            store.write_after_reads(reads, end());
+            let answer = entry.state(JOB).await;
+            assert_ne!(answer, StateAnswer::Unknown, "end after {reads} reads");
+        });
+    }
+}
+
+/// Guards against a second job for one id, however often and late it is sent.
+#[test]
+fn a_repeated_submission_stays_one_job() {
+    let store = MemoryStore::default();
+    let entry = entry(&store);
+    smol::block_on(async {
+        assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::Yes);
+        assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::Yes);
+        store.write(&end()).await.unwrap();
+        assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::Yes);
+        assert!(store.get(&records::job_key(JOB)).await.unwrap().is_none(), "it would run again");
+        assert_eq!(entry.state(JOB).await, StateAnswer::Known(Phase::Completed));
+    });
+}
+
+/// Guards against "not accepted" for a job that is stored, or may be stored later.
+#[test]
+fn a_write_whose_answer_is_lost_is_never_called_refused() {
+    for is_done in [false, true] {
+        let store = MemoryStore::default();
+        let entry = entry(&store);
+        smol::block_on(async {
+            store.lose_answers(1, is_done);
+            assert_eq!(
+                entry.submit(JOB, &spec(), LIMIT).await,
+                Stored::Yes,
+                "resolved by a repeat"
+            );
+            store.lose_answers(1_000, is_done);
+            let other = entry.submit(JOB + 1, &spec(), Duration::from_millis(300)).await;
+            assert_eq!(other, Stored::Unclear);
+        });
+    }
+}
+
+/// Guards against jobs that wait for a store that is known to be away.
+#[test]
+fn a_store_that_refuses_is_not_asked_again_at_once() {
+    let store = MemoryStore::default();
+    let entry = entry(&store);
+    smol::block_on(async {
+        store.refuse(true);
+        assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::No);
+        let writes = store.writes();
+        assert_eq!(entry.submit(JOB, &spec(), LIMIT).await, Stored::No);
+        assert_eq!(store.writes(), writes);
+        assert!(entry.retry_after() >= Duration::from_secs(1));
+    });
+}
+
+/// Guards against a cancel that is acknowledged before it lasts, or of a job nobody knows.
+#[test]
+fn a_cancel_lasts_before_it_is_acknowledged() {
+    let store = MemoryStore::default();
+    let entry = entry(&store);
+    smol::block_on(async {
+        assert_eq!(entry.cancel(JOB, LIMIT).await, Stored::Unknown);
+        entry.submit(JOB, &spec(), LIMIT).await;
+        assert_eq!(entry.cancel(JOB, LIMIT).await, Stored::Yes);
+        assert!(store.get(&records::cancel_key(JOB)).await.unwrap().is_some());
+    });
+}
--- /dev/null
+++ b/crates/hosted/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! The hosted roles against stand-ins in memory.
+
+mod entry;
+mod support;
--- /dev/null
+++ b/crates/hosted/tests/suite/support.rs
@@ -0,0 +1,124 @@
+//! A store in memory whose answers can be lost, refused, or crossed by another write.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use peridotfold_core::flow::routes::Routes;
+use peridotfold_hosted::ports::{
+    Item, LeaseId, Revision, Store, StoreError, Watched, Write, Written,
+};
+
+#[derive(Debug, Default)]
+struct Table {
+    items: BTreeMap<String, Item>,
+    revision: Revision,
+    writes: u32,
+    lost: u32,
+    lost_is_done: bool,
+    refuses: bool,
+    crossing: Option<(u32, Write)>,
+}
+
+impl Table {
+    fn apply(&mut self, write: &Write) -> Written {
+        let holds = |(key, revision): &(String, Revision)| {
+            self.items.get(key).map_or(0, |item| item.revision) == *revision
+        };
+        if !write.expect.iter().all(holds) {
+            let named = write.expect.iter().filter_map(|(key, _)| self.items.get(key).cloned());
+            return Written::Conflict(named.collect());
+        }
+        self.revision += 1;
+        for (key, value, _) in &write.puts {
+            let item = Item { key: key.clone(), value: value.clone(), revision: self.revision };
+            self.items.insert(key.clone(), item);
+        }
+        for key in &write.removes {
+            self.items.remove(key);
+        }
+        Written::Done(self.revision)
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore(Arc<Mutex<Table>>);
+
+impl MemoryStore {
+    /// Performs a write after so many reads.
+    pub fn write_after_reads(&self, reads: u32, write: Write) {
+        self.0.lock().crossing = Some((reads, write));
+    }
+
+    /// Loses the answers of the next writes, which are carried out or not.
+    pub fn lose_answers(&self, count: u32, is_done: bool) {
+        let mut table = self.0.lock();
+        table.lost = count;
+        table.lost_is_done = is_done;
+    }
+
+    pub fn refuse(&self, refuses: bool) {
+        self.0.lock().refuses = refuses;
+    }
+
+    pub fn writes(&self) -> u32 {
+        self.0.lock().writes
+    }
+}
+
+impl Store for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        let mut table = self.0.lock();
+        match table.crossing.take() {
+            Some((0, write)) => {
+                table.apply(&write);
+            }
+            Some((reads, write)) => table.crossing = Some((reads - 1, write)),
+            None => {}
+        }
+        Ok(table.items.get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, Revision), StoreError> {
+        let table = self.0.lock();
+        let items = table.items.values().filter(|item| item.key.starts_with(prefix)).cloned();
+        Ok((items.collect(), table.revision))
+    }
+
+    async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<Watched, StoreError> {
+        Ok(Watched::Forgotten)
+    }
+
+    async fn write(&self, write: &Write) -> Result<Written, StoreError> {
+        let mut table = self.0.lock();
+        table.writes += 1;
+        if table.refuses {
+            return Err(StoreError::Refused("away".to_owned()));
+        }
+        if table.lost > 0 {
+            table.lost -= 1;
+            if table.lost_is_done {
+                table.apply(write);
+            }
+            return Err(StoreError::Unclear("lost".to_owned()));
+        }
+        Ok(table.apply(write))
+    }
+
+    async fn open_lease(&self, ttl: Duration) -> Result<(LeaseId, Duration), StoreError> {
+        Ok((1, ttl))
+    }
+
+    async fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+
+    fn routes(&self, _: &[u8]) -> Result<Routes, String> {
+        Ok(Routes::default())
+    }
+
+    fn routes_key(&self) -> &'static str {
+        "routes"
+    }
+}
