--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -3,13 +3,16 @@
 //! An end counts at once for what may start next. It is acknowledged to the worker, and a final
 //! phase is shown to callers, only after the job's record is durable.
 
+mod commit;
+mod ends;
+mod workers;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::message::{
-    session_token, Down, End, EndKind, EndNumber, Pressure, Start, TaskTraits, Token, Up,
-    WorkerInfo,
+    session_token, Down, EndNumber, Pressure, Start, TaskTraits, Token, Up, WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::progress::{Phase, Progress};
@@ -24,22 +27,10 @@
 
 /// Runs that one epoch may number; the next epoch begins above them.
 const RUNS_PER_EPOCH: Run = 1_000;
-/// Addition to the end of a permission before its worker is taken to have stopped everything:
-/// covers rounding of lease times on the way to the worker.
-const LAPSE_MARGIN: Duration = Duration::from_millis(200);
 /// Time that changed records may wait for others, so that they share a write.
 const COMMIT_LINGER: Duration = Duration::from_millis(25);
 /// Keys that one write may name; the store's limit is 32, two are the fence's.
 const COMMIT_KEYS: usize = 30;
-/// First rest of a worker on which two jobs failed in a row; doubles with each further failure.
-const FIRST_REST: Duration = Duration::from_secs(1);
-const LONGEST_REST: Duration = Duration::from_secs(8);
-/// Rest of a worker on which a task stood still.
-const STALL_REST: Duration = Duration::from_secs(3);
-/// Time before a draining worker leaves at which tasks that save are moved.
-const MOVE_LEAD: Duration = Duration::from_millis(500);
-/// Time that a draining worker is taken to have when it does not say.
-const DRAIN_DEFAULT: Duration = Duration::from_secs(2);
 /// Longest pause between two looks at timers.
 const IDLE_POLL: Duration = Duration::from_millis(500);
 
@@ -429,252 +420,6 @@
         Some(attempt.slot)
     }
 
-    pub(super) fn ends(&mut self, now: Time, slot: Slot, worker: &str, ends: Vec<End>) {
-        if self.nodes[slot].worker.as_ref().is_none_or(|known| known.id != worker) {
-            return;
-        }
-        for end in ends {
-            if end.number <= self.nodes[slot].last_end {
-                continue;
-            }
-            self.nodes[slot].last_end = end.number;
-            self.end(now, slot, &end);
-            let version = self.jobs.get(&end.task.job).map_or(0, |job| job.version);
-            self.nodes[slot].unseen.push_back((end.number, end.task.job, version));
-        }
-        if !self.dirty.is_empty() {
-            self.dirty_since.get_or_insert(now);
-        }
-        self.acknowledge(slot);
-    }
-
-    fn end(&mut self, now: Time, slot: Slot, end: &End) {
-        let task = end.task;
-        self.save(task, end.run, end.saved.clone());
-        self.must_place |= self.nodes[slot].foreign.remove(&(task, end.run));
-        let was_current = self.drop_run(&task, end.run).is_some();
-        let Some((spec, state)) = self.step_mut(&task) else { return };
-        let spec = spec.clone();
-        let step = &spec.steps[usize::from(task.step)];
-        match end.kind {
-            EndKind::Done if !step.lasting => {
-                self.nodes[slot].streak = 0;
-                self.complete(now, &task, step);
-            }
-            EndKind::Failed if !step.lasting && !state.done.contains(task.index) => {
-                self.failed(now, slot, end);
-            }
-            EndKind::Failed => {
-                state.avoid.insert(task.index, slot);
-                self.note_failure(now, slot, task.job);
-            }
-            _ => {
-                if step.gang {
-                    self.stop_gang(&task);
-                }
-            }
-        }
-        if was_current && end.kind != EndKind::Done {
-            let name = &self.nodes[slot].name;
-            let detail = format!("task={task} run={} kind={:?} node={name}", end.run, end.kind);
-            self.log("run_ended", Some(task.job), detail);
-        }
-    }
-
-    /// A task is done; of a gang, all are.
-    fn complete(&mut self, now: Time, task: &TaskId, step: &Step) {
-        let Some((_, state)) = self.step_mut(task) else { return };
-        let members = if step.gang { 0..step.count } else { task.index..task.index + 1 };
-        let mut stops = Vec::new();
-        for index in members {
-            state.complete(index);
-            if let Some(attempt) = state.running.get_mut(&index) {
-                attempt.is_stopping = true;
-                stops.push((attempt.slot, TaskId { index, ..*task }, attempt.run));
-            }
-        }
-        for (slot, other, run) in stops {
-            self.send(slot, Down::Stop { task: other, run });
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        job.work = job.work.saturating_sub(step.need.cpu_milli * step.estimate_ms);
-        if job.phase.is_final() {
-            return;
-        }
-        let is_complete = job.is_complete();
-        if is_complete {
-            job.phase = Phase::Completed;
-            job.ended = Some(now);
-        }
-        self.touch(task.job, is_complete);
-        if is_complete {
-            let took = now.saturating_sub(self.jobs[&task.job].since).as_millis();
-            let objective = self.jobs[&task.job].objective;
-            let detail = format!("took_ms={took} in_time={}", now <= objective);
-            self.log("job_completed", Some(task.job), detail);
-        }
-        self.must_place = true;
-    }
-
-    fn failed(&mut self, now: Time, slot: Slot, end: &End) {
-        let task = end.task;
-        let Some((spec, state)) = self.step_mut(&task) else { return };
-        let limit = spec.queue.attempts.max(1);
-        let is_gang = spec.steps[usize::from(task.step)].gang;
-        let key = if is_gang { 0 } else { task.index };
-        let failures = state.failures.entry(key).or_default();
-        if !failures.insert(end.run) {
-            return;
-        }
-        let count = failures.len() as u32;
-        let is_last = count >= limit;
-        let detail = format!("task={task} run={} failures={count} limit={limit}", end.run);
-        state.avoid.insert(task.index, slot);
-        self.log("task_failed", Some(task.job), format!("{detail} node={}", self.nodes[slot].name));
-        self.note_failure(now, slot, task.job);
-        if is_gang {
-            self.stop_gang(&task);
-        }
-        match self.jobs.get(&task.job).map(|job| job.phase.is_final()) {
-            Some(false) if is_last => {
-                self.log("job_failed", Some(task.job), detail);
-                self.finish(task.job, Phase::Failed);
-            }
-            _ => self.touch(task.job, false),
-        }
-    }
-
-    /// Judges a worker by failures of different jobs: one that fails everywhere is not its fault.
-    fn note_failure(&mut self, now: Time, slot: Slot, number: JobNumber) {
-        let Some(job) = self.jobs.get_mut(&number) else { return };
-        let is_new = job.failed_on.insert(slot);
-        if job.failed_on.len() > 1 || !is_new {
-            return;
-        }
-        let node = &mut self.nodes[slot];
-        node.streak += 1;
-        if node.streak >= 2 {
-            let rest = (FIRST_REST * 2u32.pow((node.streak - 2).min(3))).min(LONGEST_REST);
-            node.rests_until = now + rest;
-            let detail =
-                format!("node={} streak={} rest_ms={}", node.name, node.streak, rest.as_millis());
-            self.log("worker_rests", Some(number), detail);
-        }
-    }
-
-    /// Stops the other members of a gang after one has ended.
-    fn stop_gang(&mut self, task: &TaskId) {
-        let Some((_, state)) = self.step_mut(task) else { return };
-        let mut stops = Vec::new();
-        for (index, attempt) in &mut state.running {
-            if !attempt.is_stopping {
-                attempt.is_stopping = true;
-                stops.push((attempt.slot, TaskId { index: *index, ..*task }, attempt.run));
-            }
-        }
-        for (slot, other, run) in stops {
-            self.send(slot, Down::Stop { task: other, run });
-        }
-    }
-
-    fn save(&mut self, task: TaskId, run: Run, saved: String) {
-        if saved.is_empty() {
-            return;
-        }
-        let Some((spec, state)) = self.step_mut(&task) else { return };
-        let is_gang = spec.steps[usize::from(task.step)].gang;
-        let is_old = state.runs.get(&task.index).is_some_and(|last| run < *last);
-        if !is_old && !state.done.contains(task.index) {
-            state.saved.insert(if is_gang { 0 } else { task.index }, saved);
-        }
-    }
-
-    fn not_started(&mut self, slot: Slot, task: TaskId, run: Run, reason: &str) {
-        let detail =
-            format!("task={task} run={run} node={} reason={reason}", self.nodes[slot].name);
-        self.log("start_rejected", Some(task.job), detail);
-        self.must_place |= self.nodes[slot].foreign.remove(&(task, run));
-        if self.drop_run(&task, run).is_some() {
-            if let Some((_, state)) = self.step_mut(&task) {
-                state.avoid.insert(task.index, slot);
-            }
-        }
-    }
-
-    fn stalled(&mut self, now: Time, slot: Slot, task: TaskId, run: Run) {
-        let Some((_, state)) = self.step_mut(&task) else { return };
-        let Some(attempt) = state.running.get_mut(&task.index) else { return };
-        if attempt.run != run || attempt.is_stopping {
-            return;
-        }
-        attempt.is_stopping = true;
-        state.avoid.insert(task.index, slot);
-        self.nodes[slot].rests_until = self.nodes[slot].rests_until.max(now + STALL_REST);
-        let detail = format!("task={task} run={run} node={}", self.nodes[slot].name);
-        self.log("task_stalled", Some(task.job), detail);
-        self.send(slot, Down::Stop { task, run });
-    }
-
-    pub(super) fn draining(
-        &mut self,
-        now: Time,
-        slot: Slot,
-        worker: &str,
-        remaining: Option<Duration>,
-    ) {
-        let node = &mut self.nodes[slot];
-        let Some(known) = node.worker.as_mut().filter(|known| known.id == worker) else { return };
-        if known.draining && node.leaves_at.is_some() {
-            return;
-        }
-        known.draining = true;
-        node.leaves_at = Some(now + remaining.unwrap_or(DRAIN_DEFAULT));
-        let detail = format!("node={} worker={worker} running={}", node.name, node.tasks.len());
-        self.log("worker_drains", None, detail);
-        self.move_tasks(slot, |step| step.lasting);
-    }
-
-    /// Stops those tasks of a leaving worker that `pick` names, so that they go on elsewhere.
-    fn move_tasks(&mut self, slot: Slot, pick: impl Fn(&Step) -> bool) {
-        for (task, run) in self.nodes[slot].tasks.clone() {
-            let Some((spec, state)) = self.step_mut(&task) else { continue };
-            let is_picked = pick(&spec.steps[usize::from(task.step)]);
-            match state.running.get_mut(&task.index) {
-                Some(attempt) if is_picked && attempt.run == run && !attempt.is_stopping => {
-                    attempt.is_stopping = true;
-                    self.send(slot, Down::Stop { task, run });
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Requeues everything on a worker that has certainly ended.
-    pub(super) fn lose_worker(&mut self, slot: Slot, reason: &str) {
-        let tasks: Vec<(TaskId, Run)> =
-            self.nodes[slot].tasks.iter().map(|(task, run)| (*task, *run)).collect();
-        let detail =
-            format!("node={} reason={reason} tasks={}", self.nodes[slot].name, tasks.len());
-        self.log("worker_lost", None, detail);
-        for (task, run) in tasks {
-            self.drop_run(&task, run);
-        }
-        let node = &mut self.nodes[slot];
-        node.worker = None;
-        node.tasks.clear();
-        node.used = Resources::default();
-        node.filled_cpu = 0;
-        node.lasting_cpu = 0;
-        node.pressure = Pressure::default();
-        node.last_end = 0;
-        node.unseen.clear();
-        node.leaves_at = None;
-        node.foreign.clear();
-        node.streak = 0;
-        node.rests_until = Time::ZERO;
-        self.must_place = true;
-    }
-
     /// Performs what is due. `wall` is the time of day.
     pub fn poll(&mut self, now: Time, wall: WallMs) {
         self.sweep(now);
@@ -688,43 +433,6 @@
         }
     }
 
-    fn sweep(&mut self, now: Time) {
-        let permission = self.settings.permission + LAPSE_MARGIN;
-        for slot in 0..self.nodes.len() {
-            let node = &self.nodes[slot];
-            let is_lapsed = !node.is_attached && now >= node.last_pong + permission;
-            let leads = node.leaves_at.is_some_and(|at| now + MOVE_LEAD >= at);
-            match &node.worker {
-                Some(_) if is_lapsed => self.lose_worker(slot, "permission ran out"),
-                Some(worker) if worker.draining && leads => {
-                    self.nodes[slot].leaves_at = Some(Time::MAX);
-                    self.move_tasks(slot, |step| step.saves || step.lasting);
-                }
-                _ => {}
-            }
-        }
-        self.settle_inherited(now);
-        if now >= self.next_expiry {
-            self.next_expiry = now + Duration::from_secs(1);
-            let keep = self.settings.keep_ended;
-            for job in self.jobs.values_mut().filter(|job| job.phase.is_final()) {
-                job.ended.get_or_insert(now);
-            }
-            let is_old = |job: &Job| {
-                job.ended.is_some_and(|at| now > at + keep) && job.durable == job.version
-            };
-            let old: Vec<JobNumber> =
-                self.jobs.iter().filter(|(_, job)| is_old(job)).map(|(n, _)| *n).collect();
-            for number in old.into_iter().take(COMMIT_KEYS) {
-                self.jobs.remove(&number);
-                self.expired.push(number);
-            }
-        }
-        let since = std::mem::replace(&mut self.last_sweep, now);
-        let has_rested = |node: &Node| node.rests_until > since && node.rests_until <= now;
-        self.must_place |= self.nodes.iter().any(has_rested);
-    }
-
     /// Time until the next call of [`Owner::poll`] is due, without further input.
     pub fn next_poll(&self, now: Time) -> Duration {
         match self.dirty_since {
@@ -735,98 +443,6 @@
         }
     }
 
-    /// Returns what the next write has to hold, if one is due and none is under way.
-    pub fn take_commit(&mut self, now: Time) -> Option<Commit> {
-        let is_due = self.is_urgent
-            || self.roster_changed
-            || self.dirty_since.is_some_and(|since| now >= since + COMMIT_LINGER)
-            || self.dirty.len() >= COMMIT_KEYS;
-        if self.in_flight.is_some() || !is_due {
-            return None;
-        }
-        let mut commit = Commit::default();
-        let mut slots = Vec::new();
-        let mut room = COMMIT_KEYS;
-        if self.roster_changed {
-            self.roster_changed = false;
-            room -= 1;
-            let is_member = |node: &Node| node.session.is_some() || node.worker.is_some();
-            slots = (0..self.nodes.len()).filter(|s| is_member(&self.nodes[*s])).collect();
-            let mut names: BTreeSet<String> = self.unheard.clone();
-            names.extend(slots.iter().map(|slot| self.nodes[*slot].name.clone()));
-            commit.roster = Some(names.into_iter().collect());
-        }
-        let mut versions = Vec::new();
-        while let Some(number) = self.dirty.first().copied() {
-            let Some(job) = self.jobs.get(&number) else {
-                self.dirty.remove(&number);
-                continue;
-            };
-            let record = job.record(number);
-            if record.keys() > room {
-                break;
-            }
-            room -= record.keys();
-            versions.push((number, job.version));
-            commit.records.push(record);
-            self.dirty.remove(&number);
-        }
-        while room > 0 {
-            let Some(number) = self.expired.pop() else { break };
-            commit.expired.push(number);
-            room -= 1;
-        }
-        self.is_urgent = !self.dirty.is_empty();
-        self.dirty_since = None;
-        self.in_flight = Some((versions, slots));
-        Some(commit)
-    }
-
-    /// Notes that the write under way is durable.
-    pub fn committed(&mut self) {
-        let Some((versions, slots)) = self.in_flight.take() else { return };
-        for (number, version) in versions {
-            if let Some(job) = self.jobs.get_mut(&number) {
-                job.durable = job.durable.max(version);
-                if job.phase.is_final() && job.version == version {
-                    job.has_cancel = false;
-                }
-            }
-        }
-        for slot in slots {
-            self.nodes[slot].is_listed = true;
-            self.must_place = true;
-        }
-        for slot in 0..self.nodes.len() {
-            self.acknowledge(slot);
-        }
-    }
-
-    /// Tells whether records wait for a write or one is under way.
-    pub fn has_unwritten(&self) -> bool {
-        !self.dirty.is_empty() || self.in_flight.is_some()
-    }
-
-    pub(super) fn change_roster(&mut self) {
-        self.roster_changed = true;
-    }
-
-    /// Acknowledges the ends whose records are durable.
-    pub(super) fn acknowledge(&mut self, slot: Slot) {
-        let mut last = None;
-        while let Some((number, job, version)) = self.nodes[slot].unseen.front().copied() {
-            if self.jobs.get(&job).is_some_and(|job| job.durable < version) {
-                break;
-            }
-            self.nodes[slot].unseen.pop_front();
-            last = Some(number);
-        }
-        let worker = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
-        if let (Some(number), Some(worker)) = (last, worker) {
-            self.send(slot, Down::Seen { worker, number });
-        }
-    }
-
     /// First run number of this epoch.
     pub(super) fn run_base(&self) -> Run {
         self.settings.epoch.saturating_sub(1) * RUNS_PER_EPOCH + 1
--- /dev/null
+++ b/crates/core/src/flow/owner/commit.rs
@@ -0,0 +1,104 @@
+//! What has to last: records are gathered into one write at a time, and what depends on a write
+//! follows it.
+
+use std::collections::BTreeSet;
+
+use super::{Commit, Node, Owner, Slot, COMMIT_KEYS, COMMIT_LINGER};
+use crate::flow::message::Down;
+use crate::time::Time;
+
+impl Owner {
+    /// Returns what the next write has to hold, if one is due and none is under way.
+    pub fn take_commit(&mut self, now: Time) -> Option<Commit> {
+        let is_due = self.is_urgent
+            || self.roster_changed
+            || self.dirty_since.is_some_and(|since| now >= since + COMMIT_LINGER)
+            || self.dirty.len() >= COMMIT_KEYS;
+        if self.in_flight.is_some() || !is_due {
+            return None;
+        }
+        let mut commit = Commit::default();
+        let mut slots = Vec::new();
+        let mut room = COMMIT_KEYS;
+        if self.roster_changed {
+            self.roster_changed = false;
+            room -= 1;
+            let is_member = |node: &Node| node.session.is_some() || node.worker.is_some();
+            slots = (0..self.nodes.len()).filter(|s| is_member(&self.nodes[*s])).collect();
+            // A node that is left out has to be listed again before it is used again.
+            self.nodes.iter_mut().for_each(|node| node.is_listed &= is_member(node));
+            let mut names: BTreeSet<String> = self.unheard.clone();
+            names.extend(slots.iter().map(|slot| self.nodes[*slot].name.clone()));
+            commit.roster = Some(names.into_iter().collect());
+        }
+        let mut versions = Vec::new();
+        while let Some(number) = self.dirty.first().copied() {
+            let Some(job) = self.jobs.get(&number) else {
+                self.dirty.remove(&number);
+                continue;
+            };
+            let record = job.record(number);
+            if record.keys() > room {
+                break;
+            }
+            room -= record.keys();
+            versions.push((number, job.version));
+            commit.records.push(record);
+            self.dirty.remove(&number);
+        }
+        while room > 0 {
+            let Some(number) = self.expired.pop() else { break };
+            commit.expired.push(number);
+            room -= 1;
+        }
+        self.is_urgent = !self.dirty.is_empty();
+        self.dirty_since = None;
+        self.in_flight = Some((versions, slots));
+        Some(commit)
+    }
+
+    /// Notes that the write under way is durable.
+    pub fn committed(&mut self) {
+        let Some((versions, slots)) = self.in_flight.take() else { return };
+        for (number, version) in versions {
+            if let Some(job) = self.jobs.get_mut(&number) {
+                job.durable = job.durable.max(version);
+                if job.phase.is_final() && job.version == version {
+                    job.has_cancel = false;
+                }
+            }
+        }
+        for slot in slots {
+            self.nodes[slot].is_listed = true;
+            self.must_place = true;
+        }
+        for slot in 0..self.nodes.len() {
+            self.acknowledge(slot);
+        }
+    }
+
+    /// Tells whether records wait for a write or one is under way.
+    pub fn has_unwritten(&self) -> bool {
+        !self.dirty.is_empty() || self.in_flight.is_some()
+    }
+
+    pub(in crate::flow) fn change_roster(&mut self) {
+        self.roster_changed = true;
+    }
+
+    /// Acknowledges the ends whose records are durable.
+    pub(in crate::flow) fn acknowledge(&mut self, slot: Slot) {
+        let mut last = None;
+        while let Some((number, job, version)) = self.nodes[slot].unseen.front().copied() {
+            if self.jobs.get(&job).is_some_and(|job| job.durable < version) {
+                break;
+            }
+            self.nodes[slot].unseen.pop_front();
+            last = Some(number);
+        }
+        let worker = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
+        if let (Some(number), Some(worker)) = (last, worker) {
+            self.send(slot, Down::Seen { worker, number });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/owner/ends.rs
@@ -0,0 +1,203 @@
+//! Ends of runs: what is done, what failed and by whose fault, and what starts again.
+
+use std::time::Duration;
+
+use super::{Owner, Slot};
+use crate::flow::message::{Down, End, EndKind};
+use crate::flow::model::{JobNumber, Run, Step, TaskId};
+use crate::flow::progress::Phase;
+use crate::time::Time;
+
+/// First rest of a worker on which two jobs failed in a row; doubles with each further failure.
+const FIRST_REST: Duration = Duration::from_secs(1);
+const LONGEST_REST: Duration = Duration::from_secs(8);
+/// Rest of a worker on which a task stood still.
+const STALL_REST: Duration = Duration::from_secs(3);
+
+impl Owner {
+    pub(in crate::flow) fn ends(&mut self, now: Time, slot: Slot, worker: &str, ends: Vec<End>) {
+        if self.nodes[slot].worker.as_ref().is_none_or(|known| known.id != worker) {
+            return;
+        }
+        for end in ends {
+            if end.number <= self.nodes[slot].last_end {
+                continue;
+            }
+            self.nodes[slot].last_end = end.number;
+            self.end(now, slot, &end);
+            let version = self.jobs.get(&end.task.job).map_or(0, |job| job.version);
+            self.nodes[slot].unseen.push_back((end.number, end.task.job, version));
+        }
+        if !self.dirty.is_empty() {
+            self.dirty_since.get_or_insert(now);
+        }
+        self.acknowledge(slot);
+    }
+
+    pub(super) fn end(&mut self, now: Time, slot: Slot, end: &End) {
+        let task = end.task;
+        self.save(task, end.run, end.saved.clone());
+        self.must_place |= self.nodes[slot].foreign.remove(&(task, end.run));
+        let was_current = self.drop_run(&task, end.run).is_some();
+        let Some((spec, state)) = self.step_mut(&task) else { return };
+        let spec = spec.clone();
+        let step = &spec.steps[usize::from(task.step)];
+        match end.kind {
+            EndKind::Done if !step.lasting => {
+                self.nodes[slot].streak = 0;
+                self.complete(now, &task, step);
+            }
+            EndKind::Failed if !step.lasting && !state.done.contains(task.index) => {
+                self.failed(now, slot, end);
+            }
+            EndKind::Failed => {
+                state.avoid.insert(task.index, slot);
+                self.note_failure(now, slot, task.job);
+            }
+            _ => {
+                if step.gang {
+                    self.stop_gang(&task);
+                }
+            }
+        }
+        if was_current && end.kind != EndKind::Done {
+            let name = &self.nodes[slot].name;
+            let detail = format!("task={task} run={} kind={:?} node={name}", end.run, end.kind);
+            self.log("run_ended", Some(task.job), detail);
+        }
+    }
+
+    /// A task is done; of a gang, all are.
+    pub(super) fn complete(&mut self, now: Time, task: &TaskId, step: &Step) {
+        let Some((_, state)) = self.step_mut(task) else { return };
+        let members = if step.gang { 0..step.count } else { task.index..task.index + 1 };
+        let mut stops = Vec::new();
+        for index in members {
+            state.complete(index);
+            if let Some(attempt) = state.running.get_mut(&index) {
+                attempt.is_stopping = true;
+                stops.push((attempt.slot, TaskId { index, ..*task }, attempt.run));
+            }
+        }
+        for (slot, other, run) in stops {
+            self.send(slot, Down::Stop { task: other, run });
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.work = job.work.saturating_sub(step.need.cpu_milli * step.estimate_ms);
+        if job.phase.is_final() {
+            return;
+        }
+        let is_complete = job.is_complete();
+        if is_complete {
+            job.phase = Phase::Completed;
+            job.ended = Some(now);
+        }
+        self.touch(task.job, is_complete);
+        if is_complete {
+            let took = now.saturating_sub(self.jobs[&task.job].since).as_millis();
+            let objective = self.jobs[&task.job].objective;
+            let detail = format!("took_ms={took} in_time={}", now <= objective);
+            self.log("job_completed", Some(task.job), detail);
+        }
+        self.must_place = true;
+    }
+
+    pub(super) fn failed(&mut self, now: Time, slot: Slot, end: &End) {
+        let task = end.task;
+        let Some((spec, state)) = self.step_mut(&task) else { return };
+        let limit = spec.queue.attempts.max(1);
+        let is_gang = spec.steps[usize::from(task.step)].gang;
+        let key = if is_gang { 0 } else { task.index };
+        let failures = state.failures.entry(key).or_default();
+        if !failures.insert(end.run) {
+            return;
+        }
+        let count = failures.len() as u32;
+        let is_last = count >= limit;
+        let detail = format!("task={task} run={} failures={count} limit={limit}", end.run);
+        state.avoid.insert(task.index, slot);
+        self.log("task_failed", Some(task.job), format!("{detail} node={}", self.nodes[slot].name));
+        self.note_failure(now, slot, task.job);
+        if is_gang {
+            self.stop_gang(&task);
+        }
+        match self.jobs.get(&task.job).map(|job| job.phase.is_final()) {
+            Some(false) if is_last => {
+                self.log("job_failed", Some(task.job), detail);
+                self.finish(task.job, Phase::Failed);
+            }
+            _ => self.touch(task.job, false),
+        }
+    }
+
+    /// Judges a worker by failures of different jobs: one that fails everywhere is not its fault.
+    pub(super) fn note_failure(&mut self, now: Time, slot: Slot, number: JobNumber) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        let is_new = job.failed_on.insert(slot);
+        if job.failed_on.len() > 1 || !is_new {
+            return;
+        }
+        let node = &mut self.nodes[slot];
+        node.streak += 1;
+        if node.streak >= 2 {
+            let rest = (FIRST_REST * 2u32.pow((node.streak - 2).min(3))).min(LONGEST_REST);
+            node.rests_until = now + rest;
+            let detail =
+                format!("node={} streak={} rest_ms={}", node.name, node.streak, rest.as_millis());
+            self.log("worker_rests", Some(number), detail);
+        }
+    }
+
+    /// Stops the other members of a gang after one has ended.
+    pub(super) fn stop_gang(&mut self, task: &TaskId) {
+        let Some((_, state)) = self.step_mut(task) else { return };
+        let mut stops = Vec::new();
+        for (index, attempt) in &mut state.running {
+            if !attempt.is_stopping {
+                attempt.is_stopping = true;
+                stops.push((attempt.slot, TaskId { index: *index, ..*task }, attempt.run));
+            }
+        }
+        for (slot, other, run) in stops {
+            self.send(slot, Down::Stop { task: other, run });
+        }
+    }
+
+    pub(super) fn save(&mut self, task: TaskId, run: Run, saved: String) {
+        if saved.is_empty() {
+            return;
+        }
+        let Some((spec, state)) = self.step_mut(&task) else { return };
+        let is_gang = spec.steps[usize::from(task.step)].gang;
+        let is_old = state.runs.get(&task.index).is_some_and(|last| run < *last);
+        if !is_old && !state.done.contains(task.index) {
+            state.saved.insert(if is_gang { 0 } else { task.index }, saved);
+        }
+    }
+
+    pub(super) fn not_started(&mut self, slot: Slot, task: TaskId, run: Run, reason: &str) {
+        let detail =
+            format!("task={task} run={run} node={} reason={reason}", self.nodes[slot].name);
+        self.log("start_rejected", Some(task.job), detail);
+        self.must_place |= self.nodes[slot].foreign.remove(&(task, run));
+        if self.drop_run(&task, run).is_some() {
+            if let Some((_, state)) = self.step_mut(&task) {
+                state.avoid.insert(task.index, slot);
+            }
+        }
+    }
+
+    pub(super) fn stalled(&mut self, now: Time, slot: Slot, task: TaskId, run: Run) {
+        let Some((_, state)) = self.step_mut(&task) else { return };
+        let Some(attempt) = state.running.get_mut(&task.index) else { return };
+        if attempt.run != run || attempt.is_stopping {
+            return;
+        }
+        attempt.is_stopping = true;
+        state.avoid.insert(task.index, slot);
+        self.nodes[slot].rests_until = self.nodes[slot].rests_until.max(now + STALL_REST);
+        let detail = format!("task={task} run={run} node={}", self.nodes[slot].name);
+        self.log("task_stalled", Some(task.job), detail);
+        self.send(slot, Down::Stop { task, run });
+    }
+}
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -116,3 +116,28 @@
     assert_eq!(world.workers[0].seen, 1);
     assert_eq!(world.owner.phase(7), Some(Phase::Completed));
 }
+
+/// Guards against a start on a node that a successor would not wait for: it had lapsed and left the
+/// stored roster before it came back.
+#[test]
+fn a_node_that_left_the_roster_is_listed_again_before_it_is_used() {
+    let mut world = World::new(1, 10_000);
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    world.owner.disconnect(slot, session);
+    world.advance(Duration::from_secs(7));
+    world.add_worker(1, 10);
+    world.settle();
+    let listed = |world: &World| {
+        let roster = world.commits.iter().rev().find_map(|commit| commit.roster.clone());
+        roster.is_some_and(|names| names.contains(&"node-0".to_owned()))
+    };
+    assert!(!listed(&world));
+    world.store_is_up = false;
+    world.connect(0);
+    world.attach(0);
+    world.submit(7, job(2, vec![step(1, 1_000, 500)]));
+    assert!(world.running().is_empty(), "it is not listed");
+    world.store_is_up = true;
+    world.advance(ms(200));
+    assert!(listed(&world) && world.running().len() == 1);
+}
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -110,7 +110,7 @@
         };
         let (slot, session, _) = self.owner.connect(self.now, &format!("node-{index}"));
         let worker = Worker {
-            info: info.clone(),
+            info,
             slot,
             session,
             running: BTreeMap::new(),
@@ -122,6 +122,13 @@
         self.attach(index);
     }
 
+    /// Opens a session for a worker's agent.
+    pub fn connect(&mut self, index: usize) {
+        let (slot, session, _) = self.owner.connect(self.now, &format!("node-{index}"));
+        self.workers[index].slot = slot;
+        self.workers[index].session = session;
+    }
+
     /// Reports all of a worker in its session.
     pub fn attach(&mut self, index: usize) {
         let worker = &self.workers[index];
@@ -160,9 +167,7 @@
             self.owner.inherit(self.now, *number, spec.clone(), progress);
         }
         for index in 0..self.workers.len() {
-            let (slot, session, _) = self.owner.connect(self.now, &format!("node-{index}"));
-            self.workers[index].slot = slot;
-            self.workers[index].session = session;
+            self.connect(index);
         }
     }
 
