--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -37,6 +37,9 @@
 /// When a caller should come back while the store is away. Outages last several seconds.
 const RETRY_LATER: Duration = Duration::from_secs(2);
 
+/// Longest that a caller waits for a write whose answers are lost: one try and its repetition.
+const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -211,7 +214,7 @@
         }
     }
 
-    fn is_dark(&self) -> bool {
+    pub(crate) fn is_dark(&self) -> bool {
         self.dark_since.lock().is_some_and(|at| runtime::now() < at + DARK_TIME)
     }
 
@@ -233,6 +236,7 @@
             }
         };
         let begun = runtime::now();
+        let limit = limit.min(STORE_LIMIT);
         let left = || (begun + limit).saturating_sub(runtime::now());
         let mut outcome = Stored::No;
         if !self.is_dark() {
@@ -292,6 +296,7 @@
     /// Stores the cancel of a job.
     pub async fn cancel(&self, job: JobNumber, limit: Duration) -> Stored {
         let begun = runtime::now();
+        let limit = limit.min(STORE_LIMIT);
         let left = || (begun + limit).saturating_sub(runtime::now());
         let mut outcome = Stored::No;
         if !self.is_dark() {
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use peridotfold_core::flow::message::{Answer, Ask, Down, Greeting, Up};
+use peridotfold_core::flow::message::{Answer, Ask, Down, Greeting, Stored, Up};
 use peridotfold_wire::runtime;
 use smol::net::TcpStream;
 
@@ -133,6 +133,9 @@
             let count = Some(office.read(|owner, _| owner.waiting(&queue)));
             send(outbox, Answer::Waiting { query, count }, peer);
         }
+        Ask::Submit { query, .. } | Ask::Cancel { query, .. } if entry.is_dark() => {
+            send(outbox, Answer::Stored { query, outcome: Stored::No }, peer);
+        }
         Ask::Submit { query, job, record } => {
             let (entry, outbox, peer) = (entry.clone(), outbox.clone(), peer.to_owned());
             runtime::spawn(async move {
