--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -350,6 +350,7 @@
                 known.state = RunState::Running;
                 known.since = now;
                 known.moved = now;
+                self.send_paces();
             }
             Outcome::Refused(reason) => self.not_started(task, run, &reason),
             Outcome::OtherLife => self.lose_worker("another life answers"),
@@ -533,6 +534,12 @@
         if level != before {
             self.log("pace", format!("level={level} before={before}"));
         }
+        self.send_paces();
+    }
+
+    /// Brings fill tasks to the level in force. A task starts at full pace.
+    fn send_paces(&mut self) {
+        let level = self.pacer.level();
         let Some(token) = self.link.as_ref().map(|link| link.token) else { return };
         let Some(worker) = self.worker.as_ref().map(|worker| worker.info.id.clone()) else {
             return;
