Place fill tasks by what their image is learned to press

Cause: six images in ten press several times as much as the others, and all were placed alike. Ruled out: a fixed limit on the pace of a worker (it knows no image). Test: heavy_images_are_told_from_light_ones_by_the_tails_of_mixed_workers.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -6,6 +6,7 @@
 pub mod node;
 pub mod owner;
 pub mod pace;
+pub mod press;
 pub mod progress;
 pub mod routes;
 
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -15,8 +15,10 @@
     session_token, Down, EndNumber, Pressure, Start, TaskTraits, Token, Up, WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
+use super::press::{Base, Press};
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState};
+use crate::hash;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -121,6 +123,10 @@
     /// Processors of lasting tasks.
     pub lasting_cpu: u64,
     pub pressure: Pressure,
+    /// Tail without fill tasks, as learned.
+    pub(super) base: Base,
+    /// Fill work by image, in thousandths of a core.
+    pub(super) filled: BTreeMap<u32, u64>,
     pub tasks: BTreeMap<TaskId, Run>,
     pub last_end: EndNumber,
     pub(super) unseen: VecDeque<(EndNumber, JobNumber, u64)>,
@@ -159,6 +165,7 @@
     pub(super) must_place: bool,
     next_expiry: Time,
     last_sweep: Time,
+    pub(super) press: Press,
 }
 
 impl Owner {
@@ -183,6 +190,7 @@
             must_place: false,
             next_expiry: now,
             last_sweep: now,
+            press: Press::default(),
         }
     }
 
@@ -365,6 +373,7 @@
             Up::Ping { sent, pressure } => {
                 self.must_place |= pressure != self.nodes[slot].pressure;
                 self.nodes[slot].pressure = pressure;
+                self.learn_press(slot);
                 let permission = match self.is_valid(now) {
                     true => {
                         self.nodes[slot].last_pong = now;
@@ -388,7 +397,7 @@
         let node = &mut self.nodes[slot];
         if node.tasks.remove(task).is_some() {
             node.used = node.used.minus(&step.reserved());
-            node.filled_cpu -= if step.fills { step.need.cpu_milli } else { 0 };
+            node.fill(step, |cpu, need| cpu - need);
             node.lasting_cpu -= if step.lasting { step.need.cpu_milli } else { 0 };
         }
         self.must_place = true;
@@ -399,7 +408,7 @@
         let node = &mut self.nodes[slot];
         if node.tasks.insert(task, run).is_none() {
             node.used = node.used.plus(&step.reserved());
-            node.filled_cpu += if step.fills { step.need.cpu_milli } else { 0 };
+            node.fill(step, |cpu, need| cpu + need);
             node.lasting_cpu += if step.lasting { step.need.cpu_milli } else { 0 };
         }
     }
@@ -472,6 +481,11 @@
     }
 }
 
+/// Number that stands for a step's image.
+pub(super) fn image_number(step: &Step) -> u32 {
+    hash::stable(step.image.as_bytes()) as u32
+}
+
 /// Returns what an agent needs to know of a step's tasks.
 pub(super) fn traits(step: &Step) -> TaskTraits {
     TaskTraits {
@@ -483,6 +497,15 @@
 }
 
 impl Node {
+    /// Changes the fill work by that of one task of `step`.
+    fn fill(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
+        if step.fills {
+            self.filled_cpu = change(self.filled_cpu, step.need.cpu_milli);
+            let cpu = self.filled.entry(image_number(step)).or_default();
+            *cpu = change(*cpu, step.need.cpu_milli);
+        }
+    }
+
     fn new(name: &str, now: Time) -> Self {
         Node {
             name: name.to_owned(),
@@ -494,6 +517,8 @@
             filled_cpu: 0,
             lasting_cpu: 0,
             pressure: Pressure::default(),
+            base: Base::default(),
+            filled: BTreeMap::new(),
             tasks: BTreeMap::new(),
             last_end: 0,
             unseen: VecDeque::new(),
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -6,7 +6,8 @@
 
 use super::message::Pressure;
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
-use super::owner::{Job, Node, Owner, Slot};
+use super::owner::{image_number, Job, Node, Owner, Slot};
+use super::press::Share;
 use super::progress::{Phase, Progress};
 use crate::resources::Resources;
 use crate::time::Time;
@@ -19,10 +20,9 @@
 /// Part of their declared processors that lasting tasks are taken to use: their load is about half
 /// of it and swings by half of that.
 const LASTING_USE_PERCENT: u64 = 65;
-/// Pace below which a worker gets no more fill tasks: those it has finish sooner.
-const LEAST_LEVEL: u32 = 60;
-/// Tail, in percent of its target, from which a worker gets no more fill tasks.
-const MOST_TAIL: u32 = 92;
+/// Expected tail, in percent of its target, up to which a worker gets more fill tasks: those that
+/// it has finish sooner at full pace.
+const MOST_TAIL: f64 = 90.0;
 /// Steps looked at in one round, so that a long queue does not hold up the process.
 const STEPS_PER_ROUND: usize = 400;
 
@@ -224,6 +224,7 @@
             let same = state.per_worker.get(&slot).copied().unwrap_or(0) + here;
             if !node.may_start(now, spec, step)
                 || !node.has_room(step, u64::from(here))
+                || (step.fills && self.is_pressed(node, step, u64::from(here)))
                 || (step.per_worker > 0 && same >= step.per_worker)
             {
                 continue;
@@ -237,7 +238,7 @@
                 Reverse(if step.lasting { node.lasting_cpu } else { 0 }),
                 match (step.lasting, step.fills) {
                     (true, _) => free,
-                    (false, true) => node.fill_cost(taken),
+                    (false, true) => self.fill_cost(node, step, taken),
                     (false, false) => u64::MAX / 4 - free,
                 },
             );
@@ -284,19 +285,12 @@
         (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
     }
 
-    /// Preference among workers for a fill task, beside `taken` processors given away in the same
-    /// decision: little fill work and a low tail.
-    fn fill_cost(&self, taken: u64) -> u64 {
-        let share = (self.filled_cpu + taken) * 100 / self.room_cpu().max(1);
-        share + u64::from(self.pressure.tail_percent) / 2 + u64::from(100 - self.pressure.level)
-    }
-
-    /// Tells whether fill tasks would disturb the tasks here too much.
-    fn is_pressed(&self) -> bool {
-        let Pressure { level, tail_percent } = self.pressure;
-        self.lasting_cpu > 0
-            && (level < LEAST_LEVEL || tail_percent >= MOST_TAIL)
-            && self.filled_cpu > 0
+    /// Shares of the worker's processors that fill tasks would take at `level` percent.
+    fn shares(&self, level: u32) -> impl Iterator<Item = Share> + '_ {
+        let room = self.room_cpu().max(1) as f64 * 100.0;
+        let share = move |cpu: u64| cpu as f64 * f64::from(level) / room;
+        let filled = self.filled.iter().filter(|(_, cpu)| **cpu > 0);
+        filled.map(move |(image, cpu)| (*image, share(*cpu)))
     }
 
     /// Tells whether tasks of the step may start here at all.
@@ -320,7 +314,7 @@
         }
         let free = self.unused_cpu().saturating_sub(taken * step.need.cpu_milli);
         let fill_fits = !step.fills
-            || (!self.is_pressed() && free >= step.need.cpu_milli)
+            || free >= step.need.cpu_milli
             || (self.filled_cpu == 0
                 && free * 100 >= step.need.cpu_milli * LEAST_FILL_PERCENT
                 && step.need.cpu_milli > worker.room.cpu_milli / 2);
@@ -329,6 +323,40 @@
 }
 
 impl Owner {
+    /// Learns from the last report of a worker.
+    pub(super) fn learn_press(&mut self, slot: Slot) {
+        let node = &mut self.nodes[slot];
+        let Pressure { level, tail_percent } = node.pressure;
+        if tail_percent > 0 {
+            let shares: Vec<Share> = node.shares(level).collect();
+            self.press.learn(&mut node.base, &shares, tail_percent);
+        }
+    }
+
+    /// Expected tail beside `count` more tasks of a step, all at full pace.
+    fn expected_tail(&self, node: &Node, step: &Step, count: u64) -> f64 {
+        let room = node.room_cpu().max(1) as f64;
+        let more = (image_number(step), (step.need.cpu_milli * count) as f64 / room);
+        self.press.expected(node.base, node.shares(100).chain([more]))
+    }
+
+    /// Tells whether one more fill task, beside `here` in the same decision, would press the tasks
+    /// that serve too much. A worker may always have one.
+    fn is_pressed(&self, node: &Node, step: &Step, here: u64) -> bool {
+        node.lasting_cpu > 0
+            && node.filled_cpu > 0
+            && self.expected_tail(node, step, here + 1) > MOST_TAIL
+    }
+
+    /// Preference among workers for a fill task, beside `taken` processors given away in the same
+    /// decision: little fill work and a low expected tail.
+    fn fill_cost(&self, node: &Node, step: &Step, taken: u64) -> u64 {
+        let share = (node.filled_cpu + taken) * 100 / node.room_cpu().max(1);
+        let serves = node.lasting_cpu > 0;
+        let tail = if serves { self.expected_tail(node, step, 1) } else { 0.0 };
+        share + tail as u64
+    }
+
     /// Tells whether a job has begun.
     pub(super) fn note_running(&mut self, number: JobNumber) {
         if let Some(job) = self.jobs.get_mut(&number).filter(|job| job.phase == Phase::Queued) {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -4,4 +4,5 @@
 mod node;
 mod owner;
 mod pace;
+mod press;
 mod support;
