Replace an owner that the store turns away, and start only under fresh permissions

(2) When it got its lease back, it sent a burst of starts to agents whose permission had run out; all were rejected. Ruled out: agents that could not find an owner (they stayed linked). Tests: an_owner_that_the_store_turns_away_is_replaced and nothing_starts_on_an_agent_whose_permission_may_have_run_out, both seen red.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -33,6 +33,8 @@
 const COMMIT_LINGER: Duration = Duration::from_millis(25);
 /// Keys that one write may name; the store's limit is 32, two are the fence's.
 const COMMIT_KEYS: usize = 30;
+/// Time between two requests of an agent for permission beyond which it may have missed starts.
+const PING_GAP: Duration = Duration::from_millis(1_500);
 /// Longest pause between two looks at timers.
 const IDLE_POLL: Duration = Duration::from_millis(500);
 
@@ -376,6 +378,7 @@
                 self.learn_press(slot);
                 let permission = match self.is_valid(now) {
                     true => {
+                        self.must_place |= now > self.nodes[slot].last_pong + PING_GAP;
                         self.nodes[slot].last_pong = now;
                         self.settings.permission
                     }
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -28,6 +28,9 @@
 const SURE_PERCENT: u64 = 60;
 /// Pace below which a worker gets no more fill tasks, whatever is expected.
 const LEAST_LEVEL: u32 = 70;
+/// Age of an agent's permission up to which it gets starts: agents ask each second, and permissions
+/// last several times as long.
+const FRESH_PERMISSION: Duration = Duration::from_secs(3);
 /// Steps looked at in one round, so that a long queue does not hold up the process.
 const STEPS_PER_ROUND: usize = 400;
 
@@ -324,6 +327,7 @@
     pub(super) fn may_start(&self, now: Time, spec: &JobSpec, step: &Step) -> bool {
         let Some(worker) = &self.worker else { return false };
         self.is_attached
+            && now < self.last_pong + FRESH_PERMISSION
             && self.is_listed
             && !worker.draining
             && self.foreign.is_empty()
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -141,3 +141,16 @@
     world.advance(ms(200));
     assert!(listed(&world) && world.running().len() == 1);
 }
+
+/// Guards against a burst of starts that every agent rejects: seen on trouble-1 of the guide when an
+/// owner got its lease back after the permissions of its agents had run out.
+#[test]
+fn nothing_starts_on_an_agent_whose_permission_may_have_run_out() {
+    let mut world = World::new(1, 10_000);
+    world.now += Duration::from_secs(8);
+    world.submit(7, job(2, vec![step(1, 1_000, 500)]));
+    assert!(world.running().is_empty(), "the agent has not asked for permission for 8 s");
+    world.ping();
+    world.settle();
+    assert_eq!(world.running().len(), 1);
+}
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use peridotfold_core::flow::message::{Down, End, EndKind, Running, Start, Up, WorkerInfo};
+use peridotfold_core::flow::message::{
+    Down, End, EndKind, Pressure, Running, Start, Up, WorkerInfo,
+};
 use peridotfold_core::flow::model::{JobNumber, JobSpec, Queue, Run, Step, TaskId};
 use peridotfold_core::flow::owner::{Commit, Effect, Owner, OwnerSettings, Session, Slot};
 use peridotfold_core::flow::progress::Progress;
@@ -243,10 +245,19 @@
         let until = self.now + by;
         while self.now < until {
             self.now = (self.now + step).min(until);
+            self.ping();
             self.settle();
         }
     }
 
+    /// Lets every agent ask for permission.
+    pub fn ping(&mut self) {
+        for worker in &self.workers {
+            let up = Up::Ping { sent: self.now, pressure: Pressure::default() };
+            self.owner.receive(self.now, worker.slot, worker.session, up);
+        }
+    }
+
     pub fn submit(&mut self, number: JobNumber, spec: JobSpec) {
         self.owner.submit(self.now, number, spec);
         self.settle();
--- a/crates/hosted/src/agent.rs
+++ b/crates/hosted/src/agent.rs
@@ -221,7 +221,7 @@
         if sender.send(Event::Down(messages)).await.is_err() {
             return Ok(None);
         }
-        if has_lapsed && directory::is_replaced(store, owner).await {
+        if has_lapsed && directory::is_replaced(store, owner, false).await {
             return Ok(None);
         }
     }
--- a/crates/hosted/src/directory.rs
+++ b/crates/hosted/src/directory.rs
@@ -45,11 +45,12 @@
     }
 }
 
-/// Tells whether the store names another owner than the one at `address`.
-pub(crate) async fn is_replaced<S: Store>(store: &S, address: SocketAddr) -> bool {
+/// Tells whether the store names another owner than the one at `address`. `vacant` is the answer
+/// when it names none.
+pub(crate) async fn is_replaced<S: Store>(store: &S, address: SocketAddr, vacant: bool) -> bool {
     match lock(store).await {
         Ok(Some((lock, _))) => lock.address != address,
-        Ok(None) => false,
+        Ok(None) => vacant,
         Err(error) => {
             tracing::info!(event = "lock_not_read", %error);
             false
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -125,7 +125,8 @@
                             Answer::Redirect { owner } => return Ended::Redirected(owner),
                             Answer::Pong { entries, is_valid } => {
                                 joined(&follower, entries);
-                                if !is_valid && directory::is_replaced(store, owner).await {
+                                // A vacant lock can be claimed by this entry.
+                                if !is_valid && directory::is_replaced(store, owner, true).await {
                                     return Ended::Redirected(None);
                                 }
                             }
--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -1,4 +1,5 @@
 //! The hosted roles against stand-ins in memory.
 
 mod entry;
+mod ownership;
 mod support;
--- /dev/null
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -0,0 +1,71 @@
+//! Who owns the work, between entries on loopback connections.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Once};
+use std::time::{Duration, Instant};
+
+use peridotfold_core::flow::owner::OwnerSettings;
+use peridotfold_hosted::entry::{Entry, EntrySettings};
+use peridotfold_hosted::records;
+use peridotfold_wire::runtime;
+use peridotfold_wire::shutdown::{self, Trigger};
+
+use crate::support::MemoryStore;
+
+/// Longest time to a new owner once the lock is vacant: a lost pong, a search and a claim.
+const TAKEOVER: Duration = Duration::from_secs(6);
+
+fn start(node: &str, store: &MemoryStore) -> Trigger {
+    static POOL: Once = Once::new();
+    POOL.call_once(|| runtime::start_threads(2));
+    let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
+    let settings = EntrySettings {
+        node: node.to_owned(),
+        internal: SocketAddr::from(([127, 0, 0, 1], free.port())),
+        cores: 1.0,
+        owner: OwnerSettings {
+            epoch: 0,
+            permission: Duration::from_secs(6),
+            keep_ended: Duration::from_secs(60),
+            remote_slowdown: 1.5,
+        },
+    };
+    let entry = Arc::new(Entry::new(settings, store.clone()));
+    let (stop, stopping) = shutdown::channel();
+    runtime::spawn(entry.run(stopping.clone(), stopping)).detach();
+    stop
+}
+
+/// Waits until the lock names this node.
+async fn owns(store: &MemoryStore, node: &str) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < TAKEOVER {
+        let lock = store.peek(records::LOCK);
+        let lock = lock.and_then(|value| records::decode::<records::Lock>(&value).ok());
+        if lock.is_some_and(|lock| lock.node == node) {
+            return true;
+        }
+        runtime::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Guards against work that nobody owns: the store turns the owner away, its lock lapses, and the
+/// other entries stay with it because it still answers them. Seen on trouble-1 of the guide.
+#[test]
+fn an_owner_that_the_store_turns_away_is_replaced() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let first = start("first", &store);
+        assert!(owns(&store, "first").await);
+        let second_store = store.other();
+        let second = start("second", &second_store);
+        // Until the second follows the first.
+        runtime::sleep(Duration::from_millis(500)).await;
+        store.refuse(true);
+        runtime::sleep(Duration::from_secs(3)).await;
+        store.expire(records::LOCK);
+        assert!(owns(&store, "second").await);
+        drop((first, second));
+    });
+}
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -1,14 +1,17 @@
 //! A store in memory whose answers can be lost, refused, or crossed by another write.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use parking_lot::Mutex;
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_hosted::ports::{
     Item, LeaseId, Revision, Store, StoreError, Watched, Write, Written,
 };
+use peridotfold_wire::runtime;
 
 #[derive(Debug, Default)]
 struct Table {
@@ -17,7 +20,6 @@
     writes: u32,
     lost: u32,
     lost_is_done: bool,
-    refuses: bool,
     crossing: Option<(u32, Write)>,
 }
 
@@ -42,8 +44,9 @@
     }
 }
 
+/// A handle of one process; clones share the table and the refusal.
 #[derive(Debug, Clone, Default)]
-pub struct MemoryStore(Arc<Mutex<Table>>);
+pub struct MemoryStore(Arc<Mutex<Table>>, Arc<AtomicBool>);
 
 impl MemoryStore {
     /// Performs a write after so many reads.
@@ -58,8 +61,30 @@
         table.lost_is_done = is_done;
     }
 
+    /// Another process's handle of the same table.
+    pub fn other(&self) -> Self {
+        MemoryStore(self.0.clone(), Arc::default())
+    }
+
+    /// Refuses all calls of this handle.
     pub fn refuse(&self, refuses: bool) {
-        self.0.lock().refuses = refuses;
+        self.1.store(refuses, Ordering::Relaxed);
+    }
+
+    /// Removes a key, as the end of its lease does.
+    pub fn expire(&self, key: &str) {
+        self.0.lock().items.remove(key);
+    }
+
+    pub fn peek(&self, key: &str) -> Option<Bytes> {
+        self.0.lock().items.get(key).map(|item| item.value.clone())
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        match self.1.load(Ordering::Relaxed) {
+            true => Err(StoreError::Refused("away".to_owned())),
+            false => Ok(()),
+        }
     }
 
     pub fn writes(&self) -> u32 {
@@ -69,6 +94,7 @@
 
 impl Store for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        self.check()?;
         let mut table = self.0.lock();
         match table.crossing.take() {
             Some((0, write)) => {
@@ -81,21 +107,22 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<(Vec<Item>, Revision), StoreError> {
+        self.check()?;
         let table = self.0.lock();
         let items = table.items.values().filter(|item| item.key.starts_with(prefix)).cloned();
         Ok((items.collect(), table.revision))
     }
 
-    async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<Watched, StoreError> {
+    async fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<Watched, StoreError> {
+        self.check()?;
+        runtime::sleep(wait).await;
         Ok(Watched::Forgotten)
     }
 
     async fn write(&self, write: &Write) -> Result<Written, StoreError> {
         let mut table = self.0.lock();
         table.writes += 1;
-        if table.refuses {
-            return Err(StoreError::Refused("away".to_owned()));
-        }
+        self.check()?;
         if table.lost > 0 {
             table.lost -= 1;
             if table.lost_is_done {
@@ -107,10 +134,12 @@
     }
 
     async fn open_lease(&self, ttl: Duration) -> Result<(LeaseId, Duration), StoreError> {
+        self.check()?;
         Ok((1, ttl))
     }
 
     async fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+        self.check()?;
         Ok(true)
     }
 
