--- a/crates/core/src/flow/pace.rs
+++ b/crates/core/src/flow/pace.rs
@@ -52,7 +52,7 @@
             .max()
             .unwrap_or(0);
         self.tail_percent = worst.min(u64::from(u32::MAX)) as u32;
-        if !self.changed.is_none_or(|at| now >= at + SETTLE) {
+        if self.changed.is_some_and(|at| now < at + SETTLE) {
             return self.level;
         }
         self.learn();
