--- a/crates/hosted/src/election.rs
+++ b/crates/hosted/src/election.rs
@@ -25,7 +25,7 @@
         match directory::lock(&entry.store).await {
             Ok(Some((lock, revision))) if lock.node == own => {
                 tracing::info!(event = "lock_of_own_node", is_current = lock.boot == boot);
-                claim(&entry, revision, &retiring).await;
+                claim(&entry, revision, &mut directory, &retiring).await;
                 if retiring.is_set() {
                     runtime::sleep_or_shutdown(directory::pause(), &shutdown).await;
                 }
@@ -39,7 +39,7 @@
                 let delay = Duration::from_millis((CLAIM_DELAY_MS / entry.cores.max(0.01)) as u64);
                 let spread = Duration::from_millis(fastrand::u64(0..CLAIM_SPREAD_MS));
                 runtime::sleep_or_shutdown(delay.min(CLAIM_DELAY_MAX) + spread, &shutdown).await;
-                claim(&entry, 0, &retiring).await;
+                claim(&entry, 0, &mut directory, &retiring).await;
             }
             Err(error) => {
                 tracing::warn!(event = "lock_not_read", %error);
@@ -82,7 +82,12 @@
 }
 
 /// Claims the ownership and works until it ends.
-async fn claim<S: Store>(entry: &Arc<Entry<S>>, replaces: Revision, retiring: &Shutdown) {
+async fn claim<S: Store>(
+    entry: &Arc<Entry<S>>,
+    replaces: Revision,
+    directory: &mut Directory,
+    retiring: &Shutdown,
+) {
     if retiring.is_set() {
         return;
     }
@@ -120,5 +125,6 @@
         keeper.release(&office).await;
     }
     office.finish();
+    directory.learn(office.known_entries());
     tracing::info!(event = "ownership_ended", is_stopped);
 }
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -23,6 +23,9 @@
 /// Silence after which the owner is taken to be lost: two pongs missed.
 const SILENCE: Duration = Duration::from_millis(2_000);
 
+/// Longest wait for an entry's word on who owns the work.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Asks the owner.
 #[derive(Debug)]
 pub(crate) struct Follower {
@@ -82,6 +85,34 @@
     }
 }
 
+/// Asks an entry who owns the work. `None`: it does not answer, or knows nobody.
+pub(crate) async fn ask_owner(
+    peer: SocketAddr,
+    node: &str,
+    address: SocketAddr,
+) -> Option<SocketAddr> {
+    let asking = async {
+        let stream = connection::connect(peer).await?;
+        let greeting = Greeting::Entry { node: node.to_owned(), address };
+        connection::greet(&stream, &greeting, peer).await?;
+        let outbox = connection::start_writer(stream.clone(), peer.to_string());
+        if outbox.try_send(Ask::Ping).is_err() {
+            tracing::debug!(event = "ping_not_sent", %peer);
+        }
+        let mut inbox = Inbox::new(stream, peer.to_string());
+        inbox.receive_one::<Answer>(ASK_TIMEOUT).await
+    };
+    match asking.await {
+        Ok(Answer::Redirect { owner }) => owner,
+        Ok(Answer::Pong { is_valid: true, .. }) => Some(peer),
+        Ok(_) => None,
+        Err(error) => {
+            tracing::info!(event = "entry_not_asked", %peer, %error);
+            None
+        }
+    }
+}
+
 /// Connects to `owner` and serves questions until the connection ends. `joined` gets the follower
 /// once the owner has answered, and the entries the owner knows.
 pub(crate) async fn run<S: Store>(
--- a/crates/hosted/src/keeper.rs
+++ b/crates/hosted/src/keeper.rs
@@ -11,6 +11,7 @@
 use smol::lock::Mutex;
 
 use crate::directory;
+use crate::follower;
 use crate::office::Office;
 use crate::ports::{Change, Item, LeaseId, Revision, Store, StoreError, Watched, Write, Written};
 use crate::records::{self, Fence, InboxKey, Lock};
@@ -181,8 +182,8 @@
                 Err(error) => {
                     let is_valid = office.read(|owner, now| owner.is_valid(now));
                     tracing::warn!(event = "lease_not_renewed", lease, is_valid, %error);
-                    if !is_valid && self.is_replaced().await {
-                        tracing::warn!(event = "ownership_lost", reason = "another lock");
+                    if !is_valid && self.is_replaced(office).await {
+                        tracing::warn!(event = "ownership_lost", reason = "another owner");
                         return;
                     }
                 }
@@ -190,11 +191,22 @@
         }
     }
 
-    async fn is_replaced(&self) -> bool {
+    /// Tells whether another entry owns the work, by the store or, where that turns this machine
+    /// away, by the other entries.
+    async fn is_replaced(&self, office: &Office) -> bool {
         match directory::lock(&self.store).await {
-            Ok(Some((lock, _))) => lock.boot != self.identity.boot,
-            Ok(None) | Err(_) => false,
+            Ok(Some((lock, _))) => return lock.boot != self.identity.boot,
+            Ok(None) => return false,
+            Err(error) => tracing::info!(event = "lock_not_read", %error),
         }
+        let Identity { node, address, .. } = &self.identity;
+        for peer in office.known_entries() {
+            let owner = follower::ask_owner(peer, node, *address).await;
+            if owner.is_some_and(|owner| owner != *address) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Takes the lock again after its lease has ended, if nobody has owned the work since. Tells
--- a/crates/hosted/src/office.rs
+++ b/crates/hosted/src/office.rs
@@ -26,7 +26,9 @@
 pub(crate) struct Office {
     owner: Mutex<Owner>,
     outboxes: Mutex<HashMap<Session, Outbox<Down>>>,
+    /// Entries that are connected, and all that ever were.
     entries: Mutex<BTreeSet<SocketAddr>>,
+    known: Mutex<BTreeSet<SocketAddr>>,
     /// Wakes the committer.
     changed: Sender<()>,
     pub(crate) changes: Receiver<()>,
@@ -42,6 +44,7 @@
             owner: Mutex::new(owner),
             outboxes: Mutex::new(HashMap::new()),
             entries: Mutex::new(BTreeSet::from([address])),
+            known: Mutex::default(),
             changed,
             changes,
             end,
@@ -100,8 +103,14 @@
         self.entries.lock().iter().copied().collect()
     }
 
+    /// Entries that were ever connected, for the time after the ownership.
+    pub(crate) fn known_entries(&self) -> Vec<SocketAddr> {
+        self.known.lock().iter().copied().collect()
+    }
+
     pub(crate) fn add_entry(&self, address: SocketAddr) {
         self.entries.lock().insert(address);
+        self.known.lock().insert(address);
     }
 
     pub(crate) fn remove_entry(&self, address: &SocketAddr) {
--- a/crates/hosted/tests/suite/entry.rs
+++ b/crates/hosted/tests/suite/entry.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::support::MemoryStore;
+use crate::support::{spec, MemoryStore};
 use peridotfold_core::flow::message::Stored;
-use peridotfold_core::flow::model::{JobSpec, Queue, Step};
 use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_core::flow::progress::{Phase, Progress};
 use peridotfold_hosted::entry::{Entry, EntrySettings, StateAnswer};
@@ -30,20 +29,6 @@
     Entry::new(settings, store.clone())
 }
 
-fn spec() -> JobSpec {
-    let queue = Queue {
-        name: "q".to_owned(),
-        service: "svc".to_owned(),
-        priority: 0,
-        attempts: 1,
-        stretch: 1.0,
-        slack_ms: 0,
-        advice: None,
-    };
-    let steps = vec![Step { count: 1, ..Step::default() }];
-    JobSpec { queue, command: String::new(), steps, timetable: None, submitted: 0 }
-}
-
 fn end() -> Write {
     let progress = Progress { phase: Phase::Completed, ..Progress::default() };
     Write {
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -4,18 +4,23 @@
 use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
+use peridotfold_core::flow::message::Stored;
 use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_hosted::entry::{Entry, EntrySettings};
 use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::{self, Trigger};
 
-use crate::support::MemoryStore;
+use crate::support::{spec, MemoryStore};
 
 /// Longest time to a new owner once the lock is vacant: a lost pong, a search and a claim.
 const TAKEOVER: Duration = Duration::from_secs(6);
 
 fn start(node: &str, store: &MemoryStore) -> Trigger {
+    start_entry(node, store).1
+}
+
+fn start_entry(node: &str, store: &MemoryStore) -> (Arc<Entry<MemoryStore>>, Trigger) {
     static POOL: Once = Once::new();
     POOL.call_once(|| runtime::start_threads(2));
     let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
@@ -32,8 +37,8 @@
     };
     let entry = Arc::new(Entry::new(settings, store.clone()));
     let (stop, stopping) = shutdown::channel();
-    runtime::spawn(entry.run(stopping.clone(), stopping)).detach();
-    stop
+    runtime::spawn(entry.clone().run(stopping.clone(), stopping)).detach();
+    (entry, stop)
 }
 
 /// Waits until the lock names this node.
@@ -69,3 +74,33 @@
         drop((first, second));
     });
 }
+
+/// Guards against callers who are refused at an entry that owned the work until the store turned it
+/// away, though the new owner would store their jobs. Seen on incident inc-3e4e: 34 in 6 s.
+#[test]
+fn a_former_owner_that_the_store_turns_away_stores_jobs_through_the_new_one() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let (first, first_stop) = start_entry("first", &store);
+        assert!(owns(&store, "first").await);
+        let second_store = store.other();
+        let second_stop = start("second", &second_store);
+        runtime::sleep(Duration::from_millis(500)).await;
+        store.refuse(true);
+        runtime::sleep(Duration::from_secs(3)).await;
+        store.expire(records::LOCK);
+        assert!(owns(&store, "second").await);
+        let begun = Instant::now();
+        let mut job = 1;
+        let is_stored = loop {
+            let outcome = first.submit(job, &spec(), Duration::from_secs(1)).await;
+            if outcome == Stored::Yes || begun.elapsed() > TAKEOVER {
+                break outcome == Stored::Yes;
+            }
+            job += 1;
+            runtime::sleep(Duration::from_millis(100)).await;
+        };
+        assert!(is_stored, "{job} jobs refused");
+        drop((first_stop, second_stop));
+    });
+}
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
+use peridotfold_core::flow::model::{JobSpec, Queue, Step};
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_hosted::ports::{
     Item, LeaseId, Revision, Store, StoreError, Watched, Write, Written,
@@ -151,3 +152,18 @@
         "routes"
     }
 }
+
+/// A job of one task.
+pub fn spec() -> JobSpec {
+    let queue = Queue {
+        name: "q".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1.0,
+        slack_ms: 0,
+        advice: None,
+    };
+    let steps = vec![Step { count: 1, ..Step::default() }];
+    JobSpec { queue, command: String::new(), steps, timetable: None, submitted: 0 }
+}
