Learn press by pairs of images, and pace by it

Cause: one figure per image said how heavy a fill task is, and all fill tasks of a worker were paced alike.

Ruled out: fits by the processors asked for (half as good as by those in use), and additive tails (logarithms fit better).

Agents report how tails and fill work changed between looks; the owner learns a weight for each pair (Kalman filter), places fill tasks where they disturb little, and sends the weights back; agents solve the paces from weights, use and tails of the same half second, with a correction learned on the worker.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -12,6 +12,10 @@
 
 /// Number of an end in one life of a worker.
 pub type EndNumber = u64;
+/// Learned weights are sent as whole multiples of one over this.
+pub const WEIGHT_SCALE: f64 = 1_000.0;
+/// Number that stands for what a task runs.
+pub type Image = u32;
 /// Order authority at a worker: owner's epoch, session, and step within the session.
 pub type Token = u64;
 
@@ -82,6 +86,16 @@
     pub fills: bool,
     pub target_ms: u32,
     pub cpu_milli: u64,
+    pub image: Image,
+}
+
+/// What changed on a worker between two looks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Mean rise of the logarithm of the tail by serving image, in thousandths.
+    pub rises: Vec<(Image, i32)>,
+    /// Change of the processors in use by fill image, in thousandths of a core.
+    pub changes: Vec<(Image, i32)>,
 }
 
 /// An order to start a task.
@@ -93,12 +107,14 @@
     pub checkpoint: String,
     pub ticket: String,
     pub traits: TaskTraits,
+    /// Learned weights of the task's image beside the serving images of the worker.
+    pub weights: Vec<(Image, u32)>,
 }
 
 /// How the tasks that serve on a worker fare beside those that fill.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pressure {
-    /// Pace of the fill tasks, in percent.
+    /// Processors that fill tasks may use, in percent of what they ask for.
     pub level: u32,
     /// Highest tail latency, in percent of its target.
     pub tail_percent: u32,
@@ -151,6 +167,9 @@
     Ping {
         sent: Duration,
         pressure: Pressure,
+        samples: Vec<Sample>,
+        /// Expected tails without fill tasks by serving image, in percent of the target.
+        alone: Vec<(Image, u32)>,
     },
 }
 
@@ -185,6 +204,8 @@
         sent: Duration,
         permission: Duration,
         entries: Vec<SocketAddr>,
+        /// Learned weights by serving and fill image.
+        weights: Vec<(Image, Image, u32)>,
     },
 }
 
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -6,10 +6,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::message::{Down, End, EndNumber, Running, Start, TaskTraits, Token, Up, WorkerInfo};
+use super::gauge::{Figure, Gauge};
+use super::message::{
+    Down, End, EndNumber, Pressure, Running, Sample, Start, TaskTraits, Token, Up, WorkerInfo,
+};
 use super::model::{Run, TaskId};
 use super::owner::Decision;
-use super::pace::Pacer;
+use super::pace::{Fill, Pacer, Serving};
 use crate::time::Time;
 
 /// Slowest rate of a worker's clock.
@@ -25,6 +28,12 @@
 const SHORT_WAIT: Duration = Duration::from_millis(450);
 /// Time without progress after which a task is reported as stalled.
 const STALL_AFTER: Duration = Duration::from_millis(2_500);
+/// Pace in percent below which a task is not expected to show progress.
+const STALL_PACE: u32 = 50;
+/// Change of a pace, in percent, that is worth a call.
+const LEAST_CHANGE: u32 = 5;
+/// Change of the level, in percent, that is worth a log line.
+const TELLING_LEVEL: u32 = 20;
 const SAVED_INTERVAL: Duration = Duration::from_secs(1);
 /// Refused connections in a row that prove that the worker's process has ended.
 const REFUSALS: u32 = 2;
@@ -147,6 +156,9 @@
     next_ping: Time,
     next_saved: Time,
     pacer: Pacer,
+    gauge: Gauge,
+    /// What the gauge has told since the last request for permission.
+    samples: Vec<Sample>,
     actions: Vec<Action>,
 }
 
@@ -214,6 +226,7 @@
         self.log("worker_lost", detail);
         self.runs.clear();
         self.pacer = Pacer::default();
+        self.gauge = Gauge::default();
         self.is_empty = true;
         self.looking = None;
         if self.is_attached() {
@@ -242,8 +255,11 @@
                     }
                 }
             }
-            Down::Pong { sent, permission, .. } => {
+            Down::Pong { sent, permission, weights, .. } => {
                 self.permit_until = self.permit_until.max(sent + permission);
+                for (serving, fill, weight) in weights {
+                    self.pacer.know(serving, fill, weight);
+                }
             }
             Down::Start(start) => self.order(now, start),
             Down::Stop { task, run } => self.stop(now, task, run),
@@ -303,6 +319,9 @@
             stall_sent: false,
         };
         self.runs.insert(task, local);
+        for (serving, weight) in &start.weights {
+            self.pacer.know(*serving, start.traits.image, *weight);
+        }
         self.actions.push(Action::Call(Call::Start { worker, token, lapse, start }));
     }
 
@@ -350,7 +369,11 @@
                 known.state = RunState::Running;
                 known.since = now;
                 known.moved = now;
-                self.send_paces();
+                if known.traits.fills {
+                    let traits = known.traits;
+                    let percent = self.pacer.admit(self.room(), traits.image, traits.cpu_milli);
+                    self.send_paces(&[(task, percent)]);
+                }
             }
             Outcome::Refused(reason) => self.not_started(task, run, &reason),
             Outcome::OtherLife => self.lose_worker("another life answers"),
@@ -475,7 +498,6 @@
         let issued = now.saturating_sub(LONG_WAIT * 2);
         let mut missing = Vec::new();
         let rows: BTreeMap<TaskId, &Running> = running.iter().map(|row| (row.task, row)).collect();
-        let level = self.pacer.level();
         let mut stalled = Vec::new();
         for (task, run) in &mut self.runs {
             match rows.get(task).filter(|row| row.run == run.run) {
@@ -494,7 +516,7 @@
                     let is_working = if run.traits.lasting {
                         row.percent >= 100
                     } else {
-                        run.traits.fills && level < 50
+                        run.traits.fills && run.paced < STALL_PACE
                     };
                     if is_working || run.state != RunState::Running {
                         run.moved = now;
@@ -524,31 +546,59 @@
         }
     }
 
+    /// Follows the figures of a listing.
     fn pace(&mut self, now: Time, running: &[Running]) {
-        let serving = running.iter().filter_map(|row| {
-            let run = self.runs.get(&row.task)?;
-            (run.traits.target_ms > 0).then_some((row.load, run.traits.target_ms))
-        });
-        let before = self.pacer.level();
-        let level = self.pacer.observe(now, serving);
-        if level != before {
-            self.log("pace", format!("level={level} before={before}"));
-        }
-        self.send_paces();
+        let known = |row: &Running| Some((row.task, self.runs.get(&row.task)?.traits));
+        let mut serving = Vec::new();
+        let mut fills = Vec::new();
+        let mut figures = Vec::new();
+        for row in running {
+            match known(row) {
+                Some((task, traits)) if traits.target_ms > 0 && row.percent >= 100 => {
+                    let TaskTraits { image, target_ms, .. } = traits;
+                    serving.push(Serving { image, tail_ms: row.load, target_ms });
+                    figures.push((task, image, Figure::Serves(row.load)));
+                }
+                Some((task, traits)) if traits.fills => {
+                    let TaskTraits { image, cpu_milli: cpu, .. } = traits;
+                    fills.push(Fill { task, image, cpu, used: row.load });
+                    figures.push((task, image, Figure::Fills(row.load)));
+                }
+                _ => {}
+            }
+        }
+        self.samples.extend(self.gauge.observe(now, figures.into_iter()));
+        let before = self.pacer.pressure().level;
+        let paces = self.pacer.observe(now, self.room(), &serving, &fills);
+        let Pressure { level, tail_percent } = self.pacer.pressure();
+        if level.abs_diff(before) >= TELLING_LEVEL {
+            let detail = format!("level={level} before={before} tail_percent={tail_percent}");
+            self.log("pace", detail);
+        }
+        self.send_paces(&paces);
+    }
+
+    /// Processors of the worker, in thousandths of a core.
+    fn room(&self) -> u64 {
+        self.worker.as_ref().map_or(0, |worker| worker.info.room.cpu_milli)
     }
 
-    /// Brings fill tasks to the level in force. A task starts at full pace.
-    fn send_paces(&mut self) {
-        let level = self.pacer.level();
+    /// Orders paces that differ enough from those in force. A task starts at full pace.
+    fn send_paces(&mut self, paces: &[(TaskId, u32)]) {
         let Some(token) = self.link.as_ref().map(|link| link.token) else { return };
         let Some(worker) = self.worker.as_ref().map(|worker| worker.info.id.clone()) else {
             return;
         };
-        for (task, run) in &mut self.runs {
-            if run.traits.fills && run.state == RunState::Running && run.paced != level {
-                run.paced = level;
-                let (worker, task, run) = (worker.clone(), *task, run.run);
-                let percent = level;
+        for (task, percent) in paces {
+            let Some(run) = self.runs.get_mut(task) else { continue };
+            let is_end = *percent == 0 || *percent == 100;
+            let is_due = match run.paced.abs_diff(*percent) {
+                0 => false,
+                change => is_end || change >= LEAST_CHANGE,
+            };
+            if run.state == RunState::Running && is_due {
+                run.paced = *percent;
+                let (worker, task, run, percent) = (worker.clone(), *task, run.run, *percent);
                 self.actions.push(Action::Call(Call::Pace { worker, token, task, run, percent }));
             }
         }
@@ -590,7 +640,9 @@
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
             let pressure = self.pacer.pressure();
-            self.actions.push(Action::Send(Up::Ping { sent: now, pressure }));
+            let samples = std::mem::take(&mut self.samples);
+            let alone = self.pacer.alone();
+            self.actions.push(Action::Send(Up::Ping { sent: now, pressure, samples, alone }));
         }
         if self.is_empty && self.worker.is_none() && !is_attached && self.candidate.is_none() {
             // Nothing of the last worker can run any more.
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use super::message::{
-    session_token, Down, EndNumber, Pressure, Start, TaskTraits, Token, Up, WorkerInfo,
+    session_token, Down, EndNumber, Image, Pressure, Start, TaskTraits, Token, Up, WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::press::{Base, Press};
@@ -125,10 +125,10 @@
     /// Processors of lasting tasks.
     pub lasting_cpu: u64,
     pub pressure: Pressure,
-    /// Tail without fill tasks, as learned.
-    pub(super) base: Base,
     /// Fill work by image, in thousandths of a core.
-    pub(super) filled: BTreeMap<u32, u64>,
+    pub(super) filled: BTreeMap<Image, u64>,
+    /// Serving tasks by image, and their tail without fill tasks.
+    pub(super) serving: BTreeMap<Image, (u32, Base)>,
     pub tasks: BTreeMap<TaskId, Run>,
     pub last_end: EndNumber,
     pub(super) unseen: VecDeque<(EndNumber, JobNumber, u64)>,
@@ -372,10 +372,10 @@
                 }
             }
             Up::Stalled { task, run } => self.stalled(now, slot, task, run),
-            Up::Ping { sent, pressure } => {
+            Up::Ping { sent, pressure, samples, alone } => {
                 self.must_place |= pressure != self.nodes[slot].pressure;
                 self.nodes[slot].pressure = pressure;
-                self.learn_press(slot);
+                self.learn_press(slot, &samples, &alone);
                 let permission = match self.is_valid(now) {
                     true => {
                         self.must_place |= now > self.nodes[slot].last_pong + PING_GAP;
@@ -384,7 +384,8 @@
                     }
                     false => Duration::ZERO,
                 };
-                self.send(slot, Down::Pong { sent, permission, entries: Vec::new() });
+                let weights = self.weights(slot);
+                self.send(slot, Down::Pong { sent, permission, entries: Vec::new(), weights });
             }
         }
     }
@@ -400,8 +401,7 @@
         let node = &mut self.nodes[slot];
         if node.tasks.remove(task).is_some() {
             node.used = node.used.minus(&step.reserved());
-            node.fill(step, |cpu, need| cpu - need);
-            node.lasting_cpu -= if step.lasting { step.need.cpu_milli } else { 0 };
+            node.tally(step, |known, change| known - change);
         }
         self.must_place = true;
     }
@@ -411,8 +411,7 @@
         let node = &mut self.nodes[slot];
         if node.tasks.insert(task, run).is_none() {
             node.used = node.used.plus(&step.reserved());
-            node.fill(step, |cpu, need| cpu + need);
-            node.lasting_cpu += if step.lasting { step.need.cpu_milli } else { 0 };
+            node.tally(step, |known, change| known + change);
         }
     }
 
@@ -472,6 +471,7 @@
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
         }
+        let weights = self.weights_of(slot, step);
         let start = Start {
             task,
             run,
@@ -479,13 +479,14 @@
             checkpoint,
             ticket: String::new(),
             traits: traits(step),
+            weights,
         };
         self.send(slot, Down::Start(Box::new(start)));
     }
 }
 
 /// Number that stands for a step's image.
-pub(super) fn image_number(step: &Step) -> u32 {
+pub(super) fn image_number(step: &Step) -> Image {
     hash::stable(step.image.as_bytes()) as u32
 }
 
@@ -496,16 +497,26 @@
         fills: step.fills,
         target_ms: step.target_ms,
         cpu_milli: step.need.cpu_milli,
+        image: image_number(step),
     }
 }
 
 impl Node {
-    /// Changes the fill work by that of one task of `step`.
-    fn fill(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
+    /// Changes the sums of fill and lasting work by those of one task of `step`.
+    fn tally(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
         if step.fills {
             self.filled_cpu = change(self.filled_cpu, step.need.cpu_milli);
             let cpu = self.filled.entry(image_number(step)).or_default();
             *cpu = change(*cpu, step.need.cpu_milli);
+            self.filled.retain(|_, cpu| *cpu > 0);
+        }
+        if step.lasting {
+            self.lasting_cpu = change(self.lasting_cpu, step.need.cpu_milli);
+        }
+        if step.target_ms > 0 {
+            let (count, _) = self.serving.entry(image_number(step)).or_default();
+            *count = change(u64::from(*count), 1) as u32;
+            self.serving.retain(|_, (count, _)| *count > 0);
         }
     }
 
@@ -520,8 +531,8 @@
             filled_cpu: 0,
             lasting_cpu: 0,
             pressure: Pressure::default(),
-            base: Base::default(),
             filled: BTreeMap::new(),
+            serving: BTreeMap::new(),
             tasks: BTreeMap::new(),
             last_end: 0,
             unseen: VecDeque::new(),
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -5,7 +5,6 @@
 use super::{Job, Node, Owner, Slot, COMMIT_KEYS};
 use crate::flow::message::{Down, Pressure};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
-use crate::flow::press::Base;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -69,8 +68,8 @@
         node.filled_cpu = 0;
         node.lasting_cpu = 0;
         node.pressure = Pressure::default();
-        node.base = Base::default();
         node.filled.clear();
+        node.serving.clear();
         node.last_end = 0;
         node.unseen.clear();
         node.leaves_at = None;
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::message::Pressure;
+use super::message::{Image, Sample, WEIGHT_SCALE};
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
 use super::owner::{image_number, Job, Node, Owner, Slot};
 use super::press::Share;
@@ -26,8 +26,15 @@
 const MOST_TAIL: f64 = 90.0;
 /// Share of the estimated time left, in percent, that a job needs in any case: estimates are rough.
 const SURE_PERCENT: u64 = 60;
-/// Pace below which a worker gets no more fill tasks, whatever is expected.
-const LEAST_LEVEL: u32 = 70;
+/// Rise of the logarithm of a tail that is not worth avoiding: smaller than what the serving tasks'
+/// own load does within a second.
+const SMALL_RISE: f64 = 0.02;
+/// Part of the processors that fill tasks ask for, in percent, below which a worker gets no more
+/// that disturb it.
+const STOP_LEVEL: u32 = 50;
+/// Weight of a rise of the expected tail, against the tail itself and the share of a worker's
+/// processors that fill tasks take.
+const RISE_WEIGHT: f64 = 2.0;
 /// Age of an agent's permission up to which it gets starts: agents ask each second, and permissions
 /// last several times as long.
 const FRESH_PERMISSION: Duration = Duration::from_secs(3);
@@ -320,12 +327,13 @@
         (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
     }
 
-    /// Shares of the worker's processors that fill tasks would take at `level` percent.
-    fn shares(&self, level: u32) -> impl Iterator<Item = Share> + '_ {
-        let room = self.room_cpu().max(1) as f64 * 100.0;
-        let share = move |cpu: u64| cpu as f64 * f64::from(level) / room;
-        let filled = self.filled.iter().filter(|(_, cpu)| **cpu > 0);
-        filled.map(move |(image, cpu)| (*image, share(*cpu)))
+    /// Shares of the worker's processors that fill tasks take at full pace.
+    fn shares(&self) -> Vec<Share> {
+        self.filled.iter().map(|(image, cpu)| (*image, self.share(*cpu))).collect()
+    }
+
+    fn share(&self, cpu: u64) -> f64 {
+        cpu as f64 / self.room_cpu().max(1) as f64
     }
 
     /// Tells whether tasks of the step may start here at all.
@@ -360,38 +368,67 @@
 
 impl Owner {
     /// Learns from the last report of a worker.
-    pub(super) fn learn_press(&mut self, slot: Slot) {
+    pub(super) fn learn_press(&mut self, slot: Slot, samples: &[Sample], alone: &[(Image, u32)]) {
         let node = &mut self.nodes[slot];
-        let Pressure { level, tail_percent } = node.pressure;
-        if tail_percent > 0 {
-            let shares: Vec<Share> = node.shares(level).collect();
-            self.press.learn(&mut node.base, &shares, tail_percent);
+        for sample in samples {
+            self.press.learn(sample, node.room_cpu());
+        }
+        for (image, percent) in alone {
+            if let Some((_, base)) = node.serving.get_mut(image) {
+                base.learn(*percent);
+            }
         }
     }
 
-    /// Expected tail beside `count` more tasks of a step, all at full pace.
-    fn expected_tail(&self, node: &Node, step: &Step, count: u64) -> f64 {
-        let room = node.room_cpu().max(1) as f64;
-        let more = (image_number(step), (step.need.cpu_milli * count) as f64 / room);
-        self.press.expected(node.base, node.shares(100).chain([more]))
+    /// Weights of a step's image beside the serving images of a worker.
+    pub(super) fn weights_of(&self, slot: Slot, step: &Step) -> Vec<(Image, u32)> {
+        let fill = image_number(step);
+        let weight =
+            |image: &Image| (*image, (self.press.weight(*image, fill) * WEIGHT_SCALE) as u32);
+        match step.fills {
+            true => self.nodes[slot].serving.keys().map(weight).collect(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Weights of all fill images of a worker beside its serving images.
+    pub(super) fn weights(&self, slot: Slot) -> Vec<(Image, Image, u32)> {
+        let node = &self.nodes[slot];
+        let pairs = node.filled.keys().flat_map(|f| node.serving.keys().map(move |s| (*s, *f)));
+        pairs.map(|(s, f)| (s, f, (self.press.weight(s, f) * WEIGHT_SCALE) as u32)).collect()
+    }
+
+    /// Highest expected tail beside all fill tasks of a worker at full pace and `count` more tasks of
+    /// a step, in percent of its target, and how much of it these cause. Only serving images that
+    /// the step disturbs count.
+    fn expected_tail(&self, node: &Node, step: &Step, count: u64) -> (f64, f64) {
+        let shares = node.shares();
+        let own = [(image_number(step), node.share(step.need.cpu_milli * count))];
+        let mut worst = (0.0, 0.0);
+        for (image, (_, base)) in &node.serving {
+            let more = self.press.rise(*image, &own);
+            let before = self.press.rise(*image, &shares);
+            let (tail, rise) = (base.tail(before + more), base.tail(before));
+            if more > SMALL_RISE && tail > worst.0 {
+                worst = (tail, tail - rise);
+            }
+        }
+        worst
     }
 
     /// Tells whether one more fill task, beside `here` in the same decision, would press the tasks
     /// that serve too much. A worker may always have one.
     fn is_pressed(&self, node: &Node, step: &Step, here: u64) -> bool {
-        node.lasting_cpu > 0
-            && node.filled_cpu > 0
-            && (node.pressure.level < LEAST_LEVEL
-                || self.expected_tail(node, step, here + 1) > MOST_TAIL)
+        let (tail, rise) = self.expected_tail(node, step, here + 1);
+        node.filled_cpu > 0 && rise > 0.0 && (node.pressure.level < STOP_LEVEL || tail > MOST_TAIL)
     }
 
     /// Preference among workers for a fill task, beside `taken` processors given away in the same
-    /// decision: little fill work and a low expected tail.
+    /// decision: little fill work, and a tail that is low and rises little.
     fn fill_cost(&self, node: &Node, step: &Step, taken: u64) -> u64 {
-        let share = (node.filled_cpu + taken) * 100 / node.room_cpu().max(1);
-        let serves = node.lasting_cpu > 0;
-        let tail = if serves { self.expected_tail(node, step, 1) } else { 0.0 };
-        share + tail as u64
+        let share = ((node.filled_cpu + taken) * 100 / node.room_cpu().max(1)) as f64;
+        let (tail, rise) = self.expected_tail(node, step, 1);
+        (share + tail + RISE_WEIGHT * rise) as u64
     }
 
     /// Tells whether a job has begun.
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use peridotfold_core::flow::message::{EndKind, Pressure};
-use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::message::{EndKind, Pressure, Sample, Up};
+use peridotfold_core::flow::model::{Step, TaskId};
 
 use crate::support::{job, ms, step, World};
 
@@ -67,3 +67,47 @@
     world.advance(Duration::from_secs(3));
     assert_eq!(begun(&world), 1, "but the job has to make progress");
 }
+
+/// Guards against the pattern of the grown guide's calm day: fill tasks were spread over all workers
+/// alike, pressed tails everywhere, and were paced to half, although each image disturbs the serving
+/// tasks of a few images only.
+#[test]
+fn fill_tasks_go_where_they_disturb_nobody() {
+    let mut world = World::new(6, 16_000);
+    let serving = |image: &str| Step {
+        lasting: true,
+        target_ms: 50,
+        image: image.to_owned(),
+        per_worker: 1,
+        ..step(3, 12_000, 0)
+    };
+    world.submit(1, job(2, vec![serving("sensitive")]));
+    world.submit(2, job(2, vec![serving("robust")]));
+    let sensitive: Vec<usize> =
+        world.running().iter().filter(|(_, task)| task.job == 1).map(|(w, _)| *w).collect();
+    let fill = || Step { fills: true, image: "filler".to_owned(), ..step(6, 1_000, 60_000) };
+    world.submit(3, job(2, vec![fill()]));
+    for round in 0..20 {
+        let by = if round % 2 == 0 { 1_000 } else { -1_000 };
+        for worker in &world.workers {
+            let image = |task: &TaskId| worker.running[task].traits.image;
+            let tasks = || worker.running.keys();
+            let Some(filler) = tasks().find(|task| task.job == 3).map(image) else { continue };
+            let serving = tasks().find(|task| task.job < 3).expect("each worker serves");
+            let rise = if serving.job == 1 { by / 2 } else { 0 };
+            let sample =
+                Sample { rises: vec![(image(serving), rise)], changes: vec![(filler, by)] };
+            let (sent, pressure) = (world.now, Pressure { level: 100, tail_percent: 60 });
+            let up = Up::Ping { sent, pressure, samples: vec![sample], alone: Vec::new() };
+            world.owner.receive(world.now, worker.slot, worker.session, up);
+        }
+    }
+    world.submit(4, job(2, vec![fill()]));
+    let disturbed = world
+        .running()
+        .iter()
+        .filter(|(worker, task)| task.job == 4 && sensitive.contains(worker))
+        .count();
+    assert_eq!(world.running().iter().filter(|(_, task)| task.job == 4).count(), 6);
+    assert_eq!(disturbed, 0, "six tasks fit beside tasks that they do not disturb");
+}
--- a/crates/hosted/src/office.rs
+++ b/crates/hosted/src/office.rs
@@ -92,8 +92,8 @@
 
     fn complete(&self, message: Down) -> Down {
         match message {
-            Down::Pong { sent, permission, .. } => {
-                Down::Pong { sent, permission, entries: self.entries() }
+            Down::Pong { sent, permission, weights, .. } => {
+                Down::Pong { sent, permission, entries: self.entries(), weights }
             }
             other => other,
         }
