--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -20,7 +20,7 @@
 const LEAST_FILL_PERCENT: u64 = 50;
 /// Part of their declared processors that lasting tasks are taken to use: their load is about half
 /// of it and swings by half of that.
-const LASTING_USE_PERCENT: u64 = 50;
+const LASTING_USE_PERCENT: u64 = 40;
 /// Expected tail, in percent of its target, up to which a worker gets more fill tasks: those that
 /// it has finish sooner at full pace.
 const MOST_TAIL: f64 = 90.0;
