Keep serving tasks of one image together

Cause: a worker that serves many images presses or is pressed by most fill images; with few images each, more workers suit each fill image.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -86,7 +86,7 @@
 }
 
 /// Preference among workers: smaller is better.
-type Score = (bool, bool, bool, Reverse<u64>, u64);
+type Score = (bool, bool, bool, usize, Reverse<u64>, u64);
 
 impl Owner {
     /// Opens the occurrences whose time has come.
@@ -276,6 +276,7 @@
                 avoid == Some(slot),
                 node.streak > 0,
                 rack.is_some_and(|rack| node.rack() != Some(rack)),
+                node.mixture(step),
                 Reverse(if step.lasting { node.lasting_cpu } else { 0 }),
                 match (step.lasting, step.fills) {
                     (true, _) => free,
@@ -327,6 +328,16 @@
         (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
     }
 
+    /// Serving images on the worker beside that of a serving step. Fill tasks find more workers on
+    /// which they disturb nobody if each serves few images.
+    fn mixture(&self, step: &Step) -> usize {
+        let own = image_number(step);
+        match step.target_ms {
+            0 => 0,
+            _ => self.serving.keys().filter(|image| **image != own).count(),
+        }
+    }
+
     /// Shares of the worker's processors that fill tasks take at full pace.
     fn shares(&self) -> Vec<Share> {
         self.filled.iter().map(|(image, cpu)| (*image, self.share(*cpu))).collect()
