--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -23,7 +23,7 @@
 const LASTING_USE_PERCENT: u64 = 40;
 /// Expected tail, in percent of its target, up to which a worker gets more fill tasks: those that
 /// it has finish sooner at full pace.
-const MOST_TAIL: f64 = 90.0;
+const MOST_TAIL: f64 = 75.0;
 /// Share of the estimated time left, in percent, that a job needs in any case: estimates are rough.
 const SURE_PERCENT: u64 = 60;
 /// Rise of the logarithm of a tail that is not worth avoiding: smaller than what the serving tasks'
