Leave nodes without a worker out of the roster

A node was a member while its agent had a session or a worker, and the roster was written again only when a node came. Ruled out: late agents (all 74 were attached 1.1 s after the power came back). Before: none of the inherited tasks until 6.3 s after the takeover; test red first.

--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -23,7 +23,8 @@
         if self.roster_changed {
             self.roster_changed = false;
             room -= 1;
-            let is_member = |node: &Node| node.session.is_some() || node.worker.is_some();
+            // Without a worker nothing runs, and the next one is listed before it is used.
+            let is_member = |node: &Node| node.worker.is_some();
             slots = (0..self.nodes.len()).filter(|s| is_member(&self.nodes[*s])).collect();
             // A node that is left out has to be listed again before it is used again.
             self.nodes.iter_mut().for_each(|node| node.is_listed &= is_member(node));
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -77,6 +77,7 @@
         node.streak = 0;
         node.rests_until = Time::ZERO;
         self.must_place = true;
+        self.change_roster();
     }
 
     pub(super) fn sweep(&mut self, now: Time) {
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use peridotfold_core::flow::message::EndKind;
+use peridotfold_core::flow::message::{EndKind, Up};
 use peridotfold_core::flow::model::TaskId;
 use peridotfold_core::flow::progress::Phase;
 
@@ -142,6 +142,27 @@
     assert!(listed(&world) && world.running().len() == 1);
 }
 
+/// Guards against a successor that waits for the permission of workers that have left: on trouble-1
+/// of the grown guide 33 workers were replaced before all machines lost power, and nothing of the
+/// jobs before began again for six seconds after all machines were back.
+#[test]
+fn a_successor_does_not_wait_for_workers_that_signed_off() {
+    let mut world = World::new(3, 10_000);
+    let spec = job(2, vec![step(1, 9_000, 500)]);
+    let (slot, session) = (world.workers[2].slot, world.workers[2].session);
+    let worker = world.workers[2].info.id.clone();
+    world.owner.receive(world.now, slot, session, Up::Gone { worker });
+    world.workers.truncate(2);
+    world.settle();
+    world.submit(7, spec.clone());
+    world.workers.iter_mut().for_each(|worker| worker.running.clear());
+    world.take_over(&[(7, spec)]);
+    world.attach(0);
+    world.attach(1);
+    world.advance(ms(500));
+    assert_eq!(world.running().len(), 1, "all workers that may run something were heard");
+}
+
 /// Guards against a burst of starts that every agent rejects: seen on trouble-1 of the guide when an
 /// owner got its lease back after the permissions of its agents had run out.
 #[test]
