--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -15,7 +15,7 @@
     session_token, Down, EndNumber, Image, Pressure, Start, TaskTraits, Token, Up, WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
-use super::press::{Base, Press};
+use super::press::{Base, Press, PressRow};
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState};
 use crate::hash;
@@ -35,6 +35,8 @@
 const COMMIT_KEYS: usize = 30;
 /// Time between two requests of an agent for permission beyond which it may have missed starts.
 const PING_GAP: Duration = Duration::from_millis(1_500);
+/// Time between two stored copies of the learned press; they go with other records.
+const PRESS_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest pause between two looks at timers.
 const IDLE_POLL: Duration = Duration::from_millis(500);
 
@@ -87,6 +89,8 @@
     pub roster: Option<Vec<String>>,
     /// Records of jobs that ended long ago.
     pub expired: Vec<JobNumber>,
+    /// What was learned of the images' press.
+    pub press: Option<Vec<PressRow>>,
 }
 
 /// A job in memory.
@@ -168,6 +172,8 @@
     next_expiry: Time,
     last_sweep: Time,
     pub(super) press: Press,
+    /// When the learned press is stored again.
+    next_press: Time,
 }
 
 impl Owner {
@@ -193,6 +199,7 @@
             next_expiry: now,
             last_sweep: now,
             press: Press::default(),
+            next_press: now + PRESS_INTERVAL,
         }
     }
 
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Commit, Node, Owner, Slot, COMMIT_KEYS, COMMIT_LINGER};
+use super::{Commit, Node, Owner, Slot, COMMIT_KEYS, COMMIT_LINGER, PRESS_INTERVAL};
 use crate::flow::message::Down;
 use crate::time::Time;
 
@@ -32,6 +32,11 @@
             names.extend(slots.iter().map(|slot| self.nodes[*slot].name.clone()));
             commit.roster = Some(names.into_iter().collect());
         }
+        if now >= self.next_press {
+            self.next_press = now + PRESS_INTERVAL;
+            room -= 1;
+            commit.press = Some(self.press.rows()).filter(|rows| !rows.is_empty());
+        }
         let mut versions = Vec::new();
         while let Some(number) = self.dirty.first().copied() {
             let Some(job) = self.jobs.get(&number) else {
--- a/crates/core/src/flow/press.rs
+++ b/crates/core/src/flow/press.rs
@@ -4,6 +4,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::message::{Image, Sample};
 
 /// Assumed rise of the logarithm of a tail by fill tasks on all of a worker's processors, and the
@@ -27,6 +29,15 @@
 /// Fill work on a worker: image and share of the worker's processors.
 pub type Share = (Image, f64);
 
+/// A learned weight, as it is kept for a successor.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PressRow {
+    pub serving: Image,
+    pub fill: Image,
+    pub mean: f32,
+    pub variance: f32,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Weight {
     mean: f64,
@@ -70,6 +81,28 @@
 }
 
 impl Press {
+    /// Returns what a successor needs.
+    pub fn rows(&self) -> Vec<PressRow> {
+        let row = |((serving, fill), weight): (&(Image, Image), &Weight)| PressRow {
+            serving: *serving,
+            fill: *fill,
+            mean: weight.mean as f32,
+            variance: weight.variance as f32,
+        };
+        self.weights.iter().map(row).collect()
+    }
+
+    /// Takes over what a predecessor has learned.
+    pub fn restore(&mut self, rows: &[PressRow]) {
+        let is_sound = |row: &&PressRow| {
+            row.mean.is_finite() && row.variance.is_finite() && row.variance > 0.0
+        };
+        for row in rows.iter().filter(is_sound) {
+            let weight = Weight { mean: row.mean.into(), variance: row.variance.into() };
+            self.weights.insert((row.serving, row.fill), weight);
+        }
+    }
+
     /// Expected rise of the logarithm of a serving image's tail per share of fill work.
     pub fn weight(&self, serving: Image, fill: Image) -> f64 {
         self.weights.get(&(serving, fill)).map_or(FIRST_WEIGHT, |weight| weight.mean.max(0.0))
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -5,6 +5,7 @@
 use super::message::{Down, End, Running, WorkerInfo};
 use super::model::{JobNumber, JobSpec, TaskId};
 use super::owner::{traits, Owner, Slot};
+use super::press::PressRow;
 use super::progress::Progress;
 use super::step::Attempt;
 use crate::time::Time;
@@ -46,6 +47,11 @@
         self.change_roster();
     }
 
+    /// Takes over what a predecessor has learned of the images' press.
+    pub fn inherit_press(&mut self, rows: &[PressRow]) {
+        self.press.restore(rows);
+    }
+
     /// Ends the wait for agents of a predecessor once all were heard or their permission is over.
     pub(super) fn settle_inherited(&mut self, now: Time) {
         let Some(at) = self.quiet_at else { return };
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::message::{EndKind, Pressure, Sample, Up};
-use peridotfold_core::flow::model::{Step, TaskId};
+use peridotfold_core::flow::model::{JobSpec, Step, TaskId};
 
 use crate::support::{job, ms, step, World};
 
@@ -68,11 +68,13 @@
     assert_eq!(begun(&world), 1, "but the job has to make progress");
 }
 
-/// Guards against the pattern of the grown guide's calm day: fill tasks were spread over all workers
-/// alike, pressed tails everywhere, and were paced to half, although each image disturbs the serving
-/// tasks of a few images only.
-#[test]
-fn fill_tasks_go_where_they_disturb_nobody() {
+fn filler() -> Step {
+    Step { fills: true, image: "filler".to_owned(), ..step(6, 1_000, 60_000) }
+}
+
+/// Six workers, of which half serve an image that the fill tasks of job 3 were seen to disturb.
+/// Returns these and the jobs.
+fn taught() -> (World, Vec<usize>, Vec<(u64, JobSpec)>) {
     let mut world = World::new(6, 16_000);
     let serving = |image: &str| Step {
         lasting: true,
@@ -81,12 +83,16 @@
         per_worker: 1,
         ..step(3, 12_000, 0)
     };
-    world.submit(1, job(2, vec![serving("sensitive")]));
-    world.submit(2, job(2, vec![serving("robust")]));
+    let jobs = vec![
+        (1, job(2, vec![serving("sensitive")])),
+        (2, job(2, vec![serving("robust")])),
+        (3, job(2, vec![filler()])),
+    ];
+    world.submit(1, jobs[0].1.clone());
+    world.submit(2, jobs[1].1.clone());
     let sensitive: Vec<usize> =
         world.running().iter().filter(|(_, task)| task.job == 1).map(|(w, _)| *w).collect();
-    let fill = || Step { fills: true, image: "filler".to_owned(), ..step(6, 1_000, 60_000) };
-    world.submit(3, job(2, vec![fill()]));
+    world.submit(3, jobs[2].1.clone());
     for round in 0..20 {
         let by = if round % 2 == 0 { 1_000 } else { -1_000 };
         for worker in &world.workers {
@@ -102,12 +108,36 @@
             world.owner.receive(world.now, worker.slot, worker.session, up);
         }
     }
-    world.submit(4, job(2, vec![fill()]));
-    let disturbed = world
-        .running()
-        .iter()
-        .filter(|(worker, task)| task.job == 4 && sensitive.contains(worker))
-        .count();
-    assert_eq!(world.running().iter().filter(|(_, task)| task.job == 4).count(), 6);
-    assert_eq!(disturbed, 0, "six tasks fit beside tasks that they do not disturb");
+    (world, sensitive, jobs)
+}
+
+/// Submits six more fill tasks; returns how many begin, and how many of them beside `sensitive`.
+fn fill(world: &mut World, sensitive: &[usize]) -> (usize, usize) {
+    world.submit(4, job(2, vec![filler()]));
+    let begun: Vec<usize> =
+        world.running().iter().filter(|(_, task)| task.job == 4).map(|(w, _)| *w).collect();
+    (begun.len(), begun.iter().filter(|worker| sensitive.contains(worker)).count())
+}
+
+/// Guards against the pattern of the grown guide's calm day: fill tasks were spread over all workers
+/// alike, pressed tails everywhere, and were paced to half, although each image disturbs the serving
+/// tasks of a few images only.
+#[test]
+fn fill_tasks_go_where_they_disturb_nobody() {
+    let (mut world, sensitive, _) = taught();
+    assert_eq!(fill(&mut world, &sensitive), (6, 0));
+}
+
+/// Guards against tails over their targets after each change of the owner: on trouble-1 of the grown
+/// guide the mean worst tail was 172 % ten seconds after all machines had lost power.
+#[test]
+fn a_successor_knows_which_fill_tasks_disturb_whom() {
+    let (mut world, sensitive, jobs) = taught();
+    world.advance(Duration::from_secs(6));
+    world.end_all(EndKind::Done, |task| task.job == 3 && task.index == 0);
+    world.advance(Duration::from_secs(1));
+    world.take_over(&jobs);
+    (0..6).for_each(|index| world.attach(index));
+    world.advance(Duration::from_secs(1));
+    assert_eq!(fill(&mut world, &sensitive), (6, 0));
 }
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -158,7 +158,9 @@
         let epoch = 2;
         let mut records: BTreeMap<JobNumber, Progress> = BTreeMap::new();
         let mut roster = Vec::new();
+        let mut press = Vec::new();
         for commit in &self.commits {
+            press = commit.press.clone().unwrap_or(press);
             for record in &commit.records {
                 records.insert(record.job, record.progress.clone());
             }
@@ -167,6 +169,7 @@
         self.owner = Owner::new(settings(epoch), self.now);
         self.owner.set_valid(Time::MAX);
         self.owner.set_predecessor(self.now, roster);
+        self.owner.inherit_press(&press);
         for (number, spec) in jobs {
             let progress = records.remove(number).unwrap_or_default();
             self.owner.inherit(self.now, *number, spec.clone(), progress);
--- a/crates/hosted/src/keeper.rs
+++ b/crates/hosted/src/keeper.rs
@@ -6,6 +6,7 @@
 
 use futures_lite::future;
 use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Record};
+use peridotfold_core::flow::press::PressRow;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 use smol::lock::Mutex;
@@ -127,6 +128,7 @@
         let (inbox, as_of) = self.store.range(records::INBOX).await?;
         let (progress, _) = self.store.range(records::PROGRESS).await?;
         let roster = self.store.get(records::ROSTER).await?;
+        let press = self.store.get(records::PRESS).await?;
         let now = runtime::now();
         let mut owner = Owner::new(OwnerSettings { epoch, ..settings }, now);
         let roster: Vec<String> = match roster.map(|item| records::decode(&item.value)) {
@@ -144,6 +146,12 @@
             agents = roster.len()
         );
         owner.set_predecessor(now, roster);
+        match press.map(|item| records::decode::<Vec<PressRow>>(&item.value)) {
+            Some(Ok(rows)) => owner.inherit_press(&rows),
+            // It is learned again.
+            Some(Err(error)) => tracing::warn!(event = "press_unreadable", %error),
+            None => {}
+        }
         load(&mut owner, now, &inbox, &progress);
         let office = Arc::new(Office::new(owner, self.identity.address));
         Ok((office, as_of))
@@ -443,6 +451,9 @@
             write.removes.push(records::cancel_key(*job));
         }
     }
+    if let Some(press) = &commit.press {
+        write.puts.push((records::PRESS.to_owned(), encoded(press)?, None));
+    }
     if let Some(roster) = &commit.roster {
         write.puts.push((records::ROSTER.to_owned(), encoded(roster)?, None));
     }
--- a/crates/hosted/src/records.rs
+++ b/crates/hosted/src/records.rs
@@ -20,6 +20,8 @@
 pub const FENCE: &str = "own/fence";
 /// Nodes on which tasks may run.
 pub const ROSTER: &str = "own/roster";
+/// What an owner has learned of the press of images.
+pub const PRESS: &str = "own/press";
 
 /// What a key of the inbox stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
