--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -3,16 +3,17 @@
 //! One session is obeyed at a time. It begins by raising the token that the worker has seen, so
 //! that orders of older sessions which are still on their way are refused, and then lists what runs.
 
+mod listing;
+mod pacing;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::gauge::{Figure, Gauge};
-use super::message::{
-    Down, End, EndNumber, Pressure, Running, Sample, Start, TaskTraits, Token, Up, WorkerInfo,
-};
+use super::gauge::Gauge;
+use super::message::{Down, EndNumber, Sample, Start, TaskTraits, Token, Up, WorkerInfo};
 use super::model::{Run, TaskId};
 use super::owner::Decision;
-use super::pace::{Fill, Pacer, Serving};
+use super::pace::Pacer;
 use crate::time::Time;
 
 /// Slowest rate of a worker's clock.
@@ -26,14 +27,6 @@
 const LONG_WAIT: Duration = Duration::from_millis(1_000);
 /// Wait of a look while tails have to be followed.
 const SHORT_WAIT: Duration = Duration::from_millis(450);
-/// Time without progress after which a task is reported as stalled.
-const STALL_AFTER: Duration = Duration::from_millis(2_500);
-/// Pace in percent below which a task is not expected to show progress.
-const STALL_PACE: u32 = 50;
-/// Change of a pace, in percent, that is worth a call.
-const LEAST_CHANGE: u32 = 5;
-/// Change of the level, in percent, that is worth a log line.
-const TELLING_LEVEL: u32 = 20;
 const SAVED_INTERVAL: Duration = Duration::from_secs(1);
 /// Refused connections in a row that prove that the worker's process has ended.
 const REFUSALS: u32 = 2;
@@ -77,6 +70,8 @@
     Done,
     /// The worker refused, and will not do it later.
     Refused(String),
+    /// The worker has seen a higher token.
+    OldToken,
     /// Another life answers at the address.
     OtherLife,
     /// Nothing listens at the address.
@@ -95,9 +90,6 @@
     Relink,
 }
 
-/// Why a worker refuses orders of an older token.
-pub const OLD_TOKEN: &str = "fence";
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunState {
     Starting,
@@ -376,6 +368,7 @@
                 }
             }
             Outcome::Refused(reason) => self.not_started(task, run, &reason),
+            Outcome::OldToken => self.not_started(task, run, "old token"),
             Outcome::OtherLife => self.lose_worker("another life answers"),
             Outcome::NotThere => self.not_started(task, run, "connection refused"),
             Outcome::Unclear => {
@@ -400,210 +393,6 @@
         }
     }
 
-    /// Takes a listing, with the worker's clock.
-    pub fn listed(
-        &mut self,
-        now: Time,
-        worker: &str,
-        token: Token,
-        clock: u64,
-        running: Vec<Running>,
-        ends: Vec<End>,
-    ) {
-        self.looking = self.looking.filter(|(looking, _)| *looking != token);
-        self.adopt_candidate(worker);
-        let Some(link) = &self.link else { return };
-        let (is_attached, session) = (link.is_attached, link.token);
-        let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
-            return;
-        };
-        known.clock = Some((clock, now));
-        known.refusals = 0;
-        if !is_attached {
-            if token == session {
-                self.attach(now, running, ends);
-            }
-            return self.poll(now);
-        }
-        let fresh: Vec<End> = ends.into_iter().filter(|end| end.number > known.forwarded).collect();
-        known.forwarded = fresh.iter().map(|end| end.number).max().unwrap_or(known.forwarded);
-        let is_unseen = known.forwarded > known.seen;
-        for end in &fresh {
-            if self.runs.get(&end.task).is_some_and(|run| run.run <= end.run) {
-                self.runs.remove(&end.task);
-            }
-        }
-        if !fresh.is_empty() {
-            let worker = worker.to_owned();
-            self.actions.push(Action::Send(Up::Ends { worker, ends: fresh }));
-        }
-        self.compare(now, token, &running);
-        self.pace(now, &running);
-        self.next_look = if is_unseen { now + UNSEEN_PAUSE } else { now };
-        self.poll(now);
-    }
-
-    fn adopt_candidate(&mut self, id: &str) {
-        let is_candidate = self.candidate.as_ref().is_some_and(|(info, _)| info.id == id);
-        match self.candidate.take() {
-            Some((info, beat)) if is_candidate => {
-                self.lose_worker("replaced");
-                self.is_empty = false;
-                let worker = Worker { info, beat, clock: None, seen: 0, forwarded: 0, refusals: 0 };
-                self.worker = Some(worker);
-                self.next_look = Time::ZERO;
-                if let Some(link) = &mut self.link {
-                    link.is_attached = false;
-                }
-            }
-            other => self.candidate = other,
-        }
-    }
-
-    /// Reports everything to the owner.
-    fn attach(&mut self, now: Time, running: Vec<Running>, ends: Vec<End>) {
-        let Some(worker) = &mut self.worker else { return };
-        worker.forwarded = ends.iter().map(|end| end.number).max().unwrap_or(0).max(worker.seen);
-        let mut runs = BTreeMap::new();
-        for row in &running {
-            let old = self.runs.remove(&row.task).filter(|run| run.run == row.run);
-            let run = LocalRun {
-                run: row.run,
-                state: RunState::Running,
-                traits: old.as_ref().map(|run| run.traits).unwrap_or_default(),
-                since: now,
-                must_stop: false,
-                stop_sent: None,
-                percent: row.percent,
-                moved: now,
-                saved: row.saved.clone(),
-                saved_sent: true,
-                paced: old.map_or(u32::MAX, |run| run.paced),
-                stall_sent: false,
-            };
-            runs.insert(row.task, run);
-        }
-        self.runs = runs;
-        let info = worker.info.clone();
-        if let Some(link) = &mut self.link {
-            link.is_attached = true;
-        }
-        self.log("attached", format!("worker={} running={}", info.id, running.len()));
-        self.actions.push(Action::Send(Up::Attach { worker: Some(info), running, ends }));
-        self.next_look = now + UNSEEN_PAUSE;
-    }
-
-    /// Brings the local table in line with a listing.
-    fn compare(&mut self, now: Time, token: Token, running: &[Running]) {
-        let issued = now.saturating_sub(LONG_WAIT * 2);
-        let mut missing = Vec::new();
-        let rows: BTreeMap<TaskId, &Running> = running.iter().map(|row| (row.task, row)).collect();
-        let mut stalled = Vec::new();
-        for (task, run) in &mut self.runs {
-            match rows.get(task).filter(|row| row.run == run.run) {
-                Some(row) => {
-                    if let RunState::Doubtful(_) = run.state {
-                        run.state = RunState::Running;
-                    }
-                    if row.percent != run.percent {
-                        run.percent = row.percent;
-                        run.moved = now;
-                    }
-                    if row.saved != run.saved {
-                        run.saved = row.saved.clone();
-                        run.saved_sent = false;
-                    }
-                    let is_working = if run.traits.lasting {
-                        row.percent >= 100
-                    } else {
-                        run.traits.fills && run.paced < STALL_PACE
-                    };
-                    if is_working || run.state != RunState::Running {
-                        run.moved = now;
-                    }
-                    let is_stalled = now >= run.moved + STALL_AFTER && !run.must_stop;
-                    if is_stalled && !run.stall_sent {
-                        run.stall_sent = true;
-                        stalled.push((*task, run.run));
-                    }
-                }
-                None => match run.state {
-                    RunState::Doubtful(needed) if token >= needed => {
-                        missing.push((*task, run.run, "lost order"));
-                    }
-                    RunState::Running if run.since < issued => {
-                        missing.push((*task, run.run, "not listed"));
-                    }
-                    _ => {}
-                },
-            }
-        }
-        for (task, run) in stalled {
-            self.actions.push(Action::Send(Up::Stalled { task, run }));
-        }
-        for (task, run, reason) in missing {
-            self.not_started(task, run, reason);
-        }
-    }
-
-    /// Follows the figures of a listing.
-    fn pace(&mut self, now: Time, running: &[Running]) {
-        let known = |row: &Running| Some((row.task, self.runs.get(&row.task)?.traits));
-        let mut serving = Vec::new();
-        let mut fills = Vec::new();
-        let mut figures = Vec::new();
-        for row in running {
-            match known(row) {
-                Some((task, traits)) if traits.target_ms > 0 && row.percent >= 100 => {
-                    let TaskTraits { image, target_ms, .. } = traits;
-                    serving.push(Serving { image, tail_ms: row.load, target_ms });
-                    figures.push((task, image, Figure::Serves(row.load)));
-                }
-                Some((task, traits)) if traits.fills => {
-                    let TaskTraits { image, cpu_milli: cpu, .. } = traits;
-                    fills.push(Fill { task, image, cpu, used: row.load });
-                    figures.push((task, image, Figure::Fills(row.load)));
-                }
-                _ => {}
-            }
-        }
-        self.samples.extend(self.gauge.observe(now, figures.into_iter()));
-        let before = self.pacer.pressure().level;
-        let paces = self.pacer.observe(now, self.room(), &serving, &fills);
-        let Pressure { level, tail_percent } = self.pacer.pressure();
-        if level.abs_diff(before) >= TELLING_LEVEL {
-            let detail = format!("level={level} before={before} tail_percent={tail_percent}");
-            self.log("pace", detail);
-        }
-        self.send_paces(&paces);
-    }
-
-    /// Processors of the worker, in thousandths of a core.
-    fn room(&self) -> u64 {
-        self.worker.as_ref().map_or(0, |worker| worker.info.room.cpu_milli)
-    }
-
-    /// Orders paces that differ enough from those in force. A task starts at full pace.
-    fn send_paces(&mut self, paces: &[(TaskId, u32)]) {
-        let Some(token) = self.link.as_ref().map(|link| link.token) else { return };
-        let Some(worker) = self.worker.as_ref().map(|worker| worker.info.id.clone()) else {
-            return;
-        };
-        for (task, percent) in paces {
-            let Some(run) = self.runs.get_mut(task) else { continue };
-            let is_end = *percent == 0 || *percent == 100;
-            let is_due = match run.paced.abs_diff(*percent) {
-                0 => false,
-                change => is_end || change >= LEAST_CHANGE,
-            };
-            if run.state == RunState::Running && is_due {
-                run.paced = *percent;
-                let (worker, task, run, percent) = (worker.clone(), *task, run.run, *percent);
-                self.actions.push(Action::Call(Call::Pace { worker, token, task, run, percent }));
-            }
-        }
-    }
-
     /// Takes the outcome of a look that brought no listing.
     pub fn look_failed(&mut self, now: Time, worker: &str, token: Token, outcome: &Outcome) {
         self.looking = self.looking.filter(|(looking, _)| *looking != token);
@@ -627,7 +416,7 @@
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
         }
-        if matches!(outcome, Outcome::Refused(reason) if reason == OLD_TOKEN) {
+        if *outcome == Outcome::OldToken {
             self.actions.push(Action::Relink);
         }
         self.poll(now);
