--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -4,5 +4,6 @@
 mod node;
 mod owner;
 mod pace;
+mod place;
 mod press;
 mod support;
--- /dev/null
+++ b/crates/core/tests/flow/place.rs
@@ -0,0 +1,68 @@
+//! Where tasks may run.
+
+use std::collections::BTreeSet;
+
+use peridotfold_core::flow::message::{EndKind, Up};
+use peridotfold_core::flow::model::Step;
+
+use crate::support::{job, ms, step, World};
+
+/// Guards against members of a gang that wait on workers for others which have no room.
+#[test]
+fn a_gang_starts_as_a_whole_or_not_at_all() {
+    let mut world = World::new(2, 1_000);
+    let gang = |count| Step { gang: true, ..step(count, 900, 500) };
+    world.submit(1, job(2, vec![gang(3)]));
+    assert!(world.started.is_empty(), "there is room for two of three");
+    world.submit(2, job(2, vec![gang(2)]));
+    let runs: BTreeSet<u32> = world.started.iter().map(|(_, _, _, run)| *run).collect();
+    assert_eq!((world.started.len(), runs.len()), (2, 1), "all members share a run");
+}
+
+/// Guards against a gang that runs on after one of its members has ended.
+#[test]
+fn a_gang_that_lost_a_member_is_stopped_and_starts_again_as_a_whole() {
+    let mut world = World::new(2, 1_000);
+    world.submit(1, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+    let first = world.started[0].3;
+    world.end_all(EndKind::Failed, |task| task.index == 0);
+    world.advance(ms(500));
+    let again: Vec<u32> = world.started[2..].iter().map(|(_, _, _, run)| *run).collect();
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|run| *run == again[0] && *run > first), "{again:?}");
+}
+
+/// Guards against a start on a worker that has said that it leaves.
+#[test]
+fn a_draining_worker_gets_no_starts_and_lasting_tasks_leave_it() {
+    let mut world = World::new(2, 1_000);
+    world.submit(1, job(2, vec![Step { lasting: true, ..step(1, 500, 0) }]));
+    let (home, _) = world.running()[0];
+    let (slot, session) = (world.workers[home].slot, world.workers[home].session);
+    let worker = world.workers[home].info.id.clone();
+    let remaining = Some(ms(2_000));
+    world.owner.receive(world.now, slot, session, Up::Draining { worker, remaining });
+    world.settle();
+    world.submit(2, job(2, vec![step(2, 200, 500)]));
+    let places: BTreeSet<usize> = world.running().iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(places, BTreeSet::from([1 - home]));
+    assert_eq!(world.running().len(), 3);
+}
+
+/// Guards against a start beyond a step's limit for each worker, without its label, or on a worker of
+/// another service.
+#[test]
+fn labels_services_and_limits_for_each_worker_bind() {
+    let mut world = World::new(4, 10_000);
+    world.submit(1, job(2, vec![Step { per_worker: 1, ..step(6, 100, 500) }]));
+    assert_eq!(world.running().len(), 4, "one on each worker");
+    let labelled = Step { requires: Some("r1".to_owned()), ..step(3, 100, 500) };
+    world.submit(2, job(2, vec![labelled]));
+    let places: BTreeSet<usize> =
+        world.running().iter().filter(|(_, task)| task.job == 2).map(|(w, _)| *w).collect();
+    assert_eq!(places, BTreeSet::from([3]), "only the fourth worker is in the second rack");
+    let mut foreign = job(2, vec![step(1, 100, 500)]);
+    foreign.queue.service = "other".to_owned();
+    world.submit(3, foreign);
+    assert!(world.running().iter().all(|(_, task)| task.job != 3));
+}
