--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -32,6 +32,9 @@
 /// Part of the processors that fill tasks ask for, in percent, below which a worker gets no more
 /// that disturb it.
 const STOP_LEVEL: u32 = 50;
+/// Factor on the expected rise by a new fill task: tails near their target rose by twice to three
+/// times what the weights say, which are learned at lower tails.
+const PESSIMISM: f64 = 2.0;
 /// Weight of a rise of the expected tail, against the tail itself and the share of a worker's
 /// processors that fill tasks take.
 const RISE_WEIGHT: f64 = 2.0;
@@ -419,7 +422,7 @@
         for (image, (_, base)) in &node.serving {
             let more = self.press.rise(*image, &own);
             let before = self.press.rise(*image, &shares);
-            let (tail, rise) = (base.tail(before + more), base.tail(before));
+            let (tail, rise) = (base.tail(before + PESSIMISM * more), base.tail(before));
             if more > SMALL_RISE && tail > worst.0 {
                 worst = (tail, tail - rise);
             }
