End an owner that sees another's claim before it sees later jobs

Cause: when the store takes an owner's lock away before its time, another entry claims it while the first still owns the work by its own clock. A job accepted after the claim is inherited by neither: both started it on the agents that they had. The lock now stands in the inbox that the owner watches, so that the claim comes before the job in the order of revisions; a listing after a dropped history is checked too. Ruled out: waiting with new jobs after each takeover (up to 3 s for each), and a read of the lock with each batch (a call each). Test red first.

--- a/crates/hosted/src/keeper.rs
+++ b/crates/hosted/src/keeper.rs
@@ -385,26 +385,47 @@
         true
     }
 
+    /// Tells whether another process has claimed the ownership, by items of the inbox.
+    fn is_succeeded(&self, items: &[Item]) -> bool {
+        let lock = items.iter().rfind(|item| item.key == records::LOCK);
+        match lock.map(|item| records::decode::<Lock>(&item.value)) {
+            Some(Ok(lock)) if lock.boot != self.identity.boot => {
+                tracing::warn!(event = "ownership_lost", reason = "another lock", node = lock.node);
+                true
+            }
+            Some(Err(error)) => {
+                tracing::error!(event = "lock_unreadable", %error);
+                false
+            }
+            _ => false,
+        }
+    }
+
     async fn watch(&self, office: &Office, as_of: Revision) {
         let mut after = as_of;
         loop {
             match self.store.watch(records::INBOX, after, WATCH_WAIT).await {
                 Ok(Watched::Changes { changes, as_of }) => {
                     after = as_of;
-                    if !changes.is_empty() {
-                        office.update(|owner, now| {
-                            for change in &changes {
-                                if let Change::Written(item) = change {
-                                    note(owner, now, item);
-                                }
-                            }
-                        });
+                    let written = |change| match change {
+                        Change::Written(item) => Some(item),
+                        Change::Removed(_) => None,
+                    };
+                    let items: Vec<Item> = changes.into_iter().filter_map(written).collect();
+                    if self.is_succeeded(&items) {
+                        return;
+                    }
+                    if !items.is_empty() {
+                        office.update(|owner, now| items.iter().for_each(|i| note(owner, now, i)));
                     }
                 }
                 Ok(Watched::Forgotten) => match self.store.range(records::INBOX).await {
                     Ok((items, as_of)) => {
                         tracing::info!(event = "inbox_read_again", items = items.len());
                         after = as_of;
+                        if self.is_succeeded(&items) {
+                            return;
+                        }
                         office.update(|owner, now| items.iter().for_each(|i| note(owner, now, i)));
                     }
                     Err(error) => {
@@ -469,6 +490,7 @@
             Err(error) => tracing::error!(event = "record_unreadable", key = item.key, %error),
         },
         Some(InboxKey::Cancel(job)) => owner.cancel(job),
+        Some(InboxKey::Lock) => {}
         None => tracing::error!(event = "key_unknown", key = item.key),
     }
 }
@@ -495,6 +517,7 @@
                 }
             },
             Some(InboxKey::Cancel(job)) => cancels.push(job),
+            Some(InboxKey::Lock) => {}
             None => tracing::error!(event = "key_unknown", key = item.key),
         }
     }
--- a/crates/hosted/src/records.rs
+++ b/crates/hosted/src/records.rs
@@ -8,14 +8,15 @@
 
 use peridotfold_core::flow::model::JobNumber;
 
-/// Accepted jobs and cancels; the owner watches it.
+/// Accepted jobs, cancels and the lock; the owner watches it.
 pub const INBOX: &str = "in/";
 const JOBS: &str = "in/j/";
 const CANCELS: &str = "in/x/";
 /// Progress of jobs.
 pub const PROGRESS: &str = "st/";
-/// Who owns the work; lives as long as the owner's lease.
-pub const LOCK: &str = "own/lock";
+/// Who owns the work; lives as long as the owner's lease. It stands in the inbox, so that an owner whose
+/// lock was taken away sees its successor's claim before any job that is accepted later.
+pub const LOCK: &str = "in/owner";
 /// Number of the last write of an owner.
 pub const FENCE: &str = "own/fence";
 /// Nodes on which tasks may run.
@@ -28,6 +29,7 @@
 pub enum InboxKey {
     Job(JobNumber),
     Cancel(JobNumber),
+    Lock,
 }
 
 /// Key of an accepted job.
@@ -49,6 +51,7 @@
 pub fn inbox_key(key: &str) -> Option<InboxKey> {
     let number = |text: &str| JobNumber::from_str_radix(text, 16).ok();
     match (key.strip_prefix(JOBS), key.strip_prefix(CANCELS)) {
+        _ if key == LOCK => Some(InboxKey::Lock),
         (Some(job), _) => number(job).map(InboxKey::Job),
         (_, Some(job)) => number(job).map(InboxKey::Cancel),
         _ => None,
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -98,6 +98,31 @@
     });
 }
 
+/// Guards against two owners that both start a new job: the store takes the lock of an owner away
+/// before its time, another entry claims it, and the first goes on by its own clock. Seen on seed
+/// 1012 of the soak: four tasks ran twice.
+#[test]
+fn an_owner_whose_lock_another_entry_holds_ends_before_it_sees_later_jobs() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let (first, stop) = start_entry("first", &store);
+        assert!(owns(&store, "first").await);
+        let begun = Instant::now();
+        while first.waiting("q").await.is_none() && begun.elapsed() < TAKEOVER {
+            runtime::sleep(Duration::from_millis(20)).await;
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let lock = records::Lock { node: "other".to_owned(), boot: 1, address };
+        store.put(records::LOCK, records::encode(&lock).expect("a record"));
+        let begun = Instant::now();
+        while first.waiting("q").await.is_some() && begun.elapsed() < TAKEOVER {
+            runtime::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(first.waiting("q").await, None, "it still owns the work");
+        drop(stop);
+    });
+}
+
 /// Guards against callers who are refused at an entry that owned the work until the store turned it
 /// away, though the new owner would store their jobs. Seen on incident inc-3e4e: 34 in 6 s.
 #[test]
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -78,6 +78,12 @@
         self.1.store(refuses, Ordering::Relaxed);
     }
 
+    /// Writes a key, as another process does.
+    pub fn put(&self, key: &str, value: Bytes) {
+        let puts = vec![(key.to_owned(), value, None)];
+        self.0.lock().apply(&Write { puts, ..Write::default() });
+    }
+
     /// Removes a key, as the end of its lease does.
     pub fn expire(&self, key: &str) {
         self.0.lock().items.remove(key);
