Keep no worker for a lasting task that never fits beside the others there

Cause: the worker kept for a waiting lasting task was chosen by processors alone. Where other lasting tasks leave no memory for it, the worker took no reserving task any more, for as long as it waited. Test red first ([1] began, [1, 3, 3] expected). What lasting tasks reserve is now counted in all resources, not in processors only.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -126,8 +126,8 @@
     pub used: Resources,
     /// Processors of fill tasks, which reserve none.
     pub filled_cpu: u64,
-    /// Processors of lasting tasks.
-    pub lasting_cpu: u64,
+    /// Reserved for lasting tasks.
+    pub lasting: Resources,
     pub pressure: Pressure,
     /// Fill work by image, in thousandths of a core.
     pub(super) filled: BTreeMap<Image, u64>,
@@ -411,6 +411,9 @@
         let node = &mut self.nodes[slot];
         if node.tasks.remove(task).is_some() {
             node.used = node.used.minus(&step.reserved());
+            if step.lasting {
+                node.lasting = node.lasting.minus(&step.need);
+            }
             node.tally(step, |known, change| known - change);
         }
         self.must_place = true;
@@ -421,6 +424,9 @@
         let node = &mut self.nodes[slot];
         if node.tasks.insert(task, run).is_none() {
             node.used = node.used.plus(&step.reserved());
+            if step.lasting {
+                node.lasting = node.lasting.plus(&step.need);
+            }
             node.tally(step, |known, change| known + change);
         }
     }
@@ -512,7 +518,7 @@
 }
 
 impl Node {
-    /// Changes the sums of fill and lasting work by those of one task of `step`.
+    /// Changes the sums by image by one task of `step`.
     fn tally(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
         if step.fills {
             self.filled_cpu = change(self.filled_cpu, step.need.cpu_milli);
@@ -520,9 +526,6 @@
             *cpu = change(*cpu, step.need.cpu_milli);
             self.filled.retain(|_, cpu| *cpu > 0);
         }
-        if step.lasting {
-            self.lasting_cpu = change(self.lasting_cpu, step.need.cpu_milli);
-        }
         if step.target_ms > 0 {
             let (count, _) = self.serving.entry(image_number(step)).or_default();
             *count = change(u64::from(*count), 1) as u32;
@@ -539,7 +542,7 @@
             worker: None,
             used: Resources::default(),
             filled_cpu: 0,
-            lasting_cpu: 0,
+            lasting: Resources::default(),
             pressure: Pressure::default(),
             filled: BTreeMap::new(),
             serving: BTreeMap::new(),
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -66,7 +66,7 @@
         node.tasks.clear();
         node.used = Resources::default();
         node.filled_cpu = 0;
-        node.lasting_cpu = 0;
+        node.lasting = Resources::default();
         node.pressure = Pressure::default();
         node.filled.clear();
         node.serving.clear();
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -182,7 +182,7 @@
         let suits = |(slot, node): &(Slot, &Node)| {
             let same = state.per_worker.get(slot).copied().unwrap_or(0);
             node.may_start(now, spec, step)
-                && node.lasting_cpu + step.need.cpu_milli <= node.room_cpu()
+                && node.holds_beside_lasting(&step.need)
                 && (step.per_worker == 0 || same < step.per_worker)
                 && !self.held.contains(slot)
         };
@@ -309,7 +309,7 @@
                 node.streak > 0,
                 rack.is_some_and(|rack| node.rack() != Some(rack)),
                 node.mixture(step),
-                Reverse(if step.lasting { node.lasting_cpu } else { 0 }),
+                Reverse(if step.lasting { node.lasting.cpu_milli } else { 0 }),
                 match (step.lasting, step.fills) {
                     (true, _) => free,
                     (false, true) => self.fill_cost(node, step, taken),
@@ -354,9 +354,15 @@
         self.worker.as_ref().map_or(0, |worker| worker.room.cpu_milli)
     }
 
+    /// Tells whether `need` fits once all shorter tasks have ended.
+    fn holds_beside_lasting(&self, need: &Resources) -> bool {
+        let room = self.worker.as_ref().map(|worker| worker.room);
+        room.is_some_and(|room| self.lasting.plus(need).fits_in(&room))
+    }
+
     /// Processors that fill tasks are expected to get, beyond those that are there.
     fn unused_cpu(&self) -> u64 {
-        let idle = self.lasting_cpu * (100 - LASTING_USE_PERCENT) / 100;
+        let idle = self.lasting.cpu_milli * (100 - LASTING_USE_PERCENT) / 100;
         (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
     }
 
--- a/crates/core/src/flow/views.rs
+++ b/crates/core/src/flow/views.rs
@@ -38,7 +38,7 @@
             mean(|node| u64::from(node.pressure.level)),
             mean(|node| u64::from(node.pressure.tail_percent)),
             mean(|node| node.used.cpu_milli),
-            mean(|node| node.lasting_cpu),
+            mean(|node| node.lasting.cpu_milli),
             mean(|node| node.filled_cpu),
         )
     }
--- a/crates/core/tests/flow/place.rs
+++ b/crates/core/tests/flow/place.rs
@@ -4,6 +4,7 @@
 
 use peridotfold_core::flow::message::{EndKind, Up};
 use peridotfold_core::flow::model::Step;
+use peridotfold_core::resources::Resources;
 
 use crate::support::{job, ms, step, World};
 
@@ -66,3 +67,17 @@
     world.submit(3, foreign);
     assert!(world.running().iter().all(|(_, task)| task.job != 3));
 }
+
+/// Guards against a worker that takes nothing any more because it is kept for a lasting task which
+/// other lasting tasks leave no memory for.
+#[test]
+fn a_worker_is_not_kept_for_a_lasting_task_that_never_fits_there() {
+    let mut world = World::new(1, 4_000);
+    let lasting =
+        |memory| Step { lasting: true, need: Resources::new(500, memory, 0), ..step(1, 0, 0) };
+    world.submit(1, job(2, vec![lasting(900_000)]));
+    world.submit(2, job(2, vec![lasting(200_000)]));
+    world.submit(3, job(2, vec![step(2, 1_000, 500)]));
+    let begun: Vec<_> = world.running().iter().map(|(_, task)| task.job).collect();
+    assert_eq!(begun, [1, 3, 3]);
+}
