Split reservations and fill tasks off the owner and the placement

Moved, with names and values unchanged: owner/room.rs (reservations), place/fills.rs (where fill tasks fit and whom they disturb). The gauge takes the same rows as the pacer in place of a second list of figures; weights are scaled for messages in one place; the lower limit of a learned weight has a constant of its own. The gauge's test keeps its expectations on the new rows. No behaviour changes.

--- a/crates/core/src/flow/gauge.rs
+++ b/crates/core/src/flow/gauge.rs
@@ -5,6 +5,7 @@
 
 use super::message::{Image, Sample};
 use super::model::TaskId;
+use super::pace::{Fill, Serving};
 use crate::time::Time;
 
 /// Looks further apart than this are not compared: the serving tasks' own load has changed too.
@@ -12,15 +13,6 @@
 /// Change of the fill work, in thousandths of a core, that tells something beside rounding.
 const LEAST_CHANGE: i64 = 100;
 
-/// What a look says of one task.
-#[derive(Debug, Clone, Copy)]
-pub enum Figure {
-    /// Tail latency, in ms.
-    Serves(u64),
-    /// Processors in use, in thousandths of a core.
-    Fills(u64),
-}
-
 /// Compares successive looks.
 #[derive(Debug, Default)]
 pub struct Gauge {
@@ -32,26 +24,19 @@
 impl Gauge {
     /// Takes the figures of a look; returns how tails and fill work changed since the last one, if
     /// both did.
-    pub fn observe(
-        &mut self,
-        now: Time,
-        figures: impl Iterator<Item = (TaskId, Image, Figure)>,
-    ) -> Option<Sample> {
-        let mut tails = BTreeMap::new();
+    pub fn observe(&mut self, now: Time, serving: &[Serving], filling: &[Fill]) -> Option<Sample> {
         let mut fills: BTreeMap<Image, i64> = BTreeMap::new();
+        for fill in filling {
+            *fills.entry(fill.image).or_default() += fill.used as i64;
+        }
+        let mut tails = BTreeMap::new();
         let mut rises: BTreeMap<Image, (f64, u32)> = BTreeMap::new();
-        for (task, image, figure) in figures {
-            match (figure, self.tails.get(&task)) {
-                (Figure::Fills(used), _) => *fills.entry(image).or_default() += used as i64,
-                (Figure::Serves(0), _) => {}
-                (Figure::Serves(tail), before) => {
-                    tails.insert(task, tail);
-                    if let Some(before) = before {
-                        let (sum, count) = rises.entry(image).or_default();
-                        *sum += (tail as f64 / *before as f64).ln();
-                        *count += 1;
-                    }
-                }
+        for row in serving.iter().filter(|row| row.tail_ms > 0) {
+            tails.insert(row.task, row.tail_ms);
+            if let Some(before) = self.tails.get(&row.task) {
+                let (sum, count) = rises.entry(row.image).or_default();
+                *sum += (row.tail_ms as f64 / *before as f64).ln();
+                *count += 1;
             }
         }
         let images = self.fills.keys().chain(fills.keys().filter(|i| !self.fills.contains_key(i)));
--- a/crates/core/src/flow/node/pacing.rs
+++ b/crates/core/src/flow/node/pacing.rs
@@ -1,7 +1,6 @@
 //! Paces of fill tasks, from the figures of a listing.
 
 use super::{Action, Call, Node, RunState};
-use crate::flow::gauge::Figure;
 use crate::flow::message::{Pressure, Running, TaskTraits};
 use crate::flow::model::TaskId;
 use crate::flow::pace::{Fill, Serving};
@@ -18,23 +17,20 @@
         let known = |row: &Running| Some((row.task, self.runs.get(&row.task)?.traits));
         let mut serving = Vec::new();
         let mut fills = Vec::new();
-        let mut figures = Vec::new();
         for row in running {
             match known(row) {
                 Some((task, traits)) if traits.target_ms > 0 && row.percent >= 100 => {
                     let TaskTraits { image, target_ms, .. } = traits;
-                    serving.push(Serving { image, tail_ms: row.load, target_ms });
-                    figures.push((task, image, Figure::Serves(row.load)));
+                    serving.push(Serving { task, image, tail_ms: row.load, target_ms });
                 }
                 Some((task, traits)) if traits.fills => {
                     let TaskTraits { image, cpu_milli: cpu, .. } = traits;
                     fills.push(Fill { task, image, cpu, used: row.load });
-                    figures.push((task, image, Figure::Fills(row.load)));
                 }
                 _ => {}
             }
         }
-        self.samples.extend(self.gauge.observe(now, figures.into_iter()));
+        self.samples.extend(self.gauge.observe(now, &serving, &fills));
         let before = self.pacer.pressure().level;
         let paces = self.pacer.observe(now, self.room(), &serving, &fills);
         let Pressure { level, tail_percent } = self.pacer.pressure();
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -5,6 +5,7 @@
 
 mod commit;
 mod ends;
+mod room;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -406,47 +407,6 @@
         (task.index < job.spec.steps[usize::from(task.step)].count).then_some((&job.spec, state))
     }
 
-    /// Gives the reservation of a task back.
-    pub(super) fn release(&mut self, slot: Slot, task: &TaskId, step: &Step) {
-        let node = &mut self.nodes[slot];
-        if node.tasks.remove(task).is_some() {
-            node.used = node.used.minus(&step.reserved());
-            if step.lasting {
-                node.lasting = node.lasting.minus(&step.need);
-            }
-            node.tally(step, |known, change| known - change);
-        }
-        self.must_place = true;
-    }
-
-    /// Takes a reservation for a task.
-    pub(super) fn reserve(&mut self, slot: Slot, task: TaskId, run: Run, step: &Step) {
-        let node = &mut self.nodes[slot];
-        if node.tasks.insert(task, run).is_none() {
-            node.used = node.used.plus(&step.reserved());
-            if step.lasting {
-                node.lasting = node.lasting.plus(&step.need);
-            }
-            node.tally(step, |known, change| known + change);
-        }
-    }
-
-    /// Forgets the run of a task on a worker. The task waits again unless its job has ended.
-    pub(super) fn drop_run(&mut self, task: &TaskId, run: Run) -> Option<Slot> {
-        let is_final = self.jobs.get(&task.job)?.phase.is_final();
-        let (spec, state) = self.step_mut(task)?;
-        if state.running.get(&task.index)?.run != run {
-            return None;
-        }
-        let step = spec.steps[usize::from(task.step)].clone();
-        let attempt = state.end(task.index)?;
-        if !is_final && !state.done.contains(task.index) {
-            state.waiting.insert(task.index);
-        }
-        self.release(attempt.slot, task, &step);
-        Some(attempt.slot)
-    }
-
     /// Performs what is due. `wall` is the time of day.
     pub fn poll(&mut self, now: Time, wall: WallMs) {
         self.sweep(now);
@@ -518,21 +478,6 @@
 }
 
 impl Node {
-    /// Changes the sums by image by one task of `step`.
-    fn tally(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
-        if step.fills {
-            self.filled_cpu = change(self.filled_cpu, step.need.cpu_milli);
-            let cpu = self.filled.entry(image_number(step)).or_default();
-            *cpu = change(*cpu, step.need.cpu_milli);
-            self.filled.retain(|_, cpu| *cpu > 0);
-        }
-        if step.target_ms > 0 {
-            let (count, _) = self.serving.entry(image_number(step)).or_default();
-            *count = change(u64::from(*count), 1) as u32;
-            self.serving.retain(|_, (count, _)| *count > 0);
-        }
-    }
-
     fn new(name: &str, now: Time) -> Self {
         Node {
             name: name.to_owned(),
--- a/crates/core/src/flow/pace.rs
+++ b/crates/core/src/flow/pace.rs
@@ -37,6 +37,7 @@
 /// A serving task with its figures.
 #[derive(Debug, Clone, Copy)]
 pub struct Serving {
+    pub task: TaskId,
     pub image: Image,
     pub tail_ms: u64,
     pub target_ms: u32,
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -1,43 +1,22 @@
 //! Which waiting task starts next, and on which worker.
 
+mod fills;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::message::{Image, Sample, WEIGHT_SCALE};
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
-use super::owner::{image_number, Job, Node, Owner, Slot};
-use super::press::Share;
+use super::owner::{Job, Node, Owner, Slot};
 use super::progress::{Phase, Progress};
 use crate::resources::Resources;
 use crate::time::Time;
 
 /// Late jobs still earn up to this many times their objective.
 const LATE_FACTOR: u32 = 3;
-/// A fill task may start on a worker that leaves it this part of what it asks for, if no other
-/// fill task is there.
-const LEAST_FILL_PERCENT: u64 = 50;
-/// Part of their declared processors that lasting tasks are taken to use: their load is about half
-/// of it and swings by half of that.
-const LASTING_USE_PERCENT: u64 = 40;
-/// Expected tail, in percent of its target, up to which a worker gets more fill tasks: those that
-/// it has finish sooner at full pace.
-const MOST_TAIL: f64 = 75.0;
 /// Share of the estimated time left, in percent, that a job needs in any case: estimates are rough.
 const SURE_PERCENT: u64 = 60;
-/// Rise of the logarithm of a tail that is not worth avoiding: smaller than what the serving tasks'
-/// own load does within a second.
-const SMALL_RISE: f64 = 0.02;
-/// Part of the processors that fill tasks ask for, in percent, below which a worker gets no more
-/// that disturb it.
-const STOP_LEVEL: u32 = 50;
-/// Factor on the expected rise by a new fill task: tails near their target rose by twice to three
-/// times what the weights say, which are learned at lower tails.
-const PESSIMISM: f64 = 2.0;
-/// Weight of a rise of the expected tail, against the tail itself and the share of a worker's
-/// processors that fill tasks take.
-const RISE_WEIGHT: f64 = 2.0;
 /// Age of an agent's permission up to which it gets starts: agents ask each second, and permissions
 /// last several times as long.
 const FRESH_PERMISSION: Duration = Duration::from_secs(3);
@@ -360,31 +339,6 @@
         room.is_some_and(|room| self.lasting.plus(need).fits_in(&room))
     }
 
-    /// Processors that fill tasks are expected to get, beyond those that are there.
-    fn unused_cpu(&self) -> u64 {
-        let idle = self.lasting.cpu_milli * (100 - LASTING_USE_PERCENT) / 100;
-        (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
-    }
-
-    /// Serving images on the worker beside that of a serving step. Fill tasks find more workers on
-    /// which they disturb nobody if each serves few images.
-    fn mixture(&self, step: &Step) -> usize {
-        let own = image_number(step);
-        match step.target_ms {
-            0 => 0,
-            _ => self.serving.keys().filter(|image| **image != own).count(),
-        }
-    }
-
-    /// Shares of the worker's processors that fill tasks take at full pace.
-    fn shares(&self) -> Vec<Share> {
-        self.filled.iter().map(|(image, cpu)| (*image, self.share(*cpu))).collect()
-    }
-
-    fn share(&self, cpu: u64) -> f64 {
-        cpu as f64 / self.room_cpu().max(1) as f64
-    }
-
     /// Tells whether tasks of the step may start here at all.
     pub(super) fn may_start(&self, now: Time, spec: &JobSpec, step: &Step) -> bool {
         let Some(worker) = &self.worker else { return false };
@@ -405,81 +359,11 @@
         for _ in 0..taken {
             used = used.plus(&reserved);
         }
-        let free = self.unused_cpu().saturating_sub(taken * step.need.cpu_milli);
-        let fill_fits = !step.fills
-            || free >= step.need.cpu_milli
-            || (self.filled_cpu == 0
-                && free * 100 >= step.need.cpu_milli * LEAST_FILL_PERCENT
-                && step.need.cpu_milli > worker.room.cpu_milli / 2);
-        fill_fits && used.fits_in(&worker.room)
+        used.fits_in(&worker.room) && (!step.fills || self.fill_fits(step, taken))
     }
 }
 
 impl Owner {
-    /// Learns from the last report of a worker.
-    pub(super) fn learn_press(&mut self, slot: Slot, samples: &[Sample], alone: &[(Image, u32)]) {
-        let node = &mut self.nodes[slot];
-        for sample in samples {
-            self.press.learn(sample, node.room_cpu());
-        }
-        for (image, percent) in alone {
-            if let Some((_, base)) = node.serving.get_mut(image) {
-                base.learn(*percent);
-            }
-        }
-    }
-
-    /// Weights of a step's image beside the serving images of a worker.
-    pub(super) fn weights_of(&self, slot: Slot, step: &Step) -> Vec<(Image, u32)> {
-        let fill = image_number(step);
-        let weight =
-            |image: &Image| (*image, (self.press.weight(*image, fill) * WEIGHT_SCALE) as u32);
-        match step.fills {
-            true => self.nodes[slot].serving.keys().map(weight).collect(),
-            false => Vec::new(),
-        }
-    }
-
-    /// Weights of all fill images of a worker beside its serving images.
-    pub(super) fn weights(&self, slot: Slot) -> Vec<(Image, Image, u32)> {
-        let node = &self.nodes[slot];
-        let pairs = node.filled.keys().flat_map(|f| node.serving.keys().map(move |s| (*s, *f)));
-        pairs.map(|(s, f)| (s, f, (self.press.weight(s, f) * WEIGHT_SCALE) as u32)).collect()
-    }
-
-    /// Highest expected tail beside all fill tasks of a worker at full pace and `count` more tasks of
-    /// a step, in percent of its target, and how much of it these cause. Only serving images that
-    /// the step disturbs count.
-    fn expected_tail(&self, node: &Node, step: &Step, count: u64) -> (f64, f64) {
-        let shares = node.shares();
-        let own = [(image_number(step), node.share(step.need.cpu_milli * count))];
-        let mut worst = (0.0, 0.0);
-        for (image, (_, base)) in &node.serving {
-            let more = self.press.rise(*image, &own);
-            let before = self.press.rise(*image, &shares);
-            let (tail, rise) = (base.tail(before + PESSIMISM * more), base.tail(before));
-            if more > SMALL_RISE && tail > worst.0 {
-                worst = (tail, tail - rise);
-            }
-        }
-        worst
-    }
-
-    /// Tells whether one more fill task, beside `here` in the same decision, would press the tasks
-    /// that serve too much. A worker may always have one.
-    fn is_pressed(&self, node: &Node, step: &Step, here: u64) -> bool {
-        let (tail, rise) = self.expected_tail(node, step, here + 1);
-        node.filled_cpu > 0 && rise > 0.0 && (node.pressure.level < STOP_LEVEL || tail > MOST_TAIL)
-    }
-
-    /// Preference among workers for a fill task, beside `taken` processors given away in the same
-    /// decision: little fill work, and a tail that is low and rises little.
-    fn fill_cost(&self, node: &Node, step: &Step, taken: u64) -> u64 {
-        let share = ((node.filled_cpu + taken) * 100 / node.room_cpu().max(1)) as f64;
-        let (tail, rise) = self.expected_tail(node, step, 1);
-        (share + tail + RISE_WEIGHT * rise) as u64
-    }
-
     /// Tells whether a job has begun.
     pub(super) fn note_running(&mut self, number: JobNumber) {
         if let Some(job) = self.jobs.get_mut(&number).filter(|job| job.phase == Phase::Queued) {
--- a/crates/core/src/flow/press.rs
+++ b/crates/core/src/flow/press.rs
@@ -6,12 +6,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::message::{Image, Sample};
+use super::message::{Image, Sample, WEIGHT_SCALE};
 
 /// Assumed rise of the logarithm of a tail by fill tasks on all of a worker's processors, and the
 /// variance of that assumption: pairs were seen from 0 to 6, most of them under 0.5.
 pub const FIRST_WEIGHT: f64 = 1.0;
 const FIRST_VARIANCE: f64 = 4.0;
+/// Limits of a learned weight: below zero by chance only, above the largest seen by twice.
+const LEAST_WEIGHT: f64 = -1.0;
 const MOST_WEIGHT: f64 = 12.0;
 /// Variance of the change of a logarithm between two looks by the serving task's own load.
 const NOISE: f64 = 0.1;
@@ -108,6 +110,11 @@
         self.weights.get(&(serving, fill)).map_or(FIRST_WEIGHT, |weight| weight.mean.max(0.0))
     }
 
+    /// The same as a whole number for messages.
+    pub fn scaled(&self, serving: Image, fill: Image) -> u32 {
+        (self.weight(serving, fill) * WEIGHT_SCALE) as u32
+    }
+
     /// Expected rise of the logarithm of a serving image's tail beside these shares.
     pub fn rise(&self, serving: Image, shares: &[Share]) -> f64 {
         shares.iter().map(|(fill, share)| self.weight(serving, *fill) * share).sum()
@@ -134,7 +141,7 @@
                 let gain = known.variance * share / (NOISE + spread);
                 let mean = known.mean + gain * (seen - expected);
                 let weight = Weight {
-                    mean: mean.clamp(-FIRST_WEIGHT, MOST_WEIGHT),
+                    mean: mean.clamp(LEAST_WEIGHT, MOST_WEIGHT),
                     variance: known.variance * (1.0 - gain * share) + DRIFT,
                 };
                 self.weights.insert((*serving, fill), weight);
--- a/crates/core/tests/flow/pace.rs
+++ b/crates/core/tests/flow/pace.rs
@@ -13,7 +13,8 @@
 }
 
 fn serving(image: u32, tail_ms: u64) -> Serving {
-    Serving { image, tail_ms, target_ms: TARGET }
+    let task = TaskId { job: 2, occurrence: 0, step: 0, index: image };
+    Serving { task, image, tail_ms, target_ms: TARGET }
 }
 
 /// Plays `seconds` with a tail that fill tasks raise from `alone` by `press` at full pace.
--- a/crates/core/tests/flow/press.rs
+++ b/crates/core/tests/flow/press.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use peridotfold_core::flow::gauge::{Figure, Gauge};
+use peridotfold_core::flow::gauge::Gauge;
 use peridotfold_core::flow::message::{Image, Sample};
 use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::pace::{Fill, Serving};
 use peridotfold_core::flow::press::Press;
 
 use crate::support::ms;
@@ -46,30 +47,31 @@
     TaskId { job: 1, occurrence: 0, step: 0, index }
 }
 
+fn serves(index: u32, image: Image, tail_ms: u64) -> Serving {
+    Serving { task: task(index), image, tail_ms, target_ms: 50 }
+}
+
+fn fills(index: u32, image: Image, used: u64) -> Fill {
+    Fill { task: task(index), image, cpu: 4_000, used }
+}
+
 /// Guards against a lesson drawn from tasks that were not there before, or from looks that are so
 /// far apart that the load has changed.
 #[test]
 fn only_tasks_seen_in_two_close_looks_teach() {
     let mut gauge = Gauge::default();
-    let look = |rows: &[(u32, Image, Figure)]| {
-        rows.iter().map(|(t, i, f)| (task(*t), *i, *f)).collect::<Vec<_>>().into_iter()
-    };
-    let (serves, fills) = (Figure::Serves, Figure::Fills);
-    let first = [(1, 10, serves(20)), (2, 50, fills(1_000))];
-    assert_eq!(gauge.observe(ms(1_000), look(&first)), None);
-    let second = [
-        (1, 10, serves(40)),
-        (3, 11, serves(90)),
-        (2, 50, fills(1_000)),
-        (4, 51, fills(2_000)),
-        (5, 10, serves(0)),
-    ];
-    let sample = gauge.observe(ms(1_500), look(&second)).expect("fill work was added");
+    let first = ([serves(1, 10, 20)], [fills(2, 50, 1_000)]);
+    assert_eq!(gauge.observe(ms(1_000), &first.0, &first.1), None);
+    let second = (
+        [serves(1, 10, 40), serves(3, 11, 90), serves(5, 10, 0)],
+        [fills(2, 50, 1_000), fills(4, 51, 2_000)],
+    );
+    let sample = gauge.observe(ms(1_500), &second.0, &second.1).expect("fill work was added");
     assert_eq!(sample, Sample { rises: vec![(10, 693)], changes: vec![(51, 2_000)] });
-    let third = [(1, 10, serves(20)), (3, 11, serves(45)), (2, 50, fills(1_000))];
-    let sample = gauge.observe(ms(2_000), look(&third)).expect("fill work was taken away");
+    let third = ([serves(1, 10, 20), serves(3, 11, 45)], [fills(2, 50, 1_000)]);
+    let sample = gauge.observe(ms(2_000), &third.0, &third.1).expect("fill work was taken away");
     let rises: BTreeMap<Image, i32> = sample.rises.into_iter().collect();
     assert_eq!(rises, BTreeMap::from([(10, -693), (11, -693)]));
     assert_eq!(sample.changes, vec![(51, -2_000)]);
-    assert_eq!(gauge.observe(ms(4_000), look(&second)), None, "two seconds later");
+    assert_eq!(gauge.observe(ms(4_000), &second.0, &second.1), None, "two seconds later");
 }
