--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -125,12 +125,10 @@
     pub last_pong: Time,
     pub worker: Option<WorkerInfo>,
     pub used: Resources,
-    /// Processors of fill tasks, which reserve none.
-    pub filled_cpu: u64,
     /// Reserved for lasting tasks.
     pub lasting: Resources,
     pub pressure: Pressure,
-    /// Fill work by image, in thousandths of a core.
+    /// Processors of fill tasks, which reserve none, by image, in thousandths of a core.
     pub(super) filled: BTreeMap<Image, u64>,
     /// Serving tasks by image, and their tail without fill tasks.
     pub(super) serving: BTreeMap<Image, (u32, Base)>,
@@ -486,7 +484,6 @@
             last_pong: now,
             worker: None,
             used: Resources::default(),
-            filled_cpu: 0,
             lasting: Resources::default(),
             pressure: Pressure::default(),
             filled: BTreeMap::new(),
--- a/crates/core/src/flow/owner/room.rs
+++ b/crates/core/src/flow/owner/room.rs
@@ -50,7 +50,6 @@
     /// Changes the sums by image by one task of `step`.
     fn tally(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
         if step.fills {
-            self.filled_cpu = change(self.filled_cpu, step.need.cpu_milli);
             let cpu = self.filled.entry(image_number(step)).or_default();
             *cpu = change(*cpu, step.need.cpu_milli);
             self.filled.retain(|_, cpu| *cpu > 0);
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -65,7 +65,6 @@
         node.worker = None;
         node.tasks.clear();
         node.used = Resources::default();
-        node.filled_cpu = 0;
         node.lasting = Resources::default();
         node.pressure = Pressure::default();
         node.filled.clear();
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -326,7 +326,7 @@
 
     /// Processors that neither reservations nor fill tasks take.
     pub(super) fn free_cpu(&self) -> u64 {
-        self.room_cpu().saturating_sub(self.used.cpu_milli + self.filled_cpu)
+        self.room_cpu().saturating_sub(self.used.cpu_milli + self.filled_cpu())
     }
 
     fn room_cpu(&self) -> u64 {
--- a/crates/core/src/flow/place/fills.rs
+++ b/crates/core/src/flow/place/fills.rs
@@ -28,10 +28,15 @@
 const RISE_WEIGHT: f64 = 2.0;
 
 impl Node {
+    /// Processors that fill tasks ask for.
+    pub(in crate::flow) fn filled_cpu(&self) -> u64 {
+        self.filled.values().sum()
+    }
+
     /// Processors that fill tasks are expected to get, beyond those that are there.
     fn unused_cpu(&self) -> u64 {
         let idle = self.lasting.cpu_milli * (100 - LASTING_USE_PERCENT) / 100;
-        (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu)
+        (self.room_cpu() + idle).saturating_sub(self.used.cpu_milli + self.filled_cpu())
     }
 
     /// Serving images on the worker beside that of a serving step. Fill tasks find more workers on
@@ -58,7 +63,7 @@
         let need = step.need.cpu_milli;
         let free = self.unused_cpu().saturating_sub(taken * need);
         let is_large = need > self.room_cpu() / 2;
-        let is_first = self.filled_cpu == 0 && is_large;
+        let is_first = self.filled_cpu() == 0 && is_large;
         free >= need || (is_first && free * 100 >= need * LEAST_FILL_PERCENT)
     }
 }
@@ -121,13 +126,15 @@
     /// that serve too much. A worker may always have one.
     pub(super) fn is_pressed(&self, node: &Node, step: &Step, here: u64) -> bool {
         let (tail, rise) = self.expected_tail(node, step, here + 1);
-        node.filled_cpu > 0 && rise > 0.0 && (node.pressure.level < STOP_LEVEL || tail > MOST_TAIL)
+        node.filled_cpu() > 0
+            && rise > 0.0
+            && (node.pressure.level < STOP_LEVEL || tail > MOST_TAIL)
     }
 
     /// Preference among workers for a fill task, beside `taken` processors given away in the same
     /// decision: little fill work, and a tail that is low and rises little.
     pub(super) fn fill_cost(&self, node: &Node, step: &Step, taken: u64) -> u64 {
-        let share = ((node.filled_cpu + taken) * 100 / node.room_cpu().max(1)) as f64;
+        let share = ((node.filled_cpu() + taken) * 100 / node.room_cpu().max(1)) as f64;
         let (tail, rise) = self.expected_tail(node, step, 1);
         (share + tail + RISE_WEIGHT * rise) as u64
     }
--- a/crates/core/src/flow/views.rs
+++ b/crates/core/src/flow/views.rs
@@ -39,7 +39,7 @@
             mean(|node| u64::from(node.pressure.tail_percent)),
             mean(|node| node.used.cpu_milli),
             mean(|node| node.lasting.cpu_milli),
-            mean(|node| node.filled_cpu),
+            mean(|node| node.filled_cpu()),
         )
     }
 
