--- a/crates/core/tests/cell_owner/main.rs
+++ b/crates/core/tests/cell_owner/main.rs
@@ -1,175 +1,19 @@
 //! Behaviour of a cell's owner in single situations.
 
+mod fixture;
+
 use std::time::Duration;
 
-use bytes::Bytes;
 use peridotfold_core::cell::state::{Phase, ENDED_KEPT};
 use peridotfold_core::cell::{
     Cell, CellSettings, CellState, Effect, Event, JobSpec, Limits, SubmitReply,
 };
 use peridotfold_core::message::announce::AgentState;
-use peridotfold_core::message::report::{
-    AttemptId, Orders, Outcome, Report, RunningTask, StartOrder, TaskResult,
-};
+use peridotfold_core::message::report::{AttemptId, Outcome, Report};
 use peridotfold_core::resources::Resources;
-use peridotfold_core::time::{lease_wait, Time};
-
-const LEASE: Duration = Duration::from_secs(20);
-const HOLD: Duration = Duration::from_secs(600);
-
-fn ms(number: u64) -> Duration {
-    Duration::from_millis(number)
-}
-
-fn spec(id: &str, class: &str, tasks: u32, cpu: u64) -> JobSpec {
-    JobSpec {
-        id: id.to_owned(),
-        team: "team".to_owned(),
-        class: class.to_owned(),
-        tasks,
-        need: Resources::new(cpu, 100, 0),
-        command: Bytes::from_static(b"run"),
-    }
-}
-
-fn limits(quota: u64) -> Limits {
-    let limit = Resources::new(16_000, 64_000, 4);
-    Limits {
-        teams: [("team".to_owned(), Resources::new(quota, 1 << 40, 100))].into(),
-        classes: [("normal".to_owned(), (limit, false)), ("urgent".to_owned(), (limit, true))]
-            .into(),
-    }
-}
-
-/// An owner with agents that obey each order at once.
-struct Fixture {
-    cell: Cell,
-    now: Time,
-    sequence: u64,
-    log: Vec<Event>,
-    agents: Vec<(String, Vec<StartOrder>, Vec<TaskResult>)>,
-    capacity: Resources,
-    /// Usage that is reported for each task.
-    measured: Resources,
-}
-
-impl Fixture {
-    fn new(agents: usize, cpu: u64, quota: u64) -> Self {
-        let agents = (0..agents).map(|n| (format!("vm-{n}"), Vec::new(), Vec::new()));
-        let settings = CellSettings::default();
-        let rng = fastrand::Rng::with_seed(1);
-        let mut cell = Cell::take_over(CellState::default(), 1, settings, Time::ZERO, rng);
-        cell.set_limits(limits(quota));
-        let mut fixture = Fixture {
-            cell,
-            now: Time::ZERO,
-            sequence: 0,
-            log: Vec::new(),
-            agents: agents.collect(),
-            capacity: Resources::new(cpu, 64_000, 0),
-            measured: Resources::default(),
-        };
-        fixture.round(ms(10));
-        fixture.round(ms(6_000));
-        fixture
-    }
-
-    fn take_over(&mut self) {
-        let state = self.replay();
-        let epoch = self.cell.epoch() + 1;
-        let rng = fastrand::Rng::with_seed(epoch);
-        self.cell = Cell::take_over(state, epoch, CellSettings::default(), self.now, rng);
-        self.cell.set_limits(limits(1 << 40));
-        self.commit();
-    }
-
-    fn replay(&self) -> CellState {
-        let mut state = CellState::default();
-        self.log.iter().for_each(|event| state.apply(event));
-        state
-    }
+use peridotfold_core::time::lease_wait;
 
-    fn commit(&mut self) -> Vec<Effect> {
-        self.log.extend(self.cell.take_batch());
-        self.cell.note_commit();
-        self.cell.take_effects()
-    }
-
-    fn report(&mut self, agent: usize, epoch: u64) -> Orders {
-        self.sequence += 1;
-        let (id, running, results) = &self.agents[agent];
-        let held = running.iter().fold(Resources::default(), |sum, start| sum.plus(&start.need));
-        let tasks = running.iter().map(|start| RunningTask {
-            attempt: start.attempt.clone(),
-            measured: self.measured,
-            speed_percent: 100,
-        });
-        let report = Report {
-            agent: id.clone(),
-            incarnation: 1,
-            echo: 0,
-            cell: "cell".to_owned(),
-            rack: format!("rack-{}", agent / 3),
-            sequence: self.sequence,
-            state: AgentState::Ready,
-            epoch,
-            batch_capacity: self.capacity,
-            free: self.capacity.minus(&held),
-            urgent_free: self.capacity.minus(&held),
-            running: tasks.collect(),
-            results: results.clone(),
-            pressure_percent: 0,
-        };
-        self.cell.report(self.now, &report);
-        self.cell.answer(self.now, id, 1, self.sequence).expect("the owner")
-    }
-
-    fn obey(&mut self, agent: usize, orders: Orders) -> usize {
-        let (_, running, results) = &mut self.agents[agent];
-        results.retain(|result| !orders.acknowledged.contains(&result.attempt));
-        for stop in orders.stops {
-            running.retain(|start| start.attempt != stop.attempt);
-            let outcome = Outcome::Stopped { checkpoint: None };
-            results.push(TaskResult { attempt: stop.attempt, outcome });
-        }
-        let count = orders.starts.len();
-        running.extend(orders.starts);
-        count
-    }
-
-    /// Time passes; each agent reports; the owner places and commits; orders reach the agents.
-    fn round(&mut self, step: Duration) -> usize {
-        self.now += step;
-        self.cell.note_store(self.now);
-        let mut starts = 0;
-        for agent in 0..self.agents.len() {
-            let orders = self.report(agent, self.cell.epoch());
-            starts += self.obey(agent, orders);
-        }
-        self.cell.poll(self.now);
-        self.commit();
-        starts
-    }
-
-    fn end_all(&mut self, agent: usize, outcome: &Outcome) {
-        let (_, running, results) = &mut self.agents[agent];
-        let ended = running.drain(..).map(|start| start.attempt);
-        results.extend(ended.map(|attempt| TaskResult { attempt, outcome: outcome.clone() }));
-    }
-
-    fn submit(&mut self, spec: JobSpec) {
-        assert_eq!(self.cell.submit(spec, 1), SubmitReply::Created);
-    }
-
-    /// Number of the job's attempts that have not ended.
-    fn running(&self, job: &str) -> usize {
-        self.cell.state().jobs[job].attempts.len()
-    }
-
-    fn phase(&self, job: &str) -> Option<Phase> {
-        self.cell.state().jobs.get(job).map(|job| job.phase)
-    }
-}
+use fixture::{limits, ms, spec, Fixture, HOLD, LEASE};
 
 /// Guards against a burst of cancellations that fills the batches before a start.
 #[test]
--- a/crates/hosted/tests/suite/entry.rs
+++ b/crates/hosted/tests/suite/entry.rs
@@ -3,30 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::support::{spec, MemoryStore};
 use peridotfold_core::flow::message::Stored;
-use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_core::flow::progress::{Phase, Progress};
-use peridotfold_hosted::entry::{Entry, EntrySettings, StateAnswer};
+use peridotfold_hosted::entry::{Entry, StateAnswer};
 use peridotfold_hosted::ports::{Store, Write};
 use peridotfold_hosted::records;
 
+use crate::support::{settings, spec, MemoryStore};
+
 const JOB: u64 = 7;
 const LIMIT: Duration = Duration::from_secs(1);
 
 fn entry(store: &MemoryStore) -> Entry<MemoryStore> {
-    let settings = EntrySettings {
-        node: "front".to_owned(),
-        internal: SocketAddr::from(([127, 0, 0, 1], 1)),
-        cores: 1.0,
-        owner: OwnerSettings {
-            epoch: 0,
-            permission: Duration::from_secs(6),
-            keep_ended: Duration::from_secs(60),
-            remote_slowdown: 1.5,
-        },
-    };
-    Entry::new(settings, store.clone())
+    let internal = SocketAddr::from(([127, 0, 0, 1], 1));
+    Entry::new(settings("front", internal), store.clone())
 }
 
 fn end() -> Write {
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -5,13 +5,12 @@
 use std::time::{Duration, Instant};
 
 use peridotfold_core::flow::message::Stored;
-use peridotfold_core::flow::owner::OwnerSettings;
-use peridotfold_hosted::entry::{Entry, EntrySettings};
+use peridotfold_hosted::entry::Entry;
 use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::{self, Trigger};
 
-use crate::support::{spec, MemoryStore};
+use crate::support::{settings, spec, MemoryStore};
 
 /// Longest time to a new owner once the lock is vacant: a lost pong, a search and a claim.
 const TAKEOVER: Duration = Duration::from_secs(6);
@@ -24,18 +23,8 @@
     static POOL: Once = Once::new();
     POOL.call_once(|| runtime::start_threads(2));
     let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
-    let settings = EntrySettings {
-        node: node.to_owned(),
-        internal: SocketAddr::from(([127, 0, 0, 1], free.port())),
-        cores: 1.0,
-        owner: OwnerSettings {
-            epoch: 0,
-            permission: Duration::from_secs(6),
-            keep_ended: Duration::from_secs(60),
-            remote_slowdown: 1.5,
-        },
-    };
-    let entry = Arc::new(Entry::new(settings, store.clone()));
+    let internal = SocketAddr::from(([127, 0, 0, 1], free.port()));
+    let entry = Arc::new(Entry::new(settings(node, internal), store.clone()));
     let (stop, stopping) = shutdown::channel();
     runtime::spawn(entry.clone().run(stopping.clone(), stopping)).detach();
     (entry, stop)
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -1,6 +1,7 @@
 //! A store in memory whose answers can be lost, refused, or crossed by another write.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,9 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use peridotfold_core::flow::model::{JobSpec, Queue, Step};
+use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_core::flow::routes::Routes;
+use peridotfold_hosted::entry::EntrySettings;
 use peridotfold_hosted::ports::{
     Item, LeaseId, Revision, Store, StoreError, Watched, Write, Written,
 };
@@ -171,6 +174,21 @@
     }
 }
 
+/// Settings of an entry.
+pub fn settings(node: &str, internal: SocketAddr) -> EntrySettings {
+    EntrySettings {
+        node: node.to_owned(),
+        internal,
+        cores: 1.0,
+        owner: OwnerSettings {
+            epoch: 0,
+            permission: Duration::from_secs(6),
+            keep_ended: Duration::from_secs(60),
+            remote_slowdown: 1.5,
+        },
+    }
+}
+
 /// A job of one task.
 pub fn spec() -> JobSpec {
     let queue = Queue {
