--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -28,6 +28,7 @@
 pub mod owner;
 pub mod pace;
 pub mod progress;
+pub mod ranking;
 pub mod routes;
 pub mod sampler;
 
--- a/crates/core/src/flow/interference.rs
+++ b/crates/core/src/flow/interference.rs
@@ -131,8 +131,9 @@
 
     /// Returns the expected rise of the logarithm of a serving image's tail latency caused by
     /// best-effort images that use these fractions of a worker's CPU.
-    pub fn rise(&self, serving: Image, shares: &[Share]) -> f64 {
-        shares.iter().map(|(best_effort, share)| self.weight(serving, *best_effort) * share).sum()
+    pub fn rise(&self, serving: Image, shares: impl IntoIterator<Item = Share>) -> f64 {
+        let rise = |(best_effort, share)| self.weight(serving, best_effort) * share;
+        shares.into_iter().map(rise).sum()
     }
 
     /// Updates the weights from the changes between two listings of a worker with `capacity`
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -9,6 +9,7 @@
 mod reservations;
 mod workers;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,10 @@
 /// Minimum interval between writes of the learned interference weights, which share a write with
 /// other records.
 const INTERFERENCE_INTERVAL: Duration = Duration::from_secs(5);
+/// Minimum time between two placement rounds, as a multiple of the time that the earlier one took.
+const ROUND_REST_FACTOR: u32 = 4;
+/// Maximum time between two placement rounds while tasks wait.
+const MAX_ROUND_REST: Duration = Duration::from_millis(400);
 /// Maximum time between two calls of [`Owner::poll`].
 const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 
@@ -59,6 +64,28 @@
     pub keep_ended: Duration,
     /// Factor by which a task takes longer on another rack than on that of its data; not used.
     pub remote_slowdown: f64,
+    /// Minimum time between two placement rounds. What happens in between is placed together.
+    pub round_interval: Duration,
+}
+
+/// Why a placement round runs.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum RoundCause {
+    /// A job or an occurrence of one arrived.
+    Job,
+    /// A run ended, or a node accepts starts again.
+    Room,
+    /// The load on a worker changed.
+    Pressure,
+    /// An agent connected, reported or renewed its permission late.
+    Agent,
+    /// Time passed, or the lease was renewed.
+    Timer,
+}
+
+impl RoundCause {
+    const COUNT: usize = 5;
+    const NAMES: [&'static str; Self::COUNT] = ["job", "room", "pressure", "agent", "timer"];
 }
 
 /// Side effect that the owner's state machine requests from the code that drives it.
@@ -164,6 +191,8 @@
     pub pressure: Pressure,
     /// CPU requested by best-effort tasks, by image, in thousandths of a core.
     pub(super) best_effort_cpu: BTreeMap<Image, u64>,
+    /// Sum of `best_effort_cpu`.
+    pub(super) total_best_effort_cpu: u64,
     /// Number of serving tasks by image, and their estimated tail latency without best-effort
     /// tasks.
     pub(super) serving: BTreeMap<Image, (u32, Baseline)>,
@@ -223,17 +252,27 @@
     /// Ended jobs whose records have to be removed from the store.
     expired: Vec<JobNumber>,
     /// Whether something changed that may let waiting tasks start.
-    pub(super) placement_due: bool,
+    placement_due: bool,
+    /// When the next placement round may begin.
+    next_round: Time,
+    /// Number of placement rounds, by what first asked for each, since the owner began.
+    rounds: [u64; RoundCause::COUNT],
+    /// Time that placement rounds have taken, since the owner began.
+    pub(super) round_time: Duration,
+    /// Jobs that may have waiting tasks, for a node or for another step.
+    pub(super) unplaced: BTreeSet<JobNumber>,
+    /// When the next occurrences of periodic jobs are due.
+    pub(super) occurrences_due: BTreeSet<(WallMs, JobNumber)>,
     /// When the records of ended jobs are next checked for their retention time.
     next_cleanup: Time,
     /// When the timers of nodes and jobs were last checked.
     last_timer_check: Time,
     /// Interference between images, learned from all workers.
     pub(super) interference: Interference,
-    /// Nodes whose free capacity is held for waiting long-running tasks during one placement round.
-    pub(super) held_nodes: BTreeSet<Slot>,
     /// When the learned interference weights are next written to the store.
     next_interference: Time,
+    /// Number of times that placement has examined a node for a step, since the owner began.
+    pub(super) examined: Cell<u64>,
 }
 
 impl Owner {
@@ -256,18 +295,34 @@
             in_flight: None,
             expired: Vec::new(),
             placement_due: false,
+            next_round: now,
+            rounds: [0; RoundCause::COUNT],
+            round_time: Duration::ZERO,
+            unplaced: BTreeSet::new(),
+            occurrences_due: BTreeSet::new(),
             next_cleanup: now,
             last_timer_check: now,
             interference: Interference::default(),
-            held_nodes: BTreeSet::new(),
             next_interference: now + INTERFERENCE_INTERVAL,
+            examined: Cell::new(0),
         }
     }
 
+    /// Returns the number of times that placement has examined a node for a step, which is its
+    /// share of the owner's CPU time.
+    pub fn examined_nodes(&self) -> u64 {
+        self.examined.get()
+    }
+
+    /// Returns the number of placement rounds by what first asked for each, since the owner began.
+    pub fn rounds(&self) -> [(&'static str, u64); RoundCause::COUNT] {
+        std::array::from_fn(|index| (RoundCause::NAMES[index], self.rounds[index]))
+    }
+
     /// Sets the time at which this process's lease expires, by its own clock.
     pub fn set_valid_until(&mut self, until: Time) {
         self.valid_until = until;
-        self.placement_due = true;
+        self.request_round(RoundCause::Timer);
     }
 
     /// Tells whether the lease is valid, so that starts may be sent and permissions granted.
@@ -342,8 +397,13 @@
         if !job.phase.is_final() {
             job.restore(&progress);
         }
+        let is_open = !job.phase.is_final();
         self.jobs.insert(number, job);
-        self.placement_due = true;
+        if is_open {
+            self.unplaced.insert(number);
+            self.await_occurrence(number);
+            self.request_round(RoundCause::Job);
+        }
     }
 
     /// Handles a cancellation of a job that is in the store.
@@ -451,13 +511,16 @@
             }
             AgentMessage::Stalled { task, run } => self.stalled(now, slot, task, run),
             AgentMessage::Ping { sent, pressure, samples, baselines } => {
-                self.placement_due |= pressure != self.nodes[slot].pressure;
-                self.nodes[slot].pressure = pressure;
+                if std::mem::replace(&mut self.nodes[slot].pressure, pressure) != pressure {
+                    self.request_round(RoundCause::Pressure);
+                }
                 self.learn_interference(slot, &samples, &baselines);
                 let permission = match self.is_valid(now) {
                     true => {
-                        self.placement_due |= now > self.nodes[slot].last_pong + MAX_PING_GAP;
-                        self.nodes[slot].last_pong = now;
+                        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
+                        if now > last + MAX_PING_GAP {
+                            self.request_round(RoundCause::Agent);
+                        }
                         self.settings.permission
                     }
                     false => Duration::ZERO,
@@ -478,28 +541,49 @@
         (task.index < job.spec.steps[usize::from(task.step)].count).then_some((&job.spec, state))
     }
 
-    /// Checks all timers and places waiting tasks if something has changed. `wall` is the
-    /// wall-clock time.
-    pub fn poll(&mut self, now: Time, wall: WallMs) {
+    /// Asks for a placement round, because something changed that may let waiting tasks start.
+    pub(super) fn request_round(&mut self, cause: RoundCause) {
+        if !self.placement_due {
+            self.placement_due = true;
+            self.rounds[cause as usize] += 1;
+        }
+    }
+
+    /// Checks all timers, and places waiting tasks if something has changed and the last placement
+    /// round is long enough ago. Returns whether a round ran; [`Owner::round_took`] must then be
+    /// called. `wall` is the wall-clock time.
+    pub fn poll(&mut self, now: Time, wall: WallMs) -> bool {
         self.check_timers(now);
         self.release_due(now, wall);
-        if self.placement_due && self.is_valid(now) {
+        let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
+        if runs {
             self.placement_due = false;
             self.place(now);
         }
         if !self.dirty.is_empty() {
             self.dirty_since.get_or_insert(now);
         }
+        runs
+    }
+
+    /// Handles the end of a placement round, which took `took`. Rounds use at most a fixed part of
+    /// the owner's time: an owner that falls behind runs fewer of them.
+    pub fn round_took(&mut self, now: Time, took: Duration) {
+        self.round_time += took;
+        let rest = (took * ROUND_REST_FACTOR).min(MAX_ROUND_REST);
+        self.next_round = now + rest.max(self.settings.round_interval);
+    }
+
+    /// Returns the time until a placement round that has been asked for may run, if there is one.
+    pub fn next_round(&self, now: Time) -> Option<Duration> {
+        (self.placement_due && self.is_valid(now)).then(|| self.next_round.saturating_sub(now))
     }
 
     /// Returns the time until the next call of [`Owner::poll`], if no event comes first.
     pub fn next_poll(&self, now: Time) -> Duration {
-        match self.dirty_since {
-            Some(since) if self.in_flight.is_none() => {
-                (since + COMMIT_DELAY).saturating_sub(now).min(MAX_POLL_DELAY)
-            }
-            _ => MAX_POLL_DELAY,
-        }
+        let commit = self.commit_due().map(|at| at.saturating_sub(now));
+        let waits = [commit, self.next_round(now), Some(MAX_POLL_DELAY)];
+        waits.into_iter().flatten().min().unwrap_or(MAX_POLL_DELAY)
     }
 
     /// Returns the first run number of this owner's epoch.
@@ -561,6 +645,7 @@
             long_running: Resources::default(),
             pressure: Pressure::default(),
             best_effort_cpu: BTreeMap::new(),
+            total_best_effort_cpu: 0,
             serving: BTreeMap::new(),
             tasks: BTreeMap::new(),
             last_end: 0,
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -3,18 +3,28 @@
 
 use std::collections::BTreeSet;
 
-use super::{Commit, Node, Owner, Slot, COMMIT_DELAY, INTERFERENCE_INTERVAL, MAX_COMMIT_KEYS};
+use super::{
+    Commit, Node, Owner, RoundCause, Slot, COMMIT_DELAY, INTERFERENCE_INTERVAL, MAX_COMMIT_KEYS,
+};
 use crate::flow::message::OwnerMessage;
 use crate::time::Time;
 
 impl Owner {
+    /// Returns when the next write to the store is due; `None` if there is nothing to write or a
+    /// write is in flight.
+    pub fn commit_due(&self) -> Option<Time> {
+        let is_urgent =
+            self.is_urgent || self.roster_changed || self.dirty.len() >= MAX_COMMIT_KEYS;
+        match self.in_flight {
+            Some(_) => None,
+            None if is_urgent => Some(Time::ZERO),
+            None => self.dirty_since.map(|since| since + COMMIT_DELAY),
+        }
+    }
+
     /// Returns the contents of the next write to the store, if one is due and none is in flight.
     pub fn take_commit(&mut self, now: Time) -> Option<Commit> {
-        let is_due = self.is_urgent
-            || self.roster_changed
-            || self.dirty_since.is_some_and(|since| now >= since + COMMIT_DELAY)
-            || self.dirty.len() >= MAX_COMMIT_KEYS;
-        if self.in_flight.is_some() || !is_due {
+        if self.commit_due().is_none_or(|at| now < at) {
             return None;
         }
         let mut commit = Commit::default();
@@ -76,18 +86,13 @@
         }
         for slot in slots {
             self.nodes[slot].in_roster = true;
-            self.placement_due = true;
+            self.request_round(RoundCause::Room);
         }
         for slot in 0..self.nodes.len() {
             self.acknowledge(slot);
         }
     }
 
-    /// Tells whether a job record is waiting to be written or a write to the store is in flight.
-    pub fn has_unwritten(&self) -> bool {
-        !self.dirty.is_empty() || self.in_flight.is_some()
-    }
-
     /// Schedules a write of the roster to the store.
     pub(in crate::flow) fn mark_roster_changed(&mut self) {
         self.roster_changed = true;
@@ -103,8 +108,8 @@
             self.nodes[slot].pending_acks.pop_front();
             last = Some(number);
         }
-        let worker = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
-        if let (Some(number), Some(worker)) = (last, worker) {
+        let Some(number) = last else { return };
+        if let Some(worker) = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone()) {
             self.send(slot, OwnerMessage::Seen { worker, number });
         }
     }
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Owner, Slot};
+use super::{Owner, RoundCause, Slot};
 use crate::flow::message::{End, EndKind, OwnerMessage};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
 use crate::flow::progress::Phase;
@@ -41,7 +41,7 @@
     pub(super) fn finish_run(&mut self, now: Time, slot: Slot, end: &End) {
         let task = end.task;
         self.save_checkpoint(task, end.run, end.checkpoint.clone());
-        self.placement_due |= self.nodes[slot].stale_runs.remove(&(task, end.run));
+        self.end_stale_run(slot, task, end.run);
         let was_current = self.drop_run(&task, end.run).is_some();
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Notes the end of a run that the owner no longer tracked; the node may then accept starts.
+    fn end_stale_run(&mut self, slot: Slot, task: TaskId, run: Run) {
+        if self.nodes[slot].stale_runs.remove(&(task, run)) {
+            self.request_round(RoundCause::Room);
+        }
+    }
+
     /// Marks a task as done, or all tasks of a gang, and completes the job if it was the last.
     pub(super) fn complete(&mut self, now: Time, task: &TaskId, step: &Step) {
         let Some((_, state)) = self.step_mut(task) else { return };
@@ -104,7 +111,8 @@
             let detail = format!("took_ms={took} in_time={}", now <= objective);
             self.log("job_completed", Some(task.job), detail);
         }
-        self.placement_due = true;
+        // The last task of a step lets others begin.
+        self.request_round(RoundCause::Room);
     }
 
     /// Counts the failure of a run against its task, and fails the job once a task has used up its
@@ -194,7 +202,7 @@
         let detail =
             format!("task={task} run={run} node={} reason={reason}", self.nodes[slot].name);
         self.log("start_rejected", Some(task.job), detail);
-        self.placement_due |= self.nodes[slot].stale_runs.remove(&(task, run));
+        self.end_stale_run(slot, task, run);
         if self.drop_run(&task, run).is_some() {
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoided_nodes.insert(task.index, slot);
--- a/crates/core/src/flow/owner/reservations.rs
+++ b/crates/core/src/flow/owner/reservations.rs
@@ -1,6 +1,6 @@
 //! Bookkeeping of the resources that tasks reserve on nodes.
 
-use super::{image_number, Node, Owner, Slot};
+use super::{image_number, Node, Owner, RoundCause, Slot};
 use crate::flow::model::{Run, Step, TaskId};
 
 impl Owner {
@@ -14,7 +14,7 @@
             }
             node.update_totals(step, |known, change| known - change);
         }
-        self.placement_due = true;
+        self.request_round(RoundCause::Room);
     }
 
     /// Reserves resources for a task on a node.
@@ -41,6 +41,7 @@
         let attempt = state.end(task.index)?;
         if !is_final && !state.done.contains(task.index) {
             state.waiting.insert(task.index);
+            self.unplaced.insert(task.job);
         }
         self.release(attempt.slot, task, &step);
         Some(attempt.slot)
@@ -55,6 +56,7 @@
             let cpu = self.best_effort_cpu.entry(image_number(step)).or_default();
             *cpu = change(*cpu, step.need.cpu_milli);
             self.best_effort_cpu.retain(|_, cpu| *cpu > 0);
+            self.total_best_effort_cpu = self.best_effort_cpu.values().sum();
         }
         if step.target_ms > 0 {
             let (count, _) = self.serving.entry(image_number(step)).or_default();
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Job, Node, Owner, Slot, MAX_COMMIT_KEYS};
+use super::{Job, Node, Owner, RoundCause, Slot, MAX_COMMIT_KEYS};
 use crate::flow::message::{OwnerMessage, Pressure};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
 use crate::resources::Resources;
@@ -13,6 +13,8 @@
 const PERMISSION_MARGIN: Duration = Duration::from_millis(200);
 /// How long before the exit of a draining worker its tasks with checkpoints are moved elsewhere.
 const CHECKPOINT_LEAD: Duration = Duration::from_millis(500);
+/// Minimum time between two checks of the timers of all nodes.
+const TIMER_INTERVAL: Duration = Duration::from_millis(50);
 /// Assumed time until a draining worker exits, if it does not report one.
 const DEFAULT_DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -71,6 +73,7 @@
         node.long_running = Resources::default();
         node.pressure = Pressure::default();
         node.best_effort_cpu.clear();
+        node.total_best_effort_cpu = 0;
         node.serving.clear();
         node.last_end = 0;
         node.pending_acks.clear();
@@ -78,13 +81,17 @@
         node.stale_runs.clear();
         node.failure_streak = 0;
         node.backoff_until = Time::ZERO;
-        self.placement_due = true;
+        self.request_round(RoundCause::Room);
         self.mark_roster_changed();
     }
 
     /// Handles expired permissions of workers, workers that are about to exit, the end of a
     /// takeover, ended jobs whose retention time is over, and nodes whose backoff has expired.
     pub(super) fn check_timers(&mut self, now: Time) {
+        self.finish_takeover(now);
+        if now < self.last_timer_check + TIMER_INTERVAL {
+            return;
+        }
         let permission = self.settings.permission + PERMISSION_MARGIN;
         for slot in 0..self.nodes.len() {
             let node = &self.nodes[slot];
@@ -99,11 +106,10 @@
                 _ => {}
             }
         }
-        self.finish_takeover(now);
         if now >= self.next_cleanup {
             self.next_cleanup = now + Duration::from_secs(1);
             // Steps become starved without any event, so placement runs at least once per second.
-            self.placement_due = true;
+            self.request_round(RoundCause::Timer);
             let line = self.load_line();
             self.log("load", None, line);
             let keep = self.settings.keep_ended;
@@ -122,6 +128,8 @@
         }
         let since = std::mem::replace(&mut self.last_timer_check, now);
         let backoff_expired = |node: &Node| node.backoff_until > since && node.backoff_until <= now;
-        self.placement_due |= self.nodes.iter().any(backoff_expired);
+        if self.nodes.iter().any(backoff_expired) {
+            self.request_round(RoundCause::Room);
+        }
     }
 }
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -3,13 +3,16 @@
 mod best_effort;
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::message::Image;
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
-use super::owner::{Job, Node, Owner, Slot};
+use super::owner::{image_number, Job, Node, Owner, RoundCause, Slot};
 use super::progress::{Phase, Progress};
+use super::ranking::Ranking;
+use super::step::StepState;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -34,7 +37,7 @@
     /// Returns the estimated duration of the critical path through the unfinished steps, in
     /// milliseconds. A step whose tasks are all running counts half.
     fn chain_left_ms(&self) -> u64 {
-        let left = |steps: &Vec<super::step::StepState>| {
+        let left = |steps: &Vec<StepState>| {
             let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
             for (state, step) in steps.iter().zip(&self.spec.steps) {
                 let ready = step.after.iter().map(|after| ends[usize::from(*after)]).max();
@@ -49,6 +52,51 @@
         };
         self.occurrences.values().map(left).max().unwrap_or(0)
     }
+
+    /// Returns when the next occurrence of a periodic job is due; `None` if there is none.
+    fn next_due(&self) -> Option<WallMs> {
+        let table = self.spec.timetable.filter(|table| self.next_occurrence < table.times)?;
+        Some(table.first + u64::from(self.next_occurrence) * table.interval_ms)
+    }
+
+    /// Adds the steps that have waiting tasks and whose dependencies are done to `candidates`.
+    /// Returns whether any task of the job waits, for a node or for another step.
+    fn add_candidates(
+        &mut self,
+        number: JobNumber,
+        now: Time,
+        candidates: &mut Vec<Candidate>,
+    ) -> bool {
+        let rank = rank(self, now);
+        let mut has_waiting = false;
+        for (occurrence, steps) in &mut self.occurrences {
+            for index in 0..steps.len() {
+                if steps[index].waiting.is_empty() {
+                    continue;
+                }
+                has_waiting = true;
+                let step = &self.spec.steps[index];
+                let is_done = |after: &u16| {
+                    steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
+                };
+                if steps[index].ready_since.is_none() && !step.after.iter().all(is_done) {
+                    continue;
+                }
+                steps[index].ready_since.get_or_insert(now);
+                candidates.push(Candidate {
+                    // Users notice each second that a long-running task is down.
+                    rank: match step.long_running {
+                        true => Rank { lateness: 0, remaining_work: 0, ..rank },
+                        false => rank,
+                    },
+                    job: number,
+                    occurrence: *occurrence,
+                    step: index as u16,
+                });
+            }
+        }
+        has_waiting
+    }
 }
 
 /// Sort key of waiting steps; smaller keys are placed first.
@@ -76,29 +124,95 @@
 }
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether the task last failed, stalled or could not start on the node;
 /// - whether tasks have failed there since one last finished;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
 /// - the free CPU, least first for a long-running task and most first for others; for a best-effort
 ///   task, the cost of its interference instead.
-type Score = (bool, bool, bool, usize, Reverse<u64>, u64);
+type Score = (bool, bool, usize, Reverse<u64>, u64);
+
+/// State of one placement round.
+#[derive(Debug)]
+struct Round {
+    /// Nodes that accept starts, by the service of their workers.
+    open_nodes: HashMap<String, Vec<Slot>>,
+    /// Requests that found no node.
+    rejected: Vec<Request>,
+    /// Nodes whose free capacity is held for waiting long-running tasks.
+    held_nodes: HashSet<Slot>,
+}
+
+/// What a task requests of a node, to tell whether another one can still find a node.
+#[derive(Debug)]
+struct Request {
+    service: String,
+    need: Resources,
+    long_running: bool,
+    /// Image of a best-effort task, whose interference decides too; `None` for other tasks.
+    best_effort: Option<Image>,
+    is_starved: bool,
+}
+
+impl Request {
+    /// Tells whether `self` finds no node if `other` found none. Starts only take room away during a
+    /// round, and a larger task of the same image interferes more. The exception are best-effort
+    /// tasks that are `large` on some node: the first one there needs less room than it requests.
+    fn is_at_least(&self, other: &Request, large: u64) -> bool {
+        self.long_running == other.long_running
+            && self.best_effort == other.best_effort
+            && self.is_starved == other.is_starved
+            && self.service == other.service
+            && match self.best_effort {
+                Some(_) if self.need.cpu_milli > large => self.need == other.need,
+                _ => other.need.fits_in(&self.need),
+            }
+    }
+}
+
+/// A step whose tasks look for nodes.
+#[derive(Debug, Clone, Copy)]
+struct Search<'a> {
+    candidate: Candidate,
+    step: &'a Step,
+    image: Image,
+    /// Preferred rack.
+    rack: Option<&'a str>,
+    /// Whether a best-effort task may start even where it interferes.
+    is_starved: bool,
+}
 
 impl Owner {
     /// Opens the occurrences of periodic jobs that are due, so that their tasks wait to be placed.
     pub(super) fn release_due(&mut self, now: Time, wall: WallMs) {
-        for job in self.jobs.values_mut().filter(|job| !job.phase.is_final()) {
-            let Some(table) = job.spec.timetable else { continue };
-            let due = |k: u32| table.first + u64::from(k) * table.interval_ms;
-            while job.next_occurrence < table.times && wall >= due(job.next_occurrence) {
-                job.open(job.next_occurrence, &Progress::default());
-                job.next_occurrence += 1;
-                let objective = job.objective.saturating_sub(job.released_at);
-                job.released_at = now;
-                job.objective = now + objective;
-                self.placement_due = true;
+        let Some(first) = self.occurrences_due.first() else { return };
+        if wall < first.0 {
+            return;
+        }
+        while let Some((due, number)) = self.occurrences_due.first().copied() {
+            if wall < due {
+                break;
+            }
+            self.occurrences_due.pop_first();
+            let Some(job) = self.jobs.get_mut(&number) else { continue };
+            if job.phase.is_final() || job.next_due() != Some(due) {
+                continue;
             }
+            job.open(job.next_occurrence, &Progress::default());
+            job.next_occurrence += 1;
+            let objective = job.objective.saturating_sub(job.released_at);
+            job.released_at = now;
+            job.objective = now + objective;
+            self.await_occurrence(number);
+            self.unplaced.insert(number);
+            self.request_round(RoundCause::Job);
+        }
+    }
+
+    /// Notes when the next occurrence of a periodic job is due.
+    pub(super) fn await_occurrence(&mut self, number: JobNumber) {
+        if let Some(due) = self.jobs.get(&number).and_then(Job::next_due) {
+            self.occurrences_due.insert((due, number));
         }
     }
 
@@ -106,144 +220,171 @@
     pub(super) fn place(&mut self, now: Time) {
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
-        // A step that requests the same resources as one that found no node will find none either.
-        let mut blocked: Vec<(Resources, bool)> = Vec::new();
-        self.held_nodes.clear();
+        let mut round = Round {
+            open_nodes: self.open_nodes(now),
+            rejected: Vec::new(),
+            held_nodes: HashSet::new(),
+        };
+        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        let large = smallest.unwrap_or(0) / 2;
         for candidate in candidates.into_iter().take(MAX_STEPS_PER_ROUND) {
             let spec = self.jobs[&candidate.job].spec.clone();
             let step = &spec.steps[usize::from(candidate.step)];
-            let is_plain = step.required_label.is_none() && step.per_worker == 0;
-            if is_plain && blocked.contains(&(step.need, step.best_effort)) {
+            let image = image_number(step);
+            let request = Request {
+                service: spec.queue.service.clone(),
+                need: step.need,
+                long_running: step.long_running,
+                best_effort: step.best_effort.then_some(image),
+                is_starved: self.is_starved(now, &candidate),
+            };
+            if round.rejected.iter().any(|other| request.is_at_least(other, large)) {
                 continue;
             }
+            let shared_rack = self.shared_rack(&round, &candidate, &spec, step);
+            let search = Search {
+                candidate,
+                step,
+                image,
+                rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
+                is_starved: request.is_starved,
+            };
             let is_placed = match step.gang {
-                true => self.place_gang(now, &candidate, &spec, step),
-                false => self.place_tasks(now, &candidate, &spec, step),
+                true => self.place_gang(&round, &spec, search),
+                false => self.place_tasks(&round, &spec, search),
             };
-            if !is_placed && step.long_running {
-                self.held_nodes.extend(self.roomiest_node(now, &candidate, &spec, step));
+            if is_placed {
+                continue;
             }
-            if !is_placed && is_plain {
-                blocked.push((step.need, step.best_effort));
+            if step.long_running {
+                round.held_nodes.extend(self.roomiest_node(&round, &spec, &search));
+            }
+            // A gang, a label or a limit per worker rejects nodes that suit other steps.
+            if !step.gang && step.required_label.is_none() && step.per_worker == 0 {
+                round.rejected.push(request);
             }
         }
     }
 
+    /// Returns the nodes that accept starts at all, by the service of their workers.
+    fn open_nodes(&self, now: Time) -> HashMap<String, Vec<Slot>> {
+        let mut open: HashMap<String, Vec<Slot>> = HashMap::new();
+        for (slot, node) in self.nodes.iter().enumerate() {
+            let Some(worker) = node.worker.as_ref().filter(|_| node.accepts_starts(now)) else {
+                continue;
+            };
+            match open.get_mut(&worker.service) {
+                Some(slots) => slots.push(slot),
+                None => {
+                    open.insert(worker.service.clone(), vec![slot]);
+                }
+            }
+        }
+        open
+    }
+
+    /// Returns the nodes that accept starts of a step, regardless of their free capacity.
+    fn open_to<'a>(
+        &'a self,
+        round: &'a Round,
+        spec: &JobSpec,
+        step: &'a Step,
+    ) -> impl Iterator<Item = (Slot, &'a Node)> {
+        let slots = round.open_nodes.get(&spec.queue.service).map_or(&[][..], Vec::as_slice);
+        let has_label =
+            |node: &&Node| step.required_label.as_ref().is_none_or(|label| node.has_label(label));
+        slots
+            .iter()
+            .map(|slot| (*slot, &self.nodes[*slot]))
+            .filter(move |(_, node)| has_label(node))
+    }
+
     /// Returns the steps that have waiting tasks and whose dependencies are done.
     fn candidates(&mut self, now: Time) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let is_settled = self.takeover_deadline.is_none();
-        for (number, job) in &mut self.jobs {
-            if job.phase.is_final() || (job.is_inherited && !is_settled) {
-                continue;
-            }
-            let rank = rank(job, now);
-            for (occurrence, steps) in &mut job.occurrences {
-                for index in 0..steps.len() {
-                    let step = &job.spec.steps[index];
-                    let is_done = |after: &u16| {
-                        steps[usize::from(*after)].is_done(&job.spec.steps[usize::from(*after)])
-                    };
-                    let is_ready = !steps[index].waiting.is_empty()
-                        && (steps[index].ready_since.is_some() || step.after.iter().all(is_done));
-                    if is_ready {
-                        steps[index].ready_since.get_or_insert(now);
-                        candidates.push(Candidate {
-                            // Users notice each second that a long-running task is down.
-                            rank: match step.long_running {
-                                true => Rank { lateness: 0, remaining_work: 0, ..rank },
-                                false => rank,
-                            },
-                            job: *number,
-                            occurrence: *occurrence,
-                            step: index as u16,
-                        });
-                    }
-                }
+        let jobs = &mut self.jobs;
+        self.unplaced.retain(|number| {
+            let Some(job) = jobs.get_mut(number).filter(|job| !job.phase.is_final()) else {
+                return false;
+            };
+            if job.is_inherited && !is_settled {
+                return true;
             }
-        }
+            job.add_candidates(*number, now, &mut candidates)
+        });
         candidates
     }
 
+    /// Tells whether a step has waited so long without runs that one task may start on any node
+    /// with capacity.
+    fn is_starved(&self, now: Time, candidate: &Candidate) -> bool {
+        let state = self.state(candidate);
+        state.running.is_empty()
+            && state.ready_since.is_some_and(|since| now >= since + STARVATION_DELAY)
+    }
+
     /// Returns the node with the most free CPU that will fit a long-running task once other tasks
     /// have ended there.
-    fn roomiest_node(
-        &self,
-        now: Time,
-        candidate: &Candidate,
-        spec: &JobSpec,
-        step: &Step,
-    ) -> Option<Slot> {
-        let state = self.state(candidate);
+    fn roomiest_node(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Option<Slot> {
+        let (state, step) = (self.state(&search.candidate), search.step);
         let suits = |(slot, node): &(Slot, &Node)| {
-            let on_node = state.per_worker.get(slot).copied().unwrap_or(0);
-            node.accepts_starts(now, spec, step)
-                && node.fits_beside_long_running(&step.need)
-                && (step.per_worker == 0 || on_node < step.per_worker)
-                && !self.held_nodes.contains(slot)
+            node.fits_beside_long_running(&step.need)
+                && state.has_quota(step, *slot, 0)
+                && !round.held_nodes.contains(slot)
         };
-        let nodes = self.nodes.iter().enumerate().filter(suits);
+        let nodes = self.open_to(round, spec, step).filter(suits);
         nodes.max_by_key(|(_, node)| node.free_cpu()).map(|(slot, _)| slot)
     }
 
     /// Starts waiting tasks of a step until one does not fit; returns whether all were started.
-    fn place_tasks(
-        &mut self,
-        now: Time,
-        candidate: &Candidate,
-        spec: &Arc<JobSpec>,
-        step: &Step,
-    ) -> bool {
-        let (job, occurrence) = (candidate.job, candidate.occurrence);
+    fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, mut search: Search<'_>) -> bool {
+        let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
-        let waiting: Vec<u32> = self.state(candidate).waiting.iter().copied().collect();
-        let rack = if step.same_rack { self.shared_rack(now, candidate, spec, step) } else { None };
+        let waiting: Vec<u32> = self.state(&search.candidate).waiting.iter().copied().collect();
+        let mut ranking = self.rank_nodes(round, spec, &search);
         for index in waiting {
-            let task = TaskId { job, occurrence, step: candidate.step, index };
-            let avoid = self.state(candidate).avoided_nodes.get(&index).copied();
-            let rack = rack.as_deref().or(step.preferred_rack.as_deref());
-            let planned = BTreeMap::new();
-            match self.choose_node(now, candidate, spec, step, avoid, rack, &planned) {
-                Some(slot) => {
-                    let run = self.state(candidate).next_run(index, base);
-                    self.start(slot, task, run);
-                }
-                None => return false,
+            let state = self.state(&search.candidate);
+            let avoid = state.avoided_nodes.get(&index).copied();
+            let run = state.next_run(index, base);
+            let Some(slot) = ranking.take(avoid) else { return false };
+            self.start(slot, TaskId { job, occurrence, step, index }, run);
+            if search.is_starved {
+                // Only the first task may start where it interferes.
+                search.is_starved = false;
+                ranking = self.rank_nodes(round, spec, &search);
+            } else if let Some(score) = self.score(round, &search, slot, 0) {
+                ranking.put(score, slot);
             }
         }
         true
     }
 
     /// Starts all tasks of a gang if all fit, otherwise none; returns whether they run.
-    fn place_gang(
-        &mut self,
-        now: Time,
-        candidate: &Candidate,
-        spec: &Arc<JobSpec>,
-        step: &Step,
-    ) -> bool {
-        if !self.state(candidate).running.is_empty() {
+    fn place_gang(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
+        let Candidate { job, occurrence, step, .. } = search.candidate;
+        if !self.state(&search.candidate).running.is_empty() {
             return true;
         }
-        let rack = self.shared_rack(now, candidate, spec, step);
-        let rack = rack.as_deref().or(step.preferred_rack.as_deref());
-        let waiting: Vec<u32> = self.state(candidate).waiting.iter().copied().collect();
+        let base = self.run_base();
+        let state = self.state(&search.candidate);
+        let waiting: Vec<u32> = state.waiting.iter().copied().collect();
+        let run = waiting.iter().map(|index| state.next_run(*index, base)).max().unwrap_or(base);
+        let mut ranking = self.rank_nodes(round, spec, &search);
         let mut planned: BTreeMap<Slot, u32> = BTreeMap::new();
         let mut slots = Vec::with_capacity(waiting.len());
         for index in &waiting {
-            let avoid = self.state(candidate).avoided_nodes.get(index).copied();
-            let Some(slot) = self.choose_node(now, candidate, spec, step, avoid, rack, &planned)
-            else {
+            let Some(slot) = ranking.take(state.avoided_nodes.get(index).copied()) else {
                 return false;
             };
-            *planned.entry(slot).or_default() += 1;
             slots.push(slot);
+            let count = planned.entry(slot).or_default();
+            *count += 1;
+            if let Some(score) = self.score(round, &search, slot, *count) {
+                ranking.put(score, slot);
+            }
         }
-        let base = self.run_base();
-        let state = self.state(candidate);
-        let run = waiting.iter().map(|index| state.next_run(*index, base)).max().unwrap_or(base);
         for (index, slot) in waiting.into_iter().zip(slots) {
-            let (job, occurrence, step) = (candidate.job, candidate.occurrence, candidate.step);
             self.start(slot, TaskId { job, occurrence, step, index }, run);
         }
         true
@@ -253,80 +394,70 @@
     /// otherwise the rack on which most of its tasks fit.
     fn shared_rack(
         &self,
-        now: Time,
+        round: &Round,
         candidate: &Candidate,
-        spec: &Arc<JobSpec>,
+        spec: &JobSpec,
         step: &Step,
     ) -> Option<String> {
         if !step.same_rack {
             return None;
         }
+        let used = self.state(candidate).running.values().next();
+        if let Some(rack) = used.and_then(|attempt| self.nodes[attempt.slot].rack()) {
+            return Some(rack.to_owned());
+        }
         let mut fits: BTreeMap<&str, u64> = BTreeMap::new();
-        for node in self.nodes.iter().filter(|node| node.accepts_starts(now, spec, step)) {
-            let rack = node.rack()?;
+        for (_, node) in self.open_to(round, spec, step) {
+            let Some(rack) = node.rack() else { continue };
             let count = (node.free_cpu() / step.need.cpu_milli.max(1)).min(u64::from(step.count));
             *fits.entry(rack).or_default() += count;
         }
-        let used = self.state(candidate).running.values().next();
-        match used.and_then(|attempt| self.nodes[attempt.slot].rack()) {
-            Some(rack) => Some(rack.to_owned()),
-            None => fits.into_iter().max_by_key(|(_, count)| *count).map(|(r, _)| r.to_owned()),
-        }
+        fits.into_iter().max_by_key(|(_, count)| *count).map(|(rack, _)| rack.to_owned())
     }
 
-    /// Returns the best node for a task of a step, or `None` if no node can run it now, given the
-    /// number of tasks already planned on each node.
-    #[allow(clippy::too_many_arguments)]
-    fn choose_node(
-        &self,
-        now: Time,
-        candidate: &Candidate,
-        spec: &Arc<JobSpec>,
-        step: &Step,
-        avoid: Option<Slot>,
-        rack: Option<&str>,
-        planned: &BTreeMap<Slot, u32>,
-    ) -> Option<Slot> {
-        let state = self.state(candidate);
-        let is_starved = state.running.is_empty()
-            && state.ready_since.is_some_and(|since| now >= since + STARVATION_DELAY);
-        let mut best: Option<(Score, Slot)> = None;
-        for (slot, node) in self.nodes.iter().enumerate() {
-            let planned_here = planned.get(&slot).copied().unwrap_or(0);
-            let on_node = state.per_worker.get(&slot).copied().unwrap_or(0) + planned_here;
-            if !node.accepts_starts(now, spec, step)
-                || !node.has_capacity(step, u64::from(planned_here))
-                || (self.held_nodes.contains(&slot) && !step.long_running && !step.best_effort)
-                || (step.best_effort
-                    && !is_starved
-                    && self.would_interfere(node, step, u64::from(planned_here)))
-                || (step.per_worker > 0 && on_node >= step.per_worker)
-            {
-                continue;
-            }
-            let planned_cpu = u64::from(planned_here) * step.need.cpu_milli;
-            let free = node.free_cpu().saturating_sub(planned_cpu);
-            let score = (
-                avoid == Some(slot),
-                node.failure_streak > 0,
-                rack.is_some_and(|rack| node.rack() != Some(rack)),
-                node.other_serving_images(step),
-                Reverse(if step.long_running { node.long_running.cpu_milli } else { 0 }),
-                match (step.long_running, step.best_effort) {
-                    (true, _) => free,
-                    (false, true) => self.best_effort_cost(node, step, planned_cpu),
-                    (false, false) => u64::MAX / 4 - free,
-                },
-            );
-            if best.is_none_or(|(known, _)| score < known) {
-                best = Some((score, slot));
-            }
+    /// Orders the nodes that can run a task of a step.
+    fn rank_nodes(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Ranking<Score> {
+        Ranking::new(
+            self.open_to(round, spec, search.step)
+                .filter_map(|(slot, _)| Some((self.score(round, search, slot, 0)?, slot))),
+        )
+    }
+
+    /// Returns the score of a node for one more task of a step, in addition to `planned` tasks that
+    /// have not been started yet; `None` if the node cannot run it.
+    fn score(&self, round: &Round, search: &Search<'_>, slot: Slot, planned: u32) -> Option<Score> {
+        self.examined.set(self.examined.get() + 1);
+        let (node, step) = (&self.nodes[slot], search.step);
+        let is_held = !step.long_running && !step.best_effort && round.held_nodes.contains(&slot);
+        if is_held
+            || !node.has_capacity(step, u64::from(planned))
+            || !self.state(&search.candidate).has_quota(step, slot, planned)
+        {
+            return None;
         }
-        best.map(|(_, slot)| slot)
+        let planned_cpu = u64::from(planned) * step.need.cpu_milli;
+        let free = node.free_cpu().saturating_sub(planned_cpu);
+        Some((
+            node.failure_streak > 0,
+            search.rack.is_some_and(|rack| node.rack() != Some(rack)),
+            match step.target_ms {
+                0 => 0,
+                _ => node.other_serving_images(search.image),
+            },
+            Reverse(if step.long_running { node.long_running.cpu_milli } else { 0 }),
+            match (step.long_running, step.best_effort) {
+                (true, _) => free,
+                (false, true) => {
+                    let task = (search.image, step.need.cpu_milli);
+                    self.best_effort_cost(node, task, u64::from(planned), search.is_starved)?
+                }
+                (false, false) => u64::MAX / 4 - free,
+            },
+        ))
     }
 
     /// Returns the state of a candidate's tasks.
-    fn state(&self, candidate: &Candidate) -> &super::step::StepState {
+    fn state(&self, candidate: &Candidate) -> &StepState {
         &self.jobs[&candidate.job].occurrences[&candidate.occurrence][usize::from(candidate.step)]
     }
 }
@@ -358,7 +489,7 @@
     /// Returns the CPU used neither by reservations nor by best-effort tasks, in thousandths of a
     /// core.
     pub(super) fn free_cpu(&self) -> u64 {
-        self.cpu_capacity().saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu())
+        self.cpu_capacity().saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu)
     }
 
     /// Returns the CPU of the worker, in thousandths of a core.
@@ -372,29 +503,26 @@
         capacity.is_some_and(|capacity| self.long_running.plus(need).fits_in(&capacity))
     }
 
-    /// Tells whether tasks of a step may be started on the node, regardless of its free capacity.
-    pub(super) fn accepts_starts(&self, now: Time, spec: &JobSpec, step: &Step) -> bool {
-        let Some(worker) = &self.worker else { return false };
+    /// Tells whether tasks may be started on the node, regardless of its free capacity.
+    fn accepts_starts(&self, now: Time) -> bool {
         self.is_attached
             && now < self.last_pong + MAX_PERMISSION_AGE
             && self.in_roster
-            && !worker.draining
+            && self.worker.as_ref().is_some_and(|worker| !worker.draining)
             && self.stale_runs.is_empty()
             && now >= self.backoff_until
-            && worker.service == spec.queue.service
-            && step.required_label.as_ref().is_none_or(|label| worker.labels.contains(label))
+    }
+
+    /// Tells whether the node has a worker with a label.
+    fn has_label(&self, label: &String) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
     }
 
     /// Tells whether one more task of a step fits on the node in addition to `planned` tasks of the
     /// step that have not been started yet.
     fn has_capacity(&self, step: &Step, planned: u64) -> bool {
         let Some(worker) = &self.worker else { return false };
-        let reserved = step.reserved();
-        let mut used = self.used.plus(&reserved);
-        for _ in 0..planned {
-            used = used.plus(&reserved);
-        }
-        used.fits_in(&worker.capacity)
+        self.used.plus(&step.reserved().times(planned + 1)).fits_in(&worker.capacity)
             && (!step.best_effort || self.best_effort_fits(step, planned))
     }
 }
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -6,6 +6,9 @@
 use crate::flow::model::Step;
 use crate::flow::owner::{image_number, Node, Owner, Slot};
 
+/// Image of a best-effort task and the CPU that it requests, in thousandths of a core.
+type BestEffortTask = (Image, u64);
+
 /// Minimum free CPU, in percent of its request, for a large best-effort task on a node that has no
 /// other best-effort task.
 const MIN_BEST_EFFORT_PERCENT: u64 = 50;
@@ -31,32 +34,23 @@
 const RISE_WEIGHT: f64 = 2.0;
 
 impl Node {
-    /// Returns the CPU requested by all best-effort tasks, in thousandths of a core.
-    pub(in crate::flow) fn total_best_effort_cpu(&self) -> u64 {
-        self.best_effort_cpu.values().sum()
-    }
-
     /// Returns the CPU that more best-effort tasks can expect to get, in thousandths of a core.
     fn spare_cpu(&self) -> u64 {
         let idle = self.long_running.cpu_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
         (self.cpu_capacity() + idle)
-            .saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu())
+            .saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu)
     }
 
-    /// Returns the number of serving images on the node other than the step's own; 0 if the step
-    /// does not serve. Placement prefers low numbers: if tasks of the same serving image share
-    /// nodes, more nodes are left on which a best-effort task interferes with none of the images.
-    pub(super) fn other_serving_images(&self, step: &Step) -> usize {
-        let own = image_number(step);
-        match step.target_ms {
-            0 => 0,
-            _ => self.serving.keys().filter(|image| **image != own).count(),
-        }
+    /// Returns the number of serving images on the node other than `own`. Placement of serving tasks
+    /// prefers low numbers: if tasks of the same serving image share nodes, more nodes are left on
+    /// which a best-effort task interferes with none of the images.
+    pub(super) fn other_serving_images(&self, own: Image) -> usize {
+        self.serving.keys().filter(|image| **image != own).count()
     }
 
     /// Returns the fraction of the worker's CPU that each best-effort image requests.
-    fn shares(&self) -> Vec<Share> {
-        self.best_effort_cpu.iter().map(|(image, cpu)| (*image, self.share(*cpu))).collect()
+    fn shares(&self) -> impl Iterator<Item = Share> + '_ {
+        self.best_effort_cpu.iter().map(|(image, cpu)| (*image, self.share(*cpu)))
     }
 
     /// Returns a CPU amount as a fraction of the worker's CPU.
@@ -70,7 +64,7 @@
         let need = step.need.cpu_milli;
         let free = self.spare_cpu().saturating_sub(planned * need);
         let is_large = need > self.cpu_capacity() / 2;
-        let is_first = self.total_best_effort_cpu() == 0 && is_large;
+        let is_first = self.total_best_effort_cpu == 0 && is_large;
         free >= need || (is_first && free * 100 >= need * MIN_BEST_EFFORT_PERCENT)
     }
 }
@@ -117,41 +111,52 @@
     }
 
     /// Returns the highest expected tail latency with all best-effort tasks of the node at full
-    /// pace and `count` more tasks of a step, in percent of its target, and the part that the new
-    /// tasks cause. Serving images on which the step has no significant effect are ignored.
-    fn expected_tail(&self, node: &Node, step: &Step, count: u64) -> (f64, f64) {
-        let shares = node.shares();
-        let own = [(image_number(step), node.share(step.need.cpu_milli * count))];
+    /// pace and `count` more tasks, in percent of its target, and the part that the new tasks
+    /// cause. Serving images on which the tasks have no significant effect are ignored.
+    fn expected_tail(&self, node: &Node, task: BestEffortTask, count: u64) -> (f64, f64) {
+        let (image, cpu) = task;
+        let own = node.share(cpu * count);
         let mut worst = (0.0, 0.0);
-        for (image, (_, baseline)) in &node.serving {
-            let more = self.interference.rise(*image, &own);
-            let before = self.interference.rise(*image, &shares);
-            let (tail, rise) =
-                (baseline.tail(before + RISE_SAFETY_FACTOR * more), baseline.tail(before));
-            if more > MIN_RISE && tail > worst.0 {
-                worst = (tail, tail - rise);
+        for (serving, (_, baseline)) in &node.serving {
+            let more = self.interference.rise(*serving, [(image, own)]);
+            if more <= MIN_RISE {
+                continue;
+            }
+            let before = self.interference.rise(*serving, node.shares());
+            let tail = baseline.tail(before + RISE_SAFETY_FACTOR * more);
+            if tail > worst.0 {
+                worst = (tail, tail - baseline.tail(before));
             }
         }
         worst
     }
 
-    /// Tells whether one more best-effort task of a step, in addition to `planned` tasks that have
-    /// not been started yet, would interfere too much with the serving tasks of a node. The first
-    /// best-effort task on a node is always allowed.
-    pub(super) fn would_interfere(&self, node: &Node, step: &Step, planned: u64) -> bool {
-        let (tail, rise) = self.expected_tail(node, step, planned + 1);
-        node.total_best_effort_cpu() > 0
+    /// Returns the cost of placing one more best-effort task on a node, in addition to `planned`
+    /// ones that have not been started yet. The cost grows with the best-effort load, the expected
+    /// tail latency and its rise.
+    ///
+    /// Returns `None` if the task would interfere too much with the node's serving tasks, unless it
+    /// `is_starved`. The first best-effort task on a node is always allowed.
+    pub(super) fn best_effort_cost(
+        &self,
+        node: &Node,
+        task: BestEffortTask,
+        planned: u64,
+        is_starved: bool,
+    ) -> Option<u64> {
+        let (tail, rise) = self.expected_tail(node, task, planned + 1);
+        let interferes = node.total_best_effort_cpu > 0
             && rise > 0.0
-            && (node.pressure.level < MIN_PRESSURE_LEVEL || tail > MAX_TAIL_PERCENT)
-    }
-
-    /// Returns the cost of placing a best-effort task on a node, in addition to tasks that have not
-    /// been started yet and request `planned_cpu` thousandths of a core. The cost grows with the
-    /// best-effort load, the expected tail latency and its rise.
-    pub(super) fn best_effort_cost(&self, node: &Node, step: &Step, planned_cpu: u64) -> u64 {
-        let share = ((node.total_best_effort_cpu() + planned_cpu) * 100
-            / node.cpu_capacity().max(1)) as f64;
-        let (tail, rise) = self.expected_tail(node, step, 1);
-        (share + tail + RISE_WEIGHT * rise) as u64
+            && (node.pressure.level < MIN_PRESSURE_LEVEL || tail > MAX_TAIL_PERCENT);
+        if interferes && !is_starved {
+            return None;
+        }
+        let (tail, rise) = match planned {
+            0 => (tail, rise),
+            _ => self.expected_tail(node, task, 1),
+        };
+        let requested = node.total_best_effort_cpu + planned * task.1;
+        let share = (requested * 100 / node.cpu_capacity().max(1)) as f64;
+        Some((share + tail + RISE_WEIGHT * rise) as u64)
     }
 }
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -5,7 +5,7 @@
 use super::interference::InterferenceRow;
 use super::message::{End, OwnerMessage, Running, WorkerInfo};
 use super::model::{JobNumber, JobSpec, TaskId};
-use super::owner::{traits, Owner, Slot};
+use super::owner::{traits, Owner, RoundCause, Slot};
 use super::progress::Progress;
 use super::step::Attempt;
 use crate::time::Time;
@@ -63,7 +63,7 @@
             self.log("takeover_settled", None, detail);
             self.takeover_deadline = None;
             self.unreported.clear();
-            self.placement_due = true;
+            self.request_round(RoundCause::Agent);
             self.mark_roster_changed();
         }
     }
@@ -126,7 +126,7 @@
             self.nodes[slot].drain_deadline = None;
             self.draining(now, slot, &id, remaining);
         }
-        self.placement_due = true;
+        self.request_round(RoundCause::Agent);
     }
 
     /// Requeues the tasks that the owner started on a node in an older session and that the worker
@@ -186,7 +186,10 @@
             job.open(job.next_occurrence, &Progress::default());
             job.next_occurrence += 1;
         }
-        job.occurrences.contains_key(&occurrence)
+        let is_open = job.occurrences.contains_key(&occurrence);
+        self.unplaced.insert(number);
+        self.await_occurrence(number);
+        is_open
     }
 
     /// Blocks starts on a node until a run that will be stopped has ended, because the run's
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -33,13 +33,16 @@
         });
         format!(
             "workers={count} jobs={} waiting={waiting} running={running} pace={} tail={} \
-             reserved={} lasting={} filled={}",
+             reserved={} lasting={} filled={} rounds={} examined={} round_ms={}",
             self.open_jobs(),
             mean(|node| u64::from(node.pressure.level)),
             mean(|node| u64::from(node.pressure.tail_percent)),
             mean(|node| node.used.cpu_milli),
             mean(|node| node.long_running.cpu_milli),
-            mean(|node| node.total_best_effort_cpu()),
+            mean(|node| node.total_best_effort_cpu),
+            self.rounds().iter().map(|(_, count)| count).sum::<u64>(),
+            self.examined_nodes(),
+            self.round_time.as_millis(),
         )
     }
 
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -63,6 +63,13 @@
         !step.long_running && self.done_count >= step.count
     }
 
+    /// Tells whether a node may run one more task of the step in addition to `planned` ones that have
+    /// not been started yet.
+    pub fn has_quota(&self, step: &Step, slot: Slot, planned: u32) -> bool {
+        step.per_worker == 0
+            || self.per_worker.get(&slot).copied().unwrap_or(0) + planned < step.per_worker
+    }
+
     /// Returns the number for the next run of a task; `base` is the first run number of the owner's
     /// epoch.
     pub fn next_run(&self, index: u32, base: Run) -> Run {
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Returns each resource multiplied by `count`, saturating at `u64::MAX`.
+    pub fn times(&self, count: u64) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Returns the difference of each resource, saturating at zero.
     pub fn minus(&self, other: &Resources) -> Resources {
         Resources {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,7 +3,9 @@
 mod interference;
 mod load;
 mod node;
+mod overload;
 mod owner;
 mod pace;
 mod place;
+mod ranking;
 mod support;
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -25,6 +25,7 @@
         permission: PERMISSION,
         keep_ended: Duration::from_secs(120),
         remote_slowdown: 1.5,
+        round_interval: Duration::ZERO,
     }
 }
 
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
+use futures_lite::future;
 use parking_lot::Mutex;
 use peridotfold_core::flow::message::{OwnerMessage, Token};
 use peridotfold_core::flow::owner::{Effect, Owner, Session, Slot};
@@ -34,7 +35,11 @@
     /// Wakes the task that writes the owner's records to the store.
     commit_trigger: Sender<()>,
     /// Receives a message when the owner has records to write.
-    pub(crate) commit_requests: Receiver<()>,
+    commit_requests: Receiver<()>,
+    /// Wakes the task that runs placement rounds.
+    round_trigger: Sender<()>,
+    /// Receives a message when a placement round is to run.
+    round_requests: Receiver<()>,
     /// Fires when the ownership ends.
     end: Trigger,
     /// Set when the ownership ends; the connections then close.
@@ -45,6 +50,7 @@
     /// Creates the service of the owner on the entry at `address`, with no agent connected.
     pub(crate) fn new(owner: Owner, address: SocketAddr) -> Self {
         let (commit_trigger, commit_requests) = async_channel::bounded(1);
+        let (round_trigger, round_requests) = async_channel::bounded(1);
         let (end, ended) = peridotfold_wire::shutdown::channel();
         OwnerService {
             owner: Mutex::new(owner),
@@ -53,6 +59,8 @@
             all_entries: Mutex::default(),
             commit_trigger,
             commit_requests,
+            round_trigger,
+            round_requests,
             end,
             ended,
         }
@@ -63,10 +71,16 @@
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Owner, Time) -> T) -> T {
         let now = runtime::now();
         let mut owner = self.owner.lock();
+        let known_due = owner.commit_due();
         let result = change(&mut owner, now);
-        owner.poll(now, unix_ms());
+        if owner.poll(now, unix_ms()) {
+            let end = runtime::now();
+            owner.round_took(end, end.saturating_sub(now));
+        }
+        let is_round_due = owner.next_round(now).is_some();
         let effects = owner.take_effects();
-        let is_changed = owner.has_unwritten();
+        let due = owner.commit_due();
+        let is_commit_earlier = due.is_some_and(|at| known_due.is_none_or(|known| at < known));
         let mut outboxes = self.outboxes.lock();
         drop(owner);
         for effect in effects {
@@ -85,10 +99,13 @@
             }
         }
         drop(outboxes);
-        if is_changed {
-            // If the channel is full, the writing task is already due to wake.
+        // If a channel is full, its task is already due to wake.
+        if is_commit_earlier {
             let _ = self.commit_trigger.try_send(());
         }
+        if is_round_due {
+            let _ = self.round_trigger.try_send(());
+        }
         result
     }
 
@@ -156,8 +173,24 @@
         self.outboxes.lock().clear();
     }
 
-    /// Returns the time until the owner must be polled.
-    pub(crate) fn poll_delay(&self) -> Duration {
-        self.read(|owner, now| owner.next_poll(now))
+    /// Runs placement rounds that came too soon after the one before, once they are due.
+    pub(crate) async fn run_rounds(&self) {
+        while self.round_requests.recv().await.is_ok() {
+            if let Some(delay) = self.read(|owner, now| owner.next_round(now)) {
+                runtime::sleep(delay).await;
+                self.update(|_, _| ());
+            }
+        }
+    }
+
+    /// Waits until records are due to be written, or timers must be checked.
+    pub(crate) async fn wait_for_commit(&self) {
+        let delay = self.read(|owner, now| owner.next_poll(now));
+        let requested = async {
+            if self.commit_requests.recv().await.is_err() {
+                future::pending::<()>().await;
+            }
+        };
+        future::or(requested, runtime::sleep(delay)).await;
     }
 }
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -184,6 +184,7 @@
             service.ended.wait().await;
         };
         let work = future::or(self.renew(service), self.commit(service));
+        let work = future::or(work, service.run_rounds());
         future::or(ended, future::or(work, self.watch(service, as_of))).await;
     }
 
@@ -321,16 +322,7 @@
     /// Writes the owner's records whenever there are any, until the ownership is lost.
     async fn commit(&self, service: &OwnerService) {
         loop {
-            let delay = service.poll_delay();
-            future::or(
-                async {
-                    if service.commit_requests.recv().await.is_err() {
-                        future::pending::<()>().await;
-                    }
-                },
-                runtime::sleep(delay),
-            )
-            .await;
+            service.wait_for_commit().await;
             let commit = service.update(|owner, now| owner.take_commit(now));
             match commit {
                 Some(commit) if !self.write(service, &commit).await => return,
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -195,6 +195,7 @@
             permission: Duration::from_secs(6),
             keep_ended: Duration::from_secs(60),
             remote_slowdown: 1.5,
+            round_interval: Duration::from_millis(20),
         },
     }
 }
