Let idle connections of the owner take little memory

Cause: the queue of each connection allocated all of its 8,192 places at once, 740 KB.

Change: the queue grows as needed up to the same bound.

--- a/crates/hosted/src/connection.rs
+++ b/crates/hosted/src/connection.rs
@@ -27,8 +27,35 @@
 /// Timeout of one write on a connection, after which the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Queue of messages that a connection's writer task sends. Dropping it closes the connection.
-pub(crate) type Outbox<T> = Sender<T>;
+/// Queue of messages that a connection's writer task sends. Dropping all its clones closes the
+/// connection.
+#[derive(Debug)]
+pub(crate) struct Outbox<T>(Sender<T>);
+
+// Derived, it would require that the messages can be cloned.
+impl<T> Clone for Outbox<T> {
+    fn clone(&self) -> Self {
+        Outbox(self.0.clone())
+    }
+}
+
+impl<T> Outbox<T> {
+    /// Adds a message. Fails if the connection is closed, or the queue is full because the peer is
+    /// slow.
+    pub(crate) fn try_send(&self, message: T) -> Result<(), QueueError> {
+        if self.0.len() >= OUTBOX_CAPACITY {
+            return Err(QueueError::Full);
+        }
+        self.0.try_send(message).map_err(|_| QueueError::Closed)
+    }
+}
+
+/// Reason for which a message was not queued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum QueueError {
+    Full,
+    Closed,
+}
 
 /// Opens a connection with `TCP_NODELAY` set.
 pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, WireError> {
@@ -62,7 +89,9 @@
     stream: TcpStream,
     peer: String,
 ) -> Outbox<T> {
-    let (sender, receiver) = async_channel::bounded(OUTBOX_CAPACITY);
+    // A bounded channel allocates its whole capacity at once, which an owner with a connection for
+    // each worker cannot afford.
+    let (sender, receiver) = async_channel::unbounded();
     runtime::spawn(async move {
         if let Err(error) = write_all(&stream, &peer, receiver).await {
             tracing::info!(event = "connection_lost", %peer, %error);
@@ -73,7 +102,7 @@
         }
     })
     .detach();
-    sender
+    Outbox(sender)
 }
 
 /// Writes queued messages until the outbox is dropped.
