Hand the ownership over when the store turns the owner away

Change: after 800 ms without an answered call the owner asks connected entries whether the store answers them. It ends its validity and offers the ownership to the first that says so; that entry replaces the lock if the fence still has the offered epoch. While the store answers nobody, the owner stays. A refused submission has one line (`submit`) with the role, the owner and the age of the last failed call; other refusals carry the id or the queue.

Ruled out: shorter leases, which would end the ownership in each short outage of the store.

Check changed: two tests removed the lock after 3 s whoever held it, as the end of the first owner's lease. The lock names the second owner by then, so they now remove only a lock of the first one; what they assert is the same.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -230,6 +230,8 @@
     Cancel { query: u64, job: JobNumber },
     /// Asks whether the owner holds a valid lease.
     Ping,
+    /// Answers a probe: the store answers this entry.
+    StoreReached,
 }
 
 /// Reply from the owner to an entry process.
@@ -259,6 +261,13 @@
         entries: Vec<SocketAddr>,
         is_valid: bool,
     },
+    /// Asks whether the store answers the entry, because it does not answer the owner.
+    Probe,
+    /// The owner has given up the ownership of this epoch. The entry may replace the owner's lock
+    /// before its lease ends.
+    HandOver {
+        epoch: u32,
+    },
 }
 
 /// Answer to a request to store a job or a cancellation: whether its record is in the store.
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -330,6 +330,11 @@
         now < self.valid_until
     }
 
+    /// Returns the number of this owner's term.
+    pub fn epoch(&self) -> u32 {
+        self.settings.epoch
+    }
+
     /// Sets a higher epoch after the lease expired and no other process acquired it.
     pub fn set_epoch(&mut self, epoch: u32) {
         self.settings.epoch = epoch;
--- a/crates/hosted/src/election.rs
+++ b/crates/hosted/src/election.rs
@@ -10,8 +10,8 @@
 use crate::directory::{self, Directory};
 use crate::entry::{Entry, Role};
 use crate::follower::{self, DisconnectReason};
-use crate::ownership::Ownership;
-use crate::ports::{Revision, Store};
+use crate::ownership::{Ownership, ReplacedLock};
+use crate::ports::Store;
 
 /// Delay before a claim by an entry with one core, in milliseconds. The delay is inversely
 /// proportional to the cores, so that entries with more CPU claim first.
@@ -30,7 +30,8 @@
         match directory::read_lock(&entry.store).await {
             Ok(Some((lock, revision))) if lock.node == node => {
                 tracing::info!(event = "lock_of_own_node", is_current = lock.boot == boot);
-                claim(&entry, revision, &mut directory, &retiring).await;
+                let replaced = ReplacedLock { revision, epoch: None };
+                claim(&entry, replaced, &mut directory, &retiring).await;
                 if retiring.is_set() {
                     runtime::sleep_or_shutdown(directory::owner_search_delay(), &shutdown).await;
                 }
@@ -38,14 +39,22 @@
             Ok(Some((lock, _))) => {
                 let reason = follow(&entry, lock.address, &mut directory, &shutdown).await;
                 tracing::info!(event = "owner_lost", owner = lock.node, reason = %reason);
-                runtime::sleep_or_shutdown(directory::owner_search_delay(), &shutdown).await;
+                match reason {
+                    DisconnectReason::Offered { epoch } => {
+                        accept(&entry, epoch, &mut directory, &retiring).await;
+                    }
+                    _ => {
+                        let delay = directory::owner_search_delay();
+                        runtime::sleep_or_shutdown(delay, &shutdown).await;
+                    }
+                }
             }
             Ok(None) => {
                 let delay =
                     Duration::from_millis((ONE_CORE_DELAY_MS / entry.cores.max(0.01)) as u64);
                 let jitter = Duration::from_millis(fastrand::u64(0..CLAIM_JITTER_MS));
                 runtime::sleep_or_shutdown(delay.min(MAX_CLAIM_DELAY) + jitter, &shutdown).await;
-                claim(&entry, 0, &mut directory, &retiring).await;
+                claim(&entry, ReplacedLock::default(), &mut directory, &retiring).await;
             }
             Err(error) => {
                 tracing::warn!(event = "lock_not_read", %error);
@@ -89,19 +98,35 @@
     reason
 }
 
-/// Claims the ownership and acts as the owner until it loses or gives up the ownership.
-/// `lock_revision` is the revision of the lock that the claim replaces; 0 if there is no lock.
+/// Accepts the ownership from the owner of `epoch`, which has ended it and cannot reach the store.
+async fn accept<S: Store>(
+    entry: &Arc<Entry<S>>,
+    epoch: u32,
+    directory: &mut Directory,
+    retiring: &Shutdown,
+) {
+    match directory::read_lock(&entry.store).await {
+        Ok(lock) => {
+            let revision = lock.map_or(0, |(_, revision)| revision);
+            let replaced = ReplacedLock { revision, epoch: Some(epoch) };
+            claim(entry, replaced, directory, retiring).await;
+        }
+        Err(error) => tracing::warn!(event = "lock_not_read", %error),
+    }
+}
+
+/// Claims the ownership and acts as the owner until it loses or gives up the ownership. `replaced`
+/// is the lock that the claim replaces.
 async fn claim<S: Store>(
     entry: &Arc<Entry<S>>,
-    lock_revision: Revision,
+    replaced: ReplacedLock,
     directory: &mut Directory,
     retiring: &Shutdown,
 ) {
     if retiring.is_set() {
         return;
     }
-    let claimed =
-        Ownership::claim(entry.store.clone(), entry.identity.clone(), lock_revision).await;
+    let claimed = Ownership::claim(entry.store.clone(), entry.identity.clone(), replaced).await;
     let ownership = match claimed {
         Ok(Some(ownership)) => ownership,
         Ok(None) => return,
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -67,6 +67,17 @@
     Follower(Arc<Follower>),
 }
 
+impl Role {
+    /// Returns the name of the role for logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Role::None => "none",
+            Role::Owner(_) => "owner",
+            Role::Follower(_) => "follower",
+        }
+    }
+}
+
 /// Answer to a request for the phase of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StateAnswer {
@@ -234,6 +245,11 @@
         }
     }
 
+    /// Returns the time since the last call to the store failed; `None` if a later one succeeded.
+    pub fn store_failure_age(&self) -> Option<Duration> {
+        self.store_failed_at.lock().map(|at| runtime::now().saturating_sub(at))
+    }
+
     /// Tells whether a call to the store failed so recently that new jobs are not sent to it.
     pub(crate) fn is_store_down(&self) -> bool {
         self.store_failed_at.lock().is_some_and(|at| runtime::now() < at + STORE_BACKOFF)
@@ -261,12 +277,14 @@
         let timeout = timeout.min(STORE_TIMEOUT);
         let remaining = || (started_at + timeout).saturating_sub(runtime::now());
         let mut outcome = Stored::No;
+        let store_age = self.store_failure_age();
         if !self.is_store_down() {
             let storing = self.store_job(job, record.clone());
             outcome = with_timeout(remaining(), Stored::Unclear, storing).await;
         }
+        let (role, owner) = self.role();
         // The owner may reach the store even if this entry does not.
-        if let (Stored::No, (Role::Follower(follower), _)) = (outcome, self.role()) {
+        if let (Stored::No, Role::Follower(follower)) = (outcome, &role) {
             let request = |query| EntryRequest::Submit { query, job, record };
             outcome = match follower.request(remaining(), request).await {
                 Some(OwnerReply::Stored { outcome, .. }) => outcome,
@@ -274,8 +292,16 @@
             };
         }
         let took_ms = (runtime::now() - started_at).as_millis() as u64;
-        let id = format!("{job:016x}");
-        tracing::info!(event = "submit", id, queue = spec.queue.name, ?outcome, took_ms);
+        tracing::info!(
+            event = "submit",
+            id = format!("{job:016x}"),
+            queue = spec.queue.name,
+            ?outcome,
+            took_ms,
+            role = role.name(),
+            ?owner,
+            store_failed_ms = store_age.map(|age| age.as_millis() as u64),
+        );
         metrics::histogram!("submit_seconds").record((runtime::now() - started_at).as_secs_f64());
         outcome
     }
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -44,6 +44,8 @@
     Lost(WireError),
     /// The peer is not the owner; contains the owner's address if the peer knows it.
     Redirected(Option<SocketAddr>),
+    /// The owner of `epoch` has offered the ownership to this entry.
+    Offered { epoch: u32 },
     /// This process is shutting down.
     Shutdown,
 }
@@ -55,6 +57,9 @@
             DisconnectReason::Redirected(owner) => {
                 write!(f, "the peer is not the owner; owner={owner:?}")
             }
+            DisconnectReason::Offered { epoch } => {
+                write!(f, "the owner gives the ownership up; epoch={epoch}")
+            }
             DisconnectReason::Shutdown => f.write_str("shutdown"),
         }
     }
@@ -173,6 +178,15 @@
                                     return DisconnectReason::Redirected(None);
                                 }
                             }
+                            OwnerReply::Probe => {
+                                if let Ok(Some(_)) = directory::read_lock(store).await {
+                                    // Fails if the connection is closed, which ends the loop.
+                                    let _ = outbox.try_send(EntryRequest::StoreReached);
+                                }
+                            }
+                            OwnerReply::HandOver { epoch } => {
+                                return DisconnectReason::Offered { epoch }
+                            }
                             OwnerReply::State { query, .. }
                             | OwnerReply::Waiting { query, .. }
                             | OwnerReply::Stored { query, .. } => follower.resolve(query, answer),
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -1,13 +1,13 @@
 //! The owner's state machine with the connections of its agents and of other entries.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use parking_lot::Mutex;
-use peridotfold_core::flow::message::{OwnerMessage, Token};
+use peridotfold_core::flow::message::{OwnerMessage, OwnerReply, Token};
 use peridotfold_core::flow::owner::{Effect, Owner, Session, Slot};
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
@@ -16,6 +16,9 @@
 use crate::connection::Outbox;
 use crate::decisions;
 
+/// Maximum number of entries asked at once whether the store answers them.
+const MAX_PROBES: usize = 8;
+
 /// Returns the wall-clock time in milliseconds since 1970.
 pub(crate) fn unix_ms() -> u64 {
     // A clock before 1970 counts as 0, at which no job is due.
@@ -28,8 +31,10 @@
     owner: Mutex<Owner>,
     /// Outboxes of the connected agents by session.
     outboxes: Mutex<HashMap<Session, Outbox<OwnerMessage>>>,
-    /// This entry and the entries that are connected to it.
-    entries: Mutex<BTreeSet<SocketAddr>>,
+    /// Address of this entry.
+    address: SocketAddr,
+    /// Outboxes of the connected entries by address.
+    entries: Mutex<BTreeMap<SocketAddr, Outbox<OwnerReply>>>,
     /// Other entries that were connected at any time.
     all_entries: Mutex<BTreeSet<SocketAddr>>,
     /// Wakes the task that writes the owner's records to the store.
@@ -42,6 +47,10 @@
     round_requests: Receiver<()>,
     /// Fires when the ownership ends.
     end: Trigger,
+    /// Tells the task that hands the ownership over which entry the store answers.
+    successor_sender: Sender<SocketAddr>,
+    /// Receives the address of an entry that the store answers.
+    successors: Receiver<SocketAddr>,
     /// Set when the ownership ends; the connections then close.
     pub(crate) ended: Shutdown,
 }
@@ -51,16 +60,20 @@
     pub(crate) fn new(owner: Owner, address: SocketAddr) -> Self {
         let (commit_trigger, commit_requests) = async_channel::bounded(1);
         let (round_trigger, round_requests) = async_channel::bounded(1);
+        let (successor_sender, successors) = async_channel::bounded(1);
         let (end, ended) = peridotfold_wire::shutdown::channel();
         OwnerService {
             owner: Mutex::new(owner),
             outboxes: Mutex::new(HashMap::new()),
-            entries: Mutex::new(BTreeSet::from([address])),
+            address,
+            entries: Mutex::default(),
             all_entries: Mutex::default(),
             commit_trigger,
             commit_requests,
             round_trigger,
             round_requests,
+            successor_sender,
+            successors,
             end,
             ended,
         }
@@ -126,7 +139,8 @@
 
     /// Returns this entry and the entries that are connected to it.
     pub(crate) fn entries(&self) -> Vec<SocketAddr> {
-        self.entries.lock().iter().copied().collect()
+        let entries = self.entries.lock();
+        entries.keys().copied().chain([self.address]).collect()
     }
 
     /// Returns the other entries that were connected at any time, to be asked for the owner later.
@@ -135,8 +149,8 @@
     }
 
     /// Adds an entry that has connected.
-    pub(crate) fn add_entry(&self, address: SocketAddr) {
-        self.entries.lock().insert(address);
+    pub(crate) fn add_entry(&self, address: SocketAddr, outbox: Outbox<OwnerReply>) {
+        self.entries.lock().insert(address, outbox);
         self.all_entries.lock().insert(address);
     }
 
@@ -145,6 +159,36 @@
         self.entries.lock().remove(address);
     }
 
+    /// Asks connected entries whether the store answers them.
+    pub(crate) fn probe_entries(&self) {
+        for outbox in self.entries.lock().values().take(MAX_PROBES) {
+            // An entry that cannot be asked is on its way out.
+            let _ = outbox.try_send(OwnerReply::Probe);
+        }
+    }
+
+    /// Notes that the store answers the entry at `address`.
+    pub(crate) fn store_answers(&self, address: SocketAddr) {
+        // If the channel is full, another entry answered first.
+        let _ = self.successor_sender.try_send(address);
+    }
+
+    /// Waits for an entry to report that the store answers it. Returns `None` once the service is
+    /// dropped.
+    pub(crate) async fn find_successor(&self) -> Option<SocketAddr> {
+        self.successors.recv().await.ok()
+    }
+
+    /// Ends the validity of the ownership and offers it to a connected entry. Returns whether the
+    /// offer was sent.
+    pub(crate) fn hand_over(&self, successor: SocketAddr, epoch: u32) -> bool {
+        let outbox = self.entries.lock().get(&successor).cloned();
+        let Some(outbox) = outbox else { return false };
+        // Before the offer: from then on, another owner may exist.
+        self.update(|owner, now| owner.set_valid_until(now));
+        outbox.try_send(OwnerReply::HandOver { epoch }).is_ok()
+    }
+
     /// Opens a session for the agent of `node` and sends its fencing token.
     pub(crate) fn open_session(&self, node: &str, outbox: Outbox<OwnerMessage>) -> (Slot, Session) {
         let (slot, session, token) = self.update(|owner, now| owner.connect(now, node));
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use parking_lot::Mutex as SyncMutex;
 use peridotfold_core::flow::interference::InterferenceRow;
 use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Record};
 use peridotfold_core::time::Time;
@@ -36,6 +37,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum delay between two attempts of a write while the store does not answer.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time without an answered call to the store after which the owner offers the ownership to an entry
+/// that the store answers. Longer than one lost answer, shorter than the lease.
+const HAND_OVER_DELAY: Duration = Duration::from_millis(800);
+/// Interval at which an owner that the store does not answer looks for a successor.
+const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(200);
 /// Long-poll timeout of a watch; bounds the time for which a dead connection goes unnoticed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -61,6 +67,16 @@
     lease: LeaseId,
 }
 
+/// The lock that a claim replaces; by default none.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ReplacedLock {
+    /// Revision of the lock; 0 if there is none.
+    pub(crate) revision: Revision,
+    /// Epoch of the owner that gave the lock up. The claim fails if the fence is of another one.
+    /// `None` if no owner is left that could use the lock.
+    pub(crate) epoch: Option<u32>,
+}
+
 /// The ownership held by this process.
 #[derive(Debug)]
 pub(crate) struct Ownership<S> {
@@ -70,6 +86,8 @@
     state: Mutex<FenceState>,
     /// When the validity of the first lease ends.
     valid_until: Time,
+    /// Since when no call to the store has been answered; `None` if the last one was.
+    unanswered_since: SyncMutex<Option<Time>>,
 }
 
 /// Returns the time until which the owner relies on a lease that was requested at `sent_at`.
@@ -102,12 +120,12 @@
 }
 
 impl<S: Store> Ownership<S> {
-    /// Claims the ownership. `lock_revision` is the revision of a lock that an earlier process of
-    /// this node left behind; 0 if there is no lock. Returns `None` if another entry claimed first.
+    /// Claims the ownership, in place of a lock that an earlier process of this node left behind or
+    /// that its owner gave up. Returns `None` if another entry claimed first.
     pub(crate) async fn claim(
         store: S,
         identity: Identity,
-        lock_revision: Revision,
+        replaced: ReplacedLock,
     ) -> Result<Option<Self>, StoreError> {
         let fence_item = store.get(records::FENCE).await?;
         let (last, revision) = match &fence_item {
@@ -119,10 +137,13 @@
                 }
             },
         };
+        if replaced.epoch.is_some_and(|epoch| epoch != last.epoch) {
+            return Ok(None);
+        }
         let sent_at = runtime::now();
         let (lease, ttl) = store.open_lease(LOCK_TTL).await?;
         let fence = Fence { epoch: last.epoch + 1, boot: identity.boot, sequence: 0 };
-        let write = claim_write(&identity, fence, (lock_revision, revision), lease)?;
+        let write = claim_write(&identity, fence, (replaced.revision, revision), lease)?;
         match store.write(&write).await? {
             WriteResult::Done(revision) => {
                 tracing::info!(event = "ownership_claimed", epoch = fence.epoch, lease);
@@ -131,6 +152,7 @@
                     identity,
                     state: Mutex::new(FenceState { fence, revision, lease }),
                     valid_until: validity_end(sent_at, ttl),
+                    unanswered_since: SyncMutex::new(None),
                 }))
             }
             WriteResult::Conflict(_) | WriteResult::NoLease => Ok(None),
@@ -185,6 +207,7 @@
         };
         let work = future::or(self.renew(service), self.commit(service));
         let work = future::or(work, service.run_rounds());
+        let work = future::or(work, self.hand_over_if_cut_off(service));
         future::or(ended, future::or(work, self.watch(service, as_of))).await;
     }
 
@@ -223,13 +246,62 @@
         tracing::warn!(event = "release_failed", reason = "other writes came first");
     }
 
+    /// Notes whether a call to the store was answered.
+    fn note_call<T>(&self, outcome: &Result<T, StoreError>) {
+        let mut since = self.unanswered_since.lock();
+        match outcome {
+            Ok(_) => *since = None,
+            Err(_) => {
+                since.get_or_insert_with(runtime::now);
+            }
+        }
+    }
+
+    /// Returns for how long no call to the store has been answered.
+    fn unanswered_for(&self) -> Duration {
+        let since = *self.unanswered_since.lock();
+        since.map_or(Duration::ZERO, |since| runtime::now().saturating_sub(since))
+    }
+
+    /// Hands the ownership over once the store has not answered this entry for a while but answers
+    /// another one. While the store answers nobody, the owner stays: it can still start tasks until
+    /// its lease ends.
+    async fn hand_over_if_cut_off(&self, service: &OwnerService) {
+        loop {
+            runtime::sleep(SUCCESSOR_INTERVAL).await;
+            if self.unanswered_for() < HAND_OVER_DELAY {
+                continue;
+            }
+            service.probe_entries();
+            let found = future::or(service.find_successor(), async {
+                runtime::sleep(SUCCESSOR_INTERVAL).await;
+                None
+            });
+            let Some(successor) = found.await else { continue };
+            // The answer may be that to an older probe, sent before the store answered again.
+            let unanswered_for = self.unanswered_for();
+            if unanswered_for < HAND_OVER_DELAY {
+                continue;
+            }
+            // A write in flight keeps the lock of the state; its epoch does not change meanwhile.
+            let epoch = service.read(|owner, _| owner.epoch());
+            if service.hand_over(successor, epoch) {
+                let unanswered_ms = unanswered_for.as_millis() as u64;
+                tracing::warn!(event = "ownership_offered", %successor, epoch, unanswered_ms);
+                return;
+            }
+        }
+    }
+
     /// Renews the lease until the ownership is lost.
     async fn renew(&self, service: &OwnerService) {
         loop {
             runtime::sleep(RENEW_INTERVAL).await;
             let sent_at = runtime::now();
             let lease = self.state.lock().await.lease;
-            match self.store.renew_lease(lease).await {
+            let renewed = self.store.renew_lease(lease).await;
+            self.note_call(&renewed);
+            match renewed {
                 Ok(true) => {
                     service
                         .update(|owner, _| owner.set_valid_until(validity_end(sent_at, LOCK_TTL)));
@@ -358,7 +430,9 @@
         let started_at = runtime::now();
         let mut backoff = RETRY_DELAY;
         loop {
-            match self.store.write(&write).await {
+            let written = self.store.write(&write).await;
+            self.note_call(&written);
+            match written {
                 Ok(WriteResult::Done(revision)) => {
                     state.fence = fence;
                     state.revision = revision;
@@ -427,7 +501,9 @@
     async fn watch(&self, service: &OwnerService, as_of: Revision) {
         let mut after = as_of;
         loop {
-            match self.store.watch(records::INBOX_PREFIX, after, WATCH_TIMEOUT).await {
+            let watched = self.store.watch(records::INBOX_PREFIX, after, WATCH_TIMEOUT).await;
+            self.note_call(&watched);
+            match watched {
                 Ok(WatchResult::Changes { changes, as_of }) => {
                     after = as_of;
                     let written = |change| match change {
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -42,8 +42,9 @@
         }
         (Role::Owner(service), Greeting::Entry { node, address }) => {
             tracing::info!(event = "entry_connected", node, %address);
-            service.add_entry(address);
-            serve_entry(stream, reader, &service, &entry).await;
+            let outbox = connection::start_writer(stream, reader.peer().to_owned());
+            service.add_entry(address, outbox.clone());
+            serve_entry(outbox, reader, address, &service, &entry).await;
             service.remove_entry(&address);
             tracing::info!(event = "entry_lost", node, %address);
         }
@@ -100,12 +101,12 @@
 
 /// Answers the requests of another entry until the connection or the ownership ends.
 async fn serve_entry<S: Store>(
-    stream: TcpStream,
+    outbox: Outbox<OwnerReply>,
     mut reader: MessageReader,
+    address: SocketAddr,
     service: &Arc<OwnerService>,
     entry: &Arc<Entry<S>>,
 ) {
-    let outbox = connection::start_writer(stream, reader.peer().to_owned());
     loop {
         let received = future::or(
             async { Some(reader.receive::<EntryRequest>(SILENCE_TIMEOUT).await) },
@@ -123,7 +124,10 @@
             None => return,
         };
         for message in messages {
-            answer_request(message, service, entry, &outbox, reader.peer());
+            match message {
+                EntryRequest::StoreReached => service.store_answers(address),
+                request => answer_request(request, service, entry, &outbox, reader.peer()),
+            }
         }
     }
 }
@@ -140,6 +144,8 @@
         // Without a valid lease, another owner may have newer state.
         EntryRequest::State { .. } | EntryRequest::Waiting { .. }
             if !service.read(|owner, now| owner.is_valid(now)) => {}
+        // Handled with the connection, which knows the entry's address.
+        EntryRequest::StoreReached => {}
         EntryRequest::Ping => {
             let is_valid = service.read(|owner, now| owner.is_valid(now));
             send(outbox, OwnerReply::Pong { entries: service.entries(), is_valid }, peer);
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -61,12 +61,57 @@
         runtime::sleep(Duration::from_millis(500)).await;
         store.refuse(true);
         runtime::sleep(Duration::from_secs(3)).await;
-        store.expire(records::LOCK);
+        store.expire_lock_of("first");
         assert!(wait_for_owner(&store, "second").await);
         drop((first, second));
     });
 }
 
+/// Guards against seconds without an owner while the store answers all entries but the owner's: its
+/// lock then lasted to the end of its lease, and tasks waited. Seen on the trouble-1 day of the
+/// third deployment.
+#[test]
+fn an_owner_that_the_store_turns_away_hands_over_before_its_lease_ends() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let first = start("first", &store);
+        assert!(wait_for_owner(&store, "first").await);
+        let second = start("second", &store.second_handle());
+        // Time for the second entry to connect to the first.
+        runtime::sleep(Duration::from_millis(500)).await;
+        store.refuse(true);
+        let refused_at = Instant::now();
+        // The lock never expires here.
+        assert!(wait_for_owner(&store, "second").await);
+        let took = refused_at.elapsed();
+        assert!(took < Duration::from_secs(2), "{took:?} without an owner");
+        drop((first, second));
+    });
+}
+
+/// Guards against an owner that gives its ownership up during an outage of the store for all, in
+/// which it could still start tasks until its lease ends.
+#[test]
+fn an_owner_stays_while_the_store_answers_nobody() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let first = start("first", &store);
+        assert!(wait_for_owner(&store, "first").await);
+        let second_store = store.second_handle();
+        let second = start("second", &second_store);
+        runtime::sleep(Duration::from_millis(500)).await;
+        let lock = store.peek(records::LOCK);
+        store.refuse(true);
+        second_store.refuse(true);
+        runtime::sleep(Duration::from_secs(2)).await;
+        store.refuse(false);
+        second_store.refuse(false);
+        runtime::sleep(Duration::from_secs(1)).await;
+        assert_eq!(store.peek(records::LOCK), lock);
+        drop((first, second));
+    });
+}
+
 /// Guards against a lock that remains for three seconds, the time to live of its lease, after its
 /// owner was stopped during a write. This occurred in the trouble-1 scenario of the enlarged guide
 /// workload, in a rolling restart of all entries.
@@ -130,7 +175,7 @@
         runtime::sleep(Duration::from_millis(500)).await;
         store.refuse(true);
         runtime::sleep(Duration::from_secs(3)).await;
-        store.expire(records::LOCK);
+        store.expire_lock_of("first");
         assert!(wait_for_owner(&store, "second").await);
         let started_at = Instant::now();
         let mut job = 1;
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -16,6 +16,7 @@
 use peridotfold_hosted::ports::{
     Item, LeaseId, Revision, Store, StoreError, WatchResult, Write, WriteResult,
 };
+use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 
 /// Contents of the store and the faults to inject.
@@ -99,6 +100,15 @@
         self.0.lock().items.remove(key);
     }
 
+    /// Removes the lock if it names `node`, as the end of the node's lease would.
+    pub fn expire_lock_of(&self, node: &str) {
+        let lock = self.peek(records::LOCK);
+        let lock = lock.and_then(|value| records::decode::<records::Lock>(&value).ok());
+        if lock.is_some_and(|lock| lock.node == node) {
+            self.expire(records::LOCK);
+        }
+    }
+
     /// Returns the value of a key, even while calls are refused.
     pub fn peek(&self, key: &str) -> Option<Bytes> {
         self.0.lock().items.get(key).map(|item| item.value.clone())
