Move the last tasks of a step away from workers that throttle them

Cause: a step of best-effort tasks is done when its slowest task is, and paces differ from worker to worker: the last tasks waited on workers that gave them a tenth of their CPU. Besides, a retried task of a step that had become ready long ago passed for a starved one and started at once where it interfered.

Change: each half second the owner stops tasks with checkpoints that are among the last quarter of their step, run on a worker whose best-effort tasks get less than 30 % of their request, and have run for a second; they start elsewhere from their checkpoint. A step is starved after two seconds without runs, not two seconds after it became ready.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -7,6 +7,7 @@
 mod commit;
 mod ends;
 mod reservations;
+mod stragglers;
 mod workers;
 
 use std::cell::Cell;
@@ -271,6 +272,8 @@
     pub(super) interference: Interference,
     /// When the learned interference weights are next written to the store.
     next_interference: Time,
+    /// When stragglers are next searched for.
+    next_straggler_search: Time,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -304,6 +307,7 @@
             last_timer_check: now,
             interference: Interference::default(),
             next_interference: now + INTERFERENCE_INTERVAL,
+            next_straggler_search: now,
             examined: Cell::new(0),
         }
     }
@@ -559,6 +563,7 @@
     /// called. `wall` is the wall-clock time.
     pub fn poll(&mut self, now: Time, wall: WallMs) -> bool {
         self.check_timers(now);
+        self.move_stragglers(now);
         self.release_due(now, wall);
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
         if runs {
@@ -597,13 +602,13 @@
     }
 
     /// Starts a task on a node: reserves resources and sends the order.
-    pub(super) fn start(&mut self, slot: Slot, task: TaskId, run: Run) {
+    pub(super) fn start(&mut self, now: Time, slot: Slot, task: TaskId, run: Run) {
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
         let step = &spec.steps[usize::from(task.step)];
         let key = if step.gang { 0 } else { task.index };
         let checkpoint = state.checkpoints.get(&key).cloned().unwrap_or_default();
-        state.begin(task.index, Attempt { run, slot, is_stopping: false });
+        state.begin(task.index, Attempt { run, slot, since: now, is_stopping: false });
         self.reserve(slot, task, run, step);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
--- /dev/null
+++ b/crates/core/src/flow/owner/stragglers.rs
@@ -0,0 +1,74 @@
+//! Moves the last tasks of a step away from workers that throttle them, because the whole step
+//! waits for them.
+
+use std::time::Duration;
+
+use super::{Owner, Slot};
+use crate::flow::message::OwnerMessage;
+use crate::flow::model::{Run, TaskId};
+use crate::time::Time;
+
+/// Interval between two searches for stragglers.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// CPU that best-effort tasks may use, in percent of their request, below which a worker's tasks
+/// are moved. A task then needs over three times as long as it would elsewhere.
+const MAX_PRESSURE_LEVEL: u32 = 30;
+/// Part of a step's tasks, as a divisor, that may still run for them to count as its last ones.
+const LAST_TASKS_DIVISOR: u32 = 4;
+/// Minimum time that a task runs on a worker before it is moved. Shorter runs would be stopped
+/// before the worker's agent has adjusted the pace to them.
+const MIN_RUN_TIME: Duration = Duration::from_secs(1);
+/// Number of nodes, as a divisor, that gives the number of moves in one search beyond the first.
+const NODES_PER_MOVE: usize = 16;
+
+impl Owner {
+    /// Stops best-effort tasks that are the last ones of their step and run on a worker that
+    /// throttles them. Their checkpoints are kept, and they start again on other workers, where
+    /// their job ranks high because little of it is left.
+    pub(super) fn move_stragglers(&mut self, now: Time) {
+        if now < self.next_straggler_search || !self.is_valid(now) {
+            return;
+        }
+        self.next_straggler_search = now + SEARCH_INTERVAL;
+        let most = 1 + self.nodes.len() / NODES_PER_MOVE;
+        let throttles = |slot: &Slot| self.nodes[*slot].pressure.level < MAX_PRESSURE_LEVEL;
+        let slots: Vec<Slot> = (0..self.nodes.len()).filter(throttles).collect();
+        let stragglers: Vec<(Slot, TaskId, Run)> = slots
+            .into_iter()
+            .flat_map(|slot| self.nodes[slot].tasks.iter().map(move |(t, run)| (slot, *t, *run)))
+            .filter(|(_, task, run)| self.is_straggler(now, task, *run))
+            .take(most)
+            .collect();
+        for (slot, task, run) in stragglers {
+            let Some((_, state)) = self.step_mut(&task) else { continue };
+            if let Some(attempt) = state.running.get_mut(&task.index) {
+                attempt.is_stopping = true;
+            }
+            state.avoided_nodes.insert(task.index, slot);
+            let node = &self.nodes[slot];
+            let detail =
+                format!("task={task} run={run} node={} level={}", node.name, node.pressure.level);
+            self.log("straggler_moved", Some(task.job), detail);
+            self.send(slot, OwnerMessage::Stop { task, run });
+        }
+    }
+
+    /// Tells whether a run on a worker that throttles it holds up its step, and loses no work if it
+    /// is stopped.
+    fn is_straggler(&self, now: Time, task: &TaskId, run: Run) -> bool {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| !job.phase.is_final()) else {
+            return false;
+        };
+        let step = &job.spec.steps[usize::from(task.step)];
+        let steps = job.occurrences.get(&task.occurrence);
+        let Some(state) = steps.and_then(|steps| steps.get(usize::from(task.step))) else {
+            return false;
+        };
+        let is_last = state.waiting.is_empty()
+            && state.running.len() as u32 <= (step.count / LAST_TASKS_DIVISOR).max(1);
+        let is_movable = state.running.get(&task.index).is_some_and(|attempt| {
+            attempt.run == run && !attempt.is_stopping && now >= attempt.since + MIN_RUN_TIME
+        });
+        step.best_effort && step.has_checkpoints && !step.gang && is_last && is_movable
+    }
+}
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -79,10 +79,13 @@
                 let is_done = |after: &u16| {
                     steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
                 };
-                if steps[index].ready_since.is_none() && !step.after.iter().all(is_done) {
+                if !steps[index].is_ready && !step.after.iter().all(is_done) {
                     continue;
                 }
-                steps[index].ready_since.get_or_insert(now);
+                steps[index].is_ready = true;
+                if steps[index].running.is_empty() {
+                    steps[index].idle_since.get_or_insert(now);
+                }
                 candidates.push(Candidate {
                     // Users notice each second that a long-running task is down.
                     rank: match step.long_running {
@@ -135,6 +138,7 @@
 /// State of one placement round.
 #[derive(Debug)]
 struct Round {
+    now: Time,
     /// Nodes that accept starts, by the service of their workers.
     open_nodes: HashMap<String, Vec<Slot>>,
     /// Requests that found no node.
@@ -221,6 +225,7 @@
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
         let mut round = Round {
+            now,
             open_nodes: self.open_nodes(now),
             rejected: Vec::new(),
             held_nodes: HashSet::new(),
@@ -319,9 +324,7 @@
     /// Tells whether a step has waited so long without runs that one task may start on any node
     /// with capacity.
     fn is_starved(&self, now: Time, candidate: &Candidate) -> bool {
-        let state = self.state(candidate);
-        state.running.is_empty()
-            && state.ready_since.is_some_and(|since| now >= since + STARVATION_DELAY)
+        self.state(candidate).idle_since.is_some_and(|since| now >= since + STARVATION_DELAY)
     }
 
     /// Returns the node with the most free CPU that will fit a long-running task once other tasks
@@ -348,7 +351,7 @@
             let avoid = state.avoided_nodes.get(&index).copied();
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
-            self.start(slot, TaskId { job, occurrence, step, index }, run);
+            self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
             if search.is_starved {
                 // Only the first task may start where it interferes.
                 search.is_starved = false;
@@ -385,7 +388,7 @@
             }
         }
         for (index, slot) in waiting.into_iter().zip(slots) {
-            self.start(slot, TaskId { job, occurrence, step, index }, run);
+            self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
         }
         true
     }
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -108,7 +108,7 @@
         self.forget_unlisted(slot, &running);
         let mut rows = Vec::new();
         for run in &running {
-            if self.adopt(slot, run) {
+            if self.adopt(now, slot, run) {
                 if let Some((spec, _)) = self.step_mut(&run.task) {
                     rows.push((run.task, traits(&spec.steps[usize::from(run.task.step)])));
                 }
@@ -148,7 +148,7 @@
 
     /// Adopts a run that a worker lists, unless the owner does not need it. Returns whether the run
     /// may continue.
-    fn adopt(&mut self, slot: Slot, listed: &Running) -> bool {
+    fn adopt(&mut self, now: Time, slot: Slot, listed: &Running) -> bool {
         let task = listed.task;
         let is_over = self.jobs.get(&task.job).is_none_or(|job| job.phase.is_final());
         if is_over {
@@ -172,7 +172,8 @@
                 .checkpoints
                 .insert(if step.gang { 0 } else { task.index }, listed.checkpoint.clone());
         }
-        state.begin(task.index, Attempt { run: listed.run, slot, is_stopping: false });
+        let attempt = Attempt { run: listed.run, slot, since: now, is_stopping: false };
+        state.begin(task.index, attempt);
         self.reserve(slot, task, listed.run, &step);
         self.mark_running(task.job);
         true
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -13,6 +13,8 @@
     pub run: Run,
     /// Node on which the run is in progress.
     pub slot: Slot,
+    /// When this owner ordered or adopted the run.
+    pub since: Time,
     /// Whether the owner has ordered to stop the run.
     pub is_stopping: bool,
 }
@@ -40,8 +42,11 @@
     pub avoided_nodes: HashMap<u32, Slot>,
     /// Number of tasks of the step in progress on each node.
     pub per_worker: HashMap<Slot, u32>,
-    /// Since when all steps that this step depends on are done; `None` until placement has seen it.
-    pub ready_since: Option<Time>,
+    /// Whether placement has seen that all steps that this step depends on are done.
+    pub is_ready: bool,
+    /// Since when placement has seen the step ready and without runs; `None` while runs are in
+    /// progress.
+    pub idle_since: Option<Time>,
 }
 
 impl StepState {
@@ -78,6 +83,7 @@
 
     /// Records the start of a run.
     pub fn begin(&mut self, index: u32, attempt: Attempt) {
+        self.idle_since = None;
         self.waiting.remove(&index);
         self.last_runs.insert(index, attempt.run);
         *self.per_worker.entry(attempt.slot).or_default() += 1;
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -71,6 +71,28 @@
     assert_eq!(begun(&world), 1, "but the job has to make progress");
 }
 
+/// Guards against a retried task that is taken for a starved one, because its step became ready long
+/// ago, and starts where it interferes. Pattern: the last task of a step fails, or is moved, while
+/// all workers are under pressure.
+#[test]
+fn a_retried_task_waits_for_a_worker_without_pressure() {
+    let mut world = World::new(1, 40_000);
+    let serving = Step { long_running: true, target_ms: 50, ..step(1, 5_000, 0) };
+    world.submit(1, job(2, vec![serving]));
+    let filler = Step { best_effort: true, ..step(4, 1_000, 2_000) };
+    world.submit(2, job(2, vec![filler.clone()]));
+    world.submit(3, job(9, vec![Step { count: 1, ..filler }]));
+    world.advance(Duration::from_secs(3));
+    world.pressure = Pressure { level: 30, tail_percent: 97 };
+    world.ping();
+    world.end_all(EndKind::Failed, |task| task.job == 3);
+    let begun = |world: &World| world.running().iter().any(|(_, task)| task.job == 3);
+    world.advance(Duration::from_secs(1));
+    assert!(!begun(&world), "the worker is under pressure");
+    world.advance(Duration::from_secs(3));
+    assert!(begun(&world), "but the job has to make progress");
+}
+
 /// Returns a step of six best-effort tasks.
 fn best_effort() -> Step {
     Step { best_effort: true, image: "filler".to_owned(), ..step(6, 1_000, 60_000) }
@@ -170,3 +192,49 @@
     }
     assert!(world.running().iter().any(|(_, task)| task.job == 1), "{:?}", world.running());
 }
+
+/// Returns a world of two workers with a job of four best-effort tasks on each, all but one of which
+/// are done, and the worker that throttles the last one.
+fn world_with_straggler(has_checkpoints: bool) -> (World, usize, TaskId) {
+    let mut world = World::new(2, 4_000);
+    let best_effort = Step { best_effort: true, has_checkpoints, ..step(8, 500, 2_000) };
+    world.submit(1, job(2, vec![best_effort]));
+    let (worker, last) = world.running()[0];
+    world.end_all(EndKind::Done, |task| *task != last);
+    world.workers[worker].pressure = Some(Pressure { level: 10, tail_percent: 120 });
+    (world, worker, last)
+}
+
+/// Guards against a wide job that waits for its last task on a worker that gives the task a tenth of
+/// its CPU, while other workers have room. Pattern: wide steps of best-effort tasks beside serving
+/// tasks whose load differs from worker to worker.
+#[test]
+fn the_last_task_of_a_step_leaves_a_worker_that_throttles_it() {
+    let (mut world, worker, last) = world_with_straggler(true);
+    world.advance(Duration::from_secs(3));
+    let running = world.running();
+    assert_eq!(running.len(), 1);
+    assert_eq!(running[0].1, last);
+    assert_ne!(running[0].0, worker, "the task is still where it is throttled");
+}
+
+/// Guards against work that is thrown away by a move.
+#[test]
+fn a_task_without_checkpoints_stays_where_it_is() {
+    let (mut world, worker, last) = world_with_straggler(false);
+    world.advance(Duration::from_secs(3));
+    assert_eq!(world.running(), vec![(worker, last)]);
+}
+
+/// Guards against moving all tasks of a worker under pressure at once, although their steps wait
+/// for other tasks too.
+#[test]
+fn tasks_whose_step_has_far_to_go_stay_where_they_are() {
+    let mut world = World::new(2, 4_000);
+    let best_effort = Step { best_effort: true, has_checkpoints: true, ..step(8, 500, 2_000) };
+    world.submit(1, job(2, vec![best_effort]));
+    let before = world.running();
+    world.workers[0].pressure = Some(Pressure { level: 10, tail_percent: 120 });
+    world.advance(Duration::from_secs(3));
+    assert_eq!(world.running(), before);
+}
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -71,6 +71,8 @@
     pub ends: Vec<End>,
     /// Sequence number of the last end that the owner has acknowledged.
     pub acknowledged: u64,
+    /// Load on the worker that its agent reports; `None` for that of [`World::pressure`].
+    pub pressure: Option<Pressure>,
     /// Sequence number of the next end.
     next_end: u64,
 }
@@ -89,7 +91,7 @@
     pub started: Vec<(Time, usize, TaskId, Run)>,
     /// Event and detail of each logged decision.
     pub logs: Vec<(&'static str, String)>,
-    /// Load on the worker that every agent reports in its pings.
+    /// Load on the worker that agents report in their pings unless their worker has its own.
     pub pressure: Pressure,
     /// Whether the store accepts writes.
     pub store_is_up: bool,
@@ -137,6 +139,7 @@
             running: BTreeMap::new(),
             ends: Vec::new(),
             acknowledged: 0,
+            pressure: None,
             next_end: 1,
         };
         self.workers.push(worker);
@@ -280,7 +283,7 @@
         for worker in &self.workers {
             let report = AgentMessage::Ping {
                 sent: self.now,
-                pressure: self.pressure,
+                pressure: worker.pressure.unwrap_or(self.pressure),
                 samples: Vec::new(),
                 baselines: Vec::new(),
             };
