Leave drained workers out of the roster

Change: a leaving worker without runs, whose ends are all durable, is no longer in the stored roster, so a successor does not wait for it.

Ruled out: leaving it out as soon as its last run has ended. A write may not have room for the record of that end, and a successor would start the task a second time (a test of its own, red with that variant).

Measured: flow::owner, red before: 0 of 2 tasks started 500 ms after a takeover.

--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -33,8 +33,8 @@
         if self.roster_changed {
             self.roster_changed = false;
             keys_left -= 1;
-            // A node without a worker runs nothing, so a successor need not wait for it.
-            let is_member = |node: &Node| node.worker.is_some();
+            // A successor need not wait for a node that runs nothing and gets no starts.
+            let is_member = |node: &Node| node.worker.is_some() && !node.is_drained();
             slots = (0..self.nodes.len()).filter(|s| is_member(&self.nodes[*s])).collect();
             // A node that is left out must be in a durable roster again before it gets starts.
             self.nodes.iter_mut().for_each(|node| node.in_roster &= is_member(node));
@@ -109,6 +109,9 @@
             last = Some(number);
         }
         let Some(number) = last else { return };
+        if self.nodes[slot].is_drained() {
+            self.mark_roster_changed();
+        }
         if let Some(worker) = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone()) {
             self.send(slot, OwnerMessage::Seen { worker, number });
         }
--- a/crates/core/src/flow/owner/reservations.rs
+++ b/crates/core/src/flow/owner/reservations.rs
@@ -14,6 +14,9 @@
             }
             node.update_totals(step, |known, change| known - change);
         }
+        if self.nodes[slot].is_drained() {
+            self.mark_roster_changed();
+        }
         self.request_round(RoundCause::Room);
     }
 
@@ -49,6 +52,16 @@
 }
 
 impl Node {
+    /// Tells whether the node's worker is leaving, has nothing left to run, and all its ends are
+    /// durable. A successor that does not know of an end would start the task again.
+    pub(super) fn is_drained(&self) -> bool {
+        let is_draining = self.worker.as_ref().is_some_and(|worker| worker.draining);
+        is_draining
+            && self.tasks.is_empty()
+            && self.stale_runs.is_empty()
+            && self.pending_acks.is_empty()
+    }
+
     /// Updates the node's totals by image for one task of `step`. `change` adds the task's part to
     /// a total, or subtracts it.
     fn update_totals(&mut self, step: &Step, change: impl Fn(u64, u64) -> u64) {
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -38,6 +38,9 @@
         let detail = format!("node={} worker={worker} running={}", node.name, node.tasks.len());
         self.log("worker_drains", None, detail);
         self.move_tasks(slot, |step| step.long_running);
+        if self.nodes[slot].is_drained() {
+            self.mark_roster_changed();
+        }
     }
 
     /// Stops the selected tasks of a draining worker, so that they continue on other nodes.
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -167,6 +167,61 @@
     assert_eq!(world.running().len(), 1, "all workers that may run tasks have reported");
 }
 
+/// Guards against a new owner that waits for a worker that was leaving and had nothing left to run,
+/// and does not come back. Seen after the loss of all machines on the grown deployments: the earlier
+/// jobs waited six seconds for up to nine such workers.
+#[test]
+fn a_successor_does_not_wait_for_a_leaving_worker_without_tasks() {
+    let mut world = World::new(3, 10_000);
+    let spec = job(2, vec![step(3, 9_000, 500)]);
+    world.submit(7, spec.clone());
+    assert_eq!(world.running().len(), 3);
+    let (slot, session) = (world.workers[2].slot, world.workers[2].session);
+    let worker = world.workers[2].info.id.clone();
+    let leaving = AgentMessage::Draining { worker, remaining: Some(ms(3_000)) };
+    world.owner.receive(world.now, slot, session, leaving);
+    world.settle();
+    let roster = |world: &World| world.commits.iter().rev().find_map(|c| c.roster.clone());
+    assert!(roster(&world).is_some_and(|names| names.contains(&"node-2".to_owned())));
+    let last = *world.workers[2].running.keys().next().expect("a task runs there");
+    world.end(2, last, EndKind::Done);
+    world.settle();
+    world.workers.truncate(2);
+    world.workers.iter_mut().for_each(|worker| worker.running.clear());
+    world.take_over(&[(7, spec)]);
+    world.attach(0);
+    world.attach(1);
+    world.advance(ms(500));
+    assert_eq!(world.running().len(), 2, "all workers that may run tasks have reported");
+}
+
+/// Guards against a second run of a finished task: a leaving worker's last end is not durable yet, and
+/// a successor that does not wait for the worker does not know of it.
+#[test]
+fn a_leaving_worker_stays_in_the_roster_until_its_ends_are_durable() {
+    let mut world = World::new(2, 100_000);
+    for number in 1..=40 {
+        world.submit(number, job(2, vec![step(3, 500, 500)]));
+    }
+    let (slot, session) = (world.workers[1].slot, world.workers[1].session);
+    let worker = world.workers[1].info.id.clone();
+    let leaving = AgentMessage::Draining { worker, remaining: Some(ms(3_000)) };
+    world.owner.receive(world.now, slot, session, leaving);
+    world.settle();
+    world.store_is_up = false;
+    for task in world.workers[1].running.keys().copied().collect::<Vec<_>>() {
+        world.end(1, task, EndKind::Done);
+    }
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    let worker = world.workers[0].info.id.clone();
+    world.owner.receive(world.now, slot, session, AgentMessage::Gone { worker });
+    // One write has not room for the records of all jobs.
+    let commit = world.owner.take_commit(world.now).expect("a write is due");
+    assert!(commit.records.len() < 40);
+    let roster = commit.roster.expect("worker 0 has left it");
+    assert_eq!(roster, vec!["node-1".to_owned()]);
+}
+
 /// Guards against a burst of starts that all agents reject. This occurred in the trouble-1 scenario
 /// of the guide workload, when an owner regained its lease after the permissions of the workers to
 /// run tasks had expired.
