Probe the store beside other work, and part the owner's files

Cause, found while reading: an entry that the owner asked whether the store answers waited up to a second for the store before it read further replies of the owner; an answer to an older probe could start a hand-over in a later outage; an entry that connected again was removed with its older connection.

Change: probes are answered by a task of their own, older answers are dropped before a probe, and a connection removes only itself. Rounds are counted in the metrics (placement_rounds, placement_round_seconds) and by cause in the load line. owner.rs and ownership.rs are parted into rounds, job and hand_over; no behaviour changes by that.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -6,10 +6,14 @@
 
 mod commit;
 mod ends;
+mod job;
 mod reservations;
+mod rounds;
 mod stragglers;
 mod workers;
 
+pub(in crate::flow) use rounds::RoundCause;
+
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -46,10 +50,6 @@
 /// Minimum interval between writes of the learned interference weights, which share a write with
 /// other records.
 const INTERFERENCE_INTERVAL: Duration = Duration::from_secs(5);
-/// Minimum time between two placement rounds, as a multiple of the time that the earlier one took.
-const ROUND_REST_FACTOR: u32 = 4;
-/// Maximum time between two placement rounds while tasks wait.
-const MAX_ROUND_REST: Duration = Duration::from_millis(400);
 /// Maximum time between two calls of [`Owner::poll`].
 const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 
@@ -69,26 +69,6 @@
     pub round_interval: Duration,
 }
 
-/// Why a placement round runs.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum RoundCause {
-    /// A job or an occurrence of one arrived.
-    Job,
-    /// A run ended, or a node accepts starts again.
-    Room,
-    /// The load on a worker changed.
-    Pressure,
-    /// An agent connected, reported or renewed its permission late.
-    Agent,
-    /// Time passed, or the lease was renewed.
-    Timer,
-}
-
-impl RoundCause {
-    const COUNT: usize = 5;
-    const NAMES: [&'static str; Self::COUNT] = ["job", "room", "pressure", "agent", "timer"];
-}
-
 /// Side effect that the owner's state machine requests from the code that drives it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -312,17 +292,6 @@
         }
     }
 
-    /// Returns the number of times that placement has examined a node for a step, which is its
-    /// share of the owner's CPU time.
-    pub fn examined_nodes(&self) -> u64 {
-        self.examined.get()
-    }
-
-    /// Returns the number of placement rounds by what first asked for each, since the owner began.
-    pub fn rounds(&self) -> [(&'static str, u64); RoundCause::COUNT] {
-        std::array::from_fn(|index| (RoundCause::NAMES[index], self.rounds[index]))
-    }
-
     /// Sets the time at which this process's lease expires, by its own clock.
     pub fn set_valid_until(&mut self, until: Time) {
         self.valid_until = until;
@@ -550,14 +519,6 @@
         (task.index < job.spec.steps[usize::from(task.step)].count).then_some((&job.spec, state))
     }
 
-    /// Asks for a placement round, because something changed that may let waiting tasks start.
-    pub(super) fn request_round(&mut self, cause: RoundCause) {
-        if !self.placement_due {
-            self.placement_due = true;
-            self.rounds[cause as usize] += 1;
-        }
-    }
-
     /// Checks all timers, and places waiting tasks if something has changed and the last placement
     /// round is long enough ago. Returns whether a round ran; [`Owner::round_took`] must then be
     /// called. `wall` is the wall-clock time.
@@ -576,19 +537,6 @@
         runs
     }
 
-    /// Handles the end of a placement round, which took `took`. Rounds use at most a fixed part of
-    /// the owner's time: an owner that falls behind runs fewer of them.
-    pub fn round_took(&mut self, now: Time, took: Duration) {
-        self.round_time += took;
-        let rest = (took * ROUND_REST_FACTOR).min(MAX_ROUND_REST);
-        self.next_round = now + rest.max(self.settings.round_interval);
-    }
-
-    /// Returns the time until a placement round that has been asked for may run, if there is one.
-    pub fn next_round(&self, now: Time) -> Option<Duration> {
-        (self.placement_due && self.is_valid(now)).then(|| self.next_round.saturating_sub(now))
-    }
-
     /// Returns the time until the next call of [`Owner::poll`], if no event comes first.
     pub fn next_poll(&self, now: Time) -> Duration {
         let commit = self.commit_due().map(|at| at.saturating_sub(now));
@@ -668,51 +616,3 @@
         }
     }
 }
-
-impl Job {
-    /// Opens the occurrences that the stored progress contains. A job without a timetable has
-    /// exactly one.
-    fn restore(&mut self, progress: &Progress) {
-        let recorded = progress.steps.keys().map(|(occurrence, _)| occurrence + 1).max();
-        let open = match self.spec.timetable {
-            None => 1,
-            Some(_) => recorded.unwrap_or(0),
-        };
-        for occurrence in 0..open {
-            self.open(occurrence, progress);
-        }
-        self.next_occurrence = open;
-    }
-
-    /// Opens an occurrence: its unfinished tasks wait to be started.
-    pub(super) fn open(&mut self, occurrence: u32, progress: &Progress) {
-        let steps = self.spec.steps.iter().enumerate().map(|(number, step)| {
-            StepState::restore(step, progress.steps.get(&(occurrence, number as u16)))
-        });
-        self.occurrences.insert(occurrence, steps.collect());
-    }
-
-    /// Tells whether all occurrences are due and all their tasks done.
-    fn is_complete(&self) -> bool {
-        let times = self.spec.timetable.map_or(1, |table| table.times);
-        self.next_occurrence >= times
-            && self
-                .occurrences
-                .values()
-                .all(|steps| steps.iter().zip(&self.spec.steps).all(|(s, step)| s.is_done(step)))
-    }
-
-    /// Returns the progress record of the job to be stored. The record of an ended job holds only
-    /// its phase.
-    fn record(&self, number: JobNumber) -> Record {
-        let mut progress = Progress { phase: self.phase, ..Progress::default() };
-        if !self.phase.is_final() {
-            for (occurrence, steps) in &self.occurrences {
-                for (step, state) in steps.iter().enumerate() {
-                    progress.steps.insert((*occurrence, step as u16), state.record());
-                }
-            }
-        }
-        Record { job: number, progress, drops_cancel: self.has_cancel && self.phase.is_final() }
-    }
-}
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -33,7 +33,7 @@
         });
         format!(
             "workers={count} jobs={} waiting={waiting} running={running} pace={} tail={} \
-             reserved={} lasting={} filled={} rounds={} examined={} round_ms={}",
+             reserved={} lasting={} filled={} rounds={} examined={} round_ms={} causes={}",
             self.open_jobs(),
             mean(|node| u64::from(node.pressure.level)),
             mean(|node| u64::from(node.pressure.tail_percent)),
@@ -43,6 +43,7 @@
             self.rounds().iter().map(|(_, count)| count).sum::<u64>(),
             self.examined_nodes(),
             self.round_time.as_millis(),
+            self.rounds().map(|(cause, count)| format!("{cause}:{count}")).join(","),
         )
     }
 
--- a/crates/hosted/src/connection.rs
+++ b/crates/hosted/src/connection.rs
@@ -48,6 +48,11 @@
         }
         self.0.try_send(message).map_err(|_| QueueError::Closed)
     }
+
+    /// Tells whether both add to the queue of the same connection.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.0.same_channel(&other.0)
+    }
 }
 
 /// Reason for which a message was not queued.
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -160,6 +160,17 @@
             runtime::sleep(PING_INTERVAL).await;
         }
     };
+    let (probe_sender, probes) = async_channel::bounded(1);
+    // Beside the reading, which must not wait for the store.
+    let probing = async {
+        while probes.recv().await.is_ok() {
+            let is_reached = matches!(directory::read_lock(store).await, Ok(Some(_)));
+            if is_reached && outbox.try_send(EntryRequest::StoreReached).is_err() {
+                break;
+            }
+        }
+        future::pending::<DisconnectReason>().await
+    };
     let reading = async {
         let mut reader = MessageReader::new(stream, owner.to_string());
         loop {
@@ -179,10 +190,8 @@
                                 }
                             }
                             OwnerReply::Probe => {
-                                if let Ok(Some(_)) = directory::read_lock(store).await {
-                                    // Fails if the connection is closed, which ends the loop.
-                                    let _ = outbox.try_send(EntryRequest::StoreReached);
-                                }
+                                // If the channel is full, an earlier probe is not answered yet.
+                                let _ = probe_sender.try_send(());
                             }
                             OwnerReply::HandOver { epoch } => {
                                 return DisconnectReason::Offered { epoch }
@@ -201,7 +210,7 @@
         DisconnectReason::Shutdown
     };
     future::or(
-        reading,
+        future::or(reading, probing),
         future::or(stopping, async {
             pinging.await;
             DisconnectReason::Shutdown
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -88,7 +88,10 @@
         let result = change(&mut owner, now);
         if owner.poll(now, unix_ms()) {
             let end = runtime::now();
-            owner.round_took(end, end.saturating_sub(now));
+            let took = end.saturating_sub(now);
+            owner.round_took(end, took);
+            metrics::counter!("placement_rounds").increment(1);
+            metrics::histogram!("placement_round_seconds").record(took.as_secs_f64());
         }
         let is_round_due = owner.next_round(now).is_some();
         let effects = owner.take_effects();
@@ -154,13 +157,18 @@
         self.all_entries.lock().insert(address);
     }
 
-    /// Removes an entry whose connection has closed.
-    pub(crate) fn remove_entry(&self, address: &SocketAddr) {
-        self.entries.lock().remove(address);
+    /// Removes an entry whose connection has closed, unless it has connected again since.
+    pub(crate) fn remove_entry(&self, address: SocketAddr, outbox: &Outbox<OwnerReply>) {
+        let mut entries = self.entries.lock();
+        if entries.get(&address).is_some_and(|known| known.is_same(outbox)) {
+            entries.remove(&address);
+        }
     }
 
     /// Asks connected entries whether the store answers them.
     pub(crate) fn probe_entries(&self) {
+        // An answer to an earlier probe tells nothing about the store now.
+        while self.successors.try_recv().is_ok() {}
         for outbox in self.entries.lock().values().take(MAX_PROBES) {
             // An entry that cannot be asked is on its way out.
             let _ = outbox.try_send(OwnerReply::Probe);
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -1,6 +1,8 @@
 //! Ownership of the scheduling of jobs: the claim, the renewal of its lease, and durable writes of
 //! the owner's records.
 
+mod hand_over;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,11 +39,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum delay between two attempts of a write while the store does not answer.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time without an answered call to the store after which the owner offers the ownership to an entry
-/// that the store answers. Longer than one lost answer, shorter than the lease.
-const HAND_OVER_DELAY: Duration = Duration::from_millis(800);
-/// Interval at which an owner that the store does not answer looks for a successor.
-const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(200);
 /// Long-poll timeout of a watch; bounds the time for which a dead connection goes unnoticed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -246,53 +243,6 @@
         tracing::warn!(event = "release_failed", reason = "other writes came first");
     }
 
-    /// Notes whether a call to the store was answered.
-    fn note_call<T>(&self, outcome: &Result<T, StoreError>) {
-        let mut since = self.unanswered_since.lock();
-        match outcome {
-            Ok(_) => *since = None,
-            Err(_) => {
-                since.get_or_insert_with(runtime::now);
-            }
-        }
-    }
-
-    /// Returns for how long no call to the store has been answered.
-    fn unanswered_for(&self) -> Duration {
-        let since = *self.unanswered_since.lock();
-        since.map_or(Duration::ZERO, |since| runtime::now().saturating_sub(since))
-    }
-
-    /// Hands the ownership over once the store has not answered this entry for a while but answers
-    /// another one. While the store answers nobody, the owner stays: it can still start tasks until
-    /// its lease ends.
-    async fn hand_over_if_cut_off(&self, service: &OwnerService) {
-        loop {
-            runtime::sleep(SUCCESSOR_INTERVAL).await;
-            if self.unanswered_for() < HAND_OVER_DELAY {
-                continue;
-            }
-            service.probe_entries();
-            let found = future::or(service.find_successor(), async {
-                runtime::sleep(SUCCESSOR_INTERVAL).await;
-                None
-            });
-            let Some(successor) = found.await else { continue };
-            // The answer may be that to an older probe, sent before the store answered again.
-            let unanswered_for = self.unanswered_for();
-            if unanswered_for < HAND_OVER_DELAY {
-                continue;
-            }
-            // A write in flight keeps the lock of the state; its epoch does not change meanwhile.
-            let epoch = service.read(|owner, _| owner.epoch());
-            if service.hand_over(successor, epoch) {
-                let unanswered_ms = unanswered_for.as_millis() as u64;
-                tracing::warn!(event = "ownership_offered", %successor, epoch, unanswered_ms);
-                return;
-            }
-        }
-    }
-
     /// Renews the lease until the ownership is lost.
     async fn renew(&self, service: &OwnerService) {
         loop {
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -44,8 +44,8 @@
             tracing::info!(event = "entry_connected", node, %address);
             let outbox = connection::start_writer(stream, reader.peer().to_owned());
             service.add_entry(address, outbox.clone());
-            serve_entry(outbox, reader, address, &service, &entry).await;
-            service.remove_entry(&address);
+            serve_entry(&outbox, reader, address, &service, &entry).await;
+            service.remove_entry(address, &outbox);
             tracing::info!(event = "entry_lost", node, %address);
         }
         (_, Greeting::Agent { .. }) => {
@@ -101,7 +101,7 @@
 
 /// Answers the requests of another entry until the connection or the ownership ends.
 async fn serve_entry<S: Store>(
-    outbox: Outbox<OwnerReply>,
+    outbox: &Outbox<OwnerReply>,
     mut reader: MessageReader,
     address: SocketAddr,
     service: &Arc<OwnerService>,
@@ -126,7 +126,7 @@
         for message in messages {
             match message {
                 EntryRequest::StoreReached => service.store_answers(address),
-                request => answer_request(request, service, entry, &outbox, reader.peer()),
+                request => answer_request(request, service, entry, outbox, reader.peer()),
             }
         }
     }
