Log why a ready step has no run

Users saw accepted jobs with a task that could run and did not, while most of the workers' room was free.

`step_waits` is one line a second for each of the eight ready steps that have been without runs for longest, from 3 s on: the step's place in the placement queue, what its tasks request, and the number of nodes by the reason for which they do not run it. The reasons come from the code that decides: `accepts_starts` and `score` return them. `load` counts the nodes that accept starts and the runs that have been told to stop.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -254,6 +254,8 @@
     next_interference: Time,
     /// When stragglers are next searched for.
     next_straggler_search: Time,
+    /// When steps that have been without runs for long are next reported.
+    pub(super) next_wait_report: Time,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -288,6 +290,7 @@
             interference: Interference::default(),
             next_interference: now + INTERFERENCE_INTERVAL,
             next_straggler_search: now,
+            next_wait_report: now,
             examined: Cell::new(0),
         }
     }
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -113,7 +113,7 @@
             self.next_cleanup = now + Duration::from_secs(1);
             // Steps become starved without any event, so placement runs at least once per second.
             self.request_round(RoundCause::Timer);
-            let line = self.load_line();
+            let line = self.load_line(now);
             self.log("load", None, line);
             let keep = self.settings.keep_ended;
             for job in self.jobs.values_mut().filter(|job| job.phase.is_final()) {
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -1,6 +1,7 @@
 //! Placement: the order in which waiting tasks start, and the node on which each one starts.
 
 mod best_effort;
+mod waits;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -174,6 +175,39 @@
     }
 }
 
+/// Why no tasks may be started on a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Closure {
+    /// No worker runs there as far as the owner knows.
+    NoWorker,
+    /// The agent is not connected, or has not reported its worker's state yet.
+    Detached,
+    /// The agent has not asked for a renewal of its permission for too long.
+    Silent,
+    /// A successor would not wait for the node yet.
+    OffRoster,
+    Draining,
+    /// A run that the owner does not track has not ended yet.
+    StaleRun,
+    /// Runs failed or stalled there.
+    Backoff,
+}
+
+/// Why a node that accepts starts cannot run a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Misfit {
+    /// The resources that the task reserves are not free.
+    Room,
+    /// Other tasks leave too little CPU idle for a best-effort task.
+    Idle,
+    /// The task would interfere too much with serving tasks.
+    Interference,
+    /// The node's free capacity is held for a long-running task.
+    Held,
+    /// The step has as many tasks there as it allows.
+    Quota,
+}
+
 /// A step whose tasks look for nodes.
 #[derive(Debug, Clone, Copy)]
 struct Search<'a> {
@@ -232,7 +266,7 @@
         };
         let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
         let large = smallest.unwrap_or(0) / 2;
-        for candidate in candidates.into_iter().take(MAX_STEPS_PER_ROUND) {
+        for candidate in candidates.iter().take(MAX_STEPS_PER_ROUND).copied() {
             let spec = self.jobs[&candidate.job].spec.clone();
             let step = &spec.steps[usize::from(candidate.step)];
             let image = image_number(step);
@@ -269,6 +303,7 @@
                 round.rejected.push(request);
             }
         }
+        self.report_waits(&round, &candidates);
     }
 
     /// Returns the nodes that accept starts at all, by the service of their workers.
@@ -288,6 +323,11 @@
         open
     }
 
+    /// Returns the number of nodes that accept starts at all.
+    pub(super) fn open_node_count(&self, now: Time) -> usize {
+        self.nodes.iter().filter(|node| node.accepts_starts(now)).count()
+    }
+
     /// Returns the nodes that accept starts of a step, regardless of their free capacity.
     fn open_to<'a>(
         &'a self,
@@ -356,7 +396,7 @@
                 // Only the first task may start where it interferes.
                 search.is_starved = false;
                 ranking = self.rank_nodes(round, spec, &search);
-            } else if let Some(score) = self.score(round, &search, slot, 0) {
+            } else if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
         }
@@ -383,7 +423,7 @@
             slots.push(slot);
             let count = planned.entry(slot).or_default();
             *count += 1;
-            if let Some(score) = self.score(round, &search, slot, *count) {
+            if let Ok(score) = self.score(round, &search, slot, *count) {
                 ranking.put(score, slot);
             }
         }
@@ -422,25 +462,36 @@
     fn rank_nodes(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Ranking<Score> {
         Ranking::new(
             self.open_to(round, spec, search.step)
-                .filter_map(|(slot, _)| Some((self.score(round, search, slot, 0)?, slot))),
+                .filter_map(|(slot, _)| Some((self.score(round, search, slot, 0).ok()?, slot))),
         )
     }
 
     /// Returns the score of a node for one more task of a step, in addition to `planned` tasks that
-    /// have not been started yet; `None` if the node cannot run it.
-    fn score(&self, round: &Round, search: &Search<'_>, slot: Slot, planned: u32) -> Option<Score> {
+    /// have not been started yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the node cannot run the task.
+    fn score(
+        &self,
+        round: &Round,
+        search: &Search<'_>,
+        slot: Slot,
+        planned: u32,
+    ) -> Result<Score, Misfit> {
         self.examined.set(self.examined.get() + 1);
         let (node, step) = (&self.nodes[slot], search.step);
         let is_held = !step.long_running && !step.best_effort && round.held_nodes.contains(&slot);
-        if is_held
-            || !node.has_capacity(step, u64::from(planned))
-            || !self.state(&search.candidate).has_quota(step, slot, planned)
-        {
-            return None;
+        if is_held {
+            return Err(Misfit::Held);
+        }
+        node.has_capacity(step, u64::from(planned))?;
+        if !self.state(&search.candidate).has_quota(step, slot, planned) {
+            return Err(Misfit::Quota);
         }
         let planned_cpu = u64::from(planned) * step.need.cpu_milli;
         let free = node.free_cpu().saturating_sub(planned_cpu);
-        Some((
+        Ok((
             node.failure_streak > 0,
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
             match step.target_ms {
@@ -452,7 +503,8 @@
                 (true, _) => free,
                 (false, true) => {
                     let task = (search.image, step.need.cpu_milli);
-                    self.best_effort_cost(node, task, u64::from(planned), search.is_starved)?
+                    self.best_effort_cost(node, task, u64::from(planned), search.is_starved)
+                        .ok_or(Misfit::Interference)?
                 }
                 (false, false) => u64::MAX / 4 - free,
             },
@@ -508,12 +560,21 @@
 
     /// Tells whether tasks may be started on the node, regardless of its free capacity.
     fn accepts_starts(&self, now: Time) -> bool {
-        self.is_attached
-            && now < self.last_pong + MAX_PERMISSION_AGE
-            && self.in_roster
-            && self.worker.as_ref().is_some_and(|worker| !worker.draining)
-            && self.stale_runs.is_empty()
-            && now >= self.backoff_until
+        self.closed_by(now).is_none()
+    }
+
+    /// Returns why no tasks may be started on the node, or `None` if they may.
+    fn closed_by(&self, now: Time) -> Option<Closure> {
+        match &self.worker {
+            None => Some(Closure::NoWorker),
+            Some(_) if !self.is_attached => Some(Closure::Detached),
+            Some(_) if now >= self.last_pong + MAX_PERMISSION_AGE => Some(Closure::Silent),
+            Some(_) if !self.in_roster => Some(Closure::OffRoster),
+            Some(worker) if worker.draining => Some(Closure::Draining),
+            Some(_) if !self.stale_runs.is_empty() => Some(Closure::StaleRun),
+            Some(_) if now < self.backoff_until => Some(Closure::Backoff),
+            Some(_) => None,
+        }
     }
 
     /// Tells whether the node has a worker with a label.
@@ -521,12 +582,19 @@
         self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
     }
 
-    /// Tells whether one more task of a step fits on the node in addition to `planned` tasks of the
+    /// Checks that one more task of a step fits on the node in addition to `planned` tasks of the
     /// step that have not been started yet.
-    fn has_capacity(&self, step: &Step, planned: u64) -> bool {
-        let Some(worker) = &self.worker else { return false };
-        self.used.plus(&step.reserved().times(planned + 1)).fits_in(&worker.capacity)
-            && (!step.best_effort || self.best_effort_fits(step, planned))
+    ///
+    /// # Errors
+    ///
+    /// Returns which kind of capacity is missing.
+    fn has_capacity(&self, step: &Step, planned: u64) -> Result<(), Misfit> {
+        let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
+        match self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity) {
+            false => Err(Misfit::Room),
+            true if step.best_effort && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
+            true => Ok(()),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/core/src/flow/place/waits.rs
@@ -0,0 +1,99 @@
+//! Log lines that tell why a ready step has no run.
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::time::Duration;
+
+use super::{Candidate, Closure, Misfit, Round, Search};
+use crate::flow::owner::{image_number, Owner};
+
+/// Time without runs after which a ready step is reported.
+const MIN_WAIT: Duration = Duration::from_secs(3);
+/// Minimum time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of steps in one report; those that have waited longest come first.
+const MAX_REPORTED_STEPS: usize = 8;
+
+impl Owner {
+    /// Logs the ready steps that have been without runs for long, with the number of nodes that
+    /// cannot run their tasks for each reason. `candidates` are the steps of a placement round that
+    /// has ended, in order of rank.
+    pub(super) fn report_waits(&mut self, round: &Round, candidates: &[Candidate]) {
+        if round.now < self.next_wait_report {
+            return;
+        }
+        self.next_wait_report = round.now + REPORT_INTERVAL;
+        let mut waits: Vec<(Duration, usize)> = candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(place, candidate)| Some((self.idle_for(round, candidate)?, place)))
+            .filter(|(waited, _)| *waited >= MIN_WAIT)
+            .collect();
+        waits.sort_unstable_by(|a, b| b.cmp(a));
+        let steps = waits.len();
+        for (waited, place) in waits.into_iter().take(MAX_REPORTED_STEPS) {
+            let candidate = candidates[place];
+            let queue = format!("place={place} queue={} steps={steps}", candidates.len());
+            let detail = format!(
+                "step={} waited_ms={} {queue} {}",
+                candidate.step,
+                waited.as_millis(),
+                self.explain_wait(round, candidate)
+            );
+            self.log("step_waits", Some(candidate.job), detail);
+        }
+    }
+
+    /// Returns for how long a step has been ready without runs; `None` if it has runs.
+    fn idle_for(&self, round: &Round, candidate: &Candidate) -> Option<Duration> {
+        let since = self.state(candidate).idle_since?;
+        Some(round.now.saturating_sub(since))
+    }
+
+    /// Returns what the tasks of a step request, and the number of nodes by the reason for which
+    /// they do not run there.
+    fn explain_wait(&self, round: &Round, candidate: Candidate) -> String {
+        let spec = &self.jobs[&candidate.job].spec;
+        let step = &spec.steps[usize::from(candidate.step)];
+        let search = Search {
+            candidate,
+            step,
+            image: image_number(step),
+            rack: None,
+            is_starved: self.is_starved(round.now, &candidate),
+        };
+        let mut closed: BTreeMap<Closure, u32> = BTreeMap::new();
+        for reason in self.nodes.iter().filter_map(|node| node.closed_by(round.now)) {
+            *closed.entry(reason).or_default() += 1;
+        }
+        let (mut open, mut fits) = (0, 0);
+        let mut misfits: BTreeMap<Misfit, u32> = BTreeMap::new();
+        for (slot, _) in self.open_to(round, spec, step) {
+            open += 1;
+            match self.score(round, &search, slot, 0) {
+                Ok(_) => fits += 1,
+                Err(reason) => *misfits.entry(reason).or_default() += 1,
+            }
+        }
+        format!(
+            "tasks={} cpu={} memory={} long_running={} best_effort={} gang={} starved={} \
+             nodes={} open={open} fits={fits} misfits={} closed={}",
+            self.state(&candidate).waiting.len(),
+            step.need.cpu_milli,
+            step.need.memory_mib,
+            step.long_running,
+            step.best_effort,
+            step.gang,
+            search.is_starved,
+            self.nodes.len(),
+            counts(&misfits),
+            counts(&closed),
+        )
+    }
+}
+
+/// Returns counts by reason as `reason:count` pairs, separated by commas.
+fn counts<R: Debug>(counts: &BTreeMap<R, u32>) -> String {
+    let pairs: Vec<String> = counts.iter().map(|(reason, n)| format!("{reason:?}:{n}")).collect();
+    pairs.join(",")
+}
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -3,6 +3,7 @@
 use super::model::JobNumber;
 use super::owner::{Job, Owner};
 use super::progress::Phase;
+use crate::time::Time;
 
 impl Owner {
     /// Returns the phase of a job. A final phase is shown only once it is durable.
@@ -20,7 +21,7 @@
     }
 
     /// Returns a one-line summary of the load, with means over all workers, for the log.
-    pub(super) fn load_line(&self) -> String {
+    pub(super) fn load_line(&self, now: Time) -> String {
         let nodes: Vec<_> = self.nodes.iter().filter(|node| node.worker.is_some()).collect();
         let count = nodes.len().max(1) as u64;
         let mean = |pick: fn(&super::owner::Node) -> u64| {
@@ -28,12 +29,16 @@
         };
         let open = self.jobs.values().filter(|job| !job.phase.is_final());
         let steps = open.flat_map(|job| job.occurrences.values().flatten());
-        let (waiting, running) = steps.fold((0, 0), |(waiting, running), state| {
-            (waiting + state.waiting.len(), running + state.running.len())
-        });
+        let (waiting, running, stopping) =
+            steps.fold((0, 0, 0), |(waiting, running, stopping), state| {
+                let stops = state.running.values().filter(|attempt| attempt.is_stopping).count();
+                (waiting + state.waiting.len(), running + state.running.len(), stopping + stops)
+            });
         format!(
-            "workers={count} jobs={} waiting={waiting} running={running} pace={} tail={} \
-             reserved={} lasting={} filled={} rounds={} examined={} round_ms={} causes={}",
+            "workers={count} open={} jobs={} waiting={waiting} running={running} \
+             stopping={stopping} pace={} tail={} reserved={} lasting={} filled={} rounds={} \
+             examined={} round_ms={} causes={}",
+            self.open_node_count(now),
             self.open_jobs(),
             mean(|node| u64::from(node.pressure.level)),
             mean(|node| u64::from(node.pressure.tail_percent)),
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -9,3 +9,4 @@
 mod place;
 mod ranking;
 mod support;
+mod waits;
