Show four ways in which a ready step stays without runs

Callers saw accepted jobs with a task that could run and did not, although workers had room.

The bound of 3 s is that of the users' rule.

--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -8,5 +8,6 @@
 mod pace;
 mod place;
 mod ranking;
+mod starvation;
 mod support;
 mod waits;
--- /dev/null
+++ b/crates/core/tests/flow/starvation.rs
@@ -0,0 +1,82 @@
+//! Tests that a ready step without runs starts a task while a worker has room for it.
+
+use std::time::Duration;
+
+use peridotfold_core::flow::message::{EndKind, Pressure};
+use peridotfold_core::flow::model::{JobNumber, JobSpec, Step};
+
+use crate::support::{job, ms, step, World};
+
+/// Time after which a ready step without runs counts as lost for users.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+/// Returns a job of one step of `count` best-effort tasks of one core each.
+fn best_effort(count: u32) -> JobSpec {
+    job(2, vec![Step { best_effort: true, ..step(count, 1_000, 60_000) }])
+}
+
+/// Returns the number of running tasks of a job.
+fn runs_of(world: &World, number: JobNumber) -> usize {
+    world.running().iter().filter(|(_, task)| task.job == number).count()
+}
+
+/// Guards against a job that never begins because throttled best-effort tasks of other jobs hold all
+/// idle CPU by their requests, although they use little of it.
+#[test]
+fn a_starved_step_starts_beside_best_effort_tasks_that_request_all_idle_cpu() {
+    let mut world = World::new(2, 8_000);
+    world.submit(1, best_effort(16));
+    assert_eq!(runs_of(&world, 1), 16);
+    world.submit(2, best_effort(4));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 2), 1, "one task, so that the job makes progress");
+}
+
+/// Guards against a relief of starved steps that reaches one step for each image and round. A long
+/// queue of them then waits for as many rounds.
+#[test]
+fn all_starved_steps_of_one_image_start_together() {
+    let mut world = World::new(1, 40_000);
+    let serving = Step { long_running: true, target_ms: 50, ..step(1, 5_000, 0) };
+    world.submit(1, job(2, vec![serving]));
+    world.submit(2, best_effort(2));
+    world.pressure = Pressure { level: 30, tail_percent: 97 };
+    world.ping();
+    for number in 3..=12 {
+        world.submit(number, best_effort(2));
+    }
+    world.advance(MAX_WAIT);
+    let idle: Vec<u64> = (3..=12).filter(|number| runs_of(&world, *number) == 0).collect();
+    assert_eq!(idle, Vec::<u64>::new(), "jobs without runs");
+}
+
+/// Guards against a job that never begins because a round ends after a fixed number of steps, all of
+/// which wait for workers that are away.
+#[test]
+fn a_step_behind_many_that_fit_nowhere_starts() {
+    let mut world = World::new(1, 4_000);
+    for number in 1..=500 {
+        let elsewhere = Step { required_label: Some("away".to_owned()), ..step(1, 100, 10_000) };
+        world.submit(number, job(2, vec![elsewhere]));
+    }
+    world.submit(1_000, job(2, vec![step(1, 1_000, 60_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 1_000), 1);
+}
+
+/// Guards against a job that waits while all workers rest after failures of jobs that can never be
+/// done.
+#[test]
+fn a_starved_step_starts_although_all_workers_rest_after_failures() {
+    let mut world = World::new(2, 8_000);
+    for number in 1..=12 {
+        world.submit(number, job(1, vec![step(1, 1_000, 1_000)]));
+        world.end_all(EndKind::Failed, |task| task.job == number);
+        // Each second job fails while the worker of the one before rests.
+        let pause = if number % 2 == 0 && number < 12 { ms(10_000) } else { ms(100) };
+        world.advance(pause);
+    }
+    world.submit(100, job(2, vec![step(1, 1_000, 1_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 100), 1);
+}
