Give every starved step one task wherever its reservation fits

Cause: the relief for starved steps was a variant of the ranked search and kept its bounds. - It still wanted idle CPU by the requests of the best-effort tasks that are there. Throttled tasks keep their requests for long, so a queue of them closes all workers to the steps behind it. - A step that got its one task counted as one that found no node, and spared all other starved steps of its image the search. So one step for each image and round was relieved.

Now relief is a pass of its own after the ranked one: each step without runs for 2 s starts one task wherever its reservation fits, the longest wait first. Whether others still fit depends on reservations alone. The task shares the CPU that best-effort tasks have there; serving tasks are guarded by the pace as before.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -27,8 +27,8 @@
 /// tasks on the worker. Agents renew the permission each second, and it lasts several times as
 /// long.
 const MAX_PERMISSION_AGE: Duration = Duration::from_secs(3);
-/// Time after which a ready step without runs may start one task on any node with capacity, even if
-/// the task would be throttled there. Callers give up on jobs that make no progress.
+/// Time after which a ready step without runs is starved and may start one task on any node with
+/// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of steps considered in one placement round, so that a long queue does not block
 /// the process.
@@ -146,6 +146,8 @@
     rejected: Vec<Request>,
     /// Nodes whose free capacity is held for waiting long-running tasks.
     held_nodes: HashSet<Slot>,
+    /// CPU request, in thousandths of a core, above which a best-effort task is large on some node.
+    large: u64,
 }
 
 /// What a task requests of a node, to tell whether another one can still find a node.
@@ -153,23 +155,27 @@
 struct Request {
     service: String,
     need: Resources,
+    /// The part of `need` that a task reserves.
+    reserved: Resources,
     long_running: bool,
     /// Image of a best-effort task, whose interference decides too; `None` for other tasks.
     best_effort: Option<Image>,
-    is_starved: bool,
+    is_relief: bool,
 }
 
 impl Request {
     /// Tells whether `self` finds no node if `other` found none. Starts only take room away during a
     /// round, and a larger task of the same image interferes more. The exception are best-effort
     /// tasks that are `large` on some node: the first one there needs less room than it requests.
+    /// For relief, only what a task reserves counts.
     fn is_at_least(&self, other: &Request, large: u64) -> bool {
-        self.long_running == other.long_running
-            && self.best_effort == other.best_effort
-            && self.is_starved == other.is_starved
+        self.is_relief == other.is_relief
+            && self.long_running == other.long_running
             && self.service == other.service
-            && match self.best_effort {
-                Some(_) if self.need.cpu_milli > large => self.need == other.need,
+            && match (self.best_effort, other.best_effort) {
+                (Some(_), Some(_)) if self.is_relief => other.reserved.fits_in(&self.reserved),
+                (image, known) if image != known => false,
+                (Some(_), _) if self.need.cpu_milli > large => self.need == other.need,
                 _ => other.need.fits_in(&self.need),
             }
     }
@@ -216,8 +222,8 @@
     image: Image,
     /// Preferred rack.
     rack: Option<&'a str>,
-    /// Whether a best-effort task may start even where it interferes.
-    is_starved: bool,
+    /// Whether the step is starved, so that one task may start even where it interferes.
+    is_relief: bool,
 }
 
 impl Owner {
@@ -254,58 +260,86 @@
         }
     }
 
-    /// Runs one placement round: starts all waiting tasks that fit, in order of rank.
+    /// Runs one placement round: starts all waiting tasks that fit, in order of rank, and then one
+    /// task of each starved step.
     pub(super) fn place(&mut self, now: Time) {
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
+        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
         let mut round = Round {
             now,
             open_nodes: self.open_nodes(now),
             rejected: Vec::new(),
             held_nodes: HashSet::new(),
+            large: smallest.unwrap_or(0) / 2,
         };
-        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
-        let large = smallest.unwrap_or(0) / 2;
-        for candidate in candidates.iter().take(MAX_STEPS_PER_ROUND).copied() {
-            let spec = self.jobs[&candidate.job].spec.clone();
-            let step = &spec.steps[usize::from(candidate.step)];
-            let image = image_number(step);
-            let request = Request {
-                service: spec.queue.service.clone(),
-                need: step.need,
-                long_running: step.long_running,
-                best_effort: step.best_effort.then_some(image),
-                is_starved: self.is_starved(now, &candidate),
-            };
-            if round.rejected.iter().any(|other| request.is_at_least(other, large)) {
-                continue;
-            }
-            let shared_rack = self.shared_rack(&round, &candidate, &spec, step);
-            let search = Search {
-                candidate,
-                step,
-                image,
-                rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
-                is_starved: request.is_starved,
-            };
-            let is_placed = match step.gang {
-                true => self.place_gang(&round, &spec, search),
-                false => self.place_tasks(&round, &spec, search),
-            };
-            if is_placed {
-                continue;
-            }
-            if step.long_running {
-                round.held_nodes.extend(self.roomiest_node(&round, &spec, &search));
-            }
-            // A gang, a label or a limit per worker rejects nodes that suit other steps.
-            if !step.gang && step.required_label.is_none() && step.per_worker == 0 {
-                round.rejected.push(request);
-            }
+        for candidate in candidates.iter().take(MAX_STEPS_PER_ROUND) {
+            self.place_step(&mut round, *candidate, false);
         }
+        self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
     }
 
+    /// Starts one task of each best-effort step that has been ready without runs for too long, even
+    /// where the task interferes or would be throttled. The steps that have waited longest come
+    /// first.
+    fn relieve_starved(&mut self, round: &mut Round, candidates: &[Candidate]) {
+        let mut starved: Vec<(Time, Candidate)> = candidates
+            .iter()
+            .filter_map(|candidate| Some((self.state(candidate).idle_since?, *candidate)))
+            .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
+            .collect();
+        starved.sort_unstable();
+        for (_, candidate) in starved.into_iter().take(MAX_STEPS_PER_ROUND) {
+            let spec = &self.jobs[&candidate.job].spec;
+            if spec.steps[usize::from(candidate.step)].best_effort {
+                self.place_step(round, candidate, true);
+            }
+        }
+    }
+
+    /// Starts the waiting tasks of a step that fit; if it is for relief, one task. Does nothing if
+    /// another step has shown in this round that none fits.
+    fn place_step(&mut self, round: &mut Round, candidate: Candidate, is_relief: bool) {
+        let spec = self.jobs[&candidate.job].spec.clone();
+        let step = &spec.steps[usize::from(candidate.step)];
+        let image = image_number(step);
+        let request = Request {
+            service: spec.queue.service.clone(),
+            need: step.need,
+            reserved: step.reserved(),
+            long_running: step.long_running,
+            best_effort: step.best_effort.then_some(image),
+            is_relief,
+        };
+        if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
+            return;
+        }
+        let shared_rack = self.shared_rack(round, &candidate, &spec, step);
+        let search = Search {
+            candidate,
+            step,
+            image,
+            rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
+            is_relief,
+        };
+        let is_placed = match step.gang {
+            true => self.place_gang(round, &spec, search),
+            false => self.place_tasks(round, &spec, search),
+        };
+        if is_placed {
+            return;
+        }
+        if step.long_running {
+            let held = self.roomiest_node(round, &spec, &search);
+            round.held_nodes.extend(held);
+        }
+        // A gang, a label or a limit per worker rejects nodes that suit other steps.
+        if !step.gang && step.required_label.is_none() && step.per_worker == 0 {
+            round.rejected.push(request);
+        }
+    }
+
     /// Returns the nodes that accept starts at all, by the service of their workers.
     fn open_nodes(&self, now: Time) -> HashMap<String, Vec<Slot>> {
         let mut open: HashMap<String, Vec<Slot>> = HashMap::new();
@@ -361,12 +395,6 @@
         candidates
     }
 
-    /// Tells whether a step has waited so long without runs that one task may start on any node
-    /// with capacity.
-    fn is_starved(&self, now: Time, candidate: &Candidate) -> bool {
-        self.state(candidate).idle_since.is_some_and(|since| now >= since + STARVATION_DELAY)
-    }
-
     /// Returns the node with the most free CPU that will fit a long-running task once other tasks
     /// have ended there.
     fn roomiest_node(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Option<Slot> {
@@ -380,11 +408,14 @@
         nodes.max_by_key(|(_, node)| node.free_cpu()).map(|(slot, _)| slot)
     }
 
-    /// Starts waiting tasks of a step until one does not fit; returns whether all were started.
-    fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, mut search: Search<'_>) -> bool {
+    /// Starts waiting tasks of a step until one does not fit, or one task if the search is for relief.
+    /// Returns whether all of them were started.
+    fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
-        let waiting: Vec<u32> = self.state(&search.candidate).waiting.iter().copied().collect();
+        let most = if search.is_relief { 1 } else { usize::MAX };
+        let state = self.state(&search.candidate);
+        let waiting: Vec<u32> = state.waiting.iter().copied().take(most).collect();
         let mut ranking = self.rank_nodes(round, spec, &search);
         for index in waiting {
             let state = self.state(&search.candidate);
@@ -392,11 +423,7 @@
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
-            if search.is_starved {
-                // Only the first task may start where it interferes.
-                search.is_starved = false;
-                ranking = self.rank_nodes(round, spec, &search);
-            } else if let Ok(score) = self.score(round, &search, slot, 0) {
+            if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
         }
@@ -485,7 +512,7 @@
         if is_held {
             return Err(Misfit::Held);
         }
-        node.has_capacity(step, u64::from(planned))?;
+        node.has_capacity(step, u64::from(planned), search.is_relief)?;
         if !self.state(&search.candidate).has_quota(step, slot, planned) {
             return Err(Misfit::Quota);
         }
@@ -503,7 +530,7 @@
                 (true, _) => free,
                 (false, true) => {
                     let task = (search.image, step.need.cpu_milli);
-                    self.best_effort_cost(node, task, u64::from(planned), search.is_starved)
+                    self.best_effort_cost(node, task, u64::from(planned), search.is_relief)
                         .ok_or(Misfit::Interference)?
                 }
                 (false, false) => u64::MAX / 4 - free,
@@ -583,16 +610,19 @@
     }
 
     /// Checks that one more task of a step fits on the node in addition to `planned` tasks of the
-    /// step that have not been started yet.
+    /// step that have not been started yet. For the relief of a starved step, a best-effort task
+    /// needs no idle CPU: it shares the CPU of those that are there.
     ///
     /// # Errors
     ///
     /// Returns which kind of capacity is missing.
-    fn has_capacity(&self, step: &Step, planned: u64) -> Result<(), Misfit> {
+    fn has_capacity(&self, step: &Step, planned: u64, is_relief: bool) -> Result<(), Misfit> {
         let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
-        match self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity) {
+        let fits = self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity);
+        let needs_idle = step.best_effort && !is_relief;
+        match fits {
             false => Err(Misfit::Room),
-            true if step.best_effort && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
+            true if needs_idle && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
             true => Ok(()),
         }
     }
--- a/crates/core/src/flow/place/waits.rs
+++ b/crates/core/src/flow/place/waits.rs
@@ -60,7 +60,7 @@
             step,
             image: image_number(step),
             rack: None,
-            is_starved: self.is_starved(round.now, &candidate),
+            is_relief: step.best_effort,
         };
         let mut closed: BTreeMap<Closure, u32> = BTreeMap::new();
         for reason in self.nodes.iter().filter_map(|node| node.closed_by(round.now)) {
@@ -76,7 +76,7 @@
             }
         }
         format!(
-            "tasks={} cpu={} memory={} long_running={} best_effort={} gang={} starved={} \
+            "tasks={} cpu={} memory={} long_running={} best_effort={} gang={} \
              nodes={} open={open} fits={fits} misfits={} closed={}",
             self.state(&candidate).waiting.len(),
             step.need.cpu_milli,
@@ -84,7 +84,6 @@
             step.long_running,
             step.best_effort,
             step.gang,
-            search.is_starved,
             self.nodes.len(),
             counts(&misfits),
             counts(&closed),
