Continue a placement round where the last one stopped

Callers would see an accepted job that never begins although workers have room, behind hundreds of jobs that wait for workers that are away or larger: a label that no worker has at the time, or more than any worker holds.

Cause: a round looked at the first 400 steps by rank and left out the rest, each time the same ones.

Now the bound counts searches of the nodes, and the next round begins with the step at which the last one stopped, and is asked for at once (its pace is bounded as before). A step that found no node spares the search to steps that also want a label, if it wanted none or the same one.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -25,6 +25,7 @@
     Token, WorkerInfo,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
+use super::place::Candidate;
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState};
 use crate::hash;
@@ -238,6 +239,8 @@
     next_round: Time,
     /// Number of placement rounds, by what first asked for each, since the owner began.
     rounds: [u64; RoundCause::COUNT],
+    /// Step with which the next placement round begins, because the last one did not get to it.
+    pub(super) resume_at: Option<Candidate>,
     /// Time that placement rounds have taken, since the owner began.
     pub(super) round_time: Duration,
     /// Jobs that may have waiting tasks, for a node or for another step.
@@ -282,6 +285,7 @@
             placement_due: false,
             next_round: now,
             rounds: [0; RoundCause::COUNT],
+            resume_at: None,
             round_time: Duration::ZERO,
             unplaced: BTreeSet::new(),
             occurrences_due: BTreeSet::new(),
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -30,9 +30,9 @@
 /// Time after which a ready step without runs is starved and may start one task on any node with
 /// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
-/// Maximum number of steps considered in one placement round, so that a long queue does not block
-/// the process.
-const MAX_STEPS_PER_ROUND: usize = 400;
+/// Maximum number of steps for which one pass of a placement round searches the nodes, so that a long
+/// queue does not block the process.
+const MAX_SEARCHES: usize = 400;
 
 impl Job {
     /// Returns the estimated duration of the critical path through the unfinished steps, in
@@ -120,7 +120,7 @@
 
 /// A step whose waiting tasks are ready to be placed on nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Candidate {
+pub(super) struct Candidate {
     rank: Rank,
     job: JobNumber,
     occurrence: u32,
@@ -154,6 +154,8 @@
 #[derive(Debug)]
 struct Request {
     service: String,
+    /// Label that the worker must have.
+    label: Option<String>,
     need: Resources,
     /// The part of `need` that a task reserves.
     reserved: Resources,
@@ -172,6 +174,7 @@
         self.is_relief == other.is_relief
             && self.long_running == other.long_running
             && self.service == other.service
+            && (other.label.is_none() || self.label == other.label)
             && match (self.best_effort, other.best_effort) {
                 (Some(_), Some(_)) if self.is_relief => other.reserved.fits_in(&self.reserved),
                 (image, known) if image != known => false,
@@ -273,13 +276,27 @@
             held_nodes: HashSet::new(),
             large: smallest.unwrap_or(0) / 2,
         };
-        for candidate in candidates.iter().take(MAX_STEPS_PER_ROUND) {
-            self.place_step(&mut round, *candidate, false);
-        }
+        self.place_by_rank(&mut round, &candidates);
         self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
     }
 
+    /// Starts all waiting tasks that fit, in order of rank. Begins with the steps that the round
+    /// before did not get to.
+    fn place_by_rank(&mut self, round: &mut Round, candidates: &[Candidate]) {
+        let first = self.resume_at.take().map_or(0, |at| candidates.partition_point(|c| *c < at));
+        let (ahead, rest) = candidates.split_at(first);
+        let mut searches = 0;
+        for candidate in rest.iter().chain(ahead) {
+            if searches == MAX_SEARCHES {
+                self.resume_at = Some(*candidate);
+                self.request_round(RoundCause::Timer);
+                return;
+            }
+            searches += usize::from(self.place_step(round, *candidate, false));
+        }
+    }
+
     /// Starts one task of each best-effort step that has been ready without runs for too long, even
     /// where the task interferes or would be throttled. The steps that have waited longest come
     /// first.
@@ -290,22 +307,24 @@
             .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
             .collect();
         starved.sort_unstable();
-        for (_, candidate) in starved.into_iter().take(MAX_STEPS_PER_ROUND) {
+        let mut searches = 0;
+        for (_, candidate) in starved {
             let spec = &self.jobs[&candidate.job].spec;
-            if spec.steps[usize::from(candidate.step)].best_effort {
-                self.place_step(round, candidate, true);
+            if spec.steps[usize::from(candidate.step)].best_effort && searches < MAX_SEARCHES {
+                searches += usize::from(self.place_step(round, candidate, true));
             }
         }
     }
 
-    /// Starts the waiting tasks of a step that fit; if it is for relief, one task. Does nothing if
-    /// another step has shown in this round that none fits.
-    fn place_step(&mut self, round: &mut Round, candidate: Candidate, is_relief: bool) {
+    /// Starts the waiting tasks of a step that fit; if it is for relief, one task. Returns whether the
+    /// nodes were searched: they are not if another step has shown in this round that none fits.
+    fn place_step(&mut self, round: &mut Round, candidate: Candidate, is_relief: bool) -> bool {
         let spec = self.jobs[&candidate.job].spec.clone();
         let step = &spec.steps[usize::from(candidate.step)];
         let image = image_number(step);
         let request = Request {
             service: spec.queue.service.clone(),
+            label: step.required_label.clone(),
             need: step.need,
             reserved: step.reserved(),
             long_running: step.long_running,
@@ -313,7 +332,7 @@
             is_relief,
         };
         if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
-            return;
+            return false;
         }
         let shared_rack = self.shared_rack(round, &candidate, &spec, step);
         let search = Search {
@@ -328,16 +347,17 @@
             false => self.place_tasks(round, &spec, search),
         };
         if is_placed {
-            return;
+            return true;
         }
         if step.long_running {
             let held = self.roomiest_node(round, &spec, &search);
             round.held_nodes.extend(held);
         }
-        // A gang, a label or a limit per worker rejects nodes that suit other steps.
-        if !step.gang && step.required_label.is_none() && step.per_worker == 0 {
+        // A gang or a limit per worker rejects nodes that suit other steps.
+        if !step.gang && step.per_worker == 0 {
             round.rejected.push(request);
         }
+        true
     }
 
     /// Returns the nodes that accept starts at all, by the service of their workers.
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -50,18 +50,25 @@
     assert_eq!(idle, Vec::<u64>::new(), "jobs without runs");
 }
 
-/// Guards against a job that never begins because a round ends after a fixed number of steps, all of
-/// which wait for workers that are away.
-#[test]
-fn a_step_behind_many_that_fit_nowhere_starts() {
+/// Returns whether a job starts in time on a worker of four cores behind 500 of `elsewhere`.
+fn starts_behind(elsewhere: &Step) -> bool {
     let mut world = World::new(1, 4_000);
     for number in 1..=500 {
-        let elsewhere = Step { required_label: Some("away".to_owned()), ..step(1, 100, 10_000) };
-        world.submit(number, job(2, vec![elsewhere]));
+        world.submit(number, job(2, vec![elsewhere.clone()]));
     }
     world.submit(1_000, job(2, vec![step(1, 1_000, 60_000)]));
     world.advance(MAX_WAIT);
-    assert_eq!(runs_of(&world, 1_000), 1);
+    runs_of(&world, 1_000) == 1
+}
+
+/// Guards against a job that never begins because a round ends after a fixed number of steps, all of
+/// which wait for workers that are away or larger.
+#[test]
+fn a_step_behind_many_that_fit_nowhere_starts() {
+    let away = Step { required_label: Some("away".to_owned()), ..step(1, 100, 10_000) };
+    assert!(starts_behind(&away));
+    let too_large = Step { per_worker: 1, ..step(1, 5_000, 1_000) };
+    assert!(starts_behind(&too_large));
 }
 
 /// Guards against a job that waits while all workers rest after failures of jobs that can never be
