Show two faults of permissions that are granted before the agent has reported

The first: the owner counts a run as running for as long as an agent is connected that has nothing to report, although no worker has the run. The second: a successor permits a worker to run tasks that it does not know.

--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner and the agent state machines on virtual time.
 
+mod beliefs;
 mod interference;
 mod load;
 mod node;
