Renew a worker's permission only after its agent has reported

What callers saw or would see: a job stays at running, and its ready tasks have no run anywhere, although workers have room. It lasts until a new worker registers at the node.

Cause: a ping renewed the permission of the node's worker in each session, also before the agent had reported the worker's runs. An agent that starts again and finds no worker has nothing to report, but pings each second; the owner therefore never took the permission as expired, and counted all runs of the lost worker as running. The same renewal also reached workers that a successor did not know: the successor gave them up when the predecessor's permission ended, while its own pongs kept their runs alive, so that a task could run twice.

Why the fix works: until the report a pong grants 1 ms, which extends nothing, so the permission expires on both sides at the time that the owner knows, and the owner requeues the tasks. The report renews the permission at once in answer to the last ping before it, so that a worker that is there waits no longer for its permission. Messages are unchanged: old agents and owners work with new ones.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -47,6 +47,10 @@
 /// Time between two pings of an agent beyond which placement may have passed over its node, because
 /// the permission was not renewed; placement then runs again.
 const MAX_PING_GAP: Duration = Duration::from_millis(1_500);
+/// Permission in a pong to an agent that has not reported its worker's state yet. The worker may run
+/// tasks that the owner has given up or is about to give up, so that its permission must not be
+/// renewed. Too short to have an effect, but not zero, which says that the owner's lease has ended.
+const NO_PERMISSION: Duration = Duration::from_millis(1);
 /// Minimum interval between writes of the learned interference weights, which share a write with
 /// other records.
 const INTERFERENCE_INTERVAL: Duration = Duration::from_secs(5);
@@ -162,6 +166,9 @@
     pub is_attached: bool,
     /// When the worker's permission to run tasks was last renewed.
     pub last_pong: Time,
+    /// When the agent sent its newest ping of this session that came before its report, by its own
+    /// clock. The report renews the permission in answer to it.
+    pub(super) early_ping: Option<Duration>,
     /// The node's worker; `None` if none is running as far as the owner knows.
     pub worker: Option<WorkerInfo>,
     /// Resources reserved by all tasks on the node.
@@ -447,6 +454,7 @@
         let node = &mut self.nodes[slot];
         node.session = Some(self.next_session);
         node.is_attached = false;
+        node.early_ping = None;
         (slot, self.next_session, session_token(self.settings.epoch, self.next_session))
     }
 
@@ -468,7 +476,11 @@
         }
         match message {
             AgentMessage::Attach { worker, running, ends } => {
-                self.attach(now, slot, worker, running, ends)
+                self.attach(now, slot, worker, running, ends);
+                match self.nodes[slot].early_ping.take() {
+                    Some(sent) if self.is_valid(now) => self.renew_permission(now, slot, sent),
+                    _ => {}
+                }
             }
             AgentMessage::Ends { worker, ends } => self.ends(now, slot, &worker, ends),
             AgentMessage::NotStarted { task, run, reason } => {
@@ -493,25 +505,33 @@
                     self.request_round(RoundCause::Pressure);
                 }
                 self.learn_interference(slot, &samples, &baselines);
-                let permission = match self.is_valid(now) {
-                    true => {
-                        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
-                        if now > last + MAX_PING_GAP {
-                            self.request_round(RoundCause::Agent);
-                        }
-                        self.settings.permission
+                match (self.is_valid(now), self.nodes[slot].is_attached) {
+                    (false, _) => self.send_pong(slot, sent, Duration::ZERO),
+                    (true, true) => self.renew_permission(now, slot, sent),
+                    (true, false) => {
+                        self.nodes[slot].early_ping = Some(sent);
+                        self.send_pong(slot, sent, NO_PERMISSION);
                     }
-                    false => Duration::ZERO,
-                };
-                let weights = self.weights(slot);
-                self.send(
-                    slot,
-                    OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights },
-                );
+                }
             }
         }
     }
 
+    /// Renews the permission of a node's worker to run tasks, in answer to a ping that its agent
+    /// sent at `sent` by its own clock.
+    fn renew_permission(&mut self, now: Time, slot: Slot, sent: Duration) {
+        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
+        if now > last + MAX_PING_GAP {
+            self.request_round(RoundCause::Agent);
+        }
+        self.send_pong(slot, sent, self.settings.permission);
+    }
+
+    fn send_pong(&mut self, slot: Slot, sent: Duration, permission: Duration) {
+        let weights = self.weights(slot);
+        self.send(slot, OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights });
+    }
+
     /// Returns the job specification and the state of a task's step, if the task exists.
     pub(super) fn step_mut(&mut self, task: &TaskId) -> Option<(&Arc<JobSpec>, &mut StepState)> {
         let job = self.jobs.get_mut(&task.job)?;
@@ -598,6 +618,7 @@
             session: None,
             is_attached: false,
             last_pong: now,
+            early_ping: None,
             worker: None,
             used: Resources::default(),
             long_running: Resources::default(),
