Show an agent that denies a run which its worker may have

The test fails on this commit:

beliefs::an_agent_that_has_not_listed_its_worker_does_not_deny_a_run the worker may have the run: [NotStarted { task: TaskId { job: 7, occurrence: 0, step: 0, index: 0 }, run: 1, reason: "not here" }]

Line breaks are added. After this message the owner starts the task again on another worker.

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -1,11 +1,41 @@
 //! Tests that the owner and the agents do not believe in runs that no worker has, and do not give up
 //! runs that a worker still has.
 
-use peridotfold_core::flow::message::{AgentMessage, OwnerMessage, Pressure};
+use peridotfold_core::flow::message::{AgentMessage, OwnerMessage, Pressure, Running, WorkerInfo};
+use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::node::{Action, AgentState};
 use peridotfold_core::flow::owner::Effect;
+use peridotfold_core::resources::Resources;
 
 use crate::support::{job, ms, step, World, PERMISSION};
 
+const TASK: TaskId = TaskId { job: 7, occurrence: 0, step: 0, index: 0 };
+
+fn life(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.to_owned(),
+        service: "svc".to_owned(),
+        zone: "zone".to_owned(),
+        capacity: Resources::new(1_000, 1_000, 0),
+        labels: Vec::new(),
+        draining: false,
+        remaining: None,
+    }
+}
+
+fn listed_run(run: u32) -> Running {
+    Running { task: TASK, run, checkpoint: String::new(), percent: 0, load: 0 }
+}
+
+/// Takes the agent's actions and returns the messages to the owner that `pick` selects.
+fn sent(agent: &mut AgentState, pick: impl Fn(&AgentMessage) -> bool) -> Vec<AgentMessage> {
+    let messages = agent.take_actions().into_iter().filter_map(|action| match action {
+        Action::Send(message) => Some(message),
+        _ => None,
+    });
+    messages.filter(pick).collect()
+}
+
 /// Guards against a run that counts as running for ever, after the machine of its worker has
 /// restarted without the worker: the new agent pings the owner but has nothing to report.
 #[test]
@@ -53,3 +83,22 @@
     world.attach(0);
     assert_eq!(grants(&mut world), [PERMISSION], "granted with the report");
 }
+
+/// Guards against a task that runs twice: an agent that has started again does not know the runs of
+/// its worker yet, and must not say that one is not there.
+#[test]
+fn an_agent_that_has_not_listed_its_worker_does_not_deny_a_run() {
+    let mut agent = AgentState::default();
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.receive(ms(2), OwnerMessage::Stop { task: TASK, run: 1 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { .. }));
+    assert!(denials.is_empty(), "the worker may have the run: {denials:?}");
+    agent.heartbeat(ms(3), life("life-1"), 1);
+    agent.listed(ms(4), "life-1", 100, 1_000, vec![listed_run(1)], Vec::new());
+    let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { .. }));
+    assert_eq!(reports.len(), 1);
+    agent.receive(ms(5), OwnerMessage::Stop { task: TASK, run: 1 });
+    agent.receive(ms(5), OwnerMessage::Stop { task: TASK, run: 2 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { run: 2, .. }));
+    assert_eq!(denials.len(), 1, "a run that is not there is denied after the listing");
+}
