Let an agent deny a run only after its report

What callers saw or would see: a task runs on two workers at once.

Cause: an agent answered an order to stop a run that it did not know with 'not here'. An agent that has started again knows none of the runs of its worker until the worker has sent a heartbeat and a listing. The owner sends stops as soon as the session is open (a member of a gang has ended, the last tasks of a step are moved), took the answer as the end of the run, and started the task on another worker.

Evidence: before, beliefs::an_agent_that_has_not_listed_its_worker_does_not_deny_a_run failed with 'the worker may have the run: [NotStarted { .. run: 1, reason: "not here" }]'.

Why the fix works: before the report the agent does not answer. The report then either lists the run, and the owner repeats the stop because it keeps the run as being stopped, or does not list it, and the owner requeues the task. If no report comes, the permission expires.

beliefs::a_stop_before_the_report_is_repeated_when_the_report_lists_the_run shows the repetition by the owner; it passes with and without the change.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -369,10 +369,13 @@
         }
     }
 
-    /// Handles the owner's order to stop a run.
+    /// Handles the owner's order to stop a run. Before the report in this session, the worker may have
+    /// runs that the agent does not know: the owner repeats the order when the report lists the run.
     fn stop(&mut self, now: Time, task: TaskId, run: Run) {
+        let is_attached = self.is_attached();
         match self.runs.get_mut(&task).filter(|known| known.run == run) {
             Some(known) => known.must_stop = true,
+            None if !is_attached => {}
             None => self.not_started(task, run, "not here"),
         }
         self.send_stops(now);
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -1,8 +1,10 @@
 //! Tests that the owner and the agents do not believe in runs that no worker has, and do not give up
 //! runs that a worker still has.
 
-use peridotfold_core::flow::message::{AgentMessage, OwnerMessage, Pressure, Running, WorkerInfo};
-use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::message::{
+    AgentMessage, EndKind, OwnerMessage, Pressure, Running, WorkerInfo,
+};
+use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::node::{Action, AgentState};
 use peridotfold_core::flow::owner::Effect;
 use peridotfold_core::resources::Resources;
@@ -102,3 +104,22 @@
     let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { run: 2, .. }));
     assert_eq!(denials.len(), 1, "a run that is not there is denied after the listing");
 }
+
+/// Guards against a run that nobody stops, because the agent had not reported when the owner ordered
+/// the stop.
+#[test]
+fn a_stop_before_the_report_is_repeated_when_the_report_lists_the_run() {
+    let mut world = World::new(2, 1_000);
+    world.submit(7, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+    world.connect(0);
+    // The agent ignores what it receives before its report.
+    let session = std::mem::replace(&mut world.workers[0].session, u32::MAX);
+    world.end_all(EndKind::Failed, |task| task.index == 1);
+    assert!(world.stopped.is_empty());
+    world.workers[0].session = session;
+    world.attach(0);
+    world.settle();
+    let stopped: Vec<_> = world.stopped.iter().map(|(task, run)| (task.index, *run)).collect();
+    assert_eq!(stopped, [(0, 1)]);
+    assert_eq!(world.running().len(), 2, "the gang starts again");
+}
