Show a start that the worker after the intended one carries out

The test fails on this commit:

beliefs::a_start_for_a_lost_worker_is_not_carried_out_by_the_next_one started on the wrong worker: [Call(Start { worker: "life-2", token: 100, deadline: 5922, .. })]

The owner requeues the task when it hears that life-1 is gone, and starts it again elsewhere, while life-2 runs it.

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -2,10 +2,10 @@
 //! runs that a worker still has.
 
 use peridotfold_core::flow::message::{
-    AgentMessage, EndKind, OwnerMessage, Pressure, Running, WorkerInfo,
+    AgentMessage, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
 };
 use peridotfold_core::flow::model::{Step, TaskId};
-use peridotfold_core::flow::node::{Action, AgentState};
+use peridotfold_core::flow::node::{Action, AgentState, Call};
 use peridotfold_core::flow::owner::Effect;
 use peridotfold_core::resources::Resources;
 
@@ -29,6 +29,24 @@
     Running { task: TASK, run, checkpoint: String::new(), percent: 0, load: 0 }
 }
 
+fn start(run: u32) -> OwnerMessage {
+    OwnerMessage::Start(Box::new(Start {
+        task: TASK,
+        run,
+        command: "run".to_owned(),
+        checkpoint: String::new(),
+        ticket: String::new(),
+        traits: TaskTraits::default(),
+        weights: Vec::new(),
+    }))
+}
+
+/// Returns the answer to a ping that the agent sent at `sent` milliseconds.
+fn pong(sent: u64) -> OwnerMessage {
+    let (entries, weights) = (Vec::new(), Vec::new());
+    OwnerMessage::Pong { sent: ms(sent), permission: PERMISSION, entries, weights }
+}
+
 /// Takes the agent's actions and returns the messages to the owner that `pick` selects.
 fn sent(agent: &mut AgentState, pick: impl Fn(&AgentMessage) -> bool) -> Vec<AgentMessage> {
     let messages = agent.take_actions().into_iter().filter_map(|action| match action {
@@ -123,3 +141,26 @@
     assert_eq!(stopped, [(0, 1)]);
     assert_eq!(world.running().len(), 2, "the gang starts again");
 }
+
+/// Guards against a task that runs on a worker for which it was not ordered, beside the run that
+/// replaces it: the order was on its way when a new worker took the place of the lost one.
+#[test]
+fn a_start_for_a_lost_worker_is_not_carried_out_by_the_next_one() {
+    let mut agent = AgentState::default();
+    agent.heartbeat(ms(1), life("life-1"), 1);
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.listed(ms(2), "life-1", 100, 1_000, Vec::new(), Vec::new());
+    agent.receive(ms(3), pong(3));
+    agent.heartbeat(ms(10), life("life-2"), 1);
+    agent.listed(ms(11), "life-2", 100, 50, Vec::new(), Vec::new());
+    agent.take_actions();
+    // The owner sent this before it received the report of the new worker.
+    agent.receive(ms(20), start(1));
+    let actions = agent.take_actions();
+    let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
+    assert!(!actions.iter().any(is_start), "started on the wrong worker: {actions:?}");
+    // The answer to the ping that followed the report shows that the owner knows the new worker.
+    agent.receive(ms(30), pong(11));
+    agent.receive(ms(31), start(2));
+    assert!(agent.take_actions().iter().any(is_start), "an order for the new worker");
+}
