Refuse a start that was ordered for a worker that is gone

What callers saw or would see: a task runs on two workers at once, and a worker is over its capacity, because the owner does not know of one of the runs.

Cause: an order to start names no worker. If the worker is lost and a new one takes its place while the order is on its way, the agent passed it to the new worker, in the same session and with a valid token. The owner meanwhile requeued the task at the report of the loss, and started it elsewhere.

Evidence: before, beliefs::a_start_for_a_lost_worker_is_not_carried_out_by_the_next_one failed with 'started on the wrong worker: [Call(Start { worker: "life-2", token: 100, .. })]'.

Why the fix works: messages keep their order in both directions of a connection, and a pong names the ping that it answers. The agent now sends a ping directly after the report of a worker that replaces another one, and refuses starts until that ping is answered: the owner sent them before it received the report. The order of the messages makes this exact but for starts that the owner sends between the report and the ping, which are refused once and placed again. Messages are unchanged. The first report in a session needs no answer, because the owner sends no starts before it. The test now also expects the ping.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -155,6 +155,10 @@
     token: Token,
     /// Whether the worker's state has been sent to the owner in this session.
     is_attached: bool,
+    /// When the state of a worker that replaced another one in this session was sent to the owner,
+    /// until the answer to a later ping shows that the owner has received it. Orders that arrive
+    /// before are for the worker that was replaced.
+    unconfirmed_since: Option<Time>,
 }
 
 /// State of the agent.
@@ -274,7 +278,7 @@
     pub fn receive(&mut self, now: Time, message: OwnerMessage) {
         match message {
             OwnerMessage::Welcome { token, .. } => {
-                self.session = Some(Session { token, is_attached: false });
+                self.session = Some(Session { token, is_attached: false, unconfirmed_since: None });
                 self.listing = None;
                 self.next_list = now;
                 self.next_ping = now;
@@ -287,6 +291,9 @@
             }
             OwnerMessage::Pong { sent, permission, weights, .. } => {
                 self.permission_until = self.permission_until.max(sent + permission);
+                if let Some(session) = &mut self.session {
+                    session.unconfirmed_since = session.unconfirmed_since.filter(|at| sent < *at);
+                }
                 for (serving, best_effort, weight) in weights {
                     self.pacer.set_weight(serving, best_effort, weight);
                 }
@@ -331,6 +338,9 @@
         let (Some(deadline), Some(token), Some(worker)) = (deadline, token, worker) else {
             return self.not_started(task, run, "no worker or clock");
         };
+        if self.session.as_ref().is_some_and(|session| session.unconfirmed_since.is_some()) {
+            return self.not_started(task, run, "worker replaced");
+        }
         if now >= self.permission_until {
             return self.not_started(task, run, "no permission");
         }
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -38,6 +38,9 @@
         if !is_attached {
             if token == session_token {
                 self.attach(now, running, ends);
+                if self.session.as_ref().is_some_and(|s| s.unconfirmed_since.is_some()) {
+                    self.next_ping = now;
+                }
             }
             return self.poll(now);
         }
@@ -77,6 +80,8 @@
                 self.worker = Some(worker);
                 self.next_list = Time::ZERO;
                 if let Some(session) = &mut self.session {
+                    let is_second = session.is_attached || session.unconfirmed_since.is_some();
+                    session.unconfirmed_since = is_second.then_some(Time::MAX);
                     session.is_attached = false;
                 }
             }
@@ -113,6 +118,7 @@
         let info = worker.info.clone();
         if let Some(session) = &mut self.session {
             session.is_attached = true;
+            session.unconfirmed_since = session.unconfirmed_since.map(|_| now);
         }
         self.log("attached", format!("worker={} running={}", info.id, running.len()));
         self.actions.push(Action::Send(AgentMessage::Attach { worker: Some(info), running, ends }));
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -152,8 +152,10 @@
     agent.listed(ms(2), "life-1", 100, 1_000, Vec::new(), Vec::new());
     agent.receive(ms(3), pong(3));
     agent.heartbeat(ms(10), life("life-2"), 1);
-    agent.listed(ms(11), "life-2", 100, 50, Vec::new(), Vec::new());
     agent.take_actions();
+    agent.listed(ms(11), "life-2", 100, 50, Vec::new(), Vec::new());
+    let pings = sent(&mut agent, |m| matches!(m, AgentMessage::Ping { .. }));
+    assert_eq!(pings.len(), 1, "a ping follows the report");
     // The owner sent this before it received the report of the new worker.
     agent.receive(ms(20), start(1));
     let actions = agent.take_actions();
