Show runs that an agent believes in although their permission has expired

Two tests fail on this commit:

beliefs::the_runs_of_a_worker_that_does_not_answer_are_given_up_after_its_permission Refused("status 503"): the loss is not reported beliefs::the_runs_of_a_lost_worker_are_given_up_although_the_next_one_does_not_answer the loss of life-1 is not reported

The agent pings the owner all the while, so that the owner counts the runs as running too. beliefs::the_runs_of_a_worker_that_answers_again_are_kept passes; it guards the change that follows.

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -5,7 +5,7 @@
     AgentMessage, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
 };
 use peridotfold_core::flow::model::{Step, TaskId};
-use peridotfold_core::flow::node::{Action, AgentState, Call};
+use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
 use peridotfold_core::flow::owner::Effect;
 use peridotfold_core::resources::Resources;
 
@@ -166,3 +166,83 @@
     agent.receive(ms(31), start(2));
     assert!(agent.take_actions().iter().any(is_start), "an order for the new worker");
 }
+
+/// Answers the listings that an agent requests with this outcome for `duration` milliseconds.
+/// Returns the time at which the agent reported the loss of the worker, and the latest deadline that
+/// it gave the worker before.
+fn fail_listings(
+    agent: &mut AgentState,
+    (from, duration): (u64, u64),
+    outcome: &Outcome,
+) -> (Option<u64>, u64) {
+    let mut last_deadline = 0;
+    for at in (from..from + duration).step_by(50) {
+        agent.poll(ms(at));
+        for action in agent.take_actions() {
+            match action {
+                Action::Send(AgentMessage::Gone { .. }) => return (Some(at), last_deadline),
+                Action::Send(AgentMessage::Ping { sent, .. }) => {
+                    agent.receive(ms(at), pong(sent.as_millis() as u64));
+                }
+                Action::Call(Call::List { worker, token, deadline, .. }) => {
+                    last_deadline = last_deadline.max(deadline.unwrap_or(0));
+                    agent.list_failed(ms(at), &worker, token, outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+    (None, last_deadline)
+}
+
+/// Returns an agent whose worker has one run and the same clock.
+fn agent_with_run() -> AgentState {
+    let mut agent = AgentState::default();
+    agent.heartbeat(ms(1), life("life-1"), 1);
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.listed(ms(2), "life-1", 100, 2, vec![listed_run(1)], Vec::new());
+    agent.receive(ms(3), pong(3));
+    agent.take_actions();
+    agent
+}
+
+/// Guards against a run that counts as running for ever on a worker that answers no listing, for
+/// example because it is unhealthy and refuses all calls, although its permission has expired.
+#[test]
+fn the_runs_of_a_worker_that_does_not_answer_are_given_up_after_its_permission() {
+    for outcome in [Outcome::Refused("status 503".to_owned()), Outcome::Unclear] {
+        let mut agent = agent_with_run();
+        let (gone_at, last_deadline) = fail_listings(&mut agent, (100, 12_000), &outcome);
+        let gone_at = gone_at.unwrap_or_else(|| panic!("{outcome:?}: the loss is not reported"));
+        // A slow clock reaches the deadline later.
+        assert!(last_deadline * 100 / 98 <= gone_at, "{last_deadline} against {gone_at}");
+    }
+}
+
+/// Guards against a run that counts as running for ever on a lost worker, because the next worker
+/// has sent a heartbeat but answers no listing.
+#[test]
+fn the_runs_of_a_lost_worker_are_given_up_although_the_next_one_does_not_answer() {
+    let mut agent = agent_with_run();
+    agent.heartbeat(ms(50), life("life-2"), 1);
+    let outcome = Outcome::Refused("status 503".to_owned());
+    let (gone_at, _) = fail_listings(&mut agent, (100, 12_000), &outcome);
+    assert!(gone_at.is_some(), "the loss of life-1 is not reported");
+}
+
+/// Guards against a worker that loses its runs although it only pauses.
+#[test]
+fn the_runs_of_a_worker_that_answers_again_are_kept() {
+    let mut agent = agent_with_run();
+    let (gone_at, _) = fail_listings(&mut agent, (100, 5_000), &Outcome::Unclear);
+    assert_eq!(gone_at, None);
+    agent.listed(ms(5_100), "life-1", 100, 5_100, vec![listed_run(1)], Vec::new());
+    let deadlines = agent.take_actions().into_iter().filter_map(|action| match action {
+        Action::Call(Call::List { deadline, .. }) => deadline,
+        _ => None,
+    });
+    assert!(deadlines.max() > Some(9_000), "the permission is renewed");
+    agent.receive(ms(5_101), start(1));
+    let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
+    assert!(agent.take_actions().iter().any(is_start));
+}
