Give the runs of a worker up that answers no listing until its permission has expired

What callers saw or would see: a job stays at running, and its tasks have no run anywhere, although other workers have room. It lasts until the worker answers again.

Cause: a worker that answers no listing (it refuses every call with 503 because it is unhealthy, it hangs, or a new worker at its address does so) gets no permission and stops all its runs. The agent only logged the failed listings, kept the runs, and went on with its pings, so that the owner counted them as running for as long as that lasted. Starts with a lost answer stayed in doubt in the same way, because only a listing resolves them.

Why the fix works: after 3 s without an answered listing the agent gives the worker no further permission, in listings or starts, and keeps the end of the last one that it gave. When that has passed, also for a permission that an earlier agent may have given, the worker has stopped all its runs, whether or not it received the calls, and a late start is refused for its deadline. The agent then reports the worker as gone, and the owner requeues the tasks. The worker is adopted again with its next heartbeat and an answered listing. A worker that answers before keeps its runs.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -14,6 +14,10 @@
 pub type EndNumber = u64;
 /// Factor by which the interference weights of image pairs are multiplied to send them as integers.
 pub const WEIGHT_SCALE: f64 = 1_000.0;
+/// Permission in a pong to an agent that has not reported its worker's state yet. The worker may run
+/// tasks that the owner has given up or is about to give up, so that its permission must not be
+/// renewed. Too short to have an effect, but not zero, which says that the owner's lease has ended.
+pub const NO_PERMISSION: Duration = Duration::from_millis(1);
 /// Hash of the name of the program that a task runs.
 pub type Image = u32;
 /// Fencing token of an order to a worker: the owner's epoch, the number of the agent's session, and
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -13,6 +13,7 @@
 
 use super::message::{
     AgentMessage, EndNumber, OwnerMessage, Sample, Start, TaskTraits, Token, WorkerInfo,
+    NO_PERMISSION,
 };
 use super::model::{Run, TaskId};
 use super::owner::Decision;
@@ -38,6 +39,12 @@
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of consecutive refused connections after which the worker process is taken as dead.
 const MAX_REFUSALS: u32 = 2;
+/// Time without an answered listing after which the worker's permission to run tasks is not renewed
+/// any more. Longer than one listing that is lost and one that is repeated.
+const MAX_WORKER_SILENCE: Duration = Duration::from_millis(3_000);
+/// Time after the expiry of a silent worker's permission before the worker is taken to have stopped
+/// all its runs; covers rounding of lease times.
+const PERMISSION_MARGIN: Duration = Duration::from_millis(200);
 /// Maximum time between two calls of [`AgentState::poll`].
 const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 
@@ -146,6 +153,26 @@
     forwarded: EndNumber,
     /// Number of consecutive connections that the worker's address has refused.
     refusals: u32,
+    /// When the first listing was requested that the worker has not answered; `None` if it has
+    /// answered all.
+    unanswered_since: Option<Time>,
+    /// When the permission to run tasks expires that the worker was given last.
+    granted_until: Time,
+}
+
+impl Worker {
+    /// Tells whether the worker has not answered a listing for a long time.
+    fn is_silent(&self, now: Time) -> bool {
+        self.unanswered_since.is_some_and(|since| now >= since + MAX_WORKER_SILENCE)
+    }
+
+    /// Tells whether a silent worker has stopped all its runs, because its permission has expired.
+    /// An earlier agent may have given it a permission too, for at most `permission` before the first
+    /// listing that was not answered.
+    fn has_stopped_all(&self, now: Time, permission: Duration) -> bool {
+        let until = self.unanswered_since.map(|since| self.granted_until.max(since + permission));
+        self.is_silent(now) && until.is_some_and(|until| now >= until + PERMISSION_MARGIN)
+    }
 }
 
 /// The agent's session with the owner.
@@ -178,6 +205,8 @@
     runs: BTreeMap<TaskId, LocalRun>,
     /// When the worker's permission to run tasks expires, as last granted by the owner.
     permission_until: Time,
+    /// For how long the owner last granted a permission; `None` before the first.
+    permission: Option<Duration>,
     /// Token of the listing request in flight, and when the request was sent.
     listing: Option<(Token, Time)>,
     /// When the next listing is requested from the worker.
@@ -282,6 +311,9 @@
                 self.listing = None;
                 self.next_list = now;
                 self.next_ping = now;
+                if let Some(worker) = &mut self.worker {
+                    worker.unanswered_since = None;
+                }
                 // From now on the worker either lists a start of the older session or refuses it.
                 for run in self.runs.values_mut() {
                     if run.state != RunState::Running {
@@ -291,6 +323,9 @@
             }
             OwnerMessage::Pong { sent, permission, weights, .. } => {
                 self.permission_until = self.permission_until.max(sent + permission);
+                if permission > NO_PERMISSION {
+                    self.permission = Some(permission);
+                }
                 if let Some(session) = &mut self.session {
                     session.unconfirmed_since = session.unconfirmed_since.filter(|at| sent < *at);
                 }
@@ -329,24 +364,34 @@
         Some(clock + left.as_millis() as u64)
     }
 
+    /// Converts the end of the permission to run tasks to the worker's clock, to be sent to the
+    /// worker. Returns `None` if the permission may not be sent: it has expired, the worker's clock
+    /// is not known, or the worker is silent, so that its runs are given up soon.
+    fn grant(&mut self, now: Time) -> Option<u64> {
+        let until = self.permission_until;
+        let deadline = self.worker_deadline(until).filter(|_| now < until)?;
+        let worker = self.worker.as_mut().filter(|worker| !worker.is_silent(now))?;
+        worker.granted_until = worker.granted_until.max(until);
+        Some(deadline)
+    }
+
     /// Handles the owner's order to start a task.
     fn start_task(&mut self, now: Time, start: Box<Start>) {
         let (task, run) = (start.task, start.run);
-        let deadline = self.worker_deadline(self.permission_until);
         let token = self.session.as_ref().map(|session| session.token);
         let worker = self.worker.as_ref().map(|worker| worker.info.id.clone());
-        let (Some(deadline), Some(token), Some(worker)) = (deadline, token, worker) else {
-            return self.not_started(task, run, "no worker or clock");
+        let (Some(token), Some(worker)) = (token, worker) else {
+            return self.not_started(task, run, "no worker");
         };
         if self.session.as_ref().is_some_and(|session| session.unconfirmed_since.is_some()) {
             return self.not_started(task, run, "worker replaced");
         }
-        if now >= self.permission_until {
-            return self.not_started(task, run, "no permission");
-        }
         if self.worker.as_ref().is_some_and(|worker| worker.info.draining) {
             return self.not_started(task, run, "worker drains");
         }
+        let Some(deadline) = self.grant(now) else {
+            return self.not_started(task, run, "no permission");
+        };
         let local = LocalRun {
             run,
             state: RunState::Starting,
@@ -497,6 +542,12 @@
                 baselines,
             }));
         }
+        match (&self.worker, self.permission) {
+            (Some(worker), Some(permission)) if worker.has_stopped_all(now, permission) => {
+                self.lose_worker("silent");
+            }
+            _ => {}
+        }
         if self.worker_exited && self.worker.is_none() && !is_attached && self.candidate.is_none() {
             // The last worker has exited, so none of its tasks still run.
             if let Some(session) = &mut self.session {
@@ -531,9 +582,11 @@
             (None, None) => return,
         };
         let is_current = self.worker.as_ref().is_some_and(|known| known.info.id == worker);
-        let deadline = self
-            .worker_deadline(self.permission_until)
-            .filter(|_| is_current && now < self.permission_until);
+        let deadline = if is_current { self.grant(now) } else { None };
+        if let Some(worker) = &mut self.worker {
+            // A new worker takes the address of this one, so that either both answer or none.
+            worker.unanswered_since.get_or_insert(now);
+        }
         let has = |pick: fn(&TaskTraits) -> bool| self.runs.values().any(|run| pick(&run.traits));
         let needs_pacing = has(|traits| traits.target_ms > 0) && has(|traits| traits.best_effort);
         let has_unacked =
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -35,6 +35,7 @@
         };
         known.clock = Some((clock, now));
         known.refusals = 0;
+        known.unanswered_since = None;
         if !is_attached {
             if token == session_token {
                 self.attach(now, running, ends);
@@ -76,6 +77,8 @@
                     acknowledged: 0,
                     forwarded: 0,
                     refusals: 0,
+                    unanswered_since: None,
+                    granted_until: Time::ZERO,
                 };
                 self.worker = Some(worker);
                 self.next_list = Time::ZERO;
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -22,7 +22,7 @@
 use super::interference::{Baseline, Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, EndNumber, Image, OwnerMessage, Pressure, Start, TaskTraits,
-    Token, WorkerInfo,
+    Token, WorkerInfo, NO_PERMISSION,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::progress::{Phase, Progress};
@@ -47,10 +47,6 @@
 /// Time between two pings of an agent beyond which placement may have passed over its node, because
 /// the permission was not renewed; placement then runs again.
 const MAX_PING_GAP: Duration = Duration::from_millis(1_500);
-/// Permission in a pong to an agent that has not reported its worker's state yet. The worker may run
-/// tasks that the owner has given up or is about to give up, so that its permission must not be
-/// renewed. Too short to have an effect, but not zero, which says that the owner's lease has ended.
-const NO_PERMISSION: Duration = Duration::from_millis(1);
 /// Minimum interval between writes of the learned interference weights, which share a write with
 /// other records.
 const INTERFERENCE_INTERVAL: Duration = Duration::from_secs(5);
