--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -22,7 +22,7 @@
 use super::interference::{Baseline, Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, EndNumber, Image, OwnerMessage, Pressure, Start, TaskTraits,
-    Token, WorkerInfo,
+    Token, WorkerInfo, NO_PERMISSION,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::place::Candidate;
@@ -163,6 +163,9 @@
     pub is_attached: bool,
     /// When the worker's permission to run tasks was last renewed.
     pub last_pong: Time,
+    /// When the agent sent its newest ping of this session that came before its report, by its own
+    /// clock. The report renews the permission in answer to it.
+    pub(super) early_ping: Option<Duration>,
     /// The node's worker; `None` if none is running as far as the owner knows.
     pub worker: Option<WorkerInfo>,
     /// Resources reserved by all tasks on the node.
@@ -454,6 +457,7 @@
         let node = &mut self.nodes[slot];
         node.session = Some(self.next_session);
         node.is_attached = false;
+        node.early_ping = None;
         (slot, self.next_session, session_token(self.settings.epoch, self.next_session))
     }
 
@@ -475,7 +479,11 @@
         }
         match message {
             AgentMessage::Attach { worker, running, ends } => {
-                self.attach(now, slot, worker, running, ends)
+                self.attach(now, slot, worker, running, ends);
+                match self.nodes[slot].early_ping.take() {
+                    Some(sent) if self.is_valid(now) => self.renew_permission(now, slot, sent),
+                    _ => {}
+                }
             }
             AgentMessage::Ends { worker, ends } => self.ends(now, slot, &worker, ends),
             AgentMessage::NotStarted { task, run, reason } => {
@@ -500,25 +508,33 @@
                     self.request_round(RoundCause::Pressure);
                 }
                 self.learn_interference(slot, &samples, &baselines);
-                let permission = match self.is_valid(now) {
-                    true => {
-                        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
-                        if now > last + MAX_PING_GAP {
-                            self.request_round(RoundCause::Agent);
-                        }
-                        self.settings.permission
+                match (self.is_valid(now), self.nodes[slot].is_attached) {
+                    (false, _) => self.send_pong(slot, sent, Duration::ZERO),
+                    (true, true) => self.renew_permission(now, slot, sent),
+                    (true, false) => {
+                        self.nodes[slot].early_ping = Some(sent);
+                        self.send_pong(slot, sent, NO_PERMISSION);
                     }
-                    false => Duration::ZERO,
-                };
-                let weights = self.weights(slot);
-                self.send(
-                    slot,
-                    OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights },
-                );
+                }
             }
         }
     }
 
+    /// Renews the permission of a node's worker to run tasks, in answer to a ping that its agent
+    /// sent at `sent` by its own clock.
+    fn renew_permission(&mut self, now: Time, slot: Slot, sent: Duration) {
+        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
+        if now > last + MAX_PING_GAP {
+            self.request_round(RoundCause::Agent);
+        }
+        self.send_pong(slot, sent, self.settings.permission);
+    }
+
+    fn send_pong(&mut self, slot: Slot, sent: Duration, permission: Duration) {
+        let weights = self.weights(slot);
+        self.send(slot, OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights });
+    }
+
     /// Returns the job specification and the state of a task's step, if the task exists.
     pub(super) fn step_mut(&mut self, task: &TaskId) -> Option<(&Arc<JobSpec>, &mut StepState)> {
         let job = self.jobs.get_mut(&task.job)?;
@@ -605,6 +621,7 @@
             session: None,
             is_attached: false,
             last_pong: now,
+            early_ping: None,
             worker: None,
             used: Resources::default(),
             long_running: Resources::default(),
--- /dev/null
+++ b/crates/core/tests/flow/beliefs.rs
@@ -0,0 +1,248 @@
+//! Tests that the owner and the agents do not believe in runs that no worker has, and do not give up
+//! runs that a worker still has.
+
+use peridotfold_core::flow::message::{
+    AgentMessage, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
+};
+use peridotfold_core::flow::model::{Step, TaskId};
+use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
+use peridotfold_core::flow::owner::Effect;
+use peridotfold_core::resources::Resources;
+
+use crate::support::{job, ms, step, World, PERMISSION};
+
+const TASK: TaskId = TaskId { job: 7, occurrence: 0, step: 0, index: 0 };
+
+fn life(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.to_owned(),
+        service: "svc".to_owned(),
+        zone: "zone".to_owned(),
+        capacity: Resources::new(1_000, 1_000, 0),
+        labels: Vec::new(),
+        draining: false,
+        remaining: None,
+    }
+}
+
+fn listed_run(run: u32) -> Running {
+    Running { task: TASK, run, checkpoint: String::new(), percent: 0, load: 0 }
+}
+
+fn start(run: u32) -> OwnerMessage {
+    OwnerMessage::Start(Box::new(Start {
+        task: TASK,
+        run,
+        command: "run".to_owned(),
+        checkpoint: String::new(),
+        ticket: String::new(),
+        traits: TaskTraits::default(),
+        weights: Vec::new(),
+    }))
+}
+
+/// Returns the answer to a ping that the agent sent at `sent` milliseconds.
+fn pong(sent: u64) -> OwnerMessage {
+    let (entries, weights) = (Vec::new(), Vec::new());
+    OwnerMessage::Pong { sent: ms(sent), permission: PERMISSION, entries, weights }
+}
+
+/// Takes the agent's actions and returns the messages to the owner that `pick` selects.
+fn sent(agent: &mut AgentState, pick: impl Fn(&AgentMessage) -> bool) -> Vec<AgentMessage> {
+    let messages = agent.take_actions().into_iter().filter_map(|action| match action {
+        Action::Send(message) => Some(message),
+        _ => None,
+    });
+    messages.filter(pick).collect()
+}
+
+/// Guards against a run that counts as running for ever, after the machine of its worker has
+/// restarted without the worker: the new agent pings the owner but has nothing to report.
+#[test]
+fn a_run_is_given_up_if_its_agent_returns_without_the_worker() {
+    let mut world = World::new(2, 1_000);
+    world.submit(7, job(1, vec![step(1, 500, 60_000)]));
+    let (index, task) = world.running()[0];
+    world.workers[index].running.clear();
+    world.connect(index);
+    world.advance(PERMISSION + ms(1_000));
+    let running = world.running();
+    assert_eq!(running, [(1 - index, task)], "the task has no run on the other worker");
+}
+
+/// Guards against a run that outlives the takeover in which its worker was given up: a pong extends
+/// the permission of a worker whose runs the owner does not know yet.
+#[test]
+fn an_agent_gets_no_permission_before_it_has_reported() {
+    let mut world = World::new(1, 1_000);
+    world.submit(7, job(1, vec![step(1, 500, 60_000)]));
+    world.take_over(&[(7, job(1, vec![step(1, 500, 60_000)]))]);
+    world.owner.take_effects();
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    let ping = AgentMessage::Ping {
+        sent: world.now,
+        pressure: Pressure::default(),
+        samples: Vec::new(),
+        baselines: Vec::new(),
+    };
+    let grants = |world: &mut World| -> Vec<_> {
+        let effects = world.owner.take_effects().into_iter();
+        let permission = |effect| match effect {
+            Effect::Send { message: OwnerMessage::Pong { permission, .. }, .. } => Some(permission),
+            _ => None,
+        };
+        effects.filter_map(permission).collect()
+    };
+    world.owner.receive(world.now, slot, session, ping);
+    let before = grants(&mut world);
+    // Zero would make the agent look for another owner.
+    assert!(
+        before.iter().all(|granted| !granted.is_zero() && *granted <= ms(1)),
+        "granted {before:?} before the report"
+    );
+    world.attach(0);
+    assert_eq!(grants(&mut world), [PERMISSION], "granted with the report");
+}
+
+/// Guards against a task that runs twice: an agent that has started again does not know the runs of
+/// its worker yet, and must not say that one is not there.
+#[test]
+fn an_agent_that_has_not_listed_its_worker_does_not_deny_a_run() {
+    let mut agent = AgentState::default();
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.receive(ms(2), OwnerMessage::Stop { task: TASK, run: 1 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { .. }));
+    assert!(denials.is_empty(), "the worker may have the run: {denials:?}");
+    agent.heartbeat(ms(3), life("life-1"), 1);
+    agent.listed(ms(4), "life-1", 100, 1_000, vec![listed_run(1)], Vec::new());
+    let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { .. }));
+    assert_eq!(reports.len(), 1);
+    agent.receive(ms(5), OwnerMessage::Stop { task: TASK, run: 1 });
+    agent.receive(ms(5), OwnerMessage::Stop { task: TASK, run: 2 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { run: 2, .. }));
+    assert_eq!(denials.len(), 1, "a run that is not there is denied after the listing");
+}
+
+/// Guards against a run that nobody stops, because the agent had not reported when the owner ordered
+/// the stop.
+#[test]
+fn a_stop_before_the_report_is_repeated_when_the_report_lists_the_run() {
+    let mut world = World::new(2, 1_000);
+    world.submit(7, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+    world.connect(0);
+    // The agent ignores what it receives before its report.
+    let session = std::mem::replace(&mut world.workers[0].session, u32::MAX);
+    world.end_all(EndKind::Failed, |task| task.index == 1);
+    assert!(world.stopped.is_empty());
+    world.workers[0].session = session;
+    world.attach(0);
+    world.settle();
+    let stopped: Vec<_> = world.stopped.iter().map(|(task, run)| (task.index, *run)).collect();
+    assert_eq!(stopped, [(0, 1)]);
+    assert_eq!(world.running().len(), 2, "the gang starts again");
+}
+
+/// Guards against a task that runs on a worker for which it was not ordered, beside the run that
+/// replaces it: the order was on its way when a new worker took the place of the lost one.
+#[test]
+fn a_start_for_a_lost_worker_is_not_carried_out_by_the_next_one() {
+    let mut agent = AgentState::default();
+    agent.heartbeat(ms(1), life("life-1"), 1);
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.listed(ms(2), "life-1", 100, 1_000, Vec::new(), Vec::new());
+    agent.receive(ms(3), pong(3));
+    agent.heartbeat(ms(10), life("life-2"), 1);
+    agent.take_actions();
+    agent.listed(ms(11), "life-2", 100, 50, Vec::new(), Vec::new());
+    let pings = sent(&mut agent, |m| matches!(m, AgentMessage::Ping { .. }));
+    assert_eq!(pings.len(), 1, "a ping follows the report");
+    // The owner sent this before it received the report of the new worker.
+    agent.receive(ms(20), start(1));
+    let actions = agent.take_actions();
+    let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
+    assert!(!actions.iter().any(is_start), "started on the wrong worker: {actions:?}");
+    // The answer to the ping that followed the report shows that the owner knows the new worker.
+    agent.receive(ms(30), pong(11));
+    agent.receive(ms(31), start(2));
+    assert!(agent.take_actions().iter().any(is_start), "an order for the new worker");
+}
+
+/// Answers the listings that an agent requests with this outcome for `duration` milliseconds.
+/// Returns the time at which the agent reported the loss of the worker, and the latest deadline that
+/// it gave the worker before.
+fn fail_listings(
+    agent: &mut AgentState,
+    (from, duration): (u64, u64),
+    outcome: &Outcome,
+) -> (Option<u64>, u64) {
+    let mut last_deadline = 0;
+    for at in (from..from + duration).step_by(50) {
+        agent.poll(ms(at));
+        for action in agent.take_actions() {
+            match action {
+                Action::Send(AgentMessage::Gone { .. }) => return (Some(at), last_deadline),
+                Action::Send(AgentMessage::Ping { sent, .. }) => {
+                    agent.receive(ms(at), pong(sent.as_millis() as u64));
+                }
+                Action::Call(Call::List { worker, token, deadline, .. }) => {
+                    last_deadline = last_deadline.max(deadline.unwrap_or(0));
+                    agent.list_failed(ms(at), &worker, token, outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+    (None, last_deadline)
+}
+
+/// Returns an agent whose worker has one run and the same clock.
+fn agent_with_run() -> AgentState {
+    let mut agent = AgentState::default();
+    agent.heartbeat(ms(1), life("life-1"), 1);
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    agent.listed(ms(2), "life-1", 100, 2, vec![listed_run(1)], Vec::new());
+    agent.receive(ms(3), pong(3));
+    agent.take_actions();
+    agent
+}
+
+/// Guards against a run that counts as running for ever on a worker that answers no listing, for
+/// example because it is unhealthy and refuses all calls, although its permission has expired.
+#[test]
+fn the_runs_of_a_worker_that_does_not_answer_are_given_up_after_its_permission() {
+    for outcome in [Outcome::Refused("status 503".to_owned()), Outcome::Unclear] {
+        let mut agent = agent_with_run();
+        let (gone_at, last_deadline) = fail_listings(&mut agent, (100, 12_000), &outcome);
+        let gone_at = gone_at.unwrap_or_else(|| panic!("{outcome:?}: the loss is not reported"));
+        // A slow clock reaches the deadline later.
+        assert!(last_deadline * 100 / 98 <= gone_at, "{last_deadline} against {gone_at}");
+    }
+}
+
+/// Guards against a run that counts as running for ever on a lost worker, because the next worker
+/// has sent a heartbeat but answers no listing.
+#[test]
+fn the_runs_of_a_lost_worker_are_given_up_although_the_next_one_does_not_answer() {
+    let mut agent = agent_with_run();
+    agent.heartbeat(ms(50), life("life-2"), 1);
+    let outcome = Outcome::Refused("status 503".to_owned());
+    let (gone_at, _) = fail_listings(&mut agent, (100, 12_000), &outcome);
+    assert!(gone_at.is_some(), "the loss of life-1 is not reported");
+}
+
+/// Guards against a worker that loses its runs although it only pauses.
+#[test]
+fn the_runs_of_a_worker_that_answers_again_are_kept() {
+    let mut agent = agent_with_run();
+    let (gone_at, _) = fail_listings(&mut agent, (100, 5_000), &Outcome::Unclear);
+    assert_eq!(gone_at, None);
+    agent.listed(ms(5_100), "life-1", 100, 5_100, vec![listed_run(1)], Vec::new());
+    let deadlines = agent.take_actions().into_iter().filter_map(|action| match action {
+        Action::Call(Call::List { deadline, .. }) => deadline,
+        _ => None,
+    });
+    assert!(deadlines.max() > Some(9_000), "the permission is renewed");
+    agent.receive(ms(5_101), start(1));
+    let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
+    assert!(agent.take_actions().iter().any(is_start));
+}
