Relieve steps at once that waited under the predecessor

Callers would see a job that never begins, or stands still between two steps, while owners are lost at short intervals: each successor counted the wait of a starved step anew, for 2 s of the 3 s that the users' rule allows.

Now the end of a takeover takes all ready steps without runs for starved: they may have waited long, and nothing has started since the predecessor was lost. Runs that the agents reported are adopted before.

Test: a_successor_relieves_the_steps_that_waited_under_its_predecessor, red before with 0 tasks of each of two jobs 0.5 s after the takeover, 1 expected.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -60,6 +60,25 @@
         Some(table.first + u64::from(self.next_occurrence) * table.interval_ms)
     }
 
+    /// Notes which steps have waiting tasks and dependencies that are done, and since when they have
+    /// no runs. Steps that get their first note count as idle since `since`.
+    fn note_idle_steps(&mut self, since: Time) {
+        for steps in self.occurrences.values_mut() {
+            for index in 0..steps.len() {
+                let step = &self.spec.steps[index];
+                let is_done = |after: &u16| {
+                    steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
+                };
+                let is_ready = steps[index].is_ready || step.after.iter().all(is_done);
+                let state = &mut steps[index];
+                state.is_ready = is_ready;
+                if is_ready && !state.waiting.is_empty() && state.running.is_empty() {
+                    state.idle_since.get_or_insert(since);
+                }
+            }
+        }
+    }
+
     /// Adds the steps that have waiting tasks and whose dependencies are done to `candidates`.
     /// Returns whether any task of the job waits, for a node or for another step.
     fn add_candidates(
@@ -68,25 +87,18 @@
         now: Time,
         candidates: &mut Vec<Candidate>,
     ) -> bool {
+        self.note_idle_steps(now);
         let rank = rank(self, now);
         let mut has_waiting = false;
-        for (occurrence, steps) in &mut self.occurrences {
-            for index in 0..steps.len() {
-                if steps[index].waiting.is_empty() {
+        for (occurrence, steps) in &self.occurrences {
+            for (index, (state, step)) in steps.iter().zip(&self.spec.steps).enumerate() {
+                if state.waiting.is_empty() {
                     continue;
                 }
                 has_waiting = true;
-                let step = &self.spec.steps[index];
-                let is_done = |after: &u16| {
-                    steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
-                };
-                if !steps[index].is_ready && !step.after.iter().all(is_done) {
+                if !state.is_ready {
                     continue;
                 }
-                steps[index].is_ready = true;
-                if steps[index].running.is_empty() {
-                    steps[index].idle_since.get_or_insert(now);
-                }
                 candidates.push(Candidate {
                     // Users notice each second that a long-running task is down.
                     rank: match step.long_running {
@@ -256,6 +268,15 @@
         }
     }
 
+    /// Takes the ready steps without runs for starved at the end of a takeover: they may have waited
+    /// long under the predecessor, and nothing has started since.
+    pub(super) fn presume_starved(&mut self, now: Time) {
+        let since = now.saturating_sub(STARVATION_DELAY);
+        for job in self.jobs.values_mut().filter(|job| job.is_inherited && !job.phase.is_final()) {
+            job.note_idle_steps(since);
+        }
+    }
+
     /// Notes when the next occurrence of a periodic job is due.
     pub(super) fn await_occurrence(&mut self, number: JobNumber) {
         if let Some(due) = self.jobs.get(&number).and_then(Job::next_due) {
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -63,6 +63,7 @@
             self.log("takeover_settled", None, detail);
             self.takeover_deadline = None;
             self.unreported.clear();
+            self.presume_starved(now);
             self.request_round(RoundCause::Agent);
             self.mark_roster_changed();
         }
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -87,3 +87,25 @@
     world.advance(MAX_WAIT);
     assert_eq!(runs_of(&world, 100), 1);
 }
+
+/// Guards against a job that never begins because each successor counts its wait anew, when owners
+/// are lost at short intervals.
+#[test]
+fn a_successor_relieves_the_steps_that_waited_under_its_predecessor() {
+    let mut world = World::new(1, 8_000);
+    let jobs: Vec<(JobNumber, JobSpec)> = [8, 4, 4]
+        .into_iter()
+        .zip(1..)
+        .map(|(count, number)| (number, best_effort(count)))
+        .collect();
+    world.advance(Duration::from_secs(10));
+    for (number, spec) in &jobs {
+        world.submit(*number, spec.clone());
+    }
+    world.advance(ms(1_500));
+    assert_eq!(runs_of(&world, 2), 0, "the first job has taken all idle CPU");
+    world.take_over(&jobs);
+    world.attach(0);
+    world.advance(ms(500));
+    assert_eq!((runs_of(&world, 2), runs_of(&world, 3)), (1, 1));
+}
