Log the late start of a step, and waits from the moment of relief

`step_started` is one line for a step that begins more than half a second after it became ready. `step_waits` begins at 2 s, when relief is due, so that each line is a step which relief could not place.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -363,10 +363,12 @@
             rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
             is_relief,
         };
+        let idle_since = self.state(&candidate).idle_since;
         let is_placed = match step.gang {
             true => self.place_gang(round, &spec, search),
             false => self.place_tasks(round, &spec, search),
         };
+        self.log_late_start(round, &search, idle_since);
         if is_placed {
             return true;
         }
--- a/crates/core/src/flow/place/waits.rs
+++ b/crates/core/src/flow/place/waits.rs
@@ -1,23 +1,48 @@
-//! Log lines that tell why a ready step has no run.
+//! Log lines that tell why a ready step has no run, and when one began late.
 
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::time::Duration;
 
-use super::{Candidate, Closure, Misfit, Round, Search};
+use super::{Candidate, Closure, Misfit, Round, Search, STARVATION_DELAY};
 use crate::flow::owner::{image_number, Owner};
+use crate::time::Time;
 
-/// Time without runs after which a ready step is reported.
-const MIN_WAIT: Duration = Duration::from_secs(3);
+/// Time without runs after which the start of a step is logged.
+const LOGGED_WAIT: Duration = Duration::from_millis(500);
 /// Minimum time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of steps in one report; those that have waited longest come first.
 const MAX_REPORTED_STEPS: usize = 8;
 
 impl Owner {
-    /// Logs the ready steps that have been without runs for long, with the number of nodes that
-    /// cannot run their tasks for each reason. `candidates` are the steps of a placement round that
-    /// has ended, in order of rank.
+    /// Logs the start of a step that has been ready without runs since `idle_since`, if that is long
+    /// ago.
+    pub(super) fn log_late_start(
+        &mut self,
+        round: &Round,
+        search: &Search<'_>,
+        idle_since: Option<Time>,
+    ) {
+        let waited = idle_since.map_or(Duration::ZERO, |since| round.now.saturating_sub(since));
+        let Some(attempt) = self.state(&search.candidate).running.values().next() else { return };
+        if waited < LOGGED_WAIT {
+            return;
+        }
+        let Candidate { job, occurrence, step, .. } = search.candidate;
+        let detail = format!(
+            "occurrence={occurrence} step={step} waited_ms={} relief={} runs={} node={}",
+            waited.as_millis(),
+            search.is_relief,
+            self.state(&search.candidate).running.len(),
+            self.nodes[attempt.slot].name,
+        );
+        self.log("step_started", Some(job), detail);
+    }
+
+    /// Logs the starved steps that got no run, with the number of nodes that cannot run their tasks
+    /// for each reason. `candidates` are the steps of a placement round that has ended, in order of
+    /// rank.
     pub(super) fn report_waits(&mut self, round: &Round, candidates: &[Candidate]) {
         if round.now < self.next_wait_report {
             return;
@@ -27,7 +52,7 @@
             .iter()
             .enumerate()
             .filter_map(|(place, candidate)| Some((self.idle_for(round, candidate)?, place)))
-            .filter(|(waited, _)| *waited >= MIN_WAIT)
+            .filter(|(waited, _)| *waited >= STARVATION_DELAY)
             .collect();
         waits.sort_unstable_by(|a, b| b.cmp(a));
         let steps = waits.len();
--- a/crates/core/tests/flow/waits.rs
+++ b/crates/core/tests/flow/waits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::message::AgentMessage;
+use peridotfold_core::flow::model::Step;
 
 use crate::support::{job, step, World};
 
@@ -25,7 +26,7 @@
     let (slot, session) = (world.workers[2].slot, world.workers[2].session);
     world.owner.receive(world.now, slot, session, report);
     world.submit(2, job(2, vec![step(5, 3_000, 1_000)]));
-    world.advance(Duration::from_millis(2_900));
+    world.advance(Duration::from_millis(1_900));
     assert_eq!(waits(&world), Vec::<&str>::new(), "a short wait is not reported");
     world.advance(Duration::from_millis(1_500));
     let waits = waits(&world);
@@ -50,3 +51,20 @@
     assert!(!waits.is_empty() && waits.len() <= 24, "{} lines in 5 s", waits.len());
     assert!(waits.iter().all(|detail| detail.contains("steps=99 ")), "{waits:?}");
 }
+
+/// Guards against logs that do not tell when a step began that had waited, and how.
+#[test]
+fn the_late_start_of_a_step_is_logged() {
+    let mut world = World::new(1, 8_000);
+    let best_effort = |count| job(2, vec![Step { best_effort: true, ..step(count, 1_000, 9_000) }]);
+    world.submit(1, best_effort(8));
+    world.submit(2, best_effort(3));
+    world.advance(Duration::from_secs(3));
+    let is_start = |(event, _): &&(&str, String)| *event == "step_started";
+    let starts: Vec<&str> =
+        world.logs.iter().filter(is_start).map(|(_, detail)| detail.as_str()).collect();
+    let [detail] = starts[..] else { panic!("one line for the step that waited: {starts:?}") };
+    for part in ["step=0 waited_ms=", "relief=true runs=1 node=node-0"] {
+        assert!(detail.contains(part), "no {part:?} in {detail:?}");
+    }
+}
