Use resting workers for starved steps if most of a service rest

Callers would see jobs that stand still for up to 8 s while all workers are up and empty: after failures of two different jobs in a row a worker rests, for twice as long after each further one. A wave of jobs that can never be done puts all workers to rest, although none is at fault.

Now, if more workers of a service rest than are open, each step that has been without runs for 2 s may start one task on the resting worker with the fewest failures. While the resting ones are the minority nothing changes: a worker that fails everything must not attract the work that waits, which would use up its attempts. A long-running step counts as starved while any of its tasks waits.

Not changed: which failures count against a worker. That a job which later fails elsewhere was at fault from the start is not used yet.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -61,7 +61,8 @@
     }
 
     /// Notes which steps have waiting tasks and dependencies that are done, and since when they have
-    /// no runs. Steps that get their first note count as idle since `since`.
+    /// no runs, or a long-running step some task without a run. Steps that get their first note count
+    /// as idle since `since`.
     fn note_idle_steps(&mut self, since: Time) {
         for steps in self.occurrences.values_mut() {
             for index in 0..steps.len() {
@@ -72,7 +73,9 @@
                 let is_ready = steps[index].is_ready || step.after.iter().all(is_done);
                 let state = &mut steps[index];
                 state.is_ready = is_ready;
-                if is_ready && !state.waiting.is_empty() && state.running.is_empty() {
+                // Users notice each long-running task that is down.
+                let is_idle = state.running.is_empty() || step.long_running;
+                if is_ready && !state.waiting.is_empty() && is_idle {
                     state.idle_since.get_or_insert(since);
                 }
             }
@@ -100,7 +103,6 @@
                     continue;
                 }
                 candidates.push(Candidate {
-                    // Users notice each second that a long-running task is down.
                     rank: match step.long_running {
                         true => Rank { lateness: 0, remaining_work: 0, ..rank },
                         false => rank,
@@ -140,20 +142,36 @@
 }
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed there since one last finished;
+/// - whether tasks have failed there since one last finished; on a resting node, how often;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
 /// - the free CPU, least first for a long-running task and most first for others; for a best-effort
 ///   task, the cost of its interference instead.
-type Score = (bool, bool, usize, Reverse<u64>, u64);
+type Score = (u32, bool, usize, Reverse<u64>, u64);
+
+/// Nodes by the service of their workers.
+type NodesByService = HashMap<String, Vec<Slot>>;
+
+/// By which rules a search chooses nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    /// Tasks start on open nodes where they fit and interfere little.
+    Ranked,
+    /// One task of a starved best-effort step starts on any open node where its reservation fits.
+    Relief,
+    /// One task of a starved step starts on a node that rests after failures.
+    Resting,
+}
 
 /// State of one placement round.
 #[derive(Debug)]
 struct Round {
     now: Time,
     /// Nodes that accept starts, by the service of their workers.
-    open_nodes: HashMap<String, Vec<Slot>>,
+    open_nodes: NodesByService,
+    /// Nodes that rest after failures, of the services of which they are the majority.
+    resting_nodes: NodesByService,
     /// Requests that found no node.
     rejected: Vec<Request>,
     /// Nodes whose free capacity is held for waiting long-running tasks.
@@ -174,7 +192,7 @@
     long_running: bool,
     /// Image of a best-effort task, whose interference decides too; `None` for other tasks.
     best_effort: Option<Image>,
-    is_relief: bool,
+    mode: Mode,
 }
 
 impl Request {
@@ -183,12 +201,14 @@
     /// tasks that are `large` on some node: the first one there needs less room than it requests.
     /// For relief, only what a task reserves counts.
     fn is_at_least(&self, other: &Request, large: u64) -> bool {
-        self.is_relief == other.is_relief
+        self.mode == other.mode
             && self.long_running == other.long_running
             && self.service == other.service
             && (other.label.is_none() || self.label == other.label)
             && match (self.best_effort, other.best_effort) {
-                (Some(_), Some(_)) if self.is_relief => other.reserved.fits_in(&self.reserved),
+                (Some(_), Some(_)) if self.mode != Mode::Ranked => {
+                    other.reserved.fits_in(&self.reserved)
+                }
                 (image, known) if image != known => false,
                 (Some(_), _) if self.need.cpu_milli > large => self.need == other.need,
                 _ => other.need.fits_in(&self.need),
@@ -237,8 +257,7 @@
     image: Image,
     /// Preferred rack.
     rack: Option<&'a str>,
-    /// Whether the step is starved, so that one task may start even where it interferes.
-    is_relief: bool,
+    mode: Mode,
 }
 
 impl Owner {
@@ -290,9 +309,11 @@
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
         let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        let (open_nodes, resting_nodes) = self.usable_nodes(now);
         let mut round = Round {
             now,
-            open_nodes: self.open_nodes(now),
+            open_nodes,
+            resting_nodes,
             rejected: Vec::new(),
             held_nodes: HashSet::new(),
             large: smallest.unwrap_or(0) / 2,
@@ -314,13 +335,13 @@
                 self.request_round(RoundCause::Timer);
                 return;
             }
-            searches += usize::from(self.place_step(round, *candidate, false));
+            searches += usize::from(self.place_step(round, *candidate, Mode::Ranked));
         }
     }
 
-    /// Starts one task of each best-effort step that has been ready without runs for too long, even
-    /// where the task interferes or would be throttled. The steps that have waited longest come
-    /// first.
+    /// Starts one task of each step that has been ready without runs for too long: of a best-effort
+    /// step even where the task interferes or would be throttled, and of any step on a resting worker
+    /// if most workers of the service rest. The steps that have waited longest come first.
     fn relieve_starved(&mut self, round: &mut Round, candidates: &[Candidate]) {
         let mut starved: Vec<(Time, Candidate)> = candidates
             .iter()
@@ -330,16 +351,25 @@
         starved.sort_unstable();
         let mut searches = 0;
         for (_, candidate) in starved {
+            if searches >= MAX_SEARCHES {
+                return;
+            }
             let spec = &self.jobs[&candidate.job].spec;
-            if spec.steps[usize::from(candidate.step)].best_effort && searches < MAX_SEARCHES {
-                searches += usize::from(self.place_step(round, candidate, true));
+            let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
+            let may_rest = round.resting_nodes.contains_key(&spec.queue.service);
+            if is_best_effort {
+                searches += usize::from(self.place_step(round, candidate, Mode::Relief));
+            }
+            if may_rest && self.state(&candidate).idle_since.is_some() {
+                searches += usize::from(self.place_step(round, candidate, Mode::Resting));
             }
         }
     }
 
-    /// Starts the waiting tasks of a step that fit; if it is for relief, one task. Returns whether the
-    /// nodes were searched: they are not if another step has shown in this round that none fits.
-    fn place_step(&mut self, round: &mut Round, candidate: Candidate, is_relief: bool) -> bool {
+    /// Starts the waiting tasks of a step that fit; in a mode for starved steps, one task. Returns
+    /// whether the nodes were searched: they are not if another step has shown in this round that none
+    /// fits.
+    fn place_step(&mut self, round: &mut Round, candidate: Candidate, mode: Mode) -> bool {
         let spec = self.jobs[&candidate.job].spec.clone();
         let step = &spec.steps[usize::from(candidate.step)];
         let image = image_number(step);
@@ -350,7 +380,7 @@
             reserved: step.reserved(),
             long_running: step.long_running,
             best_effort: step.best_effort.then_some(image),
-            is_relief,
+            mode,
         };
         if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
             return false;
@@ -361,7 +391,7 @@
             step,
             image,
             rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
-            is_relief,
+            mode,
         };
         let idle_since = self.state(&candidate).idle_since;
         let is_placed = match step.gang {
@@ -383,21 +413,26 @@
         true
     }
 
-    /// Returns the nodes that accept starts at all, by the service of their workers.
-    fn open_nodes(&self, now: Time) -> HashMap<String, Vec<Slot>> {
-        let mut open: HashMap<String, Vec<Slot>> = HashMap::new();
+    /// Returns the nodes that accept starts, and the nodes that rest after failures where most nodes
+    /// of a service do: then the jobs are more likely at fault than the workers.
+    fn usable_nodes(&self, now: Time) -> (NodesByService, NodesByService) {
+        let (mut open, mut resting) = (NodesByService::new(), NodesByService::new());
         for (slot, node) in self.nodes.iter().enumerate() {
-            let Some(worker) = node.worker.as_ref().filter(|_| node.accepts_starts(now)) else {
-                continue;
+            let Some(worker) = &node.worker else { continue };
+            let nodes = match node.closed_by(now) {
+                None => &mut open,
+                Some(Closure::Backoff) => &mut resting,
+                Some(_) => continue,
             };
-            match open.get_mut(&worker.service) {
+            match nodes.get_mut(&worker.service) {
                 Some(slots) => slots.push(slot),
                 None => {
-                    open.insert(worker.service.clone(), vec![slot]);
+                    nodes.insert(worker.service.clone(), vec![slot]);
                 }
             }
         }
-        open
+        resting.retain(|service, slots| slots.len() > open.get(service).map_or(0, Vec::len));
+        (open, resting)
     }
 
     /// Returns the number of nodes that accept starts at all.
@@ -412,7 +447,17 @@
         spec: &JobSpec,
         step: &'a Step,
     ) -> impl Iterator<Item = (Slot, &'a Node)> {
-        let slots = round.open_nodes.get(&spec.queue.service).map_or(&[][..], Vec::as_slice);
+        self.suitable(&round.open_nodes, spec, step)
+    }
+
+    /// Returns those of `nodes` that have the service and the label that a step requires.
+    fn suitable<'a>(
+        &'a self,
+        nodes: &'a NodesByService,
+        spec: &JobSpec,
+        step: &'a Step,
+    ) -> impl Iterator<Item = (Slot, &'a Node)> {
+        let slots = nodes.get(&spec.queue.service).map_or(&[][..], Vec::as_slice);
         let has_label =
             |node: &&Node| step.required_label.as_ref().is_none_or(|label| node.has_label(label));
         slots
@@ -451,12 +496,12 @@
         nodes.max_by_key(|(_, node)| node.free_cpu()).map(|(slot, _)| slot)
     }
 
-    /// Starts waiting tasks of a step until one does not fit, or one task if the search is for relief.
+    /// Starts waiting tasks of a step until one does not fit; in a mode for starved steps, one task.
     /// Returns whether all of them were started.
     fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
-        let most = if search.is_relief { 1 } else { usize::MAX };
+        let most = if search.mode == Mode::Ranked { usize::MAX } else { 1 };
         let state = self.state(&search.candidate);
         let waiting: Vec<u32> = state.waiting.iter().copied().take(most).collect();
         let mut ranking = self.rank_nodes(round, spec, &search);
@@ -530,8 +575,12 @@
 
     /// Orders the nodes that can run a task of a step.
     fn rank_nodes(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Ranking<Score> {
+        let nodes = match search.mode {
+            Mode::Ranked | Mode::Relief => &round.open_nodes,
+            Mode::Resting => &round.resting_nodes,
+        };
         Ranking::new(
-            self.open_to(round, spec, search.step)
+            self.suitable(nodes, spec, search.step)
                 .filter_map(|(slot, _)| Some((self.score(round, search, slot, 0).ok()?, slot))),
         )
     }
@@ -555,14 +604,17 @@
         if is_held {
             return Err(Misfit::Held);
         }
-        node.has_capacity(step, u64::from(planned), search.is_relief)?;
+        node.has_capacity(step, u64::from(planned), search.mode)?;
         if !self.state(&search.candidate).has_quota(step, slot, planned) {
             return Err(Misfit::Quota);
         }
         let planned_cpu = u64::from(planned) * step.need.cpu_milli;
         let free = node.free_cpu().saturating_sub(planned_cpu);
         Ok((
-            node.failure_streak > 0,
+            match search.mode {
+                Mode::Ranked | Mode::Relief => u32::from(node.failure_streak > 0),
+                Mode::Resting => node.failure_streak,
+            },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
             match step.target_ms {
                 0 => 0,
@@ -573,7 +625,8 @@
                 (true, _) => free,
                 (false, true) => {
                     let task = (search.image, step.need.cpu_milli);
-                    self.best_effort_cost(node, task, u64::from(planned), search.is_relief)
+                    let may_interfere = search.mode != Mode::Ranked;
+                    self.best_effort_cost(node, task, u64::from(planned), may_interfere)
                         .ok_or(Misfit::Interference)?
                 }
                 (false, false) => u64::MAX / 4 - free,
@@ -653,16 +706,16 @@
     }
 
     /// Checks that one more task of a step fits on the node in addition to `planned` tasks of the
-    /// step that have not been started yet. For the relief of a starved step, a best-effort task
-    /// needs no idle CPU: it shares the CPU of those that are there.
+    /// step that have not been started yet. The best-effort task of a starved step needs no idle
+    /// CPU: it shares the CPU of those that are there.
     ///
     /// # Errors
     ///
     /// Returns which kind of capacity is missing.
-    fn has_capacity(&self, step: &Step, planned: u64, is_relief: bool) -> Result<(), Misfit> {
+    fn has_capacity(&self, step: &Step, planned: u64, mode: Mode) -> Result<(), Misfit> {
         let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
         let fits = self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity);
-        let needs_idle = step.best_effort && !is_relief;
+        let needs_idle = step.best_effort && mode == Mode::Ranked;
         match fits {
             false => Err(Misfit::Room),
             true if needs_idle && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -136,19 +136,19 @@
     /// tail latency and its rise.
     ///
     /// Returns `None` if the task would interfere too much with the node's serving tasks, unless it
-    /// starts for the relief of a starved step. The first best-effort task on a node is always allowed.
+    /// `may_interfere`. The first best-effort task on a node is always allowed.
     pub(super) fn best_effort_cost(
         &self,
         node: &Node,
         task: BestEffortTask,
         planned: u64,
-        is_relief: bool,
+        may_interfere: bool,
     ) -> Option<u64> {
         let (tail, rise) = self.expected_tail(node, task, planned + 1);
         let interferes = node.total_best_effort_cpu > 0
             && rise > 0.0
             && (node.pressure.level < MIN_PRESSURE_LEVEL || tail > MAX_TAIL_PERCENT);
-        if interferes && !is_relief {
+        if interferes && !may_interfere {
             return None;
         }
         let (tail, rise) = match planned {
--- a/crates/core/src/flow/place/waits.rs
+++ b/crates/core/src/flow/place/waits.rs
@@ -4,7 +4,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use super::{Candidate, Closure, Misfit, Round, Search, STARVATION_DELAY};
+use super::{Candidate, Closure, Misfit, Mode, Round, Search, STARVATION_DELAY};
 use crate::flow::owner::{image_number, Owner};
 use crate::time::Time;
 
@@ -33,7 +33,7 @@
         let detail = format!(
             "occurrence={occurrence} step={step} waited_ms={} relief={} runs={} node={}",
             waited.as_millis(),
-            search.is_relief,
+            search.mode != Mode::Ranked,
             self.state(&search.candidate).running.len(),
             self.nodes[attempt.slot].name,
         );
@@ -85,7 +85,7 @@
             step,
             image: image_number(step),
             rack: None,
-            is_relief: step.best_effort,
+            mode: if step.best_effort { Mode::Relief } else { Mode::Ranked },
         };
         let mut closed: BTreeMap<Closure, u32> = BTreeMap::new();
         for reason in self.nodes.iter().filter_map(|node| node.closed_by(round.now)) {
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -45,7 +45,7 @@
     /// Whether placement has seen that all steps that this step depends on are done.
     pub is_ready: bool,
     /// Since when placement has seen the step ready and without runs; `None` while runs are in
-    /// progress.
+    /// progress. For a long-running step, since when some of its tasks wait and none was started.
     pub idle_since: Option<Time>,
 }
 
