Run a placement round when a step becomes starved

Callers would wait up to a second longer than needed for a job without runs: steps become starved without any event, so relief came with the timer that runs a round each second. With a delay of 2 s that left nothing of the 3 s of the users' rule.

Now a round notes when the next waiting step becomes starved, and the owner polls and asks for a round at that time. The timer stays.

Test: a_starved_step_is_relieved_as_soon_as_it_counts_as_starved, red before (0 runs 2.2 s after the job came, half-way between two rounds of the timer).

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -244,6 +244,8 @@
     rounds: [u64; RoundCause::COUNT],
     /// Step with which the next placement round begins, because the last one did not get to it.
     pub(super) resume_at: Option<Candidate>,
+    /// When the next waiting step counts as starved; `None` if none does later.
+    pub(super) next_relief: Option<Time>,
     /// Time that placement rounds have taken, since the owner began.
     pub(super) round_time: Duration,
     /// Jobs that may have waiting tasks, for a node or for another step.
@@ -289,6 +291,7 @@
             next_round: now,
             rounds: [0; RoundCause::COUNT],
             resume_at: None,
+            next_relief: None,
             round_time: Duration::ZERO,
             unplaced: BTreeSet::new(),
             occurrences_due: BTreeSet::new(),
@@ -549,6 +552,10 @@
         self.check_timers(now);
         self.move_stragglers(now);
         self.release_due(now, wall);
+        if self.next_relief.is_some_and(|at| now >= at) {
+            self.next_relief = None;
+            self.request_round(RoundCause::Timer);
+        }
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
         if runs {
             self.placement_due = false;
@@ -563,7 +570,8 @@
     /// Returns the time until the next call of [`Owner::poll`], if no event comes first.
     pub fn next_poll(&self, now: Time) -> Duration {
         let commit = self.commit_due().map(|at| at.saturating_sub(now));
-        let waits = [commit, self.next_round(now), Some(MAX_POLL_DELAY)];
+        let relief = self.next_relief.map(|at| at.saturating_sub(now));
+        let waits = [commit, relief, self.next_round(now), Some(MAX_POLL_DELAY)];
         waits.into_iter().flatten().min().unwrap_or(MAX_POLL_DELAY)
     }
 
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -309,6 +309,12 @@
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
         let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        self.next_relief = candidates
+            .iter()
+            .filter_map(|candidate| self.state(candidate).idle_since)
+            .map(|since| since + STARVATION_DELAY)
+            .filter(|at| *at > now)
+            .min();
         let (open_nodes, resting_nodes) = self.usable_nodes(now);
         let mut round = Round {
             now,
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -109,3 +109,16 @@
     world.advance(ms(500));
     assert_eq!((runs_of(&world, 2), runs_of(&world, 3)), (1, 1));
 }
+
+/// Guards against relief that waits for the next event or timer: then up to a second of the wait that
+/// users accept is lost.
+#[test]
+fn a_starved_step_is_relieved_as_soon_as_it_counts_as_starved() {
+    let mut world = World::new(1, 8_000);
+    world.submit(1, best_effort(8));
+    // Not at the same time as the timer that runs a round each second.
+    world.advance(ms(1_200));
+    world.submit(2, best_effort(1));
+    world.advance(ms(2_200));
+    assert_eq!(runs_of(&world, 2), 1);
+}
