Repeat an acknowledgement that was lost with its session

Users would see ends of runs that are not taken note of for long, and the agent asks its worker for a listing about every 60 ms until the next end there: the owner takes an end off its list when it sends the acknowledgement, also if the agent is not connected at that moment, and skips the end when the next report lists it again.

Now the owner keeps the number of the last end that it acknowledged to a worker. A report that lists an end up to that number is answered with the acknowledgement again.

Test: ends_whose_acknowledgement_was_lost_are_acknowledged_again, red before (0 acknowledged, 1 expected).

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -185,6 +185,8 @@
     pub tasks: BTreeMap<TaskId, Run>,
     /// Sequence number of the last end of a run received from the worker; 0 if none.
     pub last_end: EndNumber,
+    /// Sequence number of the last end of a run that was acknowledged to the worker; 0 if none.
+    pub(super) acknowledged: EndNumber,
     /// Ends of runs that have not been acknowledged to the worker, each with the job and the
     /// version of the job's record that must become durable first.
     pub(super) pending_acks: VecDeque<(EndNumber, JobNumber, u64)>,
@@ -639,6 +641,7 @@
             serving: BTreeMap::new(),
             tasks: BTreeMap::new(),
             last_end: 0,
+            acknowledged: 0,
             pending_acks: VecDeque::new(),
             failure_streak: 0,
             backoff_until: Time::ZERO,
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -109,10 +109,19 @@
             last = Some(number);
         }
         let Some(number) = last else { return };
+        self.nodes[slot].acknowledged = number;
         if self.nodes[slot].is_drained() {
             self.mark_roster_changed();
         }
-        if let Some(worker) = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone()) {
+        self.send_acknowledgement(slot);
+    }
+
+    /// Sends the newest acknowledgement of ends to a node's agent. It is lost if the agent is not
+    /// connected.
+    pub(in crate::flow) fn send_acknowledgement(&mut self, slot: Slot) {
+        let node = &self.nodes[slot];
+        let number = node.acknowledged;
+        if let Some(worker) = node.worker.as_ref().map(|worker| worker.id.clone()) {
             self.send(slot, OwnerMessage::Seen { worker, number });
         }
     }
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -79,6 +79,7 @@
         node.total_best_effort_cpu = 0;
         node.serving.clear();
         node.last_end = 0;
+        node.acknowledged = 0;
         node.pending_acks.clear();
         node.drain_deadline = None;
         node.stale_runs.clear();
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -105,6 +105,10 @@
         let id = worker.id.clone();
         let (is_draining, remaining) = (worker.draining, worker.remaining);
         self.nodes[slot].worker = Some(worker);
+        // The acknowledgement of these ends was lost with an earlier session.
+        if ends.iter().any(|end| end.number <= self.nodes[slot].acknowledged) {
+            self.send_acknowledgement(slot);
+        }
         self.ends(now, slot, &id, ends);
         self.forget_unlisted(slot, &running);
         let mut rows = Vec::new();
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -246,3 +246,22 @@
     let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
     assert!(agent.take_actions().iter().any(is_start));
 }
+
+/// Guards against ends that are listed for ever, because their acknowledgement was lost with the
+/// session of the agent.
+#[test]
+fn ends_whose_acknowledgement_was_lost_are_acknowledged_again() {
+    let mut world = World::new(1, 1_000);
+    world.submit(1, job(3, vec![step(1, 600, 1_000)]));
+    world.store_is_up = false;
+    world.end_all(EndKind::Done, |_| true);
+    // The record becomes durable while the agent is not connected.
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    world.owner.disconnect(slot, session);
+    world.store_is_up = true;
+    world.settle();
+    world.connect(0);
+    world.attach(0);
+    world.advance(ms(2_000));
+    assert_eq!(world.workers[0].acknowledged, 1);
+}
