--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -22,9 +22,10 @@
 use super::interference::{Baseline, Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, EndNumber, Image, OwnerMessage, Pressure, Start, TaskTraits,
-    Token, WorkerInfo,
+    Token, WorkerInfo, NO_PERMISSION,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
+use super::place::Candidate;
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState};
 use crate::hash;
@@ -162,6 +163,9 @@
     pub is_attached: bool,
     /// When the worker's permission to run tasks was last renewed.
     pub last_pong: Time,
+    /// When the agent sent its newest ping of this session that came before its report, by its own
+    /// clock. The report renews the permission in answer to it.
+    pub(super) early_ping: Option<Duration>,
     /// The node's worker; `None` if none is running as far as the owner knows.
     pub worker: Option<WorkerInfo>,
     /// Resources reserved by all tasks on the node.
@@ -181,6 +185,8 @@
     pub tasks: BTreeMap<TaskId, Run>,
     /// Sequence number of the last end of a run received from the worker; 0 if none.
     pub last_end: EndNumber,
+    /// Sequence number of the last end of a run that was acknowledged to the worker; 0 if none.
+    pub(super) acknowledged: EndNumber,
     /// Ends of runs that have not been acknowledged to the worker, each with the job and the
     /// version of the job's record that must become durable first.
     pub(super) pending_acks: VecDeque<(EndNumber, JobNumber, u64)>,
@@ -238,6 +244,10 @@
     next_round: Time,
     /// Number of placement rounds, by what first asked for each, since the owner began.
     rounds: [u64; RoundCause::COUNT],
+    /// Step with which the next placement round begins, because the last one did not get to it.
+    pub(super) resume_at: Option<Candidate>,
+    /// When the next waiting step counts as starved; `None` if none does later.
+    pub(super) next_relief: Option<Time>,
     /// Time that placement rounds have taken, since the owner began.
     pub(super) round_time: Duration,
     /// Jobs that may have waiting tasks, for a node or for another step.
@@ -282,6 +292,8 @@
             placement_due: false,
             next_round: now,
             rounds: [0; RoundCause::COUNT],
+            resume_at: None,
+            next_relief: None,
             round_time: Duration::ZERO,
             unplaced: BTreeSet::new(),
             occurrences_due: BTreeSet::new(),
@@ -450,6 +462,7 @@
         let node = &mut self.nodes[slot];
         node.session = Some(self.next_session);
         node.is_attached = false;
+        node.early_ping = None;
         (slot, self.next_session, session_token(self.settings.epoch, self.next_session))
     }
 
@@ -471,7 +484,11 @@
         }
         match message {
             AgentMessage::Attach { worker, running, ends } => {
-                self.attach(now, slot, worker, running, ends)
+                self.attach(now, slot, worker, running, ends);
+                match self.nodes[slot].early_ping.take() {
+                    Some(sent) if self.is_valid(now) => self.renew_permission(now, slot, sent),
+                    _ => {}
+                }
             }
             AgentMessage::Ends { worker, ends } => self.ends(now, slot, &worker, ends),
             AgentMessage::NotStarted { task, run, reason } => {
@@ -496,25 +513,33 @@
                     self.request_round(RoundCause::Pressure);
                 }
                 self.learn_interference(slot, &samples, &baselines);
-                let permission = match self.is_valid(now) {
-                    true => {
-                        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
-                        if now > last + MAX_PING_GAP {
-                            self.request_round(RoundCause::Agent);
-                        }
-                        self.settings.permission
+                match (self.is_valid(now), self.nodes[slot].is_attached) {
+                    (false, _) => self.send_pong(slot, sent, Duration::ZERO),
+                    (true, true) => self.renew_permission(now, slot, sent),
+                    (true, false) => {
+                        self.nodes[slot].early_ping = Some(sent);
+                        self.send_pong(slot, sent, NO_PERMISSION);
                     }
-                    false => Duration::ZERO,
-                };
-                let weights = self.weights(slot);
-                self.send(
-                    slot,
-                    OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights },
-                );
+                }
             }
         }
     }
 
+    /// Renews the permission of a node's worker to run tasks, in answer to a ping that its agent
+    /// sent at `sent` by its own clock.
+    fn renew_permission(&mut self, now: Time, slot: Slot, sent: Duration) {
+        let last = std::mem::replace(&mut self.nodes[slot].last_pong, now);
+        if now > last + MAX_PING_GAP {
+            self.request_round(RoundCause::Agent);
+        }
+        self.send_pong(slot, sent, self.settings.permission);
+    }
+
+    fn send_pong(&mut self, slot: Slot, sent: Duration, permission: Duration) {
+        let weights = self.weights(slot);
+        self.send(slot, OwnerMessage::Pong { sent, permission, entries: Vec::new(), weights });
+    }
+
     /// Returns the job specification and the state of a task's step, if the task exists.
     pub(super) fn step_mut(&mut self, task: &TaskId) -> Option<(&Arc<JobSpec>, &mut StepState)> {
         let job = self.jobs.get_mut(&task.job)?;
@@ -529,6 +554,10 @@
         self.check_timers(now);
         self.move_stragglers(now);
         self.release_due(now, wall);
+        if self.next_relief.is_some_and(|at| now >= at) {
+            self.next_relief = None;
+            self.request_round(RoundCause::Timer);
+        }
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
         if runs {
             self.placement_due = false;
@@ -543,7 +572,8 @@
     /// Returns the time until the next call of [`Owner::poll`], if no event comes first.
     pub fn next_poll(&self, now: Time) -> Duration {
         let commit = self.commit_due().map(|at| at.saturating_sub(now));
-        let waits = [commit, self.next_round(now), Some(MAX_POLL_DELAY)];
+        let relief = self.next_relief.map(|at| at.saturating_sub(now));
+        let waits = [commit, relief, self.next_round(now), Some(MAX_POLL_DELAY)];
         waits.into_iter().flatten().min().unwrap_or(MAX_POLL_DELAY)
     }
 
@@ -601,6 +631,7 @@
             session: None,
             is_attached: false,
             last_pong: now,
+            early_ping: None,
             worker: None,
             used: Resources::default(),
             long_running: Resources::default(),
@@ -610,6 +641,7 @@
             serving: BTreeMap::new(),
             tasks: BTreeMap::new(),
             last_end: 0,
+            acknowledged: 0,
             pending_acks: VecDeque::new(),
             failure_streak: 0,
             backoff_until: Time::ZERO,
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -27,12 +27,12 @@
 /// tasks on the worker. Agents renew the permission each second, and it lasts several times as
 /// long.
 const MAX_PERMISSION_AGE: Duration = Duration::from_secs(3);
-/// Time after which a ready step without runs may start one task on any node with capacity, even if
-/// the task would be throttled there. Callers give up on jobs that make no progress.
+/// Time after which a ready step without runs is starved and may start one task on any node with
+/// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
-/// Maximum number of steps considered in one placement round, so that a long queue does not block
-/// the process.
-const MAX_STEPS_PER_ROUND: usize = 400;
+/// Maximum number of steps for which one pass of a placement round searches the nodes, so that a long
+/// queue does not block the process.
+const MAX_SEARCHES: usize = 400;
 
 impl Job {
     /// Returns the estimated duration of the critical path through the unfinished steps, in
@@ -60,6 +60,28 @@
         Some(table.first + u64::from(self.next_occurrence) * table.interval_ms)
     }
 
+    /// Notes which steps have waiting tasks and dependencies that are done, and since when they have
+    /// no runs, or a long-running step some task without a run. Steps that get their first note count
+    /// as idle since `since`.
+    fn note_idle_steps(&mut self, since: Time) {
+        for steps in self.occurrences.values_mut() {
+            for index in 0..steps.len() {
+                let step = &self.spec.steps[index];
+                let is_done = |after: &u16| {
+                    steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
+                };
+                let is_ready = steps[index].is_ready || step.after.iter().all(is_done);
+                let state = &mut steps[index];
+                state.is_ready = is_ready;
+                // Users notice each long-running task that is down.
+                let is_idle = state.running.is_empty() || step.long_running;
+                if is_ready && !state.waiting.is_empty() && is_idle {
+                    state.idle_since.get_or_insert(since);
+                }
+            }
+        }
+    }
+
     /// Adds the steps that have waiting tasks and whose dependencies are done to `candidates`.
     /// Returns whether any task of the job waits, for a node or for another step.
     fn add_candidates(
@@ -68,27 +90,19 @@
         now: Time,
         candidates: &mut Vec<Candidate>,
     ) -> bool {
+        self.note_idle_steps(now);
         let rank = rank(self, now);
         let mut has_waiting = false;
-        for (occurrence, steps) in &mut self.occurrences {
-            for index in 0..steps.len() {
-                if steps[index].waiting.is_empty() {
+        for (occurrence, steps) in &self.occurrences {
+            for (index, (state, step)) in steps.iter().zip(&self.spec.steps).enumerate() {
+                if state.waiting.is_empty() {
                     continue;
                 }
                 has_waiting = true;
-                let step = &self.spec.steps[index];
-                let is_done = |after: &u16| {
-                    steps[usize::from(*after)].is_done(&self.spec.steps[usize::from(*after)])
-                };
-                if !steps[index].is_ready && !step.after.iter().all(is_done) {
+                if !state.is_ready {
                     continue;
                 }
-                steps[index].is_ready = true;
-                if steps[index].running.is_empty() {
-                    steps[index].idle_since.get_or_insert(now);
-                }
                 candidates.push(Candidate {
-                    // Users notice each second that a long-running task is down.
                     rank: match step.long_running {
                         true => Rank { lateness: 0, remaining_work: 0, ..rank },
                         false => rank,
@@ -120,7 +134,7 @@
 
 /// A step whose waiting tasks are ready to be placed on nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Candidate {
+pub(super) struct Candidate {
     rank: Rank,
     job: JobNumber,
     occurrence: u32,
@@ -128,48 +142,75 @@
 }
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed there since one last finished;
+/// - whether tasks have failed there since one last finished; on a resting node, how often;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
 /// - the free CPU, least first for a long-running task and most first for others; for a best-effort
 ///   task, the cost of its interference instead.
-type Score = (bool, bool, usize, Reverse<u64>, u64);
+type Score = (u32, bool, usize, Reverse<u64>, u64);
+
+/// Nodes by the service of their workers.
+type NodesByService = HashMap<String, Vec<Slot>>;
+
+/// By which rules a search chooses nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    /// Tasks start on open nodes where they fit and interfere little.
+    Ranked,
+    /// One task of a starved best-effort step starts on any open node where its reservation fits.
+    Relief,
+    /// One task of a starved step starts on a node that rests after failures.
+    Resting,
+}
 
 /// State of one placement round.
 #[derive(Debug)]
 struct Round {
     now: Time,
     /// Nodes that accept starts, by the service of their workers.
-    open_nodes: HashMap<String, Vec<Slot>>,
+    open_nodes: NodesByService,
+    /// Nodes that rest after failures, of the services of which they are the majority.
+    resting_nodes: NodesByService,
     /// Requests that found no node.
     rejected: Vec<Request>,
     /// Nodes whose free capacity is held for waiting long-running tasks.
     held_nodes: HashSet<Slot>,
+    /// CPU request, in thousandths of a core, above which a best-effort task is large on some node.
+    large: u64,
 }
 
 /// What a task requests of a node, to tell whether another one can still find a node.
 #[derive(Debug)]
 struct Request {
     service: String,
+    /// Label that the worker must have.
+    label: Option<String>,
     need: Resources,
+    /// The part of `need` that a task reserves.
+    reserved: Resources,
     long_running: bool,
     /// Image of a best-effort task, whose interference decides too; `None` for other tasks.
     best_effort: Option<Image>,
-    is_starved: bool,
+    mode: Mode,
 }
 
 impl Request {
     /// Tells whether `self` finds no node if `other` found none. Starts only take room away during a
     /// round, and a larger task of the same image interferes more. The exception are best-effort
     /// tasks that are `large` on some node: the first one there needs less room than it requests.
+    /// For relief, only what a task reserves counts.
     fn is_at_least(&self, other: &Request, large: u64) -> bool {
-        self.long_running == other.long_running
-            && self.best_effort == other.best_effort
-            && self.is_starved == other.is_starved
+        self.mode == other.mode
+            && self.long_running == other.long_running
             && self.service == other.service
-            && match self.best_effort {
-                Some(_) if self.need.cpu_milli > large => self.need == other.need,
+            && (other.label.is_none() || self.label == other.label)
+            && match (self.best_effort, other.best_effort) {
+                (Some(_), Some(_)) if self.mode != Mode::Ranked => {
+                    other.reserved.fits_in(&self.reserved)
+                }
+                (image, known) if image != known => false,
+                (Some(_), _) if self.need.cpu_milli > large => self.need == other.need,
                 _ => other.need.fits_in(&self.need),
             }
     }
@@ -216,8 +257,7 @@
     image: Image,
     /// Preferred rack.
     rack: Option<&'a str>,
-    /// Whether a best-effort task may start even where it interferes.
-    is_starved: bool,
+    mode: Mode,
 }
 
 impl Owner {
@@ -247,6 +287,15 @@
         }
     }
 
+    /// Takes the ready steps without runs for starved at the end of a takeover: they may have waited
+    /// long under the predecessor, and nothing has started since.
+    pub(super) fn presume_starved(&mut self, now: Time) {
+        let since = now.saturating_sub(STARVATION_DELAY);
+        for job in self.jobs.values_mut().filter(|job| job.is_inherited && !job.phase.is_final()) {
+            job.note_idle_steps(since);
+        }
+    }
+
     /// Notes when the next occurrence of a periodic job is due.
     pub(super) fn await_occurrence(&mut self, number: JobNumber) {
         if let Some(due) = self.jobs.get(&number).and_then(Job::next_due) {
@@ -254,73 +303,142 @@
         }
     }
 
-    /// Runs one placement round: starts all waiting tasks that fit, in order of rank.
+    /// Runs one placement round: starts all waiting tasks that fit, in order of rank, and then one
+    /// task of each starved step.
     pub(super) fn place(&mut self, now: Time) {
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
+        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        self.next_relief = candidates
+            .iter()
+            .filter_map(|candidate| self.state(candidate).idle_since)
+            .map(|since| since + STARVATION_DELAY)
+            .filter(|at| *at > now)
+            .min();
+        let (open_nodes, resting_nodes) = self.usable_nodes(now);
         let mut round = Round {
             now,
-            open_nodes: self.open_nodes(now),
+            open_nodes,
+            resting_nodes,
             rejected: Vec::new(),
             held_nodes: HashSet::new(),
+            large: smallest.unwrap_or(0) / 2,
         };
-        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
-        let large = smallest.unwrap_or(0) / 2;
-        for candidate in candidates.iter().take(MAX_STEPS_PER_ROUND).copied() {
-            let spec = self.jobs[&candidate.job].spec.clone();
-            let step = &spec.steps[usize::from(candidate.step)];
-            let image = image_number(step);
-            let request = Request {
-                service: spec.queue.service.clone(),
-                need: step.need,
-                long_running: step.long_running,
-                best_effort: step.best_effort.then_some(image),
-                is_starved: self.is_starved(now, &candidate),
-            };
-            if round.rejected.iter().any(|other| request.is_at_least(other, large)) {
-                continue;
+        self.place_by_rank(&mut round, &candidates);
+        self.relieve_starved(&mut round, &candidates);
+        self.report_waits(&round, &candidates);
+    }
+
+    /// Starts all waiting tasks that fit, in order of rank. Begins with the steps that the round
+    /// before did not get to.
+    fn place_by_rank(&mut self, round: &mut Round, candidates: &[Candidate]) {
+        let first = self.resume_at.take().map_or(0, |at| candidates.partition_point(|c| *c < at));
+        let (ahead, rest) = candidates.split_at(first);
+        let mut searches = 0;
+        for candidate in rest.iter().chain(ahead) {
+            if searches == MAX_SEARCHES {
+                self.resume_at = Some(*candidate);
+                self.request_round(RoundCause::Timer);
+                return;
             }
-            let shared_rack = self.shared_rack(&round, &candidate, &spec, step);
-            let search = Search {
-                candidate,
-                step,
-                image,
-                rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
-                is_starved: request.is_starved,
-            };
-            let is_placed = match step.gang {
-                true => self.place_gang(&round, &spec, search),
-                false => self.place_tasks(&round, &spec, search),
-            };
-            if is_placed {
-                continue;
+            searches += usize::from(self.place_step(round, *candidate, Mode::Ranked));
+        }
+    }
+
+    /// Starts one task of each step that has been ready without runs for too long: of a best-effort
+    /// step even where the task interferes or would be throttled, and of any step on a resting worker
+    /// if most workers of the service rest. The steps that have waited longest come first.
+    fn relieve_starved(&mut self, round: &mut Round, candidates: &[Candidate]) {
+        let mut starved: Vec<(Time, Candidate)> = candidates
+            .iter()
+            .filter_map(|candidate| Some((self.state(candidate).idle_since?, *candidate)))
+            .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
+            .collect();
+        starved.sort_unstable();
+        let mut searches = 0;
+        for (_, candidate) in starved {
+            if searches >= MAX_SEARCHES {
+                return;
             }
-            if step.long_running {
-                round.held_nodes.extend(self.roomiest_node(&round, &spec, &search));
+            let spec = &self.jobs[&candidate.job].spec;
+            let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
+            let may_rest = round.resting_nodes.contains_key(&spec.queue.service);
+            if is_best_effort {
+                searches += usize::from(self.place_step(round, candidate, Mode::Relief));
             }
-            // A gang, a label or a limit per worker rejects nodes that suit other steps.
-            if !step.gang && step.required_label.is_none() && step.per_worker == 0 {
-                round.rejected.push(request);
+            if may_rest && self.state(&candidate).idle_since.is_some() {
+                searches += usize::from(self.place_step(round, candidate, Mode::Resting));
             }
         }
-        self.report_waits(&round, &candidates);
     }
 
-    /// Returns the nodes that accept starts at all, by the service of their workers.
-    fn open_nodes(&self, now: Time) -> HashMap<String, Vec<Slot>> {
-        let mut open: HashMap<String, Vec<Slot>> = HashMap::new();
+    /// Starts the waiting tasks of a step that fit; in a mode for starved steps, one task. Returns
+    /// whether the nodes were searched: they are not if another step has shown in this round that none
+    /// fits.
+    fn place_step(&mut self, round: &mut Round, candidate: Candidate, mode: Mode) -> bool {
+        let spec = self.jobs[&candidate.job].spec.clone();
+        let step = &spec.steps[usize::from(candidate.step)];
+        let image = image_number(step);
+        let request = Request {
+            service: spec.queue.service.clone(),
+            label: step.required_label.clone(),
+            need: step.need,
+            reserved: step.reserved(),
+            long_running: step.long_running,
+            best_effort: step.best_effort.then_some(image),
+            mode,
+        };
+        if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
+            return false;
+        }
+        let shared_rack = self.shared_rack(round, &candidate, &spec, step);
+        let search = Search {
+            candidate,
+            step,
+            image,
+            rack: shared_rack.as_deref().or(step.preferred_rack.as_deref()),
+            mode,
+        };
+        let idle_since = self.state(&candidate).idle_since;
+        let is_placed = match step.gang {
+            true => self.place_gang(round, &spec, search),
+            false => self.place_tasks(round, &spec, search),
+        };
+        self.log_late_start(round, &search, idle_since);
+        if is_placed {
+            return true;
+        }
+        if step.long_running {
+            let held = self.roomiest_node(round, &spec, &search);
+            round.held_nodes.extend(held);
+        }
+        // A gang or a limit per worker rejects nodes that suit other steps.
+        if !step.gang && step.per_worker == 0 {
+            round.rejected.push(request);
+        }
+        true
+    }
+
+    /// Returns the nodes that accept starts, and the nodes that rest after failures where most nodes
+    /// of a service do: then the jobs are more likely at fault than the workers.
+    fn usable_nodes(&self, now: Time) -> (NodesByService, NodesByService) {
+        let (mut open, mut resting) = (NodesByService::new(), NodesByService::new());
         for (slot, node) in self.nodes.iter().enumerate() {
-            let Some(worker) = node.worker.as_ref().filter(|_| node.accepts_starts(now)) else {
-                continue;
+            let Some(worker) = &node.worker else { continue };
+            let nodes = match node.closed_by(now) {
+                None => &mut open,
+                Some(Closure::Backoff) => &mut resting,
+                Some(_) => continue,
             };
-            match open.get_mut(&worker.service) {
+            match nodes.get_mut(&worker.service) {
                 Some(slots) => slots.push(slot),
                 None => {
-                    open.insert(worker.service.clone(), vec![slot]);
+                    nodes.insert(worker.service.clone(), vec![slot]);
                 }
             }
         }
-        open
+        resting.retain(|service, slots| slots.len() > open.get(service).map_or(0, Vec::len));
+        (open, resting)
     }
 
     /// Returns the number of nodes that accept starts at all.
@@ -335,7 +453,17 @@
         spec: &JobSpec,
         step: &'a Step,
     ) -> impl Iterator<Item = (Slot, &'a Node)> {
-        let slots = round.open_nodes.get(&spec.queue.service).map_or(&[][..], Vec::as_slice);
+        self.suitable(&round.open_nodes, spec, step)
+    }
+
+    /// Returns those of `nodes` that have the service and the label that a step requires.
+    fn suitable<'a>(
+        &'a self,
+        nodes: &'a NodesByService,
+        spec: &JobSpec,
+        step: &'a Step,
+    ) -> impl Iterator<Item = (Slot, &'a Node)> {
+        let slots = nodes.get(&spec.queue.service).map_or(&[][..], Vec::as_slice);
         let has_label =
             |node: &&Node| step.required_label.as_ref().is_none_or(|label| node.has_label(label));
         slots
@@ -361,12 +489,6 @@
         candidates
     }
 
-    /// Tells whether a step has waited so long without runs that one task may start on any node
-    /// with capacity.
-    fn is_starved(&self, now: Time, candidate: &Candidate) -> bool {
-        self.state(candidate).idle_since.is_some_and(|since| now >= since + STARVATION_DELAY)
-    }
-
     /// Returns the node with the most free CPU that will fit a long-running task once other tasks
     /// have ended there.
     fn roomiest_node(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Option<Slot> {
@@ -380,11 +502,14 @@
         nodes.max_by_key(|(_, node)| node.free_cpu()).map(|(slot, _)| slot)
     }
 
-    /// Starts waiting tasks of a step until one does not fit; returns whether all were started.
-    fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, mut search: Search<'_>) -> bool {
+    /// Starts waiting tasks of a step until one does not fit; in a mode for starved steps, one task.
+    /// Returns whether all of them were started.
+    fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
-        let waiting: Vec<u32> = self.state(&search.candidate).waiting.iter().copied().collect();
+        let most = if search.mode == Mode::Ranked { usize::MAX } else { 1 };
+        let state = self.state(&search.candidate);
+        let waiting: Vec<u32> = state.waiting.iter().copied().take(most).collect();
         let mut ranking = self.rank_nodes(round, spec, &search);
         for index in waiting {
             let state = self.state(&search.candidate);
@@ -392,11 +517,7 @@
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
-            if search.is_starved {
-                // Only the first task may start where it interferes.
-                search.is_starved = false;
-                ranking = self.rank_nodes(round, spec, &search);
-            } else if let Ok(score) = self.score(round, &search, slot, 0) {
+            if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
         }
@@ -460,8 +581,12 @@
 
     /// Orders the nodes that can run a task of a step.
     fn rank_nodes(&self, round: &Round, spec: &JobSpec, search: &Search<'_>) -> Ranking<Score> {
+        let nodes = match search.mode {
+            Mode::Ranked | Mode::Relief => &round.open_nodes,
+            Mode::Resting => &round.resting_nodes,
+        };
         Ranking::new(
-            self.open_to(round, spec, search.step)
+            self.suitable(nodes, spec, search.step)
                 .filter_map(|(slot, _)| Some((self.score(round, search, slot, 0).ok()?, slot))),
         )
     }
@@ -485,14 +610,17 @@
         if is_held {
             return Err(Misfit::Held);
         }
-        node.has_capacity(step, u64::from(planned))?;
+        node.has_capacity(step, u64::from(planned), search.mode)?;
         if !self.state(&search.candidate).has_quota(step, slot, planned) {
             return Err(Misfit::Quota);
         }
         let planned_cpu = u64::from(planned) * step.need.cpu_milli;
         let free = node.free_cpu().saturating_sub(planned_cpu);
         Ok((
-            node.failure_streak > 0,
+            match search.mode {
+                Mode::Ranked | Mode::Relief => u32::from(node.failure_streak > 0),
+                Mode::Resting => node.failure_streak,
+            },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
             match step.target_ms {
                 0 => 0,
@@ -503,7 +631,8 @@
                 (true, _) => free,
                 (false, true) => {
                     let task = (search.image, step.need.cpu_milli);
-                    self.best_effort_cost(node, task, u64::from(planned), search.is_starved)
+                    let may_interfere = search.mode != Mode::Ranked;
+                    self.best_effort_cost(node, task, u64::from(planned), may_interfere)
                         .ok_or(Misfit::Interference)?
                 }
                 (false, false) => u64::MAX / 4 - free,
@@ -583,16 +712,19 @@
     }
 
     /// Checks that one more task of a step fits on the node in addition to `planned` tasks of the
-    /// step that have not been started yet.
+    /// step that have not been started yet. The best-effort task of a starved step needs no idle
+    /// CPU: it shares the CPU of those that are there.
     ///
     /// # Errors
     ///
     /// Returns which kind of capacity is missing.
-    fn has_capacity(&self, step: &Step, planned: u64) -> Result<(), Misfit> {
+    fn has_capacity(&self, step: &Step, planned: u64, mode: Mode) -> Result<(), Misfit> {
         let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
-        match self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity) {
+        let fits = self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity);
+        let needs_idle = step.best_effort && mode == Mode::Ranked;
+        match fits {
             false => Err(Misfit::Room),
-            true if step.best_effort && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
+            true if needs_idle && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
             true => Ok(()),
         }
     }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner and the agent state machines on virtual time.
 
+mod beliefs;
 mod interference;
 mod load;
 mod node;
@@ -8,5 +9,6 @@
 mod pace;
 mod place;
 mod ranking;
+mod starvation;
 mod support;
 mod waits;
