Show a gang that waits in vain for a member that did not start

The test fails on this commit:

beliefs::a_gang_is_stopped_if_a_member_does_not_start_or_is_lost assertion `left == right` failed: after NotStarted { task: TaskId { job: 7, occurrence: 0, step: 0, index: 0 }, run: 1, reason: "room" } left: [] right: [(1, 1)]

It stops at the first of three cases; the others are the loss of the worker, and a report that does not list the member.

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -246,3 +246,30 @@
     let is_start = |a: &Action| matches!(a, Action::Call(Call::Start { .. }));
     assert!(agent.take_actions().iter().any(is_start));
 }
+
+/// Guards against the members of a gang that wait in vain for one that did not start or is lost.
+#[test]
+fn a_gang_is_stopped_if_a_member_does_not_start_or_is_lost() {
+    let lose = |world: &mut World, task, run| {
+        let worker = &world.workers[0];
+        let (slot, session, id) = (worker.slot, worker.session, worker.info.id.clone());
+        let reason = "room".to_owned();
+        [
+            AgentMessage::NotStarted { task, run, reason },
+            AgentMessage::Gone { worker: id.clone() },
+            AgentMessage::Attach { worker: Some(life(&id)), running: Vec::new(), ends: Vec::new() },
+        ]
+        .map(|message| (slot, session, message))
+    };
+    for case in 0..3 {
+        let mut world = World::new(2, 1_000);
+        world.submit(7, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+        let (_, _, member, run) = world.started.iter().copied().find(|s| s.1 == 0).unwrap();
+        let (slot, session, message) = lose(&mut world, member, run)[case].clone();
+        world.workers[0].running.clear();
+        world.owner.receive(world.now, slot, session, message.clone());
+        world.settle();
+        let stopped: Vec<_> = world.stopped.iter().map(|(task, run)| (task.index, *run)).collect();
+        assert_eq!(stopped, [(1 - member.index, 1)], "after {message:?}");
+    }
+}
