Stop a gang when one of its runs is lost without an end

What callers saw or would see: a gang keeps workers busy without any work until its members give up (GangWaitMs, end 'alone'), and only then starts again; the wait is priced, and such an end without a disturbance near is a broken rule.

Cause: the other members were stopped only after an end of one member. A start that the worker or the agent rejects, the loss of a worker and a report without the run have no end: the task waited again, but a gang starts only as a whole, so that nothing happened until the others ended.

Evidence: before, beliefs::a_gang_is_stopped_if_a_member_does_not_start_or_is_lost failed after NotStarted with 'left: [], right: [(1, 1)]'.

Why the fix works: all three places that drop a run without an end now stop the rest of its gang, which starts again once those ends are listed.

--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -197,6 +197,15 @@
         }
     }
 
+    /// Stops the other runs of a task's gang after its own run was lost without an end: they would
+    /// wait for it in vain. Does nothing if the task belongs to no gang.
+    pub(in crate::flow) fn stop_gang_of_lost(&mut self, task: &TaskId) {
+        let Some((spec, _)) = self.step_mut(task) else { return };
+        if spec.steps[usize::from(task.step)].gang {
+            self.stop_gang(task);
+        }
+    }
+
     /// Requeues a task whose start the agent or the worker has rejected.
     pub(super) fn not_started(&mut self, slot: Slot, task: TaskId, run: Run, reason: &str) {
         let detail =
@@ -207,6 +216,7 @@
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoided_nodes.insert(task.index, slot);
             }
+            self.stop_gang_of_lost(&task);
         }
     }
 
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -66,8 +66,10 @@
         let detail =
             format!("node={} reason={reason} tasks={}", self.nodes[slot].name, tasks.len());
         self.log("worker_lost", None, detail);
-        for (task, run) in tasks {
-            self.drop_run(&task, run);
+        let is_dropped = |(task, run): &(TaskId, Run)| self.drop_run(task, *run).is_some();
+        let lost: Vec<(TaskId, Run)> = tasks.into_iter().filter(is_dropped).collect();
+        for (task, _) in lost {
+            self.stop_gang_of_lost(&task);
         }
         let node = &mut self.nodes[slot];
         node.worker = None;
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -142,7 +142,9 @@
             .collect();
         for (task, run) in lost {
             self.log("run_lost", Some(task.job), format!("task={task} run={run}"));
-            self.drop_run(&task, run);
+            if self.drop_run(&task, run).is_some() {
+                self.stop_gang_of_lost(&task);
+            }
         }
     }
 
