Show an agent that does not report because of a late heartbeat

The test fails on this commit:

beliefs::an_agent_reports_although_a_late_heartbeat_names_an_exited_worker assertion `left == right` failed: the agent does not report left: 0 right: 1

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -273,3 +273,19 @@
         assert_eq!(stopped, [(1 - member.index, 1)], "after {message:?}");
     }
 }
+
+/// Guards against a successor that waits for a node on which nothing runs: a late heartbeat of an
+/// exited worker keeps the agent from its report.
+#[test]
+fn an_agent_reports_although_a_late_heartbeat_names_an_exited_worker() {
+    let mut agent = agent_with_run();
+    agent.deregister(ms(10), "life-1");
+    agent.heartbeat(ms(20), life("life-1"), 7);
+    agent.take_actions();
+    agent.list_failed(ms(30), "life-1", 100, &Outcome::NotThere);
+    agent.receive(ms(40), OwnerMessage::Welcome { token: 200, entries: Vec::new() });
+    agent.list_failed(ms(45), "life-1", 200, &Outcome::NotThere);
+    agent.poll(ms(50));
+    let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { worker: None, .. }));
+    assert_eq!(reports.len(), 1, "the agent does not report");
+}
