Forget a worker that has sent a heartbeat but refuses connections

What callers saw or would see: after a takeover nothing starts until the predecessor's permissions have expired, because a node on which nothing runs does not report.

Cause: a heartbeat that arrives after its worker has exited (it was delayed, or another node passed it on late) makes the worker a candidate. The agent dropped the candidate only if another worker answered at the address, not if nobody did; while there is one, it does not report that no worker is left, and lists no other.

Evidence: before, beliefs::an_agent_reports_although_a_late_heartbeat_names_an_exited_worker failed with 'the agent does not report, left: 0, right: 1'.

Why the fix works: the worker runs on the agent's machine, so that a refused connection shows that its process is not there. A worker that only starts up is a candidate again with its next heartbeat.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -502,7 +502,8 @@
         self.listing = self.listing.filter(|(listing, _)| *listing != token);
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
-            if *outcome == Outcome::OtherLife {
+            // A worker that has started tells so again with its next heartbeat.
+            if matches!(outcome, Outcome::OtherLife | Outcome::NotThere) {
                 self.candidate = None;
             }
             return self.poll(now);
