Show an agent that ends its session because of an overtaken listing

The test fails on this commit:

beliefs::a_listing_that_a_newer_one_has_overtaken_does_not_end_the_session [Log(Decision { event: "look_failed", job: None, detail: "worker=life-1 outcome=OldToken" }), Reconnect]

--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -289,3 +289,19 @@
     let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { worker: None, .. }));
     assert_eq!(reports.len(), 1, "the agent does not report");
 }
+
+/// Guards against an agent that gives its session up because an older listing was overtaken by a
+/// newer one.
+#[test]
+fn a_listing_that_a_newer_one_has_overtaken_does_not_end_the_session() {
+    let mut agent = agent_with_run();
+    agent.receive(ms(5), start(2));
+    agent.started(ms(1_005), "life-1", TASK, 2, Outcome::Unclear);
+    agent.take_actions();
+    // The answer to the listing that was sent before the token was raised.
+    agent.list_failed(ms(1_010), "life-1", 100, &Outcome::OldToken);
+    let actions = agent.take_actions();
+    assert!(!actions.contains(&Action::Reconnect), "{actions:?}");
+    agent.list_failed(ms(1_020), "life-1", 101, &Outcome::OldToken);
+    assert!(agent.take_actions().contains(&Action::Reconnect));
+}
