Keep the session if a newer listing has overtaken an older one

What callers saw or would see: a node that gets no starts for the time of a new connection, after a start whose answer was lost.

Cause: such a start raises the token and requests a new listing at once, beside the one in flight. Calls may overtake each other; a worker then refuses the older listing for its token, and the agent took that for a newer session elsewhere and closed its own.

Evidence: before, beliefs::a_listing_that_a_newer_one_has_overtaken_does_not_end_the_session failed with the actions '[.. outcome=OldToken, Reconnect]'.

Why the fix works: only a listing with the session's newest token shows that the worker obeys another session; the agent repeats the listing with that token in any case.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -521,7 +521,9 @@
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
         }
-        if *outcome == Outcome::OldToken {
+        // An older listing of this session, or of an earlier one, may be overtaken by a newer one.
+        let is_newest = self.session.as_ref().is_some_and(|session| session.token == token);
+        if *outcome == Outcome::OldToken && is_newest {
             self.actions.push(Action::Reconnect);
         }
         self.poll(now);
