--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod entry;
 mod ownership;
+mod sessions;
 mod support;
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -16,7 +16,7 @@
 const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Starts an entry; it stops when the trigger is dropped or fires.
-fn start(node: &str, store: &MemoryStore) -> Trigger {
+pub fn start(node: &str, store: &MemoryStore) -> Trigger {
     start_entry(node, store).1
 }
 
@@ -33,7 +33,7 @@
 }
 
 /// Waits until the lock names `node`; returns `false` on timeout.
-async fn wait_for_owner(store: &MemoryStore, node: &str) -> bool {
+pub async fn wait_for_owner(store: &MemoryStore, node: &str) -> bool {
     let started_at = Instant::now();
     while started_at.elapsed() < TAKEOVER_TIMEOUT {
         let lock = store.peek(records::LOCK);
