Close the connection of an agent's session that is replaced

What callers saw or would see: a node that gets no starts for over two seconds after its owner was slow or frozen.

Cause: an agent that gets no welcome in time opens another connection. If the owner reads the greeting of the first one last, the session of the one in use is replaced. Its connection stayed open, and the owner ignored all its messages, until the agent took the owner as lost after 2.3 s without a pong.

Why the fix works: the owner closes the replaced session's connection at once. The agent, if it still uses it, connects again after a quarter of a second.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -436,6 +436,11 @@
         }
     }
 
+    /// Returns the session of the agent on the node `name`, if it is connected.
+    pub fn session(&self, name: &str) -> Option<Session> {
+        self.nodes[*self.by_name.get(name)?].session
+    }
+
     /// Opens a session for the agent on the node `name` and ends any older one.
     pub fn connect(&mut self, now: Time, name: &str) -> (Slot, Session, Token) {
         let slot = match self.by_name.get(name) {
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -197,11 +197,23 @@
         outbox.try_send(OwnerReply::HandOver { epoch }).is_ok()
     }
 
-    /// Opens a session for the agent of `node` and sends its fencing token.
+    /// Opens a session for the agent of `node` and sends its fencing token. Closes the connection of
+    /// the session that it replaces: connections may be served in another order than they were
+    /// opened, and the agent has to notice if the replaced one is in use.
     pub(crate) fn open_session(&self, node: &str, outbox: Outbox<OwnerMessage>) -> (Slot, Session) {
-        let (slot, session, token) = self.update(|owner, now| owner.connect(now, node));
+        let (replaced, (slot, session, token)) =
+            self.update(|owner, now| (owner.session(node), owner.connect(now, node)));
         self.send_welcome(&outbox, token);
-        self.outboxes.lock().insert(session, outbox);
+        let mut outboxes = self.outboxes.lock();
+        if let Some(replaced) = replaced.filter(|replaced| outboxes.remove(replaced).is_some()) {
+            tracing::info!(event = "session_replaced", node, replaced, session);
+        }
+        outboxes.insert(session, outbox);
+        drop(outboxes);
+        // Another connection of the agent may have replaced this session before it had an outbox.
+        if self.read(|owner, _| owner.session(node) != Some(session)) {
+            self.outboxes.lock().remove(&session);
+        }
         (slot, session)
     }
 
