--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -216,6 +216,7 @@
         let gone_at = gone_at.unwrap_or_else(|| panic!("{outcome:?}: the loss is not reported"));
         // A slow clock reaches the deadline later.
         assert!(last_deadline * 100 / 98 <= gone_at, "{last_deadline} against {gone_at}");
+        assert!(gone_at <= 100 + 9_200, "given up after {} ms", gone_at - 100);
     }
 }
 
