--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -502,7 +502,8 @@
         self.listing = self.listing.filter(|(listing, _)| *listing != token);
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
-            if *outcome == Outcome::OtherLife {
+            // A worker that has started tells so again with its next heartbeat.
+            if matches!(outcome, Outcome::OtherLife | Outcome::NotThere) {
                 self.candidate = None;
             }
             return self.poll(now);
@@ -520,7 +521,9 @@
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
         }
-        if *outcome == Outcome::OldToken {
+        // An older listing of this session, or of an earlier one, may be overtaken by a newer one.
+        let is_newest = self.session.as_ref().is_some_and(|session| session.token == token);
+        if *outcome == Outcome::OldToken && is_newest {
             self.actions.push(Action::Reconnect);
         }
         self.poll(now);
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -216,6 +216,7 @@
         let gone_at = gone_at.unwrap_or_else(|| panic!("{outcome:?}: the loss is not reported"));
         // A slow clock reaches the deadline later.
         assert!(last_deadline * 100 / 98 <= gone_at, "{last_deadline} against {gone_at}");
+        assert!(gone_at <= 100 + 9_200, "given up after {} ms", gone_at - 100);
     }
 }
 
@@ -265,3 +266,62 @@
     world.advance(ms(2_000));
     assert_eq!(world.workers[0].acknowledged, 1);
 }
+
+/// Guards against the members of a gang that wait in vain for one that did not start or is lost.
+#[test]
+fn a_gang_is_stopped_if_a_member_does_not_start_or_is_lost() {
+    let lose = |world: &mut World, task, run| {
+        let worker = &world.workers[0];
+        let (slot, session, id) = (worker.slot, worker.session, worker.info.id.clone());
+        let reason = "room".to_owned();
+        [
+            AgentMessage::NotStarted { task, run, reason },
+            AgentMessage::Gone { worker: id.clone() },
+            AgentMessage::Attach { worker: Some(life(&id)), running: Vec::new(), ends: Vec::new() },
+        ]
+        .map(|message| (slot, session, message))
+    };
+    for case in 0..3 {
+        let mut world = World::new(2, 1_000);
+        world.submit(7, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+        let (_, _, member, run) = world.started.iter().copied().find(|s| s.1 == 0).unwrap();
+        let (slot, session, message) = lose(&mut world, member, run)[case].clone();
+        world.workers[0].running.clear();
+        world.owner.receive(world.now, slot, session, message.clone());
+        world.settle();
+        let stopped: Vec<_> = world.stopped.iter().map(|(task, run)| (task.index, *run)).collect();
+        assert_eq!(stopped, [(1 - member.index, 1)], "after {message:?}");
+    }
+}
+
+/// Guards against a successor that waits for a node on which nothing runs: a late heartbeat of an
+/// exited worker keeps the agent from its report.
+#[test]
+fn an_agent_reports_although_a_late_heartbeat_names_an_exited_worker() {
+    let mut agent = agent_with_run();
+    agent.deregister(ms(10), "life-1");
+    agent.heartbeat(ms(20), life("life-1"), 7);
+    agent.take_actions();
+    agent.list_failed(ms(30), "life-1", 100, &Outcome::NotThere);
+    agent.receive(ms(40), OwnerMessage::Welcome { token: 200, entries: Vec::new() });
+    agent.list_failed(ms(45), "life-1", 200, &Outcome::NotThere);
+    agent.poll(ms(50));
+    let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { worker: None, .. }));
+    assert_eq!(reports.len(), 1, "the agent does not report");
+}
+
+/// Guards against an agent that gives its session up because an older listing was overtaken by a
+/// newer one.
+#[test]
+fn a_listing_that_a_newer_one_has_overtaken_does_not_end_the_session() {
+    let mut agent = agent_with_run();
+    agent.receive(ms(5), start(2));
+    agent.started(ms(1_005), "life-1", TASK, 2, Outcome::Unclear);
+    agent.take_actions();
+    // The answer to the listing that was sent before the token was raised.
+    agent.list_failed(ms(1_010), "life-1", 100, &Outcome::OldToken);
+    let actions = agent.take_actions();
+    assert!(!actions.contains(&Action::Reconnect), "{actions:?}");
+    agent.list_failed(ms(1_020), "life-1", 101, &Outcome::OldToken);
+    assert!(agent.take_actions().contains(&Action::Reconnect));
+}
