Back a worker off that rejects starts

Callers would see a job that never begins although workers are idle: a worker that answers each start with 503 or 429 stays the emptiest one, and so does a second one, so that a task goes to and fro between them for ever. Each rejection also asked for a round at once, and used up a run number: after 1,000 of them a successor would begin with numbers that its predecessor has used, which workers refuse as old.

Cause: a rejected start only made its task avoid that one worker the next time. It did not count against the worker.

Now a rejection counts: the worker ranks behind others until a run ends there by itself, and after two in a row it rests for 0.25 s, doubled with each further one up to 4 s. Starts that were ordered together count once; an answer to a stop does not count.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -193,7 +193,12 @@
     /// Number of failures on the node since a task last finished there. Only the first failure of
     /// each job counts, because a job that fails repeatedly is itself faulty.
     pub(super) failure_streak: u32,
-    /// Until when no tasks are started on the node, because runs failed or stalled there.
+    /// Number of times that the node has rejected starts since a run last ended there by itself.
+    pub(super) refusals: u32,
+    /// When a rejected start was last counted in `refusals`.
+    pub(super) refused_at: Option<Time>,
+    /// Until when no tasks are started on the node, because runs failed or stalled there, or it
+    /// rejected starts.
     pub(super) backoff_until: Time,
     /// When the draining worker exits; `Time::MAX` once its tasks are being moved.
     pub(super) drain_deadline: Option<Time>,
@@ -497,7 +502,7 @@
             }
             AgentMessage::Ends { worker, ends } => self.ends(now, slot, &worker, ends),
             AgentMessage::NotStarted { task, run, reason } => {
-                self.not_started(slot, task, run, &reason)
+                self.not_started(now, slot, task, run, &reason)
             }
             AgentMessage::Draining { worker, remaining } => {
                 self.draining(now, slot, &worker, remaining)
@@ -649,6 +654,8 @@
             acknowledged: 0,
             pending_acks: VecDeque::new(),
             failure_streak: 0,
+            refusals: 0,
+            refused_at: None,
             backoff_until: Time::ZERO,
             drain_deadline: None,
             stale_runs: BTreeSet::new(),
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -13,6 +13,11 @@
 const MIN_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum time without starts on a node after failures.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
+/// Time without starts on a node after it has rejected starts twice in a row; doubles with each
+/// further rejection.
+const MIN_REFUSAL_BACKOFF: Duration = Duration::from_millis(250);
+/// Maximum time without starts on a node after rejected starts.
+const MAX_REFUSAL_BACKOFF: Duration = Duration::from_secs(4);
 /// Time without starts on a node after a run stalled there.
 const STALL_BACKOFF: Duration = Duration::from_secs(3);
 
@@ -43,6 +48,9 @@
         self.save_checkpoint(task, end.run, end.checkpoint.clone());
         self.end_stale_run(slot, task, end.run);
         let was_current = self.drop_run(&task, end.run).is_some();
+        if matches!(end.kind, EndKind::Done | EndKind::Failed) {
+            self.nodes[slot].refusals = 0;
+        }
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
         let step = &spec.steps[usize::from(task.step)];
@@ -207,19 +215,51 @@
     }
 
     /// Requeues a task whose start the agent or the worker has rejected.
-    pub(super) fn not_started(&mut self, slot: Slot, task: TaskId, run: Run, reason: &str) {
+    pub(super) fn not_started(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        task: TaskId,
+        run: Run,
+        reason: &str,
+    ) {
         let detail =
             format!("task={task} run={run} node={} reason={reason}", self.nodes[slot].name);
         self.log("start_rejected", Some(task.job), detail);
         self.end_stale_run(slot, task, run);
+        let attempt = self.step_mut(&task).and_then(|(_, state)| state.running.get(&task.index));
+        let refused = attempt.filter(|attempt| !attempt.is_stopping).map(|attempt| attempt.since);
         if self.drop_run(&task, run).is_some() {
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoided_nodes.insert(task.index, slot);
             }
+            if let Some(ordered_at) = refused {
+                self.record_refusal(now, slot, ordered_at);
+            }
             self.stop_gang_of_lost(&task);
         }
     }
 
+    /// Counts a rejected start that was ordered at `ordered_at` against the node, and backs the node
+    /// off after two in a row. Of the starts that were ordered together, only the first counts.
+    fn record_refusal(&mut self, now: Time, slot: Slot, ordered_at: Time) {
+        let node = &mut self.nodes[slot];
+        if node.refused_at.is_some_and(|at| ordered_at <= at) {
+            return;
+        }
+        node.refused_at = Some(now);
+        node.refusals += 1;
+        if node.refusals < 2 {
+            return;
+        }
+        let backoff = MIN_REFUSAL_BACKOFF * 2u32.pow((node.refusals - 2).min(8));
+        let backoff = backoff.min(MAX_REFUSAL_BACKOFF);
+        node.backoff_until = node.backoff_until.max(now + backoff);
+        let (name, refusals) = (&node.name, node.refusals);
+        let detail = format!("node={name} refusals={refusals} rest_ms={}", backoff.as_millis());
+        self.log("worker_rests", None, detail);
+    }
+
     /// Stops a run that makes no progress, and backs its node off.
     pub(super) fn stalled(&mut self, now: Time, slot: Slot, task: TaskId, run: Run) {
         let Some((_, state)) = self.step_mut(&task) else { return };
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -86,6 +86,8 @@
         node.drain_deadline = None;
         node.stale_runs.clear();
         node.failure_streak = 0;
+        node.refusals = 0;
+        node.refused_at = None;
         node.backoff_until = Time::ZERO;
         self.request_round(RoundCause::Room);
         self.mark_roster_changed();
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -142,7 +142,8 @@
 }
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed there since one last finished; on a resting node, how often;
+/// - whether tasks have failed or been rejected there since one last finished; on a resting node, how
+///   often;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
@@ -230,7 +231,7 @@
     Draining,
     /// A run that the owner does not track has not ended yet.
     StaleRun,
-    /// Runs failed or stalled there.
+    /// Runs failed or stalled there, or it rejected starts.
     Backoff,
 }
 
@@ -618,8 +619,8 @@
         let free = node.free_cpu().saturating_sub(planned_cpu);
         Ok((
             match search.mode {
-                Mode::Ranked | Mode::Relief => u32::from(node.failure_streak > 0),
-                Mode::Resting => node.failure_streak,
+                Mode::Ranked | Mode::Relief => u32::from(node.troubles() > 0),
+                Mode::Resting => node.troubles(),
             },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
             match step.target_ms {
@@ -706,6 +707,11 @@
         }
     }
 
+    /// Returns how often tasks have failed or been rejected on the node since one last finished there.
+    fn troubles(&self) -> u32 {
+        self.failure_streak + self.refusals
+    }
+
     /// Tells whether the node has a worker with a label.
     fn has_label(&self, label: &String) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -325,3 +325,53 @@
     agent.list_failed(ms(1_020), "life-1", 101, &Outcome::OldToken);
     assert!(agent.take_actions().contains(&Action::Reconnect));
 }
+
+/// Guards against a task that is sent to and fro between two workers that refuse every start, while
+/// a third one is idle. Such workers stay the emptiest ones.
+#[test]
+fn a_task_reaches_a_worker_beside_two_that_refuse_all_starts() {
+    let mut world = World::new(3, 1_000);
+    world.submit(7, job(3, vec![step(1, 500, 60_000)]));
+    for _ in 0..100 {
+        for index in 0..2 {
+            let worker = &mut world.workers[index];
+            let (slot, session) = (worker.slot, worker.session);
+            for start in std::mem::take(&mut worker.running).into_values() {
+                let reason = "status 503".to_owned();
+                let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+                world.owner.receive(world.now, slot, session, answer);
+            }
+        }
+        world.advance(ms(100));
+    }
+    let workers: Vec<_> = world.running().into_iter().map(|(index, _)| index).collect();
+    let starts: Vec<_> = world.started.iter().map(|(_, index, ..)| *index).collect();
+    assert_eq!(workers, [2], "{} starts, the first on {:?}", starts.len(), &starts[..8]);
+}
+
+/// Guards against starts that a worker refuses as old: a task whose starts were refused very often
+/// has used up the run numbers of its owner's epoch, and those of the next epochs too.
+#[test]
+fn a_successor_uses_higher_run_numbers_after_many_refused_starts() {
+    let mut world = World::new(1, 1_000);
+    let spec = job(3, vec![step(1, 500, 60_000)]);
+    world.submit(7, spec.clone());
+    for _ in 0..1_100 {
+        let worker = &mut world.workers[0];
+        let (slot, session) = (worker.slot, worker.session);
+        for start in std::mem::take(&mut worker.running).into_values() {
+            let reason = "room".to_owned();
+            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+            world.owner.receive(world.now, slot, session, answer);
+        }
+        world.advance(ms(100));
+    }
+    let last = world.started.last().map(|(.., run)| *run);
+    // The worker ends the last run; the successor has to start the task again.
+    world.workers[0].running.clear();
+    world.take_over(&[(7, spec)]);
+    world.attach(0);
+    world.settle();
+    let next = world.started.last().map(|(.., run)| *run);
+    assert!(next > last, "the predecessor's last run is {last:?}, the successor's first {next:?}");
+}
