Count the wait of a step on when its start is rejected

On-call engineers would see no line about a step that never begins because its starts are rejected: an order ended the wait, and the rejection began a new one, so that the step never counted as starved.

Now a run remembers since when its step was idle, and a rejected start takes the wait up again.

Test: a_step_whose_starts_are_rejected_counts_as_waiting_all_the_while.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -599,7 +599,7 @@
         let step = &spec.steps[usize::from(task.step)];
         let key = if step.gang { 0 } else { task.index };
         let checkpoint = state.checkpoints.get(&key).cloned().unwrap_or_default();
-        state.begin(task.index, Attempt { run, slot, since: now, is_stopping: false });
+        state.begin(task.index, Attempt::new(run, slot, now));
         self.reserve(slot, task, run, step);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -228,13 +228,16 @@
         self.log("start_rejected", Some(task.job), detail);
         self.end_stale_run(slot, task, run);
         let attempt = self.step_mut(&task).and_then(|(_, state)| state.running.get(&task.index));
-        let refused = attempt.filter(|attempt| !attempt.is_stopping).map(|attempt| attempt.since);
+        let refused = attempt.filter(|attempt| !attempt.is_stopping).cloned();
         if self.drop_run(&task, run).is_some() {
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoided_nodes.insert(task.index, slot);
             }
-            if let Some(ordered_at) = refused {
-                self.record_refusal(now, slot, ordered_at);
+            if let Some(attempt) = refused {
+                if let Some((_, state)) = self.step_mut(&task) {
+                    state.reject(&attempt);
+                }
+                self.record_refusal(now, slot, attempt.since);
             }
             self.stop_gang_of_lost(&task);
         }
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -179,7 +179,7 @@
                 .checkpoints
                 .insert(if step.gang { 0 } else { task.index }, listed.checkpoint.clone());
         }
-        let attempt = Attempt { run: listed.run, slot, since: now, is_stopping: false };
+        let attempt = Attempt::new(listed.run, slot, now);
         state.begin(task.index, attempt);
         self.reserve(slot, task, listed.run, &step);
         self.mark_running(task.job);
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -17,6 +17,15 @@
     pub since: Time,
     /// Whether the owner has ordered to stop the run.
     pub is_stopping: bool,
+    /// Since when the step had been idle at the start of the run; counts on if the start is rejected.
+    idle_since: Option<Time>,
+}
+
+impl Attempt {
+    /// Returns a run that is ordered or adopted at `since`.
+    pub fn new(run: Run, slot: Slot, since: Time) -> Self {
+        Attempt { run, slot, since, is_stopping: false, idle_since: None }
+    }
 }
 
 /// State of the tasks of a step. Maps and sets are keyed by the task's index, unless stated
@@ -82,14 +91,22 @@
     }
 
     /// Records the start of a run.
-    pub fn begin(&mut self, index: u32, attempt: Attempt) {
-        self.idle_since = None;
+    pub fn begin(&mut self, index: u32, mut attempt: Attempt) {
+        attempt.idle_since = self.idle_since.take();
         self.waiting.remove(&index);
         self.last_runs.insert(index, attempt.run);
         *self.per_worker.entry(attempt.slot).or_default() += 1;
         self.running.insert(index, attempt);
     }
 
+    /// Notes that the start of a run was rejected, so that the step has been idle all the while unless
+    /// it has other runs.
+    pub fn reject(&mut self, rejected: &Attempt) {
+        if self.running.is_empty() {
+            self.idle_since = rejected.idle_since.or(self.idle_since);
+        }
+    }
+
     /// Removes the run in progress of a task, and returns it.
     pub fn end(&mut self, index: u32) -> Option<Attempt> {
         let attempt = self.running.remove(&index)?;
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -375,3 +375,23 @@
     let next = world.started.last().map(|(.., run)| *run);
     assert!(next > last, "the predecessor's last run is {last:?}, the successor's first {next:?}");
 }
+
+/// Guards against a wait that counts anew with each rejected start, so that nothing tells of it and
+/// the step never counts as starved.
+#[test]
+fn a_step_whose_starts_are_rejected_counts_as_waiting_all_the_while() {
+    let mut world = World::new(1, 1_000);
+    world.submit(7, job(3, vec![step(1, 500, 60_000)]));
+    for _ in 0..40 {
+        let worker = &mut world.workers[0];
+        let (slot, session) = (worker.slot, worker.session);
+        for start in std::mem::take(&mut worker.running).into_values() {
+            let reason = "status 503".to_owned();
+            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+            world.owner.receive(world.now, slot, session, answer);
+        }
+        world.advance(ms(100));
+    }
+    let is_wait = |(event, _): &(&str, String)| matches!(*event, "step_waits" | "step_started");
+    assert!(world.logs.iter().any(is_wait), "nothing tells of the wait");
+}
