Keep the head of the queue first, and give relief its turns too

Now both passes search for the first 400 steps in their order, and then for 100 of those behind, from where the pass before stopped. Nothing asks for a round for their sake; the timer runs one each second.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -249,8 +249,11 @@
     next_round: Time,
     /// Number of placement rounds, by what first asked for each, since the owner began.
     rounds: [u64; RoundCause::COUNT],
-    /// Step with which the next placement round begins, because the last one did not get to it.
-    pub(super) resume_at: Option<Candidate>,
+    /// Step to which the last placement round did not get in its pass by rank.
+    pub(super) rank_resume: Option<Candidate>,
+    /// Step to which the last round did not get in its pass for starved steps, and since when it is
+    /// idle.
+    pub(super) relief_resume: Option<(Time, Candidate)>,
     /// When the next waiting step counts as starved; `None` if none does later.
     pub(super) next_relief: Option<Time>,
     /// Time that placement rounds have taken, since the owner began.
@@ -297,7 +300,8 @@
             placement_due: false,
             next_round: now,
             rounds: [0; RoundCause::COUNT],
-            resume_at: None,
+            rank_resume: None,
+            relief_resume: None,
             next_relief: None,
             round_time: Duration::ZERO,
             unplaced: BTreeSet::new(),
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -1,6 +1,7 @@
 //! Placement: the order in which waiting tasks start, and the node on which each one starts.
 
 mod best_effort;
+mod bounded;
 mod waits;
 
 use std::cmp::Reverse;
@@ -30,9 +31,8 @@
 /// Time after which a ready step without runs is starved and may start one task on any node with
 /// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
-/// Maximum number of steps for which one pass of a placement round searches the nodes, so that a long
-/// queue does not block the process.
-const MAX_SEARCHES: usize = 400;
+/// Minimum time between two starts on a node that rests after failures.
+const RESTING_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Job {
     /// Returns the estimated duration of the critical path through the unfinished steps, in
@@ -325,27 +325,15 @@
             held_nodes: HashSet::new(),
             large: smallest.unwrap_or(0) / 2,
         };
-        self.place_by_rank(&mut round, &candidates);
+        let mut resume_at = self.rank_resume.take();
+        bounded::visit(&candidates, &mut resume_at, |candidate| {
+            self.place_step(&mut round, candidate, Mode::Ranked)
+        });
+        self.rank_resume = resume_at;
         self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
     }
 
-    /// Starts all waiting tasks that fit, in order of rank. Begins with the steps that the round
-    /// before did not get to.
-    fn place_by_rank(&mut self, round: &mut Round, candidates: &[Candidate]) {
-        let first = self.resume_at.take().map_or(0, |at| candidates.partition_point(|c| *c < at));
-        let (ahead, rest) = candidates.split_at(first);
-        let mut searches = 0;
-        for candidate in rest.iter().chain(ahead) {
-            if searches == MAX_SEARCHES {
-                self.resume_at = Some(*candidate);
-                self.request_round(RoundCause::Timer);
-                return;
-            }
-            searches += usize::from(self.place_step(round, *candidate, Mode::Ranked));
-        }
-    }
-
     /// Starts one task of each step that has been ready without runs for too long: of a best-effort
     /// step even where the task interferes or would be throttled, and of any step on a resting worker
     /// if most workers of the service rest. The steps that have waited longest come first.
@@ -356,21 +344,17 @@
             .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
             .collect();
         starved.sort_unstable();
-        let mut searches = 0;
-        for (_, candidate) in starved {
-            if searches >= MAX_SEARCHES {
-                return;
-            }
+        let mut resume_at = self.relief_resume.take();
+        bounded::visit(&starved, &mut resume_at, |(_, candidate)| {
             let spec = &self.jobs[&candidate.job].spec;
             let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
             let may_rest = round.resting_nodes.contains_key(&spec.queue.service);
-            if is_best_effort {
-                searches += usize::from(self.place_step(round, candidate, Mode::Relief));
-            }
-            if may_rest && self.state(&candidate).idle_since.is_some() {
-                searches += usize::from(self.place_step(round, candidate, Mode::Resting));
-            }
-        }
+            let has_searched = is_best_effort && self.place_step(round, candidate, Mode::Relief);
+            let is_idle = self.state(&candidate).idle_since.is_some();
+            let has_tried = may_rest && is_idle && self.place_step(round, candidate, Mode::Resting);
+            has_searched || has_tried
+        });
+        self.relief_resume = resume_at;
     }
 
     /// Starts the waiting tasks of a step that fit; in a mode for starved steps, one task. Returns
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -122,3 +122,56 @@
     world.advance(ms(2_200));
     assert_eq!(runs_of(&world, 2), 1);
 }
+
+/// Guards against relief that stops at a fixed number of starved steps, all of which fit nowhere.
+#[test]
+fn relief_reaches_a_step_behind_many_that_fit_nowhere() {
+    let mut world = World::new(2, 8_000);
+    world.submit(1, best_effort(16));
+    let away = Step {
+        best_effort: true,
+        per_worker: 1,
+        required_label: Some("away".to_owned()),
+        ..step(1, 1_000, 60_000)
+    };
+    for number in 2..=450 {
+        world.submit(number, job(2, vec![away.clone()]));
+    }
+    world.advance(ms(200));
+    world.submit(1_000, best_effort(4));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 1_000), 1);
+}
+
+/// Guards against a short task that takes the node held for a long-running one, because a round got
+/// to it first.
+#[test]
+fn a_long_queue_does_not_undo_the_hold_for_a_long_running_task() {
+    let mut world = World::new(1, 8_000);
+    world.submit(1, job(2, vec![step(1, 1_000, 60_000)]));
+    world.submit(2, job(2, vec![Step { long_running: true, ..step(1, 8_000, 0) }]));
+    let away =
+        Step { per_worker: 1, required_label: Some("away".to_owned()), ..step(1, 100, 1_000) };
+    for number in 3..=450 {
+        world.submit(number, job(2, vec![away.clone()]));
+    }
+    world.submit(1_000, job(2, vec![step(1, 1_000, 60_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 1_000), 0);
+}
+
+/// Guards against rounds without end while nothing changes, because some steps are left out of each.
+#[test]
+fn a_long_queue_of_steps_that_fit_nowhere_asks_for_few_rounds() {
+    let mut world = World::new(50, 4_000);
+    for number in 1..=900 {
+        let too_large = Step { per_worker: 1, ..step(1, 5_000, 1_000) };
+        world.submit(number, job(2, vec![too_large]));
+    }
+    world.advance(Duration::from_secs(3));
+    let count = |world: &World| world.owner.rounds().iter().map(|(_, count)| count).sum::<u64>();
+    let before = count(&world);
+    world.advance(Duration::from_secs(5));
+    let rounds = count(&world) - before;
+    assert!(rounds <= 10, "{rounds} rounds in 5 s");
+}
