Hold at most half of a service's nodes for long-running tasks

Callers would see short jobs that never begin although all workers have room for them: each waiting long-running step with a limit per worker, or of another size, holds a node of its own, up to all of them, for as long as it waits.

Now at most half of the nodes of a service that accept starts are held, or one.

Open: a service with one worker, where the hold of the only node has no bound.

--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -181,6 +181,16 @@
     large: u64,
 }
 
+impl Round {
+    /// Tells whether another node of a service may be held: at most half of them, or one, so that
+    /// long-running tasks that wait do not keep all others from starting.
+    fn may_hold(&self, service: &str) -> bool {
+        let open = self.open_nodes.get(service).map_or(&[][..], Vec::as_slice);
+        let held = open.iter().filter(|slot| self.held_nodes.contains(slot)).count();
+        held < (open.len() / 2).max(1)
+    }
+}
+
 /// What a task requests of a node, to tell whether another one can still find a node.
 #[derive(Debug)]
 struct Request {
@@ -393,7 +403,7 @@
         if is_placed {
             return true;
         }
-        if step.long_running {
+        if step.long_running && round.may_hold(&spec.queue.service) {
             let held = self.roomiest_node(round, &spec, &search);
             round.held_nodes.extend(held);
         }
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -175,3 +175,17 @@
     let rounds = count(&world) - before;
     assert!(rounds <= 10, "{rounds} rounds in 5 s");
 }
+
+/// Guards against long-running tasks that wait on all workers and keep short tasks from all of them.
+#[test]
+fn short_tasks_start_although_many_long_running_ones_wait_for_room() {
+    let mut world = World::new(4, 8_000);
+    world.submit(1, job(2, vec![Step { per_worker: 1, ..step(4, 1_000, 60_000) }]));
+    let whole = Step { long_running: true, per_worker: 1, ..step(1, 8_000, 0) };
+    for number in 2..=5 {
+        world.submit(number, job(2, vec![whole.clone()]));
+    }
+    world.submit(9, job(2, vec![step(1, 1_000, 60_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 9), 1);
+}
