Start one task a second at most on a resting worker

Callers would see jobs fail that could be done: where the workers that rest are the majority, above all where the only worker fails everything for a while, each starved step tried its own task there and used up its attempts.

Now a resting worker gets one task a second at most, whichever step it is of.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -197,6 +197,8 @@
     pub(super) refusals: u32,
     /// When a rejected start was last counted in `refusals`.
     pub(super) refused_at: Option<Time>,
+    /// When a task was last started on the node while it rested.
+    pub(super) tried_at: Option<Time>,
     /// Until when no tasks are started on the node, because runs failed or stalled there, or it
     /// rejected starts.
     pub(super) backoff_until: Time,
@@ -660,6 +662,7 @@
             failure_streak: 0,
             refusals: 0,
             refused_at: None,
+            tried_at: None,
             backoff_until: Time::ZERO,
             drain_deadline: None,
             stale_runs: BTreeSet::new(),
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -88,6 +88,7 @@
         node.failure_streak = 0;
         node.refusals = 0;
         node.refused_at = None;
+        node.tried_at = None;
         node.backoff_until = Time::ZERO;
         self.request_round(RoundCause::Room);
         self.mark_roster_changed();
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -258,6 +258,8 @@
     Held,
     /// The step has as many tasks there as it allows.
     Quota,
+    /// The node rests, and another task has just been started there.
+    Rest,
 }
 
 /// A step whose tasks look for nodes.
@@ -512,6 +514,9 @@
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
+            if search.mode == Mode::Resting {
+                self.nodes[slot].tried_at = Some(round.now);
+            }
             if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
@@ -605,6 +610,10 @@
         if is_held {
             return Err(Misfit::Held);
         }
+        let has_tried = node.tried_at.is_some_and(|at| round.now < at + RESTING_INTERVAL);
+        if search.mode == Mode::Resting && has_tried {
+            return Err(Misfit::Rest);
+        }
         node.has_capacity(step, u64::from(planned), search.mode)?;
         if !self.state(&search.candidate).has_quota(step, slot, planned) {
             return Err(Misfit::Quota);
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -189,3 +189,19 @@
     world.advance(MAX_WAIT);
     assert_eq!(runs_of(&world, 9), 1);
 }
+
+/// Guards against a faulty worker that uses up the attempts of all jobs, because it is the only one.
+#[test]
+fn a_resting_worker_gets_few_tasks_at_a_time() {
+    let mut world = World::new(1, 8_000);
+    for number in 1..=20 {
+        world.submit(number, job(3, vec![step(1, 1_000, 1_000)]));
+    }
+    for _ in 0..100 {
+        world.end_all(EndKind::Failed, |_| true);
+        world.advance(ms(100));
+    }
+    let is_failed = |(event, _): &&(&str, String)| *event == "job_failed";
+    let failed = world.logs.iter().filter(is_failed).count();
+    assert!(failed <= 10, "{failed} of 20 jobs have failed in 10 s");
+}
