Keep one task of a starved step running

Callers would see a job that stands still for most of the time: the task that a starved step got for relief ends, often soon because it has a checkpoint or little to do, and the step waited another 2 s for the next.

Now a run for relief hands the wait on when it ends: unless the pass by rank gives the step a run, it gets its next one for relief in the same round. Such starts have no line of their own after the first.

Test: a_relieved_step_goes_on_with_its_next_task_at_once, red before (0 runs, 1 expected).

--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -235,7 +235,7 @@
             }
             if let Some(attempt) = refused {
                 if let Some((_, state)) = self.step_mut(&task) {
-                    state.reject(&attempt);
+                    state.resume_wait(&attempt);
                 }
                 self.record_refusal(now, slot, attempt.since);
             }
--- a/crates/core/src/flow/owner/reservations.rs
+++ b/crates/core/src/flow/owner/reservations.rs
@@ -42,6 +42,10 @@
         }
         let step = spec.steps[usize::from(task.step)].clone();
         let attempt = state.end(task.index)?;
+        state.was_relieved = attempt.is_relief;
+        if attempt.is_relief {
+            state.resume_wait(&attempt);
+        }
         if !is_final && !state.done.contains(task.index) {
             state.waiting.insert(task.index);
             self.unplaced.insert(task.job);
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -517,6 +517,10 @@
             if search.mode == Mode::Resting {
                 self.nodes[slot].tried_at = Some(round.now);
             }
+            let attempt = self.state_mut(&search.candidate).and_then(|s| s.running.get_mut(&index));
+            if let Some(attempt) = attempt {
+                attempt.is_relief = search.mode == Mode::Relief;
+            }
             if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
@@ -644,6 +648,12 @@
         ))
     }
 
+    /// Returns the state of a candidate's tasks, to be changed.
+    fn state_mut(&mut self, candidate: &Candidate) -> Option<&mut StepState> {
+        let job = self.jobs.get_mut(&candidate.job)?;
+        job.occurrences.get_mut(&candidate.occurrence)?.get_mut(usize::from(candidate.step))
+    }
+
     /// Returns the state of a candidate's tasks.
     fn state(&self, candidate: &Candidate) -> &StepState {
         &self.jobs[&candidate.job].occurrences[&candidate.occurrence][usize::from(candidate.step)]
--- a/crates/core/src/flow/place/waits.rs
+++ b/crates/core/src/flow/place/waits.rs
@@ -25,8 +25,11 @@
         idle_since: Option<Time>,
     ) {
         let waited = idle_since.map_or(Duration::ZERO, |since| round.now.saturating_sub(since));
-        let Some(attempt) = self.state(&search.candidate).running.values().next() else { return };
-        if waited < LOGGED_WAIT {
+        let state = self.state(&search.candidate);
+        let Some(attempt) = state.running.values().next() else { return };
+        // A step in relief gets one task after the other.
+        let is_next = state.was_relieved && search.mode == Mode::Relief;
+        if waited < LOGGED_WAIT || is_next {
             return;
         }
         let Candidate { job, occurrence, step, .. } = search.candidate;
@@ -34,7 +37,7 @@
             "occurrence={occurrence} step={step} waited_ms={} relief={} runs={} node={}",
             waited.as_millis(),
             search.mode != Mode::Ranked,
-            self.state(&search.candidate).running.len(),
+            state.running.len(),
             self.nodes[attempt.slot].name,
         );
         self.log("step_started", Some(job), detail);
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -17,14 +17,17 @@
     pub since: Time,
     /// Whether the owner has ordered to stop the run.
     pub is_stopping: bool,
-    /// Since when the step had been idle at the start of the run; counts on if the start is rejected.
+    /// Since when the step had been idle at the start of the run; counts on if the start is rejected,
+    /// or if the run was for the relief of the step.
     idle_since: Option<Time>,
+    /// Whether the run was started because the step was starved.
+    pub is_relief: bool,
 }
 
 impl Attempt {
     /// Returns a run that is ordered or adopted at `since`.
     pub fn new(run: Run, slot: Slot, since: Time) -> Self {
-        Attempt { run, slot, since, is_stopping: false, idle_since: None }
+        Attempt { run, slot, since, is_stopping: false, idle_since: None, is_relief: false }
     }
 }
 
@@ -53,6 +56,8 @@
     pub per_worker: HashMap<Slot, u32>,
     /// Whether placement has seen that all steps that this step depends on are done.
     pub is_ready: bool,
+    /// Whether the last run that ended had been started because the step was starved.
+    pub was_relieved: bool,
     /// Since when placement has seen the step ready and without runs; `None` while runs are in
     /// progress. For a long-running step, since when some of its tasks wait and none was started.
     pub idle_since: Option<Time>,
@@ -99,11 +104,10 @@
         self.running.insert(index, attempt);
     }
 
-    /// Notes that the start of a run was rejected, so that the step has been idle all the while unless
-    /// it has other runs.
-    pub fn reject(&mut self, rejected: &Attempt) {
+    /// Counts the wait on that the start of a run ended, unless the step has other runs.
+    pub fn resume_wait(&mut self, ended: &Attempt) {
         if self.running.is_empty() {
-            self.idle_since = rejected.idle_since.or(self.idle_since);
+            self.idle_since = ended.idle_since.or(self.idle_since);
         }
     }
 
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -205,3 +205,19 @@
     let failed = world.logs.iter().filter(is_failed).count();
     assert!(failed <= 10, "{failed} of 20 jobs have failed in 10 s");
 }
+
+/// Guards against a job that stands still for most of the time: each task that its step got for relief
+/// ended soon, and the step then waited as long as before.
+#[test]
+fn a_relieved_step_goes_on_with_its_next_task_at_once() {
+    let mut world = World::new(2, 8_000);
+    world.submit(1, best_effort(16));
+    world.submit(2, best_effort(4));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 2), 1);
+    for _ in 0..3 {
+        world.end_all(EndKind::Done, |task| task.job == 2);
+        world.advance(ms(100));
+        assert_eq!(runs_of(&world, 2), 1, "the job stands still");
+    }
+}
