Renew the lease while a write gets no answer

Callers would see a second or more without starts, and in a row of such gaps running tasks that lapse: the renewal of the owner's lease waited for the lock that a write keeps through all its attempts, only to read the lease's number. Three unanswered attempts outlast the lease.

Now the lease's number has a lock of its own. Test: the_lease_is_renewed_while_a_write_gets_no_answer, red before (0 renewals within a lease of 3 s).

--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -53,15 +53,13 @@
     pub(crate) address: SocketAddr,
 }
 
-/// The fence as of its last known write, and the lease of the lock.
+/// The fence as of its last known write.
 #[derive(Debug)]
 struct FenceState {
     /// Value of the fence.
     fence: Fence,
     /// Revision of the fence in the store.
     revision: Revision,
-    /// Lease of the lock.
-    lease: LeaseId,
 }
 
 /// The lock that a claim replaces; by default none.
@@ -81,6 +79,9 @@
     identity: Identity,
     /// Locked during each write that changes the fence, so that at most one is in progress.
     state: Mutex<FenceState>,
+    /// Lease of the lock. Apart from `state`, so that renewals do not wait for a write. Lock order:
+    /// `state`, then `lease`.
+    lease: SyncMutex<LeaseId>,
     /// When the validity of the first lease ends.
     valid_until: Time,
     /// Since when no call to the store has been answered; `None` if the last one was.
@@ -147,7 +148,8 @@
                 Ok(Some(Ownership {
                     store,
                     identity,
-                    state: Mutex::new(FenceState { fence, revision, lease }),
+                    state: Mutex::new(FenceState { fence, revision }),
+                    lease: SyncMutex::new(lease),
                     valid_until: validity_end(sent_at, ttl),
                     unanswered_since: SyncMutex::new(None),
                 }))
@@ -248,7 +250,7 @@
         loop {
             runtime::sleep(RENEW_INTERVAL).await;
             let sent_at = runtime::now();
-            let lease = self.state.lock().await.lease;
+            let lease = *self.lease.lock();
             let renewed = self.store.renew_lease(lease).await;
             self.note_call(&renewed);
             match renewed {
@@ -317,7 +319,8 @@
         };
         match attempt.await {
             Ok(Some((fence, revision, lease, until))) => {
-                *state = FenceState { fence, revision, lease };
+                *state = FenceState { fence, revision };
+                *self.lease.lock() = lease;
                 tracing::info!(event = "ownership_claimed_again", epoch = fence.epoch);
                 service.update(|owner, _| {
                     owner.set_epoch(fence.epoch);
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -191,3 +191,28 @@
         drop((first_stop, second_stop));
     });
 }
+
+/// Guards against an owner whose lease ends although the store would renew it, because the renewal
+/// waits for a write that gets no answer. All tasks then wait, and running ones lapse.
+#[test]
+fn the_lease_is_renewed_while_a_write_gets_no_answer() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let (first, stop) = start_entry("first", &store);
+        assert!(wait_for_owner(&store, "first").await);
+        store.put(&records::job_key(1), records::encode(&spec()).expect("a record"));
+        store.put(&records::cancel_key(1), records::encode(&0u8).expect("a record"));
+        let before = store.writes();
+        store.delay_answers(Duration::from_secs(10));
+        let started_at = Instant::now();
+        while store.writes() == before && started_at.elapsed() < TAKEOVER_TIMEOUT {
+            runtime::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(store.writes() > before, "the owner writes the cancelled job");
+        let renewals = store.renewals();
+        runtime::sleep(Duration::from_secs(3)).await;
+        let renewals = store.renewals() - renewals;
+        assert!(renewals >= 2, "{renewals} renewals within a lease of 3 s");
+        drop(stop);
+    });
+}
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -26,6 +26,8 @@
     revision: Revision,
     /// Number of writes so far, including refused ones.
     writes: u32,
+    /// Number of renewals of leases so far.
+    renewals: u32,
     /// Number of coming writes whose answers are lost.
     lost_answers: u32,
     /// Whether writes with lost answers are applied.
@@ -122,6 +124,11 @@
         }
     }
 
+    /// Returns the number of renewals of leases so far.
+    pub fn renewals(&self) -> u32 {
+        self.0.lock().renewals
+    }
+
     /// Returns the number of writes so far, including refused ones.
     pub fn writes(&self) -> u32 {
         self.0.lock().writes
@@ -182,6 +189,7 @@
 
     async fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
         self.check()?;
+        self.0.lock().renewals += 1;
         Ok(true)
     }
 
