Give no run up while a worker may list more ends

Users would see a task that runs twice (TWICE), and a job that fails for attempts that it did not have: a worker lists at most 500 ends that are not acknowledged, and an agent took a run that was in neither list for lost.

Now a listing with that many ends gives no run up. Test: a_run_whose_end_may_not_be_listed_yet_is_not_given_up, red before (NotStarted, "not listed"). Open: the first report in a session holds one listing too; an owner that gets a full one takes the other ended runs for lost.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -14,6 +14,9 @@
 pub type EndNumber = u64;
 /// Factor by which the interference weights of image pairs are multiplied to send them as integers.
 pub const WEIGHT_SCALE: f64 = 1_000.0;
+/// Maximum number of ends in one listing of a worker. It lists the others once these are
+/// acknowledged.
+pub const MAX_LISTED_ENDS: usize = 500;
 /// Permission in a pong to an agent that has not reported its worker's state yet. The worker may run
 /// tasks that the owner has given up or is about to give up, so that its permission must not be
 /// renewed. Too short to have an effect, but not zero, which says that the owner's lease has ended.
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::{Action, AgentState, LocalRun, RunState, Worker, MAX_LIST_WAIT, UNACKED_DELAY};
-use crate::flow::message::{AgentMessage, End, Running, Token};
-use crate::flow::model::TaskId;
+use crate::flow::message::{AgentMessage, End, Running, Token, MAX_LISTED_ENDS};
+use crate::flow::model::{Run, TaskId};
 use crate::time::Time;
 
 /// Time without progress after which a run is reported to the owner as stalled.
@@ -45,6 +45,7 @@
             }
             return self.poll(now);
         }
+        let lists_all_ends = ends.len() < MAX_LISTED_ENDS;
         let fresh: Vec<End> = ends.into_iter().filter(|end| end.number > known.forwarded).collect();
         known.forwarded = fresh.iter().map(|end| end.number).max().unwrap_or(known.forwarded);
         let has_unacked = known.forwarded > known.acknowledged;
@@ -57,7 +58,13 @@
             let worker = worker.to_owned();
             self.actions.push(Action::Send(AgentMessage::Ends { worker, ends: fresh }));
         }
-        self.reconcile(now, token, &running);
+        let missing = self.reconcile(now, token, &running);
+        // The end of a run that is not listed as running may be among those that are not listed yet.
+        if lists_all_ends {
+            for (task, run, reason) in missing {
+                self.not_started(task, run, reason);
+            }
+        }
         self.pace(now, &running);
         self.next_list = if has_unacked { now + UNACKED_DELAY } else { now };
         self.poll(now);
@@ -128,9 +135,14 @@
         self.next_list = now + UNACKED_DELAY;
     }
 
-    /// Reconciles the agent's table of runs with a listing; reports stalled runs and lost starts to
-    /// the owner.
-    fn reconcile(&mut self, now: Time, token: Token, running: &[Running]) {
+    /// Reconciles the agent's table of runs with a listing, and reports stalled runs to the owner.
+    /// Returns the runs that the worker should have listed and did not, with the reason.
+    fn reconcile(
+        &mut self,
+        now: Time,
+        token: Token,
+        running: &[Running],
+    ) -> Vec<(TaskId, Run, &'static str)> {
         let answered_before = now.saturating_sub(MAX_LIST_WAIT * 2);
         let mut missing = Vec::new();
         let rows: BTreeMap<TaskId, &Running> = running.iter().map(|row| (row.task, row)).collect();
@@ -177,8 +189,6 @@
         for (task, run) in stalled {
             self.actions.push(Action::Send(AgentMessage::Stalled { task, run }));
         }
-        for (task, run, reason) in missing {
-            self.not_started(task, run, reason);
-        }
+        missing
     }
 }
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -2,7 +2,8 @@
 //! runs that a worker still has.
 
 use peridotfold_core::flow::message::{
-    AgentMessage, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
+    AgentMessage, End, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
+    MAX_LISTED_ENDS,
 };
 use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
@@ -395,3 +396,26 @@
     let is_wait = |(event, _): &(&str, String)| matches!(*event, "step_waits" | "step_started");
     assert!(world.logs.iter().any(is_wait), "nothing tells of the wait");
 }
+
+/// Guards against a task that runs twice: its end stands behind those that the worker lists at once,
+/// and the agent takes the run, which is not listed either, for lost.
+#[test]
+fn a_run_whose_end_may_not_be_listed_yet_is_not_given_up() {
+    let mut agent = agent_with_run();
+    let ends = |count: u64| -> Vec<End> {
+        let end = |number| End {
+            number,
+            task: TaskId { job: 8, index: number as u32, ..TASK },
+            run: 1,
+            kind: EndKind::Done,
+            checkpoint: String::new(),
+        };
+        (1..=count).map(end).collect()
+    };
+    agent.take_actions();
+    let is_denied = |m: &AgentMessage| matches!(m, AgentMessage::NotStarted { task: TASK, .. });
+    agent.listed(ms(9_000), "life-1", 100, 10_000, Vec::new(), ends(MAX_LISTED_ENDS as u64));
+    assert_eq!(sent(&mut agent, is_denied), [], "the end may come with the next listing");
+    agent.listed(ms(9_100), "life-1", 100, 10_100, Vec::new(), ends(3));
+    assert_eq!(sent(&mut agent, is_denied).len(), 1, "all ends are listed");
+}
