Repeat a listing without waiting for an end

A sound worker could get no starts for about 0.2 s: after 3 s without an answered listing its permission is not renewed any more, but one listing without an answer and the next one that waits for an end take up to 3.2 s.

Now the listing after one without an answer does not wait. Test: the_listing_after_one_without_an_answer_does_not_wait, red before (a wait of 1 s).

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -586,6 +586,8 @@
         };
         let is_current = self.worker.as_ref().is_some_and(|known| known.info.id == worker);
         let deadline = if is_current { self.grant(now) } else { None };
+        let is_repeated =
+            self.worker.as_ref().is_some_and(|worker| worker.unanswered_since.is_some());
         if let Some(worker) = &mut self.worker {
             // A new worker takes the address of this one, so that either both answer or none.
             worker.unanswered_since.get_or_insert(now);
@@ -596,7 +598,8 @@
             self.worker.as_ref().is_some_and(|known| known.forwarded > known.acknowledged);
         let wait = match self.is_attached() && is_current {
             false => Duration::ZERO,
-            true if has_unacked => Duration::ZERO,
+            // Soon known whether the worker is silent, which ends its permission.
+            true if has_unacked || is_repeated => Duration::ZERO,
             true if needs_pacing => PACING_LIST_WAIT,
             true => MAX_LIST_WAIT,
         };
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -419,3 +419,23 @@
     agent.listed(ms(9_100), "life-1", 100, 10_100, Vec::new(), ends(3));
     assert_eq!(sent(&mut agent, is_denied).len(), 1, "all ends are listed");
 }
+
+/// Guards against a sound worker that gets no starts, because the listing after one without an answer
+/// waits for an end as long as any other.
+#[test]
+fn the_listing_after_one_without_an_answer_does_not_wait() {
+    let mut agent = agent_with_run();
+    agent.poll(ms(1_000));
+    agent.list_failed(ms(3_000), "life-1", 100, &Outcome::Unclear);
+    agent.take_actions();
+    agent.poll(ms(3_200));
+    let waits: Vec<_> = agent
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Call(Call::List { wait, .. }) => Some(wait),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(waits, [ms(0)]);
+}
