--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -198,7 +198,7 @@
 fn the_lease_is_renewed_while_a_write_gets_no_answer() {
     smol::block_on(async {
         let store = MemoryStore::default();
-        let (first, stop) = start_entry("first", &store);
+        let stop = start("first", &store);
         assert!(wait_for_owner(&store, "first").await);
         store.put(&records::job_key(1), records::encode(&spec()).expect("a record"));
         store.put(&records::cancel_key(1), records::encode(&0u8).expect("a record"));
