Add a world of owner, agents and workers under faults

Events are closures, and harms of a machine one table. A wait now begins at the last start at the earliest. RULES.md, LOST: "has nothing running". - A ready step may be idle for 3 s as in that rule, 4 s before, and for best-effort steps also if half of the capacity is in use. The check binds from 8 s after a disturbance: a worker that is lost together with its agent is known to be lost when its permission of 6 s runs out (LOST binds for steps only at the end of the traffic). Every wait that failed the check before fails it now. - TWICE also for a start of a task that the store shows as done. - 300 schedules by default, 40 before.

--- /dev/null
+++ b/crates/core/tests/flow_world/world.rs
@@ -0,0 +1,387 @@
+//! The owner, the agents and their workers under faults, on virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use peridotfold_core::flow::message::{Token, WorkerInfo};
+use peridotfold_core::flow::model::{JobNumber, JobSpec, TaskId};
+use peridotfold_core::flow::node::{AgentState, Call, Outcome};
+use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Session, Slot};
+use peridotfold_core::flow::progress::{Phase, Progress};
+use peridotfold_core::resources::Resources;
+use peridotfold_core::time::Time;
+
+use crate::life::Life;
+use crate::ms;
+
+/// Step of the virtual clock, in milliseconds.
+pub const TICK: u64 = 10;
+/// Number of lines of the trace that a failure prints.
+const TRACE_LINES: usize = 60;
+
+/// What is wrong with a machine for a time: listings get no answer; orders get none and are carried
+/// out late; starts are refused; runs fail at once; serving tasks are over their target.
+#[derive(Debug, Clone, Copy)]
+pub enum Harm {
+    Silent,
+    Late,
+    Refusing,
+    Failing,
+    Pressed,
+}
+
+/// A machine with an agent and, most of the time, a worker.
+#[derive(Debug, Default)]
+pub struct Machine {
+    pub agent: Option<AgentState>,
+    /// Number of the agent's process.
+    pub process: u64,
+    /// The agent's connection with its slot and session at the owner, and when the last message on
+    /// it arrives, each way.
+    pub connection: Option<(u64, Slot, Session)>,
+    pub arrivals: [Time; 2],
+    pub life: Option<Life>,
+    lives: u32,
+    /// Heartbeats of older lives.
+    past: Vec<(WorkerInfo, u64)>,
+    /// Listing that waits for an end, and until when.
+    pub held: Option<(u64, Token, Time)>,
+    next_beat: Time,
+    /// Until when each [`Harm`] lasts.
+    pub harmed_until: [Time; 5],
+}
+
+impl Machine {
+    pub fn has(&self, harm: Harm, now: Time) -> bool {
+        now < self.harmed_until[harm as usize]
+    }
+}
+
+/// A job, as the users know it.
+#[derive(Debug)]
+pub struct KnownJob {
+    pub spec: JobSpec,
+    /// Whether all its runs fail.
+    pub is_poison: bool,
+    pub is_cancelled: bool,
+}
+
+/// Something that happens at a time.
+type Event = Box<dyn FnOnce(&mut World)>;
+
+#[derive(Default)]
+pub struct World {
+    pub now: Time,
+    pub random: fastrand::Rng,
+    pub term: Term,
+    pub events: BTreeMap<(Time, u64), Event>,
+    pub count: u64,
+    pub machines: Vec<Machine>,
+    pub jobs: BTreeMap<JobNumber, KnownJob>,
+    /// What the store holds: progress by job, and the roster.
+    records: BTreeMap<JobNumber, Progress>,
+    roster: Vec<String>,
+    pub in_flight: Option<Commit>,
+    pub store_away_until: Time,
+    /// Calls that wait for an answer, with the process that waits.
+    pub calls: BTreeMap<u64, (usize, u64, Call)>,
+    /// When the last disturbance ends.
+    pub disturbed_until: Time,
+    /// Whether runs may stand still.
+    pub may_stall: bool,
+    /// When each task was started last.
+    pub started: BTreeMap<TaskId, Time>,
+    trace: VecDeque<String>,
+    pub starts: u64,
+}
+
+/// An owner with the number of its term.
+#[derive(Debug)]
+pub struct Term {
+    pub number: u32,
+    pub owner: Owner,
+}
+
+impl Term {
+    fn new(epoch: u32, now: Time) -> Self {
+        let (permission, keep_ended, round_interval) = (ms(6_000), ms(120_000), ms(20));
+        let remote_slowdown = 1.5;
+        let settings =
+            OwnerSettings { epoch, permission, keep_ended, remote_slowdown, round_interval };
+        let mut owner = Owner::new(settings, now);
+        owner.set_valid_until(Time::MAX);
+        Term { number: epoch, owner }
+    }
+}
+
+impl Default for Term {
+    fn default() -> Self {
+        Term::new(1, ms(TICK))
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, machines: usize) -> Self {
+        let (now, random) = (ms(TICK), fastrand::Rng::with_seed(seed));
+        let mut world = World { now, random, ..World::default() };
+        for index in 0..machines {
+            let agent = Some(AgentState::default());
+            world.machines.push(Machine { agent, ..Machine::default() });
+            let delay = world.delay(0, 200);
+            world.at(delay, move |world| world.connect(index));
+            world.at(delay, move |world| world.boot(index));
+        }
+        world
+    }
+
+    /// Draws a time from now, between two delays in milliseconds.
+    pub fn delay(&mut self, from: u64, to: u64) -> Time {
+        self.now + ms(self.random.u64(from..=to))
+    }
+
+    pub fn at(&mut self, time: Time, event: impl FnOnce(&mut World) + 'static) {
+        self.count += 1;
+        self.events.insert((time, self.count), Box::new(event));
+    }
+
+    /// Lets something happen at a time, if the owner is still the same.
+    pub fn at_owner(&mut self, time: Time, event: impl FnOnce(&mut World) + 'static) {
+        let number = self.term.number;
+        self.at(time, move |world| {
+            if world.term.number == number {
+                event(world);
+            }
+        });
+    }
+
+    pub fn note(&mut self, line: impl FnOnce() -> String) {
+        if self.trace.len() == TRACE_LINES {
+            self.trace.pop_front();
+        }
+        self.trace.push_back(format!("{:6} {}", self.now.as_millis(), line()));
+    }
+
+    /// Fails the test with the last lines of the trace.
+    pub fn fail(&self, rule: &str, what: &str) -> ! {
+        self.trace.iter().for_each(|line| eprintln!("{line}"));
+        panic!("{rule} at {} ms: {what}", self.now.as_millis());
+    }
+
+    /// Notes that a disturbance lasts until `time`.
+    pub fn disturb(&mut self, time: Time) {
+        self.disturbed_until = self.disturbed_until.max(time);
+    }
+
+    pub fn submit(&mut self, number: JobNumber, spec: JobSpec, is_poison: bool) {
+        self.note(|| format!("job {number} poison={is_poison} {:?}", spec.steps));
+        self.term.owner.submit(self.now, number, spec.clone());
+        self.jobs.insert(number, KnownJob { spec, is_poison, is_cancelled: false });
+    }
+
+    pub fn cancel(&mut self, number: JobNumber) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.is_cancelled = true;
+            self.term.owner.cancel(number);
+        }
+    }
+
+    pub fn boot(&mut self, index: usize) {
+        if self.machines[index].life.is_some() {
+            return;
+        }
+        let (boot, rate) = (self.now, self.random.u32(98..=100));
+        let large = self.random.u64(1..=2);
+        let machine = &mut self.machines[index];
+        machine.lives += 1;
+        let info = WorkerInfo {
+            id: format!("life-{index}-{}", machine.lives),
+            service: "svc".to_owned(),
+            zone: "zone".to_owned(),
+            capacity: Resources::new(8_000 * large, 16_000 * large, 0),
+            labels: vec![["a", "b"][index % 2].to_owned(), format!("r{}", index / 3)],
+            draining: false,
+            remaining: None,
+        };
+        machine.life = Some(Life::new(info, boot, rate));
+        machine.next_beat = boot;
+        self.note(|| format!("node-{index} boots"));
+    }
+
+    /// Ends the worker's process. A new life comes at the time `back`, if at all.
+    pub fn crash(&mut self, index: usize, back: Option<Time>) {
+        let Some(life) = self.machines[index].life.take() else { return };
+        self.machines[index].past.push((life.info, life.sequence + 1));
+        if let Some((call, _, _)) = self.machines[index].held.take() {
+            let at = self.delay(0, 5);
+            self.at(at, move |world| world.answer(call, Err(Outcome::Unclear)));
+        }
+        if let Some(back) = back {
+            self.at(back, move |world| world.boot(index));
+        }
+    }
+
+    /// Lets the worker drain; it leaves at the time `end`.
+    pub fn drain(&mut self, index: usize, end: Time, back: Option<Time>) {
+        let now = self.now;
+        let life = self.machines[index].life.as_mut().filter(|life| !life.info.draining);
+        let Some(life) = life else { return };
+        life.info.draining = true;
+        life.info.remaining = Some(end - now);
+        let id = life.info.id.clone();
+        self.machines[index].next_beat = now;
+        self.at(end, move |world| {
+            let life = world.machines[index].life.as_ref();
+            if life.is_some_and(|life| life.info.id == id) {
+                world.agent(index, |agent, now| agent.deregister(now, &id));
+                world.crash(index, back);
+            }
+        });
+    }
+
+    /// Restarts the agent's process; it is back at the time `up`.
+    pub fn restart_agent(&mut self, index: usize, up: Time) {
+        if self.machines[index].agent.take().is_some() {
+            self.lose_session(index);
+            self.machines[index].process += 1;
+            self.at(up, move |world| {
+                world.machines[index].agent = Some(AgentState::default());
+                world.connect(index);
+            });
+        }
+    }
+
+    /// Ends the session of a machine's agent; both sides notice it later.
+    pub fn lose_session(&mut self, index: usize) {
+        let Some((_, slot, session)) = self.machines[index].connection.take() else { return };
+        self.lose_owner(index);
+        let at = self.delay(0, 2_300);
+        self.at_owner(at, move |world| world.term.owner.disconnect(slot, session));
+    }
+
+    /// Lets an agent notice later that its connection has ended.
+    fn lose_owner(&mut self, index: usize) {
+        let (at, process) = (self.delay(0, 2_300), self.machines[index].process);
+        self.at(at, move |world| {
+            if world.machines[index].process == process {
+                world.agent(index, |agent, _| agent.disconnected());
+                let at = world.delay(50, 700);
+                world.at(at, move |world| world.connect(index));
+            }
+        });
+    }
+
+    /// Lets a machine's agent act, if there is one.
+    pub fn agent(&mut self, index: usize, act: impl FnOnce(&mut AgentState, Time)) {
+        if let Some(agent) = &mut self.machines[index].agent {
+            act(agent, self.now);
+            self.perform(index);
+        }
+    }
+
+    /// Delivers a delayed heartbeat of an older life.
+    pub fn late_beat(&mut self, index: usize) {
+        if let Some((info, sequence)) = self.machines[index].past.last().cloned() {
+            self.agent(index, |agent, now| agent.heartbeat(now, info, sequence));
+        }
+    }
+
+    /// Replaces the owner with a successor that loads what the store holds.
+    pub fn take_over(&mut self) {
+        if self.random.bool() {
+            self.apply_commit();
+        }
+        self.in_flight = None;
+        self.term = Term::new(self.term.number + 1, self.now);
+        self.term.owner.set_predecessor(self.now, self.roster.clone());
+        for (number, job) in &self.jobs {
+            let progress = self.records.get(number).cloned().unwrap_or_default();
+            match progress.phase.is_final() {
+                true => self.term.owner.inherit_ended(self.now, *number, progress),
+                false => self.term.owner.inherit(self.now, *number, job.spec.clone(), progress),
+            }
+            if job.is_cancelled {
+                self.term.owner.cancel(*number);
+            }
+        }
+        for index in 0..self.machines.len() {
+            if self.machines[index].connection.take().is_some() {
+                self.lose_owner(index);
+            }
+        }
+    }
+
+    /// Takes the store away until a time; the owner's lease ends meanwhile.
+    pub fn store_away(&mut self, until: Time) {
+        self.store_away_until = until;
+        self.term.owner.set_valid_until(self.now + ms(2_000));
+        self.at_owner(until, |world| world.term.owner.set_valid_until(Time::MAX));
+    }
+
+    /// Lets the store hold what the owner has sent to it.
+    pub fn apply_commit(&mut self) {
+        let Some(commit) = self.in_flight.take() else { return };
+        self.records.extend(commit.records.into_iter().map(|record| (record.job, record.progress)));
+        self.roster = commit.roster.unwrap_or(std::mem::take(&mut self.roster));
+    }
+
+    /// Returns all runs on workers that are up.
+    pub fn live(&self) -> impl Iterator<Item = (&Life, &TaskId)> {
+        let lives = self.machines.iter().filter_map(|machine| machine.life.as_ref());
+        lives.flat_map(|life| life.running.keys().map(move |task| (life, task)))
+    }
+
+    /// Advances the clock by one tick.
+    pub fn tick(&mut self) {
+        self.now += ms(TICK);
+        while let Some(next) = self.events.first_entry().filter(|next| next.key().0 <= self.now) {
+            next.remove()(self);
+        }
+        let gang = |task: &TaskId, run| (TaskId { index: 0, ..*task }, run);
+        let mut present: BTreeMap<(TaskId, u32), u32> = BTreeMap::new();
+        for (life, task) in self.live() {
+            *present.entry(gang(task, life.running[task].run)).or_default() += 1;
+        }
+        let count = |task: &TaskId, run| present[&gang(task, run)];
+        for index in 0..self.machines.len() {
+            let machine = &mut self.machines[index];
+            let is_pressed = machine.has(Harm::Pressed, self.now);
+            if let Some(life) = &mut machine.life {
+                let calm = 40 + (life.sequence % 4) as u32 * 10;
+                life.tail_percent = if is_pressed { 150 } else { calm };
+                let ends = life.advance(self.now, TICK, count);
+                if !ends.is_empty() {
+                    self.note(|| format!("node-{index} ended {ends:?}"));
+                }
+            }
+            self.beat(index);
+            self.answer_held(index);
+            self.agent(index, |agent, now| agent.poll(now));
+        }
+        self.run_owner();
+    }
+
+    fn beat(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        let is_due = self.now >= machine.next_beat;
+        let Some(life) = machine.life.as_mut().filter(|_| is_due) else { return };
+        machine.next_beat = self.now + ms(1_000);
+        life.sequence += 1;
+        let (info, sequence) = (life.info.clone(), life.sequence);
+        let at = self.delay(1, 20);
+        self.at(at, move |world| {
+            world.agent(index, |agent, now| agent.heartbeat(now, info, sequence))
+        });
+    }
+
+    /// Tells whether the store shows that a task is done.
+    pub fn is_done(&self, task: &TaskId) -> bool {
+        let Some(record) = self.records.get(&task.job) else { return false };
+        record.phase == Phase::Completed
+            || record.steps.get(&(0, task.step)).is_some_and(|step| step.done.contains(task.index))
+    }
+
+    /// Tells whether a job has ended, as far as the store or the users know.
+    pub fn is_over(&self, number: JobNumber) -> bool {
+        self.jobs[&number].is_cancelled
+            || self.records.get(&number).is_some_and(|record| record.phase.is_final())
+    }
+}
