Show relief of a starved step that comes up to a second late

Cause: a step becomes starved without an event, and only the owner's cleanup, once a second (owner/workers.rs, check_timers), asks for a round.

The test relief_comes_in_time_whenever_the_wait_began fails on this commit. No product code is changed.

--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -109,3 +109,19 @@
     world.advance(ms(500));
     assert_eq!((runs_of(&world, 2), runs_of(&world, 3)), (1, 1));
 }
+
+/// Guards against relief that comes a second late, because a step became starved just after the
+/// owner's last look. Callers give up after [`MAX_WAIT`], and the start has to reach the worker before.
+#[test]
+fn relief_comes_in_time_whenever_the_wait_began() {
+    let waits_too_long = |offset: &u64| {
+        let mut world = World::new(2, 8_000);
+        world.submit(1, best_effort(16));
+        world.advance(ms(*offset));
+        world.submit(2, best_effort(4));
+        world.advance(ms(2_500));
+        runs_of(&world, 2) == 0
+    };
+    let late: Vec<u64> = (0..1_000).step_by(100).filter(waits_too_long).collect();
+    assert_eq!(late, Vec::<u64>::new(), "offsets in ms with no run after 2.5 s");
+}
