--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -502,7 +502,8 @@
         self.listing = self.listing.filter(|(listing, _)| *listing != token);
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
-            if *outcome == Outcome::OtherLife {
+            // A worker that has started tells so again with its next heartbeat.
+            if matches!(outcome, Outcome::OtherLife | Outcome::NotThere) {
                 self.candidate = None;
             }
             return self.poll(now);
@@ -520,7 +521,9 @@
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
         }
-        if *outcome == Outcome::OldToken {
+        // An older listing of this session, or of an earlier one, may be overtaken by a newer one.
+        let is_newest = self.session.as_ref().is_some_and(|session| session.token == token);
+        if *outcome == Outcome::OldToken && is_newest {
             self.actions.push(Action::Reconnect);
         }
         self.poll(now);
@@ -583,6 +586,8 @@
         };
         let is_current = self.worker.as_ref().is_some_and(|known| known.info.id == worker);
         let deadline = if is_current { self.grant(now) } else { None };
+        let is_repeated =
+            self.worker.as_ref().is_some_and(|worker| worker.unanswered_since.is_some());
         if let Some(worker) = &mut self.worker {
             // A new worker takes the address of this one, so that either both answer or none.
             worker.unanswered_since.get_or_insert(now);
@@ -593,7 +598,8 @@
             self.worker.as_ref().is_some_and(|known| known.forwarded > known.acknowledged);
         let wait = match self.is_attached() && is_current {
             false => Duration::ZERO,
-            true if has_unacked => Duration::ZERO,
+            // Soon known whether the worker is silent, which ends its permission.
+            true if has_unacked || is_repeated => Duration::ZERO,
             true if needs_pacing => PACING_LIST_WAIT,
             true => MAX_LIST_WAIT,
         };
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -193,7 +193,14 @@
     /// Number of failures on the node since a task last finished there. Only the first failure of
     /// each job counts, because a job that fails repeatedly is itself faulty.
     pub(super) failure_streak: u32,
-    /// Until when no tasks are started on the node, because runs failed or stalled there.
+    /// Number of times that the node has rejected starts since a run last ended there by itself.
+    pub(super) refusals: u32,
+    /// When a rejected start was last counted in `refusals`.
+    pub(super) refused_at: Option<Time>,
+    /// When a task was last started on the node while it rested.
+    pub(super) tried_at: Option<Time>,
+    /// Until when no tasks are started on the node, because runs failed or stalled there, or it
+    /// rejected starts.
     pub(super) backoff_until: Time,
     /// When the draining worker exits; `Time::MAX` once its tasks are being moved.
     pub(super) drain_deadline: Option<Time>,
@@ -244,8 +251,11 @@
     next_round: Time,
     /// Number of placement rounds, by what first asked for each, since the owner began.
     rounds: [u64; RoundCause::COUNT],
-    /// Step with which the next placement round begins, because the last one did not get to it.
-    pub(super) resume_at: Option<Candidate>,
+    /// Step to which the last placement round did not get in its pass by rank.
+    pub(super) rank_resume: Option<Candidate>,
+    /// Step to which the last round did not get in its pass for starved steps, and since when it is
+    /// idle.
+    pub(super) relief_resume: Option<(Time, Candidate)>,
     /// When the next waiting step counts as starved; `None` if none does later.
     pub(super) next_relief: Option<Time>,
     /// Time that placement rounds have taken, since the owner began.
@@ -292,7 +302,8 @@
             placement_due: false,
             next_round: now,
             rounds: [0; RoundCause::COUNT],
-            resume_at: None,
+            rank_resume: None,
+            relief_resume: None,
             next_relief: None,
             round_time: Duration::ZERO,
             unplaced: BTreeSet::new(),
@@ -448,6 +459,11 @@
         }
     }
 
+    /// Returns the session of the agent on the node `name`, if it is connected.
+    pub fn session(&self, name: &str) -> Option<Session> {
+        self.nodes[*self.by_name.get(name)?].session
+    }
+
     /// Opens a session for the agent on the node `name` and ends any older one.
     pub fn connect(&mut self, now: Time, name: &str) -> (Slot, Session, Token) {
         let slot = match self.by_name.get(name) {
@@ -492,7 +508,7 @@
             }
             AgentMessage::Ends { worker, ends } => self.ends(now, slot, &worker, ends),
             AgentMessage::NotStarted { task, run, reason } => {
-                self.not_started(slot, task, run, &reason)
+                self.not_started(now, slot, task, run, &reason)
             }
             AgentMessage::Draining { worker, remaining } => {
                 self.draining(now, slot, &worker, remaining)
@@ -589,7 +605,7 @@
         let step = &spec.steps[usize::from(task.step)];
         let key = if step.gang { 0 } else { task.index };
         let checkpoint = state.checkpoints.get(&key).cloned().unwrap_or_default();
-        state.begin(task.index, Attempt { run, slot, since: now, is_stopping: false });
+        state.begin(task.index, Attempt::new(run, slot, now));
         self.reserve(slot, task, run, step);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
@@ -644,6 +660,9 @@
             acknowledged: 0,
             pending_acks: VecDeque::new(),
             failure_streak: 0,
+            refusals: 0,
+            refused_at: None,
+            tried_at: None,
             backoff_until: Time::ZERO,
             drain_deadline: None,
             stale_runs: BTreeSet::new(),
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -1,6 +1,7 @@
 //! Placement: the order in which waiting tasks start, and the node on which each one starts.
 
 mod best_effort;
+mod bounded;
 mod waits;
 
 use std::cmp::Reverse;
@@ -30,9 +31,8 @@
 /// Time after which a ready step without runs is starved and may start one task on any node with
 /// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
-/// Maximum number of steps for which one pass of a placement round searches the nodes, so that a long
-/// queue does not block the process.
-const MAX_SEARCHES: usize = 400;
+/// Minimum time between two starts on a node that rests after failures.
+const RESTING_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Job {
     /// Returns the estimated duration of the critical path through the unfinished steps, in
@@ -142,7 +142,8 @@
 }
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed there since one last finished; on a resting node, how often;
+/// - whether tasks have failed or been rejected there since one last finished; on a resting node, how
+///   often;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
@@ -180,6 +181,16 @@
     large: u64,
 }
 
+impl Round {
+    /// Tells whether another node of a service may be held: at most half of them, or one, so that
+    /// long-running tasks that wait do not keep all others from starting.
+    fn may_hold(&self, service: &str) -> bool {
+        let open = self.open_nodes.get(service).map_or(&[][..], Vec::as_slice);
+        let held = open.iter().filter(|slot| self.held_nodes.contains(slot)).count();
+        held < (open.len() / 2).max(1)
+    }
+}
+
 /// What a task requests of a node, to tell whether another one can still find a node.
 #[derive(Debug)]
 struct Request {
@@ -230,7 +241,7 @@
     Draining,
     /// A run that the owner does not track has not ended yet.
     StaleRun,
-    /// Runs failed or stalled there.
+    /// Runs failed or stalled there, or it rejected starts.
     Backoff,
 }
 
@@ -247,6 +258,8 @@
     Held,
     /// The step has as many tasks there as it allows.
     Quota,
+    /// The node rests, and another task has just been started there.
+    Rest,
 }
 
 /// A step whose tasks look for nodes.
@@ -324,27 +337,15 @@
             held_nodes: HashSet::new(),
             large: smallest.unwrap_or(0) / 2,
         };
-        self.place_by_rank(&mut round, &candidates);
+        let mut resume_at = self.rank_resume.take();
+        bounded::visit(&candidates, &mut resume_at, |candidate| {
+            self.place_step(&mut round, candidate, Mode::Ranked)
+        });
+        self.rank_resume = resume_at;
         self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
     }
 
-    /// Starts all waiting tasks that fit, in order of rank. Begins with the steps that the round
-    /// before did not get to.
-    fn place_by_rank(&mut self, round: &mut Round, candidates: &[Candidate]) {
-        let first = self.resume_at.take().map_or(0, |at| candidates.partition_point(|c| *c < at));
-        let (ahead, rest) = candidates.split_at(first);
-        let mut searches = 0;
-        for candidate in rest.iter().chain(ahead) {
-            if searches == MAX_SEARCHES {
-                self.resume_at = Some(*candidate);
-                self.request_round(RoundCause::Timer);
-                return;
-            }
-            searches += usize::from(self.place_step(round, *candidate, Mode::Ranked));
-        }
-    }
-
     /// Starts one task of each step that has been ready without runs for too long: of a best-effort
     /// step even where the task interferes or would be throttled, and of any step on a resting worker
     /// if most workers of the service rest. The steps that have waited longest come first.
@@ -355,21 +356,17 @@
             .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
             .collect();
         starved.sort_unstable();
-        let mut searches = 0;
-        for (_, candidate) in starved {
-            if searches >= MAX_SEARCHES {
-                return;
-            }
+        let mut resume_at = self.relief_resume.take();
+        bounded::visit(&starved, &mut resume_at, |(_, candidate)| {
             let spec = &self.jobs[&candidate.job].spec;
             let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
             let may_rest = round.resting_nodes.contains_key(&spec.queue.service);
-            if is_best_effort {
-                searches += usize::from(self.place_step(round, candidate, Mode::Relief));
-            }
-            if may_rest && self.state(&candidate).idle_since.is_some() {
-                searches += usize::from(self.place_step(round, candidate, Mode::Resting));
-            }
-        }
+            let has_searched = is_best_effort && self.place_step(round, candidate, Mode::Relief);
+            let is_idle = self.state(&candidate).idle_since.is_some();
+            let has_tried = may_rest && is_idle && self.place_step(round, candidate, Mode::Resting);
+            has_searched || has_tried
+        });
+        self.relief_resume = resume_at;
     }
 
     /// Starts the waiting tasks of a step that fit; in a mode for starved steps, one task. Returns
@@ -408,7 +405,7 @@
         if is_placed {
             return true;
         }
-        if step.long_running {
+        if step.long_running && round.may_hold(&spec.queue.service) {
             let held = self.roomiest_node(round, &spec, &search);
             round.held_nodes.extend(held);
         }
@@ -517,6 +514,13 @@
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
+            if search.mode == Mode::Resting {
+                self.nodes[slot].tried_at = Some(round.now);
+            }
+            let attempt = self.state_mut(&search.candidate).and_then(|s| s.running.get_mut(&index));
+            if let Some(attempt) = attempt {
+                attempt.is_relief = search.mode == Mode::Relief;
+            }
             if let Ok(score) = self.score(round, &search, slot, 0) {
                 ranking.put(score, slot);
             }
@@ -610,6 +614,10 @@
         if is_held {
             return Err(Misfit::Held);
         }
+        let has_tried = node.tried_at.is_some_and(|at| round.now < at + RESTING_INTERVAL);
+        if search.mode == Mode::Resting && has_tried {
+            return Err(Misfit::Rest);
+        }
         node.has_capacity(step, u64::from(planned), search.mode)?;
         if !self.state(&search.candidate).has_quota(step, slot, planned) {
             return Err(Misfit::Quota);
@@ -618,8 +626,8 @@
         let free = node.free_cpu().saturating_sub(planned_cpu);
         Ok((
             match search.mode {
-                Mode::Ranked | Mode::Relief => u32::from(node.failure_streak > 0),
-                Mode::Resting => node.failure_streak,
+                Mode::Ranked | Mode::Relief => u32::from(node.troubles() > 0),
+                Mode::Resting => node.troubles(),
             },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
             match step.target_ms {
@@ -640,6 +648,12 @@
         ))
     }
 
+    /// Returns the state of a candidate's tasks, to be changed.
+    fn state_mut(&mut self, candidate: &Candidate) -> Option<&mut StepState> {
+        let job = self.jobs.get_mut(&candidate.job)?;
+        job.occurrences.get_mut(&candidate.occurrence)?.get_mut(usize::from(candidate.step))
+    }
+
     /// Returns the state of a candidate's tasks.
     fn state(&self, candidate: &Candidate) -> &StepState {
         &self.jobs[&candidate.job].occurrences[&candidate.occurrence][usize::from(candidate.step)]
@@ -706,6 +720,11 @@
         }
     }
 
+    /// Returns how often tasks have failed or been rejected on the node since one last finished there.
+    fn troubles(&self) -> u32 {
+        self.failure_streak + self.refusals
+    }
+
     /// Tells whether the node has a worker with a label.
     fn has_label(&self, label: &String) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -2,7 +2,8 @@
 //! runs that a worker still has.
 
 use peridotfold_core::flow::message::{
-    AgentMessage, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
+    AgentMessage, End, EndKind, OwnerMessage, Pressure, Running, Start, TaskTraits, WorkerInfo,
+    MAX_LISTED_ENDS,
 };
 use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
@@ -216,6 +217,7 @@
         let gone_at = gone_at.unwrap_or_else(|| panic!("{outcome:?}: the loss is not reported"));
         // A slow clock reaches the deadline later.
         assert!(last_deadline * 100 / 98 <= gone_at, "{last_deadline} against {gone_at}");
+        assert!(gone_at <= 100 + 9_200, "given up after {} ms", gone_at - 100);
     }
 }
 
@@ -265,3 +267,175 @@
     world.advance(ms(2_000));
     assert_eq!(world.workers[0].acknowledged, 1);
 }
+
+/// Guards against the members of a gang that wait in vain for one that did not start or is lost.
+#[test]
+fn a_gang_is_stopped_if_a_member_does_not_start_or_is_lost() {
+    let lose = |world: &mut World, task, run| {
+        let worker = &world.workers[0];
+        let (slot, session, id) = (worker.slot, worker.session, worker.info.id.clone());
+        let reason = "room".to_owned();
+        [
+            AgentMessage::NotStarted { task, run, reason },
+            AgentMessage::Gone { worker: id.clone() },
+            AgentMessage::Attach { worker: Some(life(&id)), running: Vec::new(), ends: Vec::new() },
+        ]
+        .map(|message| (slot, session, message))
+    };
+    for case in 0..3 {
+        let mut world = World::new(2, 1_000);
+        world.submit(7, job(3, vec![Step { gang: true, ..step(2, 900, 500) }]));
+        let (_, _, member, run) = world.started.iter().copied().find(|s| s.1 == 0).unwrap();
+        let (slot, session, message) = lose(&mut world, member, run)[case].clone();
+        world.workers[0].running.clear();
+        world.owner.receive(world.now, slot, session, message.clone());
+        world.settle();
+        let stopped: Vec<_> = world.stopped.iter().map(|(task, run)| (task.index, *run)).collect();
+        assert_eq!(stopped, [(1 - member.index, 1)], "after {message:?}");
+    }
+}
+
+/// Guards against a successor that waits for a node on which nothing runs: a late heartbeat of an
+/// exited worker keeps the agent from its report.
+#[test]
+fn an_agent_reports_although_a_late_heartbeat_names_an_exited_worker() {
+    let mut agent = agent_with_run();
+    agent.deregister(ms(10), "life-1");
+    agent.heartbeat(ms(20), life("life-1"), 7);
+    agent.take_actions();
+    agent.list_failed(ms(30), "life-1", 100, &Outcome::NotThere);
+    agent.receive(ms(40), OwnerMessage::Welcome { token: 200, entries: Vec::new() });
+    agent.list_failed(ms(45), "life-1", 200, &Outcome::NotThere);
+    agent.poll(ms(50));
+    let reports = sent(&mut agent, |m| matches!(m, AgentMessage::Attach { worker: None, .. }));
+    assert_eq!(reports.len(), 1, "the agent does not report");
+}
+
+/// Guards against an agent that gives its session up because an older listing was overtaken by a
+/// newer one.
+#[test]
+fn a_listing_that_a_newer_one_has_overtaken_does_not_end_the_session() {
+    let mut agent = agent_with_run();
+    agent.receive(ms(5), start(2));
+    agent.started(ms(1_005), "life-1", TASK, 2, Outcome::Unclear);
+    agent.take_actions();
+    // The answer to the listing that was sent before the token was raised.
+    agent.list_failed(ms(1_010), "life-1", 100, &Outcome::OldToken);
+    let actions = agent.take_actions();
+    assert!(!actions.contains(&Action::Reconnect), "{actions:?}");
+    agent.list_failed(ms(1_020), "life-1", 101, &Outcome::OldToken);
+    assert!(agent.take_actions().contains(&Action::Reconnect));
+}
+
+/// Guards against a task that is sent to and fro between two workers that refuse every start, while
+/// a third one is idle. Such workers stay the emptiest ones.
+#[test]
+fn a_task_reaches_a_worker_beside_two_that_refuse_all_starts() {
+    let mut world = World::new(3, 1_000);
+    world.submit(7, job(3, vec![step(1, 500, 60_000)]));
+    for _ in 0..100 {
+        for index in 0..2 {
+            let worker = &mut world.workers[index];
+            let (slot, session) = (worker.slot, worker.session);
+            for start in std::mem::take(&mut worker.running).into_values() {
+                let reason = "status 503".to_owned();
+                let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+                world.owner.receive(world.now, slot, session, answer);
+            }
+        }
+        world.advance(ms(100));
+    }
+    let workers: Vec<_> = world.running().into_iter().map(|(index, _)| index).collect();
+    let starts: Vec<_> = world.started.iter().map(|(_, index, ..)| *index).collect();
+    assert_eq!(workers, [2], "{} starts, the first on {:?}", starts.len(), &starts[..8]);
+}
+
+/// Guards against starts that a worker refuses as old: a task whose starts were refused very often
+/// has used up the run numbers of its owner's epoch, and those of the next epochs too.
+#[test]
+fn a_successor_uses_higher_run_numbers_after_many_refused_starts() {
+    let mut world = World::new(1, 1_000);
+    let spec = job(3, vec![step(1, 500, 60_000)]);
+    world.submit(7, spec.clone());
+    for _ in 0..1_100 {
+        let worker = &mut world.workers[0];
+        let (slot, session) = (worker.slot, worker.session);
+        for start in std::mem::take(&mut worker.running).into_values() {
+            let reason = "room".to_owned();
+            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+            world.owner.receive(world.now, slot, session, answer);
+        }
+        world.advance(ms(100));
+    }
+    let last = world.started.last().map(|(.., run)| *run);
+    // The worker ends the last run; the successor has to start the task again.
+    world.workers[0].running.clear();
+    world.take_over(&[(7, spec)]);
+    world.attach(0);
+    world.settle();
+    let next = world.started.last().map(|(.., run)| *run);
+    assert!(next > last, "the predecessor's last run is {last:?}, the successor's first {next:?}");
+}
+
+/// Guards against a wait that counts anew with each rejected start, so that nothing tells of it and
+/// the step never counts as starved.
+#[test]
+fn a_step_whose_starts_are_rejected_counts_as_waiting_all_the_while() {
+    let mut world = World::new(1, 1_000);
+    world.submit(7, job(3, vec![step(1, 500, 60_000)]));
+    for _ in 0..40 {
+        let worker = &mut world.workers[0];
+        let (slot, session) = (worker.slot, worker.session);
+        for start in std::mem::take(&mut worker.running).into_values() {
+            let reason = "status 503".to_owned();
+            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
+            world.owner.receive(world.now, slot, session, answer);
+        }
+        world.advance(ms(100));
+    }
+    let is_wait = |(event, _): &(&str, String)| matches!(*event, "step_waits" | "step_started");
+    assert!(world.logs.iter().any(is_wait), "nothing tells of the wait");
+}
+
+/// Guards against a task that runs twice: its end stands behind those that the worker lists at once,
+/// and the agent takes the run, which is not listed either, for lost.
+#[test]
+fn a_run_whose_end_may_not_be_listed_yet_is_not_given_up() {
+    let mut agent = agent_with_run();
+    let ends = |count: u64| -> Vec<End> {
+        let end = |number| End {
+            number,
+            task: TaskId { job: 8, index: number as u32, ..TASK },
+            run: 1,
+            kind: EndKind::Done,
+            checkpoint: String::new(),
+        };
+        (1..=count).map(end).collect()
+    };
+    agent.take_actions();
+    let is_denied = |m: &AgentMessage| matches!(m, AgentMessage::NotStarted { task: TASK, .. });
+    agent.listed(ms(9_000), "life-1", 100, 10_000, Vec::new(), ends(MAX_LISTED_ENDS as u64));
+    assert_eq!(sent(&mut agent, is_denied), [], "the end may come with the next listing");
+    agent.listed(ms(9_100), "life-1", 100, 10_100, Vec::new(), ends(3));
+    assert_eq!(sent(&mut agent, is_denied).len(), 1, "all ends are listed");
+}
+
+/// Guards against a sound worker that gets no starts, because the listing after one without an answer
+/// waits for an end as long as any other.
+#[test]
+fn the_listing_after_one_without_an_answer_does_not_wait() {
+    let mut agent = agent_with_run();
+    agent.poll(ms(1_000));
+    agent.list_failed(ms(3_000), "life-1", 100, &Outcome::Unclear);
+    agent.take_actions();
+    agent.poll(ms(3_200));
+    let waits: Vec<_> = agent
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Call(Call::List { wait, .. }) => Some(wait),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(waits, [ms(0)]);
+}
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -122,3 +122,118 @@
     world.advance(ms(2_200));
     assert_eq!(runs_of(&world, 2), 1);
 }
+
+/// Guards against relief that stops at a fixed number of starved steps, all of which fit nowhere.
+#[test]
+fn relief_reaches_a_step_behind_many_that_fit_nowhere() {
+    let mut world = World::new(2, 8_000);
+    world.submit(1, best_effort(16));
+    let away = Step {
+        best_effort: true,
+        per_worker: 1,
+        required_label: Some("away".to_owned()),
+        ..step(1, 1_000, 60_000)
+    };
+    for number in 2..=450 {
+        world.submit(number, job(2, vec![away.clone()]));
+    }
+    world.advance(ms(200));
+    world.submit(1_000, best_effort(4));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 1_000), 1);
+}
+
+/// Guards against a short task that takes the node held for a long-running one, because a round got
+/// to it first.
+#[test]
+fn a_long_queue_does_not_undo_the_hold_for_a_long_running_task() {
+    let mut world = World::new(1, 8_000);
+    world.submit(1, job(2, vec![step(1, 1_000, 60_000)]));
+    world.submit(2, job(2, vec![Step { long_running: true, ..step(1, 8_000, 0) }]));
+    let away =
+        Step { per_worker: 1, required_label: Some("away".to_owned()), ..step(1, 100, 1_000) };
+    for number in 3..=450 {
+        world.submit(number, job(2, vec![away.clone()]));
+    }
+    world.submit(1_000, job(2, vec![step(1, 1_000, 60_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 1_000), 0);
+}
+
+/// Guards against rounds without end while nothing changes, because some steps are left out of each.
+#[test]
+fn a_long_queue_of_steps_that_fit_nowhere_asks_for_few_rounds() {
+    let mut world = World::new(50, 4_000);
+    for number in 1..=900 {
+        let too_large = Step { per_worker: 1, ..step(1, 5_000, 1_000) };
+        world.submit(number, job(2, vec![too_large]));
+    }
+    world.advance(Duration::from_secs(3));
+    let count = |world: &World| world.owner.rounds().iter().map(|(_, count)| count).sum::<u64>();
+    let before = count(&world);
+    world.advance(Duration::from_secs(5));
+    let rounds = count(&world) - before;
+    assert!(rounds <= 10, "{rounds} rounds in 5 s");
+}
+
+/// Guards against long-running tasks that wait on all workers and keep short tasks from all of them.
+#[test]
+fn short_tasks_start_although_many_long_running_ones_wait_for_room() {
+    let mut world = World::new(4, 8_000);
+    world.submit(1, job(2, vec![Step { per_worker: 1, ..step(4, 1_000, 60_000) }]));
+    let whole = Step { long_running: true, per_worker: 1, ..step(1, 8_000, 0) };
+    for number in 2..=5 {
+        world.submit(number, job(2, vec![whole.clone()]));
+    }
+    world.submit(9, job(2, vec![step(1, 1_000, 60_000)]));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 9), 1);
+}
+
+/// Guards against a faulty worker that uses up the attempts of all jobs, because it is the only one.
+#[test]
+fn a_resting_worker_gets_few_tasks_at_a_time() {
+    let mut world = World::new(1, 8_000);
+    for number in 1..=20 {
+        world.submit(number, job(3, vec![step(1, 1_000, 1_000)]));
+    }
+    for _ in 0..100 {
+        world.end_all(EndKind::Failed, |_| true);
+        world.advance(ms(100));
+    }
+    let is_failed = |(event, _): &&(&str, String)| *event == "job_failed";
+    let failed = world.logs.iter().filter(is_failed).count();
+    assert!(failed <= 10, "{failed} of 20 jobs have failed in 10 s");
+}
+
+/// Guards against a job that stands still for most of the time: each task that its step got for relief
+/// ended soon, and the step then waited as long as before.
+#[test]
+fn a_relieved_step_goes_on_with_its_next_task_at_once() {
+    let mut world = World::new(2, 8_000);
+    world.submit(1, best_effort(16));
+    world.submit(2, best_effort(4));
+    world.advance(MAX_WAIT);
+    assert_eq!(runs_of(&world, 2), 1);
+    for _ in 0..3 {
+        world.end_all(EndKind::Done, |task| task.job == 2);
+        world.advance(ms(100));
+        assert_eq!(runs_of(&world, 2), 1, "the job stands still");
+    }
+}
+
+/// Guards against relief that comes a second late, because a step became starved just after the
+/// owner's last look. Callers give up after [`MAX_WAIT`], and the start has to reach the worker before.
+#[test]
+fn relief_comes_in_time_whenever_the_wait_began() {
+    let waits_too_long = |offset: &u64| {
+        let mut world = World::new(2, 8_000);
+        world.submit(1, best_effort(16));
+        world.advance(ms(*offset));
+        world.submit(2, best_effort(4));
+        world.advance(ms(2_500));
+        runs_of(&world, 2) == 0
+    };
+    let late: Vec<u64> = (0..1_000).step_by(100).filter(waits_too_long).collect();
+    assert_eq!(late, Vec::<u64>::new(), "offsets in ms with no run after 2.5 s");
+}
