Part the files of placement, the owner's nodes and the agent's worker

What a round works with, what a node has room for, the owner's record of a node and the agent's record of its worker are moved to files of their own; nothing else in the code changes.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -7,6 +7,7 @@
 
 mod listing;
 mod pacing;
+mod worker;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use super::pace::Pacer;
 use super::sampler::Sampler;
 use crate::time::Time;
+use worker::Worker;
 
 /// Lower bound on the rate of a worker's clock relative to the agent's.
 const CLOCK_RATE_PERCENT: u32 = 98;
@@ -39,12 +41,6 @@
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of consecutive refused connections after which the worker process is taken as dead.
 const MAX_REFUSALS: u32 = 2;
-/// Time without an answered listing after which the worker's permission to run tasks is not renewed
-/// any more. Longer than one listing that is lost and one that is repeated.
-const MAX_WORKER_SILENCE: Duration = Duration::from_millis(3_000);
-/// Time after the expiry of a silent worker's permission before the worker is taken to have stopped
-/// all its runs; covers rounding of lease times.
-const PERMISSION_MARGIN: Duration = Duration::from_millis(200);
 /// Maximum time between two calls of [`AgentState::poll`].
 const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 
@@ -138,43 +134,6 @@
     stall_reported: bool,
 }
 
-/// The worker that the agent manages.
-#[derive(Debug)]
-struct Worker {
-    info: WorkerInfo,
-    /// Sequence number of the worker's newest heartbeat.
-    last_sequence: u64,
-    /// The worker's clock in milliseconds in the last listing, and the agent's time when it
-    /// arrived.
-    clock: Option<(u64, Time)>,
-    /// Sequence number of the last end of a run that the owner has acknowledged; 0 if none.
-    acknowledged: EndNumber,
-    /// Sequence number of the last end of a run that was sent to the owner; 0 if none.
-    forwarded: EndNumber,
-    /// Number of consecutive connections that the worker's address has refused.
-    refusals: u32,
-    /// When the first listing was requested that the worker has not answered; `None` if it has
-    /// answered all.
-    unanswered_since: Option<Time>,
-    /// When the permission to run tasks expires that the worker was given last.
-    granted_until: Time,
-}
-
-impl Worker {
-    /// Tells whether the worker has not answered a listing for a long time.
-    fn is_silent(&self, now: Time) -> bool {
-        self.unanswered_since.is_some_and(|since| now >= since + MAX_WORKER_SILENCE)
-    }
-
-    /// Tells whether a silent worker has stopped all its runs, because its permission has expired.
-    /// An earlier agent may have given it a permission too, for at most `permission` before the first
-    /// listing that was not answered.
-    fn has_stopped_all(&self, now: Time, permission: Duration) -> bool {
-        let until = self.unanswered_since.map(|since| self.granted_until.max(since + permission));
-        self.is_silent(now) && until.is_some_and(|until| now >= until + PERMISSION_MARGIN)
-    }
-}
-
 /// The agent's session with the owner.
 #[derive(Debug)]
 struct Session {
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -2,21 +2,22 @@
 
 mod best_effort;
 mod bounded;
+mod capacity;
+mod round;
 mod waits;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::message::Image;
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
 use super::owner::{image_number, Job, Node, Owner, RoundCause, Slot};
 use super::progress::{Phase, Progress};
 use super::ranking::Ranking;
 use super::step::StepState;
-use crate::resources::Resources;
 use crate::time::Time;
+use round::{Closure, Misfit, Mode, NodesByService, Request, Round, Score, Search};
 
 /// Multiple of the time from a job's release to its completion objective up to which completing the
 /// job late still has some value.
@@ -24,10 +25,6 @@
 /// Time that a job is taken to need at least, in percent of its estimated remaining time, because
 /// estimates are rough.
 const MIN_TIME_LEFT_PERCENT: u64 = 60;
-/// Maximum time since the last renewal of a worker's permission to run tasks for the owner to start
-/// tasks on the worker. Agents renew the permission each second, and it lasts several times as
-/// long.
-const MAX_PERMISSION_AGE: Duration = Duration::from_secs(3);
 /// Time after which a ready step without runs is starved and may start one task on any node with
 /// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
@@ -141,138 +138,6 @@
     step: u16,
 }
 
-/// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed or been rejected there since one last finished; on a resting node, how
-///   often;
-/// - whether the node is outside the rack that is preferred for the task;
-/// - for a serving task, the number of serving images on the node other than its own;
-/// - for a long-running task, the CPU reserved there by long-running tasks, most first;
-/// - the free CPU, least first for a long-running task and most first for others; for a best-effort
-///   task, the cost of its interference instead.
-type Score = (u32, bool, usize, Reverse<u64>, u64);
-
-/// Nodes by the service of their workers.
-type NodesByService = HashMap<String, Vec<Slot>>;
-
-/// By which rules a search chooses nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Mode {
-    /// Tasks start on open nodes where they fit and interfere little.
-    Ranked,
-    /// One task of a starved best-effort step starts on any open node where its reservation fits.
-    Relief,
-    /// One task of a starved step starts on a node that rests after failures.
-    Resting,
-}
-
-/// State of one placement round.
-#[derive(Debug)]
-struct Round {
-    now: Time,
-    /// Nodes that accept starts, by the service of their workers.
-    open_nodes: NodesByService,
-    /// Nodes that rest after failures, of the services of which they are the majority.
-    resting_nodes: NodesByService,
-    /// Requests that found no node.
-    rejected: Vec<Request>,
-    /// Nodes whose free capacity is held for waiting long-running tasks.
-    held_nodes: HashSet<Slot>,
-    /// CPU request, in thousandths of a core, above which a best-effort task is large on some node.
-    large: u64,
-}
-
-impl Round {
-    /// Tells whether another node of a service may be held: at most half of them, or one, so that
-    /// long-running tasks that wait do not keep all others from starting.
-    fn may_hold(&self, service: &str) -> bool {
-        let open = self.open_nodes.get(service).map_or(&[][..], Vec::as_slice);
-        let held = open.iter().filter(|slot| self.held_nodes.contains(slot)).count();
-        held < (open.len() / 2).max(1)
-    }
-}
-
-/// What a task requests of a node, to tell whether another one can still find a node.
-#[derive(Debug)]
-struct Request {
-    service: String,
-    /// Label that the worker must have.
-    label: Option<String>,
-    need: Resources,
-    /// The part of `need` that a task reserves.
-    reserved: Resources,
-    long_running: bool,
-    /// Image of a best-effort task, whose interference decides too; `None` for other tasks.
-    best_effort: Option<Image>,
-    mode: Mode,
-}
-
-impl Request {
-    /// Tells whether `self` finds no node if `other` found none. Starts only take room away during a
-    /// round, and a larger task of the same image interferes more. The exception are best-effort
-    /// tasks that are `large` on some node: the first one there needs less room than it requests.
-    /// For relief, only what a task reserves counts.
-    fn is_at_least(&self, other: &Request, large: u64) -> bool {
-        self.mode == other.mode
-            && self.long_running == other.long_running
-            && self.service == other.service
-            && (other.label.is_none() || self.label == other.label)
-            && match (self.best_effort, other.best_effort) {
-                (Some(_), Some(_)) if self.mode != Mode::Ranked => {
-                    other.reserved.fits_in(&self.reserved)
-                }
-                (image, known) if image != known => false,
-                (Some(_), _) if self.need.cpu_milli > large => self.need == other.need,
-                _ => other.need.fits_in(&self.need),
-            }
-    }
-}
-
-/// Why no tasks may be started on a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Closure {
-    /// No worker runs there as far as the owner knows.
-    NoWorker,
-    /// The agent is not connected, or has not reported its worker's state yet.
-    Detached,
-    /// The agent has not asked for a renewal of its permission for too long.
-    Silent,
-    /// A successor would not wait for the node yet.
-    OffRoster,
-    Draining,
-    /// A run that the owner does not track has not ended yet.
-    StaleRun,
-    /// Runs failed or stalled there, or it rejected starts.
-    Backoff,
-}
-
-/// Why a node that accepts starts cannot run a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Misfit {
-    /// The resources that the task reserves are not free.
-    Room,
-    /// Other tasks leave too little CPU idle for a best-effort task.
-    Idle,
-    /// The task would interfere too much with serving tasks.
-    Interference,
-    /// The node's free capacity is held for a long-running task.
-    Held,
-    /// The step has as many tasks there as it allows.
-    Quota,
-    /// The node rests, and another task has just been started there.
-    Rest,
-}
-
-/// A step whose tasks look for nodes.
-#[derive(Debug, Clone, Copy)]
-struct Search<'a> {
-    candidate: Candidate,
-    step: &'a Step,
-    image: Image,
-    /// Preferred rack.
-    rack: Option<&'a str>,
-    mode: Mode,
-}
-
 impl Owner {
     /// Opens the occurrences of periodic jobs that are due, so that their tasks wait to be placed.
     pub(super) fn release_due(&mut self, now: Time, wall: WallMs) {
@@ -677,78 +542,6 @@
     }
 }
 
-impl Node {
-    /// Returns the rack of the worker, which is its second label, if the node has a worker with
-    /// one.
-    pub(super) fn rack(&self) -> Option<&str> {
-        self.worker.as_ref()?.labels.get(1).map(String::as_str)
-    }
-
-    /// Returns the CPU used neither by reservations nor by best-effort tasks, in thousandths of a
-    /// core.
-    pub(super) fn free_cpu(&self) -> u64 {
-        self.cpu_capacity().saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu)
-    }
-
-    /// Returns the CPU of the worker, in thousandths of a core.
-    fn cpu_capacity(&self) -> u64 {
-        self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu_milli)
-    }
-
-    /// Tells whether `need` would fit on the node if only its long-running tasks were there.
-    fn fits_beside_long_running(&self, need: &Resources) -> bool {
-        let capacity = self.worker.as_ref().map(|worker| worker.capacity);
-        capacity.is_some_and(|capacity| self.long_running.plus(need).fits_in(&capacity))
-    }
-
-    /// Tells whether tasks may be started on the node, regardless of its free capacity.
-    fn accepts_starts(&self, now: Time) -> bool {
-        self.closed_by(now).is_none()
-    }
-
-    /// Returns why no tasks may be started on the node, or `None` if they may.
-    fn closed_by(&self, now: Time) -> Option<Closure> {
-        match &self.worker {
-            None => Some(Closure::NoWorker),
-            Some(_) if !self.is_attached => Some(Closure::Detached),
-            Some(_) if now >= self.last_pong + MAX_PERMISSION_AGE => Some(Closure::Silent),
-            Some(_) if !self.in_roster => Some(Closure::OffRoster),
-            Some(worker) if worker.draining => Some(Closure::Draining),
-            Some(_) if !self.stale_runs.is_empty() => Some(Closure::StaleRun),
-            Some(_) if now < self.backoff_until => Some(Closure::Backoff),
-            Some(_) => None,
-        }
-    }
-
-    /// Returns how often tasks have failed or been rejected on the node since one last finished there.
-    fn troubles(&self) -> u32 {
-        self.failure_streak + self.refusals
-    }
-
-    /// Tells whether the node has a worker with a label.
-    fn has_label(&self, label: &String) -> bool {
-        self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
-    }
-
-    /// Checks that one more task of a step fits on the node in addition to `planned` tasks of the
-    /// step that have not been started yet. The best-effort task of a starved step needs no idle
-    /// CPU: it shares the CPU of those that are there.
-    ///
-    /// # Errors
-    ///
-    /// Returns which kind of capacity is missing.
-    fn has_capacity(&self, step: &Step, planned: u64, mode: Mode) -> Result<(), Misfit> {
-        let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
-        let fits = self.used.plus(&step.reserved().times(planned + 1)).fits_in(&capacity);
-        let needs_idle = step.best_effort && mode == Mode::Ranked;
-        match fits {
-            false => Err(Misfit::Room),
-            true if needs_idle && !self.best_effort_fits(step, planned) => Err(Misfit::Idle),
-            true => Ok(()),
-        }
-    }
-}
-
 impl Owner {
     /// Marks a queued job as running.
     pub(super) fn mark_running(&mut self, number: JobNumber) {
--- a/crates/core/src/flow/place/waits.rs
+++ b/crates/core/src/flow/place/waits.rs
@@ -4,7 +4,8 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use super::{Candidate, Closure, Misfit, Mode, Round, Search, STARVATION_DELAY};
+use super::round::{Closure, Misfit, Mode, Round, Search};
+use super::{Candidate, STARVATION_DELAY};
 use crate::flow::owner::{image_number, Owner};
 use crate::time::Time;
 
