--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -335,13 +335,7 @@
     world.submit(7, job(3, vec![step(1, 500, 60_000)]));
     for _ in 0..100 {
         for index in 0..2 {
-            let worker = &mut world.workers[index];
-            let (slot, session) = (worker.slot, worker.session);
-            for start in std::mem::take(&mut worker.running).into_values() {
-                let reason = "status 503".to_owned();
-                let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
-                world.owner.receive(world.now, slot, session, answer);
-            }
+            world.reject_all(index, "status 503");
         }
         world.advance(ms(100));
     }
@@ -358,13 +352,7 @@
     let spec = job(3, vec![step(1, 500, 60_000)]);
     world.submit(7, spec.clone());
     for _ in 0..1_100 {
-        let worker = &mut world.workers[0];
-        let (slot, session) = (worker.slot, worker.session);
-        for start in std::mem::take(&mut worker.running).into_values() {
-            let reason = "room".to_owned();
-            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
-            world.owner.receive(world.now, slot, session, answer);
-        }
+        world.reject_all(0, "room");
         world.advance(ms(100));
     }
     let last = world.started.last().map(|(.., run)| *run);
@@ -384,13 +372,7 @@
     let mut world = World::new(1, 1_000);
     world.submit(7, job(3, vec![step(1, 500, 60_000)]));
     for _ in 0..40 {
-        let worker = &mut world.workers[0];
-        let (slot, session) = (worker.slot, worker.session);
-        for start in std::mem::take(&mut worker.running).into_values() {
-            let reason = "status 503".to_owned();
-            let answer = AgentMessage::NotStarted { task: start.task, run: start.run, reason };
-            world.owner.receive(world.now, slot, session, answer);
-        }
+        world.reject_all(0, "status 503");
         world.advance(ms(100));
     }
     let is_wait = |(event, _): &(&str, String)| matches!(*event, "step_waits" | "step_started");
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -255,6 +255,17 @@
         self.owner.receive(self.now, worker.slot, worker.session, report);
     }
 
+    /// Rejects all runs of a worker, as an agent does whose worker refuses their starts.
+    pub fn reject_all(&mut self, index: usize, reason: &str) {
+        let worker = &mut self.workers[index];
+        let (slot, session) = (worker.slot, worker.session);
+        for start in std::mem::take(&mut worker.running).into_values() {
+            let (task, run, reason) = (start.task, start.run, reason.to_owned());
+            let answer = AgentMessage::NotStarted { task, run, reason };
+            self.owner.receive(self.now, slot, session, answer);
+        }
+    }
+
     /// Ends all running tasks that `pick` selects.
     pub fn end_all(&mut self, kind: EndKind, pick: impl Fn(&TaskId) -> bool) {
         for index in 0..self.workers.len() {
