--- a/crates/core/src/flow/routes.rs
+++ b/crates/core/src/flow/routes.rs
@@ -1,5 +1,7 @@
 //! Routing of requests to queues by host and path prefix.
 
+pub mod view;
+
 use std::collections::HashMap;
 
 use super::model::Queue;
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 use futures_lite::future;
-use parking_lot::{Mutex, RwLock};
+use parking_lot::Mutex;
 use peridotfold_core::flow::message::{EntryRequest, OwnerReply, Stored};
 use peridotfold_core::flow::model::{JobNumber, JobSpec};
 use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_core::flow::progress::{Phase, Progress};
+use peridotfold_core::flow::routes::view::RoutesView;
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
@@ -21,15 +22,12 @@
 use crate::follower::Follower;
 use crate::owner_service::OwnerService;
 use crate::ownership::Identity;
-use crate::ports::{Change, Item, Revision, Store, StoreError, WatchResult, Write, WriteResult};
+use crate::ports::{Store, StoreError, Write, WriteResult};
 use crate::records;
 use crate::{election, sessions};
 
-/// Long-poll timeout of a watch. Together with the timeout of the call, it bounds the age of the
-/// configuration at an entry with a dead connection.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Delay before a failed call to the store is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(120);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Timeout of a request to the owner, after which the state is read from the store.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after a failed call to the store during which this entry sends it no new jobs.
@@ -52,6 +50,8 @@
     pub internal: SocketAddr,
     /// CPU share of the process, in cores.
     pub cores: f64,
+    /// Time within which a stored configuration must be in force.
+    pub config_bound: Duration,
     /// Settings of the owner's state machine, used if this entry is elected.
     pub owner: OwnerSettings,
 }
@@ -98,8 +98,8 @@
     pub(crate) owner_settings: OwnerSettings,
     /// CPU share of the process, in cores.
     pub(crate) cores: f64,
-    /// Routes of the last configuration read; `None` before the first.
-    routes: RwLock<Option<Arc<Routes>>>,
+    /// Routes in force at this entry, and their age.
+    pub(crate) view: Mutex<RoutesView>,
     /// Role of this entry, and the address of the owner if it is known.
     role: Mutex<(Role, Option<SocketAddr>)>,
     /// When the last call to the store failed; `None` if a later call succeeded.
@@ -116,7 +116,7 @@
             identity,
             owner_settings: settings.owner,
             cores: settings.cores,
-            routes: RwLock::new(None),
+            view: Mutex::new(RoutesView::new(settings.config_bound)),
             role: Mutex::new((Role::None, None)),
             store_failed_at: Mutex::new(None),
         }
@@ -167,69 +167,17 @@
 
     /// Returns the current routes; `None` until a configuration has been read.
     pub fn routes(&self) -> Option<Arc<Routes>> {
-        self.routes.read().clone()
+        self.view.lock().current().map(|stored| stored.routes.clone())
     }
 
-    /// Watches the configuration, which contains the routes, and applies its changes.
-    async fn follow_routes(&self) {
-        let mut after: Option<Revision> = None;
-        let key = self.store.routes_key();
-        loop {
-            let changed = match after {
-                None => match self.store.range(key).await {
-                    Ok((items, as_of)) => Ok((items.into_iter().collect(), as_of)),
-                    Err(error) => Err(error),
-                },
-                Some(revision) => match self.store.watch(key, revision, WATCH_TIMEOUT).await {
-                    Ok(WatchResult::Changes { changes, as_of }) => {
-                        Ok((written_items(changes), as_of))
-                    }
-                    Ok(WatchResult::Compacted) => {
-                        tracing::info!(event = "routes_read_again");
-                        after = None;
-                        continue;
-                    }
-                    Err(error) => Err(error),
-                },
-            };
-            match changed {
-                Ok((items, as_of)) => {
-                    self.set_store_up(true);
-                    after = Some(as_of);
-                    items.iter().filter(|item| item.key == key).for_each(|item| self.apply(item));
-                    if self.routes().is_none() {
-                        runtime::sleep(RETRY_DELAY).await;
-                    }
-                }
-                Err(error) => {
-                    tracing::warn!(event = "routes_not_read", %error);
-                    self.set_store_up(false);
-                    runtime::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Applies a configuration unless its version is at most the current one.
-    fn apply(&self, item: &Item) {
-        match self.store.routes(&item.value) {
-            Ok(routes) => {
-                let mut current = self.routes.write();
-                if current.as_ref().is_none_or(|known| known.version < routes.version) {
-                    tracing::info!(
-                        event = "routes_applied",
-                        version = routes.version,
-                        revision = item.revision
-                    );
-                    *current = Some(Arc::new(routes));
-                }
-            }
-            Err(error) => tracing::error!(event = "routes_unreadable", key = item.key, %error),
-        }
+    /// Returns the time since the current routes were last known to be the newest ones; `None` until
+    /// a configuration has been read.
+    pub fn routes_age(&self) -> Option<Duration> {
+        self.view.lock().age(runtime::now())
     }
 
     /// Records whether the last call to the store succeeded.
-    fn set_store_up(&self, is_up: bool) {
+    pub(crate) fn set_store_up(&self, is_up: bool) {
         let mut failed_at = self.store_failed_at.lock();
         match (is_up, *failed_at) {
             (true, Some(_)) => {
@@ -464,15 +412,6 @@
     }
 }
 
-/// Returns the items that were written, without removals.
-fn written_items(changes: Vec<Change>) -> Vec<Item> {
-    let items = changes.into_iter().filter_map(|change| match change {
-        Change::Written(item) => Some(item),
-        Change::Removed(_) => None,
-    });
-    items.collect()
-}
-
 /// Runs `work` for at most `timeout`; returns `on_timeout` if it takes longer.
 async fn with_timeout<T>(
     timeout: Duration,
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -25,4 +25,5 @@
 mod follower;
 mod owner_service;
 mod ownership;
+mod routes;
 mod sessions;
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -19,6 +19,9 @@
 use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 
+/// Time within which a stored configuration must be in force.
+pub const CONFIG_BOUND: Duration = Duration::from_secs(2);
+
 /// Contents of the store and the faults to inject.
 #[derive(Debug, Default)]
 struct Table {
@@ -208,6 +211,7 @@
         node: node.to_owned(),
         internal,
         cores: 1.0,
+        config_bound: CONFIG_BOUND,
         owner: OwnerSettings {
             epoch: 0,
             permission: Duration::from_secs(6),
