Close idle connections after a timeout of one to the same address

Connections can go silent for good while new ones work. The pool handed them out one after the other, so that an entry needed one timeout of its watch (2.2 s) for each of them before it learned of a configuration, and the owner one of its renewal (0.7 s of a lease of 3 s).

A timeout now closes the connections that were idle while the request waited. Those that have answered since are kept.

one_timeout_is_enough_to_leave_silent_connections failed before: three silent connections, "after the first timeout: Err(… Timeout … no result within 500ms)".

--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -33,7 +33,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct HttpClient {
     /// Idle connections by the address of their server.
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Body>,
+    /// When its last response was complete.
+    since: Duration,
 }
 
 impl HttpClient {
@@ -81,7 +89,8 @@
     /// # Errors
     ///
     /// Fails when the exchange takes longer than `limit` or the response exceeds
-    /// [`MAX_RESPONSE_BYTES`].
+    /// [`MAX_RESPONSE_BYTES`]. After a timeout, later requests use no connection that was idle while
+    /// this one waited: what silenced one connection may have silenced them all.
     pub async fn exchange(
         &self,
         address: SocketAddr,
@@ -89,7 +98,8 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, WireError> {
         let peer = address.to_string();
-        runtime::timeout(limit, &peer, async {
+        let sent_at = runtime::now();
+        let answer = runtime::timeout(limit, &peer, async {
             let (head, body) = self.send(address, request).await?.into_parts();
             let whole = Limited::new(body, MAX_RESPONSE_BYTES)
                 .collect()
@@ -97,7 +107,11 @@
                 .map_err(|error| WireError::new(Step::Receive, peer.as_str(), error))?;
             Ok(Response::from_parts(head, whole.to_bytes()))
         })
-        .await
+        .await;
+        if answer.as_ref().is_err_and(|error| error.step == Step::Timeout) {
+            self.close_idle(address, sent_at);
+        }
+        answer
     }
 
     /// Builds a request with a complete body and no headers but `host`, and sends it with
@@ -126,17 +140,29 @@
     /// Removes an idle connection from the pool.
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock();
-        let senders = idle.get_mut(&address)?;
-        senders.retain(|sender| !sender.is_closed());
-        senders.pop()
+        let connections = idle.get_mut(&address)?;
+        connections.retain(|connection| !connection.sender.is_closed());
+        connections.pop().map(|connection| connection.sender)
+    }
+
+    /// Closes the connections to `address` that have been idle since before `time`.
+    fn close_idle(&self, address: SocketAddr, time: Duration) {
+        let mut idle = self.idle.lock();
+        let Some(connections) = idle.get_mut(&address) else { return };
+        let count = connections.len();
+        connections.retain(|connection| connection.since > time);
+        let closed = count - connections.len();
+        if closed > 0 {
+            tracing::info!(event = "idle_connections_closed", peer = %address, closed);
+        }
     }
 
     /// Returns a connection to the pool, or drops it if the pool of its address is full.
     fn put_idle(&self, address: SocketAddr, sender: SendRequest<Body>) {
         let mut idle = self.idle.lock();
-        let senders = idle.entry(address).or_default();
-        if senders.len() < MAX_IDLE_PER_ADDRESS {
-            senders.push(sender);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push(IdleConnection { sender, since: runtime::now() });
         }
     }
 }
--- a/crates/wire/tests/http_client.rs
+++ b/crates/wire/tests/http_client.rs
@@ -1,7 +1,10 @@
 //! Reuse of pooled connections by the HTTP client.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Barrier};
+use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -64,3 +67,76 @@
         assert_eq!(body, "/slow");
     });
 }
+
+/// Number of connections that [`SilentServer`] serves at first and that then go silent.
+const SILENT_CONNECTIONS: usize = 3;
+
+/// Server whose first connections stop answering, while new ones are served.
+struct SilentServer {
+    address: SocketAddr,
+    /// Whether the first connections are silent.
+    is_silent: Arc<AtomicBool>,
+}
+
+impl SilentServer {
+    /// Starts the server. It answers the first requests only once all first connections are open.
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let silence = is_silent.clone();
+        let all_open = Arc::new(Barrier::new(SILENT_CONNECTIONS));
+        thread::spawn(move || {
+            for (index, stream) in listener.incoming().enumerate() {
+                let (silence, all_open) = (silence.clone(), all_open.clone());
+                let stream = stream.expect("a connection");
+                thread::spawn(move || serve(stream, index, &silence, &all_open));
+            }
+        });
+        SilentServer { address, is_silent }
+    }
+}
+
+/// Answers the requests of the connection with this index until it goes silent.
+fn serve(mut stream: TcpStream, index: usize, silence: &AtomicBool, all_open: &Barrier) {
+    let is_first = index < SILENT_CONNECTIONS;
+    let mut is_new = true;
+    let mut buffer = [0; 4_096];
+    while stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+        match is_first {
+            true if silence.load(Ordering::Relaxed) => continue,
+            true if is_new => {
+                all_open.wait();
+            }
+            _ => {}
+        }
+        is_new = false;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        if stream.write_all(answer).is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against calls that wait for one silent connection of the pool after the other: with three
+/// of them, an entry learned of a configuration only after three timeouts of its watch.
+#[test]
+fn one_timeout_is_enough_to_leave_silent_connections() {
+    runtime::start_threads(2);
+    smol::block_on(async {
+        let server = SilentServer::start();
+        let client = HttpClient::default();
+        let call = |limit| {
+            let (client, address) = (client.clone(), server.address);
+            runtime::spawn(async move { client.simple(address, Method::GET, "/", "", limit).await })
+        };
+        let opening: Vec<_> = (0..SILENT_CONNECTIONS).map(|_| call(REQUEST_TIMEOUT)).collect();
+        for answer in opening {
+            answer.await.expect("an answer before the silence");
+        }
+        server.is_silent.store(true, Ordering::Relaxed);
+        call(Duration::from_millis(200)).await.expect_err("the connection is silent");
+        let answer = call(Duration::from_millis(500)).await;
+        assert!(answer.is_ok(), "after the first timeout: {answer:?}");
+    });
+}
