Let watches overlap, so that a missed change is not passed over

An answer without changes moved the next watch to the store's current revision. A change that the watch had not heard of stayed unknown: a configuration until the next one, an accepted job until the next owner.

A later watch gets what an earlier one has missed, at no further call.

--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod records;
 
 mod connection;
+mod cursor;
 mod decisions;
 mod directory;
 mod election;
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -15,6 +15,7 @@
 use peridotfold_wire::runtime;
 use smol::lock::Mutex;
 
+use crate::cursor::Cursor;
 use crate::directory;
 use crate::follower;
 use crate::owner_service::OwnerService;
@@ -452,13 +453,12 @@
     /// Watches the inbox and passes jobs and cancellations to the owner, until another process
     /// claims the ownership.
     async fn watch(&self, service: &OwnerService, as_of: Revision) {
-        let mut after = as_of;
+        let mut cursor = Cursor::new(as_of);
         loop {
-            let watched = self.store.watch(records::INBOX_PREFIX, after, WATCH_TIMEOUT).await;
+            let watched = cursor.watch(&self.store, records::INBOX_PREFIX, WATCH_TIMEOUT).await;
             self.note_call(&watched);
             match watched {
-                Ok(WatchResult::Changes { changes, as_of }) => {
-                    after = as_of;
+                Ok(WatchResult::Changes { changes, .. }) => {
                     let written = |change| match change {
                         Change::Written(item) => Some(item),
                         Change::Removed(_) => None,
@@ -476,7 +476,7 @@
                 Ok(WatchResult::Compacted) => match self.store.range(records::INBOX_PREFIX).await {
                     Ok((items, as_of)) => {
                         tracing::info!(event = "inbox_read_again", items = items.len());
-                        after = as_of;
+                        cursor = Cursor::new(as_of);
                         if self.is_superseded(&items) {
                             return;
                         }
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -8,8 +8,9 @@
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 
+use crate::cursor::Cursor;
 use crate::entry::{Entry, RETRY_DELAY};
-use crate::ports::{Change, Item, Revision, Store, WatchResult};
+use crate::ports::{Change, Item, Store, WatchResult};
 
 /// Long-poll timeout of a watch. Together with the timeout of the call, it bounds the age of the
 /// configuration at an entry with a dead connection.
@@ -25,29 +26,29 @@
 
     /// Watches the configuration and applies its changes.
     async fn watch_routes(&self) {
-        let mut after: Option<Revision> = None;
+        let mut cursor: Option<Cursor> = None;
         let key = self.store.routes_key();
         loop {
             let sent_at = runtime::now();
-            let read = match after {
-                None => self
-                    .store
-                    .range(key)
-                    .await
-                    .map(|(items, as_of)| Some((Source::Read, items, as_of))),
-                Some(revision) => self.store.watch(key, revision, WATCH_TIMEOUT).await.map(
-                    |watched| match watched {
-                        WatchResult::Changes { changes, as_of } => {
-                            Some((Source::Watch, written_items(changes), as_of))
-                        }
-                        WatchResult::Compacted => None,
-                    },
-                ),
+            let read = match &mut cursor {
+                None => match self.store.range(key).await {
+                    Ok((items, as_of)) => {
+                        cursor = Some(Cursor::new(as_of));
+                        Ok(Some((Source::Read, items)))
+                    }
+                    Err(error) => Err(error),
+                },
+                Some(cursor) => match cursor.watch(&self.store, key, WATCH_TIMEOUT).await {
+                    Ok(WatchResult::Changes { changes, .. }) => {
+                        Ok(Some((Source::Watch, written_items(changes))))
+                    }
+                    Ok(WatchResult::Compacted) => Ok(None),
+                    Err(error) => Err(error),
+                },
             };
             match read {
-                Ok(Some((source, items, as_of))) => {
+                Ok(Some((source, items))) => {
                     self.set_store_up(true);
-                    after = Some(as_of);
                     let proven_at = match source {
                         Source::Watch if items.is_empty() => waited_until(sent_at),
                         _ => sent_at,
@@ -63,7 +64,7 @@
                 }
                 Ok(None) => {
                     tracing::info!(event = "routes_read_again");
-                    after = None;
+                    cursor = None;
                 }
                 Err(error) => {
                     let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod entry;
 mod ownership;
+mod routes;
 mod sessions;
 mod support;
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -21,7 +21,7 @@
 }
 
 /// Starts an entry and returns it with its stop trigger.
-fn start_entry(node: &str, store: &MemoryStore) -> (Arc<Entry<MemoryStore>>, Trigger) {
+pub fn start_entry(node: &str, store: &MemoryStore) -> (Arc<Entry<MemoryStore>>, Trigger) {
     static POOL: Once = Once::new();
     POOL.call_once(|| runtime::start_threads(2));
     let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
--- /dev/null
+++ b/crates/hosted/tests/suite/routes.rs
@@ -0,0 +1,73 @@
+//! Routes of an entry while the store, or its watches, misbehave.
+
+use std::time::{Duration, Instant};
+
+use peridotfold_core::flow::message::Stored;
+use peridotfold_hosted::entry::Entry;
+use peridotfold_wire::runtime;
+
+use crate::ownership::{start_entry, wait_for_owner};
+use crate::support::{spec, MemoryStore, Watches, CONFIG_BOUND};
+
+/// Waits until the entry has applied a version. Returns how long that took; `None` if it takes twice
+/// the bound.
+async fn wait_for_version(entry: &Entry<MemoryStore>, version: u64) -> Option<Duration> {
+    let started_at = Instant::now();
+    while started_at.elapsed() < CONFIG_BOUND * 2 {
+        if entry.routes().is_some_and(|routes| routes.version == version) {
+            return Some(started_at.elapsed());
+        }
+        runtime::sleep(Duration::from_millis(10)).await;
+    }
+    None
+}
+
+/// Fails unless the entry applies a version within the bound.
+async fn assert_in_force(entry: &Entry<MemoryStore>, version: u64, fault: &str) {
+    let took = wait_for_version(entry, version).await;
+    let is_in_time = took.is_some_and(|took| took <= CONFIG_BOUND);
+    assert!(is_in_time, "{fault}: version {version} in force after {took:?}");
+}
+
+/// Guards against a configuration that an entry misses for good: a watch that heard nothing of it
+/// was answered without changes, and the next one began after it.
+#[test]
+fn a_change_that_a_watch_has_missed_is_applied_when_watches_work_again() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        store.put_routes(1);
+        let (entry, stop) = start_entry("first", &store);
+        assert_in_force(&entry, 1, "none").await;
+        store.set_watches(Watches::Deaf);
+        runtime::sleep(Duration::from_millis(200)).await;
+        store.put_routes(2);
+        // The watch in progress ends without the change.
+        runtime::sleep(CONFIG_BOUND).await;
+        store.set_watches(Watches::Prompt);
+        assert_in_force(&entry, 2, "deaf watches").await;
+        drop(stop);
+    });
+}
+
+/// Guards against an accepted job that no owner schedules, because a watch of the inbox that heard
+/// nothing of it was answered without changes.
+#[test]
+fn a_job_that_a_watch_has_missed_is_known_when_watches_work_again() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let (entry, stop) = start_entry("first", &store);
+        assert!(wait_for_owner(&store, "first").await);
+        store.set_watches(Watches::Deaf);
+        runtime::sleep(Duration::from_millis(200)).await;
+        assert_eq!(entry.submit(1, &spec(), CONFIG_BOUND).await, Stored::Yes);
+        // Both the watch in progress and the one after it end without the job.
+        runtime::sleep(Duration::from_millis(3_000)).await;
+        store.set_watches(Watches::Prompt);
+        let started_at = Instant::now();
+        while entry.waiting("q").await != Some(1) && started_at.elapsed() < CONFIG_BOUND * 2 {
+            runtime::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(entry.waiting("q").await, Some(1), "the owner does not know the job");
+        drop(stop);
+    });
+}
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -14,14 +14,21 @@
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_hosted::entry::EntrySettings;
 use peridotfold_hosted::ports::{
-    Item, LeaseId, Revision, Store, StoreError, WatchResult, Write, WriteResult,
+    Change, Item, LeaseId, Revision, Store, StoreError, WatchResult, Write, WriteResult,
 };
 use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 
+/// Key of the configuration, of which this store holds the version only.
+const ROUTES_KEY: &str = "routes";
 /// Time within which a stored configuration must be in force.
 pub const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
+/// Time after the end of its wait for which a watch without an answer is waited for.
+const CALL_MARGIN: Duration = Duration::from_secs(1);
+/// Interval at which a watch looks for changes.
+const WATCH_POLL: Duration = Duration::from_millis(10);
+
 /// Contents of the store and the faults to inject.
 #[derive(Debug, Default)]
 struct Table {
@@ -39,6 +46,24 @@
     delayed_write: Option<(u32, Write)>,
     /// Delay of the answers of writes.
     delay: Duration,
+    /// All changes, with their revisions.
+    history: Vec<(Revision, Change)>,
+    /// How watches are answered.
+    watches: Watches,
+}
+
+/// How the store answers watches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Watches {
+    /// As soon as there is a change.
+    #[default]
+    Prompt,
+    /// Without changes at the end of the wait, whatever has changed meanwhile.
+    Deaf,
+    /// Not at all, so that the caller gives up.
+    Silent,
+    /// With more than the caller reads.
+    Unreadable,
 }
 
 impl Table {
@@ -53,13 +78,24 @@
         self.revision += 1;
         for (key, value, _) in &write.puts {
             let item = Item { key: key.clone(), value: value.clone(), revision: self.revision };
-            self.items.insert(key.clone(), item);
+            self.items.insert(key.clone(), item.clone());
+            self.history.push((self.revision, Change::Written(item)));
         }
         for key in &write.removes {
             self.items.remove(key);
+            self.history.push((self.revision, Change::Removed(key.clone())));
         }
         WriteResult::Done(self.revision)
     }
+
+    /// Returns the changes after a revision to keys with a prefix.
+    fn changes(&self, prefix: &str, after: Revision) -> Vec<Change> {
+        let is_watched = |(revision, change): &&(Revision, Change)| {
+            let (Change::Written(Item { key, .. }) | Change::Removed(key)) = change;
+            *revision > after && key.starts_with(prefix)
+        };
+        self.history.iter().filter(is_watched).map(|(_, change)| change.clone()).collect()
+    }
 }
 
 /// Handle of the store for one process. Clones share the table and whether calls are refused.
@@ -84,6 +120,11 @@
         self.0.lock().delay = delay;
     }
 
+    /// Sets how watches are answered, through all handles.
+    pub fn set_watches(&self, watches: Watches) {
+        self.0.lock().watches = watches;
+    }
+
     /// Returns a handle of the same table for another process.
     pub fn second_handle(&self) -> Self {
         MemoryStore(self.0.clone(), Arc::default())
@@ -100,6 +141,11 @@
         self.0.lock().apply(&Write { puts, ..Write::default() });
     }
 
+    /// Writes a configuration, as an operator would.
+    pub fn put_routes(&self, version: u64) {
+        self.put(ROUTES_KEY, version.to_string().into());
+    }
+
     /// Removes a key, as the end of its lease would.
     pub fn expire(&self, key: &str) {
         self.0.lock().items.remove(key);
@@ -159,10 +205,40 @@
         Ok((items.collect(), table.revision))
     }
 
-    async fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<WatchResult, StoreError> {
-        self.check()?;
-        runtime::sleep(wait).await;
-        Ok(WatchResult::Compacted)
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchResult, StoreError> {
+        let started_at = runtime::now();
+        loop {
+            self.check()?;
+            let watches = self.0.lock().watches;
+            let is_over = runtime::now() >= started_at + wait;
+            match watches {
+                Watches::Silent => {
+                    runtime::sleep(wait + CALL_MARGIN).await;
+                    return Err(StoreError::Unclear("no answer".to_owned()));
+                }
+                Watches::Unreadable => {
+                    return Err(StoreError::Unclear("length limit exceeded".to_owned()));
+                }
+                Watches::Prompt | Watches::Deaf => {}
+            }
+            let (changes, as_of) = {
+                let table = self.0.lock();
+                let changes = match watches {
+                    Watches::Prompt => table.changes(prefix, after),
+                    _ => Vec::new(),
+                };
+                (changes, table.revision)
+            };
+            if is_over || !changes.is_empty() {
+                return Ok(WatchResult::Changes { changes, as_of });
+            }
+            runtime::sleep(WATCH_POLL).await;
+        }
     }
 
     async fn write(&self, write: &Write) -> Result<WriteResult, StoreError> {
@@ -196,12 +272,13 @@
         Ok(true)
     }
 
-    fn routes(&self, _: &[u8]) -> Result<Routes, String> {
-        Ok(Routes::default())
+    fn routes(&self, value: &[u8]) -> Result<Routes, String> {
+        let version = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+        version.map(|version| Routes::new(version, [])).ok_or_else(|| "no version".to_owned())
     }
 
     fn routes_key(&self) -> &'static str {
-        "routes"
+        ROUTES_KEY
     }
 }
 
