Read the configuration when no watch confirms it in time

An entry learned of its routes by one watch. One that hung was given up after 2.2 s, more than the users' bound of 2 s, and one whose answer could not be read (several large versions exceed the client's 4 MiB) was repeated with the same position until the store dropped its history.

The entry now counts for how long nothing has confirmed its routes, and reads the configuration when that exceeds 70 % of the platform's bound. Watches wait for 60 % of it, so that a calm entry needs no further call. Both follow from the settings (ConfigApplyMs).

a_configuration_is_in_force_in_time_without_watches failed before: "Silent watches: version 2 in force after None".

--- a/crates/core/src/flow/routes/view.rs
+++ b/crates/core/src/flow/routes/view.rs
@@ -9,6 +9,16 @@
 use super::Routes;
 use crate::time::Time;
 
+/// Time for which a watch waits, in percent of the bound on the age of routes.
+const WATCH_PERCENT: u32 = 60;
+/// Age at which the routes are checked beside the watch, in percent of the bound. Above the wait of a
+/// watch, so that an answered watch saves the check; the rest of the bound is left to the check.
+const CHECK_PERCENT: u32 = 70;
+/// Interval between a check that failed and the next one, in percent of the bound.
+const FIRST_RETRY_PERCENT: u32 = 12;
+/// Number of times that this interval doubles while checks fail.
+const MAX_DOUBLINGS: u32 = 2;
+
 /// Where an entry learned of its routes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -48,6 +58,10 @@
     current: Option<StoredRoutes>,
     /// When the routes were last known to be the newest ones.
     confirmed_at: Option<Time>,
+    /// When the last check began.
+    checked_at: Option<Time>,
+    /// Number of checks in a row that did not confirm the routes.
+    failures: u32,
     /// Whether the routes were stale at the last call of [`RoutesView::poll`].
     was_stale: bool,
 }
@@ -55,7 +69,14 @@
 impl RoutesView {
     /// Creates a view without routes. A stored configuration must be in force within `bound`.
     pub fn new(bound: Duration) -> Self {
-        RoutesView { bound, current: None, confirmed_at: None, was_stale: false }
+        RoutesView {
+            bound,
+            current: None,
+            confirmed_at: None,
+            checked_at: None,
+            failures: 0,
+            was_stale: false,
+        }
     }
 
     /// Applies routes unless their version is at most the current one. Tells whether it did.
@@ -93,13 +114,32 @@
         self.age(now).is_none_or(|age| age > self.bound)
     }
 
-    /// Returns the time until the routes become stale if nothing confirms them; the bound if they are
-    /// stale already.
-    pub fn stale_in(&self, now: Time) -> Duration {
-        match self.age(now) {
-            Some(age) if age <= self.bound => self.bound - age,
-            _ => self.bound,
-        }
+    /// Returns for how long a watch may wait, so that it confirms the routes before a check is due.
+    pub fn watch_wait(&self) -> Duration {
+        self.bound * WATCH_PERCENT / 100
+    }
+
+    /// Returns the time until the next check whether the routes are the newest ones.
+    pub fn check_in(&self, now: Time) -> Duration {
+        let backoff =
+            self.bound * FIRST_RETRY_PERCENT / 100 * (1 << self.failures.min(MAX_DOUBLINGS));
+        let retry_at = self.checked_at.map_or(Time::ZERO, |at| at + backoff);
+        let due_at = match (&self.current, self.confirmed_at) {
+            (Some(_), Some(at)) => at + self.bound * CHECK_PERCENT / 100,
+            (Some(_), None) => now,
+            // Without routes, the first read is under way.
+            (None, _) => now + self.bound,
+        };
+        due_at.max(retry_at).saturating_sub(now)
+    }
+
+    /// Notes the outcome of a check that began at `started_at`.
+    pub fn checked(&mut self, started_at: Time, is_confirmed: bool) {
+        self.checked_at = Some(started_at);
+        self.failures = match is_confirmed {
+            true => 0,
+            false => self.failures.saturating_add(1),
+        };
     }
 
     /// Returns whether the routes are stale if that has changed since the last call.
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -1,4 +1,4 @@
-//! Routes of an entry: follows the stored configuration, and keeps account of how old they are.
+//! Routes of an entry: follows the stored configuration, and checks it when the watch is silent.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,22 +12,17 @@
 use crate::entry::{Entry, RETRY_DELAY};
 use crate::ports::{Change, Item, Store, WatchResult};
 
-/// Long-poll timeout of a watch. Together with the timeout of the call, it bounds the age of the
-/// configuration at an entry with a dead connection.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Shortest interval between two checks whether the routes have become stale.
-const MIN_AGE_CHECK: Duration = Duration::from_millis(100);
-
 impl<S: Store> Entry<S> {
     /// Follows the configuration, which contains the routes, and applies its changes. Never returns.
     pub(crate) async fn follow_routes(&self) {
-        future::or(self.watch_routes(), self.watch_age()).await;
+        future::or(self.watch_routes(), self.check_routes()).await;
     }
 
     /// Watches the configuration and applies its changes.
     async fn watch_routes(&self) {
         let mut cursor: Option<Cursor> = None;
         let key = self.store.routes_key();
+        let wait = self.view.lock().watch_wait();
         loop {
             let sent_at = runtime::now();
             let read = match &mut cursor {
@@ -38,7 +33,7 @@
                     }
                     Err(error) => Err(error),
                 },
-                Some(cursor) => match cursor.watch(&self.store, key, WATCH_TIMEOUT).await {
+                Some(cursor) => match cursor.watch(&self.store, key, wait).await {
                     Ok(WatchResult::Changes { changes, .. }) => {
                         Ok(Some((Source::Watch, written_items(changes))))
                     }
@@ -50,7 +45,7 @@
                 Ok(Some((source, items))) => {
                     self.set_store_up(true);
                     let proven_at = match source {
-                        Source::Watch if items.is_empty() => waited_until(sent_at),
+                        Source::Watch if items.is_empty() => waited_until(sent_at, wait),
                         _ => sent_at,
                     };
                     items
@@ -76,22 +71,59 @@
         }
     }
 
-    /// Logs when the routes become stale, and when they are confirmed again.
-    async fn watch_age(&self) {
+    /// Reads the configuration when no watch has confirmed the routes for a while, and logs when they
+    /// become stale and when they are confirmed again.
+    async fn check_routes(&self) {
         loop {
-            let (delay, is_stale) = {
-                let mut view = self.view.lock();
-                let now = runtime::now();
-                (view.stale_in(now), view.poll(now))
-            };
-            let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
-            let version = self.view.lock().version();
-            match is_stale {
-                Some(true) => tracing::warn!(event = "routes_stale", version, age_ms),
-                Some(false) => tracing::info!(event = "routes_fresh", version, age_ms),
-                None => {}
+            self.log_staleness();
+            let now = runtime::now();
+            let delay = self.view.lock().check_in(now);
+            if !delay.is_zero() {
+                runtime::sleep(delay).await;
+                continue;
+            }
+            let is_confirmed = self.read_routes().await;
+            self.view.lock().checked(now, is_confirmed);
+            let outcome = if is_confirmed { "confirmed" } else { "failed" };
+            metrics::counter!("routes_checks", "outcome" => outcome).increment(1);
+        }
+    }
+
+    /// Logs if the routes have become stale, or are no longer, since the last call.
+    fn log_staleness(&self) {
+        let now = runtime::now();
+        let (change, version, age) = {
+            let mut view = self.view.lock();
+            (view.poll(now), view.version(), view.age(now))
+        };
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        match change {
+            Some(true) => tracing::warn!(event = "routes_stale", version, age_ms),
+            Some(false) => tracing::info!(event = "routes_fresh", version, age_ms),
+            None => {}
+        }
+    }
+
+    /// Reads the configuration from the store and applies it. Tells whether the store answered.
+    async fn read_routes(&self) -> bool {
+        let sent_at = runtime::now();
+        match self.store.get(self.store.routes_key()).await {
+            Ok(Some(item)) => {
+                self.set_store_up(true);
+                self.apply(&item, Source::Read);
+                self.confirm_routes(sent_at);
+                true
+            }
+            Ok(None) => {
+                tracing::warn!(event = "routes_not_read", error = "no configuration is stored");
+                false
+            }
+            Err(error) => {
+                let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
+                tracing::warn!(event = "routes_not_read", age_ms, %error);
+                self.set_store_up(false);
+                false
             }
-            runtime::sleep(delay.max(MIN_AGE_CHECK)).await;
         }
     }
 
@@ -134,10 +166,10 @@
     }
 }
 
-/// Returns a time before the store gave the empty answer to a watch that was sent at `sent_at`. The
-/// store answers without changes only at the end of the wait.
-fn waited_until(sent_at: Time) -> Time {
-    match sent_at + WATCH_TIMEOUT {
+/// Returns a time before the store gave the answer without changes to a watch that was sent at
+/// `sent_at`. The store gives it only at the end of the wait.
+fn waited_until(sent_at: Time, wait: Duration) -> Time {
+    match sent_at + wait {
         waited if waited <= runtime::now() => waited,
         _ => sent_at,
     }
--- a/crates/hosted/tests/suite/routes.rs
+++ b/crates/hosted/tests/suite/routes.rs
@@ -71,3 +71,25 @@
         drop(stop);
     });
 }
+
+/// Guards against routes that are older than the bound because watches get no answer, or one that
+/// cannot be read, while reads are answered.
+#[test]
+fn a_configuration_is_in_force_in_time_without_watches() {
+    for watches in [Watches::Silent, Watches::Unreadable] {
+        smol::block_on(async {
+            let store = MemoryStore::default();
+            store.put_routes(1);
+            let (entry, stop) = start_entry("first", &store);
+            assert_in_force(&entry, 1, "none").await;
+            store.set_watches(watches);
+            // The watch in progress is answered in time.
+            runtime::sleep(CONFIG_BOUND).await;
+            for version in 2..5 {
+                store.put_routes(version);
+                assert_in_force(&entry, version, &format!("{watches:?} watches")).await;
+            }
+            drop(stop);
+        });
+    }
+}
