Learn the configuration from other entries too

An entry that the store turns away kept its old routes for as long as that lasted, though the owner and the other entries had the newer configuration.

A check that the store does not answer within 50 ms now asks up to three other entries at once: each tells its version, for how long nothing has confirmed it, and its configuration if that is newer. A peer with the same version confirms these routes as of its own last confirmation, so that the age stays true.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -297,4 +297,18 @@
     Agent { node: String },
     /// The entry process on a node, and the address at which it accepts connections.
     Entry { node: String, address: SocketAddr },
+    /// An entry that asks another one for newer routes than those of `version`. The answer is one
+    /// [`RoutesReply`].
+    Routes { version: u64 },
+}
+
+/// What an entry knows of the newest routes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutesReply {
+    /// Version of the entry's routes; 0 if it has none.
+    pub version: u64,
+    /// Time since these routes were last known to be the newest ones; `None` if they never were.
+    pub age: Option<Duration>,
+    /// The stored configuration with its revision, if it is newer than that of the asking entry.
+    pub newer: Option<(u64, Bytes)>,
 }
--- a/crates/core/src/flow/routes/view.rs
+++ b/crates/core/src/flow/routes/view.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use super::Routes;
+use crate::flow::message::RoutesReply;
 use crate::time::Time;
 
 /// Time for which a watch waits, in percent of the bound on the age of routes.
@@ -26,6 +27,8 @@
     Watch,
     /// A read of the store.
     Read,
+    /// Another entry.
+    Peer,
 }
 
 impl fmt::Display for Source {
@@ -33,6 +36,7 @@
         f.write_str(match self {
             Source::Watch => "watch",
             Source::Read => "read",
+            Source::Peer => "peer",
         })
     }
 }
@@ -119,13 +123,18 @@
         self.bound * WATCH_PERCENT / 100
     }
 
+    /// Returns the age at which the routes are checked beside the watch.
+    fn check_age(&self) -> Duration {
+        self.bound * CHECK_PERCENT / 100
+    }
+
     /// Returns the time until the next check whether the routes are the newest ones.
     pub fn check_in(&self, now: Time) -> Duration {
         let backoff =
             self.bound * FIRST_RETRY_PERCENT / 100 * (1 << self.failures.min(MAX_DOUBLINGS));
         let retry_at = self.checked_at.map_or(Time::ZERO, |at| at + backoff);
         let due_at = match (&self.current, self.confirmed_at) {
-            (Some(_), Some(at)) => at + self.bound * CHECK_PERCENT / 100,
+            (Some(_), Some(at)) => at + self.check_age(),
             (Some(_), None) => now,
             // Without routes, the first read is under way.
             (None, _) => now + self.bound,
@@ -133,6 +142,29 @@
         due_at.max(retry_at).saturating_sub(now)
     }
 
+    /// Returns what this entry tells a peer whose routes are of `version`.
+    pub fn reply(&self, now: Time, version: u64) -> RoutesReply {
+        let newer = self.current.as_ref().filter(|stored| stored.routes.version > version);
+        RoutesReply {
+            version: self.version(),
+            age: self.age(now),
+            newer: newer.map(|stored| (stored.revision, stored.value.clone())),
+        }
+    }
+
+    /// Notes what a peer that was asked at `asked_at` knows, after the routes in its reply, if any,
+    /// were applied. Tells whether that makes a check needless for now.
+    pub fn hear(&mut self, asked_at: Time, now: Time, reply: &RoutesReply) -> bool {
+        match reply.age {
+            // A peer with other routes knows nothing about these ones.
+            Some(age) if reply.version == self.version() => {
+                self.confirm(asked_at.saturating_sub(age));
+            }
+            _ => {}
+        }
+        self.age(now).is_some_and(|age| age < self.check_age())
+    }
+
     /// Notes the outcome of a check that began at `started_at`.
     pub fn checked(&mut self, started_at: Time, is_confirmed: bool) {
         self.checked_at = Some(started_at);
--- a/crates/hosted/src/directory.rs
+++ b/crates/hosted/src/directory.rs
@@ -27,6 +27,11 @@
         self.entries.extend(entries);
     }
 
+    /// Returns the addresses of all known entries.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.entries.iter().copied()
+    }
+
     /// Returns the address of the next entry to ask for the owner; `None` if no entry is known.
     pub(crate) fn next_entry(&mut self) -> Option<SocketAddr> {
         let count = self.entries.len();
--- a/crates/hosted/src/election.rs
+++ b/crates/hosted/src/election.rs
@@ -7,7 +7,7 @@
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::Shutdown;
 
-use crate::directory::{self, Directory};
+use crate::directory;
 use crate::entry::{Entry, Role};
 use crate::follower::{self, DisconnectReason};
 use crate::ownership::{Ownership, ReplacedLock};
@@ -24,24 +24,23 @@
 /// Takes part in the election of the owner until the shutdown. After `retiring` is set, this entry
 /// process gives up the ownership and does not claim it again.
 pub(crate) async fn run<S: Store>(entry: Arc<Entry<S>>, retiring: Shutdown, shutdown: Shutdown) {
-    let mut directory = Directory::default();
     while !shutdown.is_set() {
         let (node, boot) = (entry.identity.node.clone(), entry.identity.boot);
         match directory::read_lock(&entry.store).await {
             Ok(Some((lock, revision))) if lock.node == node => {
                 tracing::info!(event = "lock_of_own_node", is_current = lock.boot == boot);
                 let replaced = ReplacedLock { revision, epoch: None };
-                claim(&entry, replaced, &mut directory, &retiring).await;
+                claim(&entry, replaced, &retiring).await;
                 if retiring.is_set() {
                     runtime::sleep_or_shutdown(directory::owner_search_delay(), &shutdown).await;
                 }
             }
             Ok(Some((lock, _))) => {
-                let reason = follow(&entry, lock.address, &mut directory, &shutdown).await;
+                let reason = follow(&entry, lock.address, &shutdown).await;
                 tracing::info!(event = "owner_lost", owner = lock.node, reason = %reason);
                 match reason {
                     DisconnectReason::Offered { epoch } => {
-                        accept(&entry, epoch, &mut directory, &retiring).await;
+                        accept(&entry, epoch, &retiring).await;
                     }
                     _ => {
                         let delay = directory::owner_search_delay();
@@ -54,15 +53,15 @@
                     Duration::from_millis((ONE_CORE_DELAY_MS / entry.cores.max(0.01)) as u64);
                 let jitter = Duration::from_millis(fastrand::u64(0..CLAIM_JITTER_MS));
                 runtime::sleep_or_shutdown(delay.min(MAX_CLAIM_DELAY) + jitter, &shutdown).await;
-                claim(&entry, ReplacedLock::default(), &mut directory, &retiring).await;
+                claim(&entry, ReplacedLock::default(), &retiring).await;
             }
             Err(error) => {
                 tracing::warn!(event = "lock_not_read", %error);
-                let next = directory.next_entry();
+                let next = entry.directory.lock().next_entry();
                 if let Some(address) = next.filter(|address| *address != entry.identity.address) {
-                    let reason = follow(&entry, address, &mut directory, &shutdown).await;
+                    let reason = follow(&entry, address, &shutdown).await;
                     if let DisconnectReason::Redirected(Some(owner)) = reason {
-                        follow(&entry, owner, &mut directory, &shutdown).await;
+                        follow(&entry, owner, &shutdown).await;
                     }
                 }
                 runtime::sleep_or_shutdown(directory::owner_search_delay(), &shutdown).await;
@@ -71,15 +70,13 @@
     }
 }
 
-/// Follows the owner until the connection ends, and adds the entries that it reports to
-/// `directory`.
+/// Follows the owner until the connection ends, and adds the entries that it reports to the
+/// directory.
 async fn follow<S: Store>(
     entry: &Arc<Entry<S>>,
     owner: std::net::SocketAddr,
-    directory: &mut Directory,
     shutdown: &Shutdown,
 ) -> DisconnectReason {
-    let known_entries = parking_lot::Mutex::new(Vec::new());
     let identity = &entry.identity;
     let reason = follower::run(
         &entry.store,
@@ -89,27 +86,21 @@
         shutdown,
         |follower, entries| {
             entry.set_role(Role::Follower(follower.clone()), Some(owner));
-            known_entries.lock().extend(entries);
+            entry.directory.lock().add(entries);
         },
     )
     .await;
     entry.set_role(Role::None, None);
-    directory.add(known_entries.into_inner());
     reason
 }
 
 /// Accepts the ownership from the owner of `epoch`, which has ended it and cannot reach the store.
-async fn accept<S: Store>(
-    entry: &Arc<Entry<S>>,
-    epoch: u32,
-    directory: &mut Directory,
-    retiring: &Shutdown,
-) {
+async fn accept<S: Store>(entry: &Arc<Entry<S>>, epoch: u32, retiring: &Shutdown) {
     match directory::read_lock(&entry.store).await {
         Ok(lock) => {
             let revision = lock.map_or(0, |(_, revision)| revision);
             let replaced = ReplacedLock { revision, epoch: Some(epoch) };
-            claim(entry, replaced, directory, retiring).await;
+            claim(entry, replaced, retiring).await;
         }
         Err(error) => tracing::warn!(event = "lock_not_read", %error),
     }
@@ -117,12 +108,7 @@
 
 /// Claims the ownership and acts as the owner until it loses or gives up the ownership. `replaced`
 /// is the lock that the claim replaces.
-async fn claim<S: Store>(
-    entry: &Arc<Entry<S>>,
-    replaced: ReplacedLock,
-    directory: &mut Directory,
-    retiring: &Shutdown,
-) {
+async fn claim<S: Store>(entry: &Arc<Entry<S>>, replaced: ReplacedLock, retiring: &Shutdown) {
     if retiring.is_set() {
         return;
     }
@@ -160,6 +146,6 @@
         ownership.release(&service).await;
     }
     service.shut_down();
-    directory.add(service.known_entries());
+    entry.directory.lock().add(service.known_entries());
     tracing::info!(event = "ownership_ended", is_stopped);
 }
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -19,6 +19,7 @@
 use peridotfold_wire::shutdown::Shutdown;
 use smol::net::TcpListener;
 
+use crate::directory::Directory;
 use crate::follower::Follower;
 use crate::owner_service::OwnerService;
 use crate::ownership::Identity;
@@ -100,6 +101,8 @@
     pub(crate) cores: f64,
     /// Routes in force at this entry, and their age.
     pub(crate) view: Mutex<RoutesView>,
+    /// Entries that this one has heard of.
+    pub(crate) directory: Mutex<Directory>,
     /// Role of this entry, and the address of the owner if it is known.
     role: Mutex<(Role, Option<SocketAddr>)>,
     /// When the last call to the store failed; `None` if a later call succeeded.
@@ -117,6 +120,7 @@
             owner_settings: settings.owner,
             cores: settings.cores,
             view: Mutex::new(RoutesView::new(settings.config_bound)),
+            directory: Mutex::default(),
             role: Mutex::new((Role::None, None)),
             store_failed_at: Mutex::new(None),
         }
@@ -148,7 +152,7 @@
                 }
             }
         };
-        let configuring = self.follow_routes();
+        let configuring = self.clone().follow_routes();
         let electing = election::run(self.clone(), retiring, shutdown);
         future::or(electing, future::or(accepting, configuring)).await;
         tracing::info!(event = "entry_stopped", node = self.identity.node);
@@ -165,6 +169,17 @@
         *self.role.lock() = (role, owner);
     }
 
+    /// Returns the addresses of the other entries that this one has heard of.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        let connected = match self.role().0 {
+            Role::Owner(service) => service.known_entries(),
+            _ => Vec::new(),
+        };
+        let mut directory = self.directory.lock();
+        directory.add(connected);
+        directory.entries().filter(|peer| *peer != self.identity.address).collect()
+    }
+
     /// Returns the current routes; `None` until a configuration has been read.
     pub fn routes(&self) -> Option<Arc<Routes>> {
         self.view.lock().current().map(|stored| stored.routes.clone())
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -1,20 +1,33 @@
-//! Routes of an entry: follows the stored configuration, and checks it when the watch is silent.
+//! Routes of an entry: follows the stored configuration, and asks the store and other entries for it
+//! when the watch is silent.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures_lite::future;
+use peridotfold_core::flow::message::{Greeting, RoutesReply};
 use peridotfold_core::flow::routes::view::{Source, StoredRoutes};
 use peridotfold_core::time::Time;
+use peridotfold_wire::error::WireError;
 use peridotfold_wire::runtime;
 
+use crate::connection::{self, MessageReader};
 use crate::cursor::Cursor;
 use crate::entry::{Entry, RETRY_DELAY};
 use crate::ports::{Change, Item, Store, WatchResult};
 
+/// Time after which a check asks other entries, if the store has not answered. Saves asking them for
+/// nothing: the store usually answers sooner.
+const PEER_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of entries asked at once.
+const MAX_PEERS_ASKED: usize = 3;
+/// Timeout of a question to another entry, with the connection.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl<S: Store> Entry<S> {
     /// Follows the configuration, which contains the routes, and applies its changes. Never returns.
-    pub(crate) async fn follow_routes(&self) {
+    pub(crate) async fn follow_routes(self: Arc<Self>) {
         future::or(self.watch_routes(), self.check_routes()).await;
     }
 
@@ -71,9 +84,9 @@
         }
     }
 
-    /// Reads the configuration when no watch has confirmed the routes for a while, and logs when they
-    /// become stale and when they are confirmed again.
-    async fn check_routes(&self) {
+    /// Asks the store and other entries for the newest configuration when no watch has confirmed the
+    /// routes for a while. Logs when they become stale and when they are confirmed again.
+    async fn check_routes(self: &Arc<Self>) {
         loop {
             self.log_staleness();
             let now = runtime::now();
@@ -82,7 +95,7 @@
                 runtime::sleep(delay).await;
                 continue;
             }
-            let is_confirmed = self.read_routes().await;
+            let is_confirmed = self.confirm_by_any().await;
             self.view.lock().checked(now, is_confirmed);
             let outcome = if is_confirmed { "confirmed" } else { "failed" };
             metrics::counter!("routes_checks", "outcome" => outcome).increment(1);
@@ -104,6 +117,67 @@
         }
     }
 
+    /// Asks the store, and a little later other entries. Tells whether any of them confirmed the routes.
+    async fn confirm_by_any(self: &Arc<Self>) -> bool {
+        let (sender, outcomes) = async_channel::bounded(2);
+        let (entry, outcome) = (self.clone(), sender.clone());
+        let reading = runtime::spawn(async move { outcome.send(entry.read_routes().await).await });
+        let entry = self.clone();
+        let asking = runtime::spawn(async move {
+            runtime::sleep(PEER_DELAY).await;
+            sender.send(entry.ask_peers().await).await
+        });
+        let mut is_confirmed = false;
+        while !is_confirmed {
+            let Ok(outcome) = outcomes.recv().await else { break };
+            is_confirmed = outcome;
+        }
+        // A source that is slower than the other one is not waited for.
+        drop((reading, asking));
+        is_confirmed
+    }
+
+    /// Asks some other entries at once for newer routes and applies these. Tells whether the routes
+    /// are confirmed as of a recent time.
+    async fn ask_peers(&self) -> bool {
+        let mut peers = self.peers();
+        fastrand::shuffle(&mut peers);
+        peers.truncate(MAX_PEERS_ASKED);
+        let version = self.view.lock().version();
+        let asked_at = runtime::now();
+        let (sender, replies) = async_channel::bounded(MAX_PEERS_ASKED);
+        let ask = |peer| {
+            let sender = sender.clone();
+            runtime::spawn(
+                async move { sender.send((peer, query_routes(peer, version).await)).await },
+            )
+        };
+        let asking: Vec<_> = peers.into_iter().map(ask).collect();
+        drop(sender);
+        let mut is_confirmed = false;
+        while !is_confirmed {
+            match replies.recv().await {
+                Ok((_, Ok(reply))) => is_confirmed = self.hear(asked_at, &reply),
+                Ok((peer, Err(error))) => {
+                    tracing::info!(event = "peer_not_asked", %peer, %error);
+                }
+                Err(_) => break,
+            }
+        }
+        drop(asking);
+        is_confirmed
+    }
+
+    /// Applies the routes in a peer's reply, if any. Tells whether the routes are confirmed as of a
+    /// recent time.
+    fn hear(&self, asked_at: Time, reply: &RoutesReply) -> bool {
+        if let Some((revision, value)) = &reply.newer {
+            let key = self.store.routes_key().to_owned();
+            self.apply(&Item { key, value: value.clone(), revision: *revision }, Source::Peer);
+        }
+        self.view.lock().hear(asked_at, runtime::now(), reply)
+    }
+
     /// Reads the configuration from the store and applies it. Tells whether the store answered.
     async fn read_routes(&self) -> bool {
         let sent_at = runtime::now();
@@ -166,6 +240,17 @@
     }
 }
 
+/// Asks the entry at `peer` for newer routes than those of `version`.
+async fn query_routes(peer: SocketAddr, version: u64) -> Result<RoutesReply, WireError> {
+    let asking = async {
+        let stream = connection::connect(peer).await?;
+        connection::send_greeting(&stream, &Greeting::Routes { version }, peer).await?;
+        let mut reader = MessageReader::new(stream, peer.to_string());
+        reader.receive_one::<RoutesReply>(PEER_TIMEOUT).await
+    };
+    runtime::timeout(PEER_TIMEOUT, &peer.to_string(), asking).await
+}
+
 /// Returns a time before the store gave the answer without changes to a watch that was sent at
 /// `sent_at`. The store gives it only at the end of the wait.
 fn waited_until(sent_at: Time, wait: Duration) -> Time {
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -37,6 +37,11 @@
     };
     let (role, owner) = entry.role();
     match (role, greeting) {
+        (_, Greeting::Routes { version }) => {
+            let reply = entry.view.lock().reply(runtime::now(), version);
+            let outbox = connection::start_writer(stream, peer.to_string());
+            send(&outbox, reply, reader.peer());
+        }
         (Role::Owner(service), Greeting::Agent { node }) => {
             serve_agent(stream, reader, &service, &node).await
         }
--- a/crates/hosted/tests/suite/routes.rs
+++ b/crates/hosted/tests/suite/routes.rs
@@ -93,3 +93,33 @@
         });
     }
 }
+
+/// Guards against an entry that holds an old configuration because the store turns it away, although
+/// the other entry has the new one. Either may be the owner.
+#[test]
+fn an_entry_that_the_store_turns_away_learns_a_configuration_from_its_peers() {
+    for is_owner_refused in [false, true] {
+        smol::block_on(async {
+            let owner_store = MemoryStore::default();
+            owner_store.put_routes(1);
+            let (owner, owner_stop) = start_entry("first", &owner_store);
+            assert!(wait_for_owner(&owner_store, "first").await);
+            let follower_store = owner_store.second_handle();
+            let (follower, follower_stop) = start_entry("second", &follower_store);
+            // Time for the second entry to connect to the first.
+            runtime::sleep(Duration::from_millis(500)).await;
+            let (refused, refused_store) = match is_owner_refused {
+                true => (owner, &owner_store),
+                false => (follower, &follower_store),
+            };
+            refused_store.refuse(true);
+            for version in 2..5 {
+                runtime::sleep(Duration::from_millis(700)).await;
+                refused_store.put_routes(version);
+                let fault = format!("turned away, owner: {is_owner_refused}");
+                assert_in_force(&refused, version, &fault).await;
+            }
+            drop((owner_stop, follower_stop));
+        });
+    }
+}
