Follow the routes apart from the election, until the process ends

The watch of the configuration shared a task with the election and the owner's work, and ended with them 1.5 s after SIGTERM, while requests on open connections were still answered by the last routes.

It is a task of its own now and ends with the process.

routes_are_followed_until_the_process_ends failed before: "stopping: version 2 in force after None".

--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -126,8 +126,9 @@
         }
     }
 
-    /// Serves agents and other entries, watches the configuration, and takes part in the election
-    /// of the owner until the shutdown. After `retiring` is set, this entry is no longer the owner.
+    /// Serves agents and other entries, and takes part in the election of the owner until the shutdown.
+    /// After `retiring` is set, this entry is no longer the owner. The routes are followed apart from
+    /// that, by [`Entry::follow_routes`].
     ///
     /// # Errors
     ///
@@ -152,9 +153,8 @@
                 }
             }
         };
-        let configuring = self.clone().follow_routes();
         let electing = election::run(self.clone(), retiring, shutdown);
-        future::or(electing, future::or(accepting, configuring)).await;
+        future::or(electing, accepting).await;
         tracing::info!(event = "entry_stopped", node = self.identity.node);
         Ok(())
     }
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -26,8 +26,9 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl<S: Store> Entry<S> {
-    /// Follows the configuration, which contains the routes, and applies its changes. Never returns.
-    pub(crate) async fn follow_routes(self: Arc<Self>) {
+    /// Follows the configuration, which contains the routes, and applies its changes. Never returns:
+    /// dropping the future ends it.
+    pub async fn follow_routes(self: Arc<Self>) {
         future::or(self.watch_routes(), self.check_routes()).await;
     }
 
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -28,6 +28,7 @@
     let internal = SocketAddr::from(([127, 0, 0, 1], free.port()));
     let entry = Arc::new(Entry::new(settings(node, internal), store.clone()));
     let (stop, stopping) = shutdown::channel();
+    runtime::spawn(entry.clone().follow_routes()).detach();
     runtime::spawn(entry.clone().run(stopping.clone(), stopping)).detach();
     (entry, stop)
 }
--- a/crates/hosted/tests/suite/routes.rs
+++ b/crates/hosted/tests/suite/routes.rs
@@ -123,3 +123,19 @@
         });
     }
 }
+
+/// Guards against requests on open connections that are answered by old routes while an entry stops:
+/// the election ends before the connections do.
+#[test]
+fn routes_are_followed_until_the_process_ends() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        store.put_routes(1);
+        let (entry, stop) = start_entry("first", &store);
+        assert_in_force(&entry, 1, "none").await;
+        stop.fire();
+        runtime::sleep(Duration::from_millis(300)).await;
+        store.put_routes(2);
+        assert_in_force(&entry, 2, "stopping").await;
+    });
+}
