Answer 503, not 404, once the routes may be out of date

An entry whose routes nobody has confirmed for longer than the bound answered 404 for a route that a newer configuration may have added. It knows only that there was no such route, so that the caller is told to come back. Known routes are served as before.

a_missing_route_is_unknown_once_the_routes_are_stale fails without the age in RoutesView::find (tried): "assertion failed: is_unknown(…)".

--- a/crates/core/src/flow/routes/view.rs
+++ b/crates/core/src/flow/routes/view.rs
@@ -8,6 +8,7 @@
 
 use super::Routes;
 use crate::flow::message::RoutesReply;
+use crate::flow::model::Queue;
 use crate::time::Time;
 
 /// Time for which a watch waits, in percent of the bound on the age of routes.
@@ -51,6 +52,17 @@
     pub value: Bytes,
 }
 
+/// Result of a search for the route of a request.
+#[derive(Debug)]
+pub enum Lookup<'a> {
+    /// The queue, and the rest of the path after the prefix of its route.
+    Found(Queue, &'a str),
+    /// No such route exists.
+    NotFound,
+    /// There was no such route, but a newer configuration may have added it.
+    Unknown,
+}
+
 /// The routes in force at an entry, and the age of that belief.
 ///
 /// The age is counted from the latest moment at which these routes are known to have been the newest
@@ -102,6 +114,16 @@
         self.current.as_ref()
     }
 
+    /// Searches for the route of a request to `host` and `path`.
+    pub fn find<'a>(&self, now: Time, host: &str, path: &'a str) -> Lookup<'a> {
+        let found = self.current.as_ref().and_then(|stored| stored.routes.find(host, path));
+        match found {
+            Some((queue, rest)) => Lookup::Found(queue.clone(), rest),
+            None if self.is_stale(now) => Lookup::Unknown,
+            None => Lookup::NotFound,
+        }
+    }
+
     /// Returns the version of the current routes; 0 before the first.
     pub fn version(&self) -> u64 {
         self.current.as_ref().map_or(0, |stored| stored.routes.version)
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod place;
 mod ranking;
+mod routes;
 mod starvation;
 mod support;
 mod waits;
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -12,7 +12,7 @@
 use peridotfold_core::flow::model::{JobNumber, JobSpec};
 use peridotfold_core::flow::owner::OwnerSettings;
 use peridotfold_core::flow::progress::{Phase, Progress};
-use peridotfold_core::flow::routes::view::RoutesView;
+use peridotfold_core::flow::routes::view::{Lookup, RoutesView};
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
@@ -185,6 +185,11 @@
         self.view.lock().current().map(|stored| stored.routes.clone())
     }
 
+    /// Searches for the route of a request to `host` and `path`.
+    pub fn find_route<'a>(&self, host: &str, path: &'a str) -> Lookup<'a> {
+        self.view.lock().find(runtime::now(), host, path)
+    }
+
     /// Returns the time since the current routes were last known to be the newest ones; `None` until
     /// a configuration has been read.
     pub fn routes_age(&self) -> Option<Duration> {
