Read the inbox after a watch that fails

Accepted jobs reach the owner by one watch. A watch that hung kept them from it for 3 s each time, and one whose answer exceeds the client's 4 MiB (about 780 jobs with full commands) was repeated until the store dropped its history. In the same way the entry's watch of the configuration took the store for down, so that submissions were refused although the store accepted writes.

Both are now one Subscription: it watches, reads after a watch that fails, and reports a failure only if that read fails too. Watches that go on failing are tried again after 100 to 400 ms, with a read each time.

jobs_are_known_without_watches failed before: "Silent watches: job 1 is not known".

--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod records;
 
 mod connection;
-mod cursor;
 mod decisions;
 mod directory;
 mod election;
@@ -28,3 +27,4 @@
 mod ownership;
 mod routes;
 mod sessions;
+mod subscription;
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -2,6 +2,7 @@
 //! the owner's records.
 
 mod hand_over;
+mod inbox;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,13 +16,10 @@
 use peridotfold_wire::runtime;
 use smol::lock::Mutex;
 
-use crate::cursor::Cursor;
 use crate::directory;
 use crate::follower;
 use crate::owner_service::OwnerService;
-use crate::ports::{
-    Change, Item, LeaseId, Revision, Store, StoreError, WatchResult, Write, WriteResult,
-};
+use crate::ports::{Item, LeaseId, Revision, Store, StoreError, Write, WriteResult};
 use crate::records::{self, Fence, InboxKey, Lock};
 
 /// Time to live of the owner's lease. Bounds the time without an owner after its machine is lost,
@@ -40,8 +38,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum delay between two attempts of a write while the store does not answer.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Long-poll timeout of a watch; bounds the time for which a dead connection goes unnoticed.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Identity of this process in the lock.
 #[derive(Debug, Clone)]
@@ -433,69 +429,6 @@
         service.update(|owner, _| owner.committed());
         true
     }
-
-    /// Tells whether inbox items contain the lock of another process.
-    fn is_superseded(&self, items: &[Item]) -> bool {
-        let lock = items.iter().rfind(|item| item.key == records::LOCK);
-        match lock.map(|item| records::decode::<Lock>(&item.value)) {
-            Some(Ok(lock)) if lock.boot != self.identity.boot => {
-                tracing::warn!(event = "ownership_lost", reason = "another lock", node = lock.node);
-                true
-            }
-            Some(Err(error)) => {
-                tracing::error!(event = "lock_unreadable", %error);
-                false
-            }
-            _ => false,
-        }
-    }
-
-    /// Watches the inbox and passes jobs and cancellations to the owner, until another process
-    /// claims the ownership.
-    async fn watch(&self, service: &OwnerService, as_of: Revision) {
-        let mut cursor = Cursor::new(as_of);
-        loop {
-            let watched = cursor.watch(&self.store, records::INBOX_PREFIX, WATCH_TIMEOUT).await;
-            self.note_call(&watched);
-            match watched {
-                Ok(WatchResult::Changes { changes, .. }) => {
-                    let written = |change| match change {
-                        Change::Written(item) => Some(item),
-                        Change::Removed(_) => None,
-                    };
-                    let items: Vec<Item> = changes.into_iter().filter_map(written).collect();
-                    if self.is_superseded(&items) {
-                        return;
-                    }
-                    if !items.is_empty() {
-                        service.update(|owner, now| {
-                            items.iter().for_each(|i| apply_inbox_item(owner, now, i))
-                        });
-                    }
-                }
-                Ok(WatchResult::Compacted) => match self.store.range(records::INBOX_PREFIX).await {
-                    Ok((items, as_of)) => {
-                        tracing::info!(event = "inbox_read_again", items = items.len());
-                        cursor = Cursor::new(as_of);
-                        if self.is_superseded(&items) {
-                            return;
-                        }
-                        service.update(|owner, now| {
-                            items.iter().for_each(|i| apply_inbox_item(owner, now, i))
-                        });
-                    }
-                    Err(error) => {
-                        tracing::warn!(event = "inbox_not_read", %error);
-                        runtime::sleep(RETRY_DELAY).await;
-                    }
-                },
-                Err(error) => {
-                    tracing::warn!(event = "watch_failed", prefix = records::INBOX_PREFIX, %error);
-                    runtime::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
 }
 
 /// Returns the write that sets the lock and the fence, conditional on their revisions.
@@ -540,19 +473,6 @@
     Ok(())
 }
 
-/// Passes a job or cancellation from the inbox to the owner.
-fn apply_inbox_item(owner: &mut Owner, now: Time, item: &Item) {
-    match records::inbox_key(&item.key) {
-        Some(InboxKey::Job(job)) => match records::decode(&item.value) {
-            Ok(spec) => owner.submit(now, job, spec),
-            Err(error) => tracing::error!(event = "record_unreadable", key = item.key, %error),
-        },
-        Some(InboxKey::Cancel(job)) => owner.cancel(job),
-        Some(InboxKey::Lock) => {}
-        None => tracing::error!(event = "key_unknown", key = item.key),
-    }
-}
-
 /// Restores the jobs of the previous owner from the inbox and the progress records.
 fn restore_jobs(owner: &mut Owner, now: Time, inbox: &[Item], progress: &[Item]) {
     let mut records = std::collections::BTreeMap::new();
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -13,9 +13,9 @@
 use peridotfold_wire::runtime;
 
 use crate::connection::{self, MessageReader};
-use crate::cursor::Cursor;
 use crate::entry::{Entry, RETRY_DELAY};
-use crate::ports::{Change, Item, Store, WatchResult};
+use crate::ports::{Item, Store, StoreError};
+use crate::subscription::{Subscription, Update};
 
 /// Time after which a check asks other entries, if the store has not answered. Saves asking them for
 /// nothing: the store usually answers sooner.
@@ -34,51 +34,25 @@
 
     /// Watches the configuration and applies its changes.
     async fn watch_routes(&self) {
-        let mut cursor: Option<Cursor> = None;
         let key = self.store.routes_key();
         let wait = self.view.lock().watch_wait();
+        let mut subscription = Subscription::new(key, wait, None);
         loop {
-            let sent_at = runtime::now();
-            let read = match &mut cursor {
-                None => match self.store.range(key).await {
-                    Ok((items, as_of)) => {
-                        cursor = Some(Cursor::new(as_of));
-                        Ok(Some((Source::Read, items)))
-                    }
-                    Err(error) => Err(error),
-                },
-                Some(cursor) => match cursor.watch(&self.store, key, wait).await {
-                    Ok(WatchResult::Changes { changes, .. }) => {
-                        Ok(Some((Source::Watch, written_items(changes))))
-                    }
-                    Ok(WatchResult::Compacted) => Ok(None),
-                    Err(error) => Err(error),
-                },
-            };
-            match read {
-                Ok(Some((source, items))) => {
+            match subscription.next(&self.store).await {
+                Ok(Update { items, source, as_of }) => {
                     self.set_store_up(true);
-                    let proven_at = match source {
-                        Source::Watch if items.is_empty() => waited_until(sent_at, wait),
-                        _ => sent_at,
-                    };
-                    items
-                        .iter()
-                        .filter(|item| item.key == key)
-                        .for_each(|item| self.apply(item, source));
+                    if source == Source::Read {
+                        tracing::info!(event = "routes_read_again");
+                    }
+                    let stored = items.iter().filter(|item| item.key == key);
+                    stored.for_each(|item| self.apply(item, source));
                     match self.routes() {
-                        Some(_) => self.confirm_routes(proven_at),
+                        Some(_) => self.confirm_routes(as_of),
                         None => runtime::sleep(RETRY_DELAY).await,
                     }
                 }
-                Ok(None) => {
-                    tracing::info!(event = "routes_read_again");
-                    cursor = None;
-                }
                 Err(error) => {
-                    let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
-                    tracing::warn!(event = "routes_not_read", age_ms, %error);
-                    self.set_store_up(false);
+                    self.log_not_read(&error);
                     runtime::sleep(RETRY_DELAY).await;
                 }
             }
@@ -194,14 +168,19 @@
                 false
             }
             Err(error) => {
-                let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
-                tracing::warn!(event = "routes_not_read", age_ms, %error);
-                self.set_store_up(false);
+                self.log_not_read(&error);
                 false
             }
         }
     }
 
+    /// Notes a call for the configuration that the store did not answer.
+    fn log_not_read(&self, error: &StoreError) {
+        let age_ms = self.routes_age().map(|age| age.as_millis() as u64);
+        tracing::warn!(event = "routes_not_read", age_ms, %error);
+        self.set_store_up(false);
+    }
+
     /// Applies a stored configuration unless its version is at most the current one.
     fn apply(&self, item: &Item, source: Source) {
         match self.store.routes(&item.value) {
@@ -251,21 +230,3 @@
     };
     runtime::timeout(PEER_TIMEOUT, &peer.to_string(), asking).await
 }
-
-/// Returns a time before the store gave the answer without changes to a watch that was sent at
-/// `sent_at`. The store gives it only at the end of the wait.
-fn waited_until(sent_at: Time, wait: Duration) -> Time {
-    match sent_at + wait {
-        waited if waited <= runtime::now() => waited,
-        _ => sent_at,
-    }
-}
-
-/// Returns the items that were written, without removals.
-fn written_items(changes: Vec<Change>) -> Vec<Item> {
-    let items = changes.into_iter().filter_map(|change| match change {
-        Change::Written(item) => Some(item),
-        Change::Removed(_) => None,
-    });
-    items.collect()
-}
--- a/crates/hosted/tests/suite/routes.rs
+++ b/crates/hosted/tests/suite/routes.rs
@@ -29,6 +29,18 @@
     assert!(is_in_time, "{fault}: version {version} in force after {took:?}");
 }
 
+/// Tells whether the owner comes to know of this many waiting jobs within twice the bound.
+async fn is_known(owner: &Entry<MemoryStore>, jobs: u64) -> bool {
+    let started_at = Instant::now();
+    while started_at.elapsed() < CONFIG_BOUND * 2 {
+        if owner.waiting("q").await == Some(jobs) {
+            return true;
+        }
+        runtime::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
 /// Guards against a configuration that an entry misses for good: a watch that heard nothing of it
 /// was answered without changes, and the next one began after it.
 #[test]
@@ -63,11 +75,7 @@
         // Both the watch in progress and the one after it end without the job.
         runtime::sleep(Duration::from_millis(3_000)).await;
         store.set_watches(Watches::Prompt);
-        let started_at = Instant::now();
-        while entry.waiting("q").await != Some(1) && started_at.elapsed() < CONFIG_BOUND * 2 {
-            runtime::sleep(Duration::from_millis(10)).await;
-        }
-        assert_eq!(entry.waiting("q").await, Some(1), "the owner does not know the job");
+        assert!(is_known(&entry, 1).await, "the owner does not know the job");
         drop(stop);
     });
 }
@@ -94,6 +102,25 @@
     }
 }
 
+/// Guards against accepted jobs that wait, because watches of the inbox get no answer, or one that
+/// cannot be read: many large jobs at once exceed what the client reads.
+#[test]
+fn jobs_are_known_without_watches() {
+    for watches in [Watches::Silent, Watches::Unreadable] {
+        smol::block_on(async {
+            let store = MemoryStore::default();
+            let (entry, stop) = start_entry("first", &store);
+            assert!(wait_for_owner(&store, "first").await);
+            store.set_watches(watches);
+            for job in 1..4 {
+                assert_eq!(entry.submit(job, &spec(), CONFIG_BOUND).await, Stored::Yes);
+                assert!(is_known(&entry, job).await, "{watches:?} watches: job {job} is not known");
+            }
+            drop(stop);
+        });
+    }
+}
+
 /// Guards against an entry that holds an old configuration because the store turns it away, although
 /// the other entry has the new one. Either may be the owner.
 #[test]
