Wait for all ends of a worker before its runs are given up

After a store outage with 500 ends or more on one worker, callers could see tasks that run twice and steps that begin anew: a worker lists 500 ends at once, the first report of its agent held one listing, and the owner took the runs whose ends come later for lost.

A report with that many ends now counts as a part. The owner applies and acknowledges its ends, but neither adopts nor forgets runs, waits for the agent on a takeover as before, and grants no permission; the agent reports again once the rest is listed. If that takes longer than the permission, the worker has stopped all it ran, and its ends no longer count.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -139,8 +139,10 @@
 struct Session {
     /// Fencing token of the agent's next call to the worker.
     token: Token,
-    /// Whether the worker's state has been sent to the owner in this session.
+    /// Whether the worker's whole state has been sent to the owner in this session.
     is_attached: bool,
+    /// Number of the newest end that a report before that has sent.
+    reported: EndNumber,
     /// When the state of a worker that replaced another one in this session was sent to the owner,
     /// until the answer to a later ping shows that the owner has received it. Orders that arrive
     /// before are for the worker that was replaced.
@@ -266,7 +268,12 @@
     pub fn receive(&mut self, now: Time, message: OwnerMessage) {
         match message {
             OwnerMessage::Welcome { token, .. } => {
-                self.session = Some(Session { token, is_attached: false, unconfirmed_since: None });
+                self.session = Some(Session {
+                    token,
+                    is_attached: false,
+                    reported: 0,
+                    unconfirmed_since: None,
+                });
                 self.listing = None;
                 self.next_list = now;
                 self.next_ping = now;
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -93,18 +93,26 @@
                     let is_second = session.is_attached || session.unconfirmed_since.is_some();
                     session.unconfirmed_since = is_second.then_some(Time::MAX);
                     session.is_attached = false;
+                    session.reported = 0;
                 }
             }
             other => self.candidate = other,
         }
     }
 
-    /// Sends all runs and ends of the worker to the owner, which completes the start of the
-    /// session.
+    /// Sends the runs and ends of the worker to the owner. The start of the session is complete with
+    /// the first report of all ends: a worker with too many for one listing lists the others once the
+    /// owner has acknowledged these.
     fn attach(&mut self, now: Time, running: Vec<Running>, ends: Vec<End>) {
-        let Some(worker) = &mut self.worker else { return };
-        worker.forwarded =
-            ends.iter().map(|end| end.number).max().unwrap_or(0).max(worker.acknowledged);
+        let (Some(worker), Some(session)) = (&mut self.worker, &mut self.session) else { return };
+        let lists_all_ends = ends.len() < MAX_LISTED_ENDS;
+        let newest = ends.iter().map(|end| end.number).max().unwrap_or(0);
+        let reported = std::mem::replace(&mut session.reported, newest);
+        self.next_list = now + UNACKED_DELAY;
+        if !lists_all_ends && newest <= reported {
+            return;
+        }
+        worker.forwarded = newest.max(worker.acknowledged);
         let mut runs = BTreeMap::new();
         for row in &running {
             let old = self.runs.remove(&row.task).filter(|run| run.run == row.run);
@@ -126,13 +134,17 @@
         }
         self.runs = runs;
         let info = worker.info.clone();
-        if let Some(session) = &mut self.session {
-            session.is_attached = true;
-            session.unconfirmed_since = session.unconfirmed_since.map(|_| now);
-        }
-        self.log("attached", format!("worker={} running={}", info.id, running.len()));
+        session.is_attached = lists_all_ends;
+        session.unconfirmed_since = session.unconfirmed_since.map(|_| now);
+        let (count, ends_count) = (running.len(), ends.len());
+        self.log(
+            "attached",
+            format!(
+                "worker={} running={count} ends={ends_count} complete={lists_all_ends}",
+                info.id
+            ),
+        );
         self.actions.push(Action::Send(AgentMessage::Attach { worker: Some(info), running, ends }));
-        self.next_list = now + UNACKED_DELAY;
     }
 
     /// Reconciles the agent's table of runs with a listing, and reports stalled runs to the owner.
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -443,8 +443,11 @@
         match message {
             AgentMessage::Attach { worker, running, ends } => {
                 self.attach(now, slot, worker, running, ends);
-                match self.nodes[slot].early_ping.take() {
-                    Some(sent) if self.is_valid(now) => self.renew_permission(now, slot, sent),
+                match self.nodes[slot].early_ping {
+                    Some(sent) if self.nodes[slot].is_attached && self.is_valid(now) => {
+                        self.nodes[slot].early_ping = None;
+                        self.renew_permission(now, slot, sent);
+                    }
                     _ => {}
                 }
             }
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::interference::InterferenceRow;
-use super::message::{End, OwnerMessage, Running, WorkerInfo};
+use super::message::{End, OwnerMessage, Running, WorkerInfo, MAX_LISTED_ENDS};
 use super::model::{JobNumber, JobSpec, TaskId};
 use super::owner::{traits, Owner, RoundCause, Slot};
 use super::progress::Progress;
@@ -69,10 +69,11 @@
         }
     }
 
-    /// Handles the first report of an agent in a session, which contains the state of the worker:
-    /// applies the `ends` of runs, requeues the tasks that the worker does not run, and adopts or
-    /// stops the runs in `running`. The report is complete, because the worker already refuses
-    /// delayed orders of older sessions.
+    /// Handles a report of an agent at the beginning of a session, which contains the state of the
+    /// worker: applies the `ends` of runs, requeues the tasks that the worker does not run, and adopts
+    /// or stops the runs in `running`. The worker already refuses delayed orders of older sessions. If
+    /// it has more ends than it lists at once, only `ends` are applied, and another report follows
+    /// once they are acknowledged.
     pub(super) fn attach(
         &mut self,
         now: Time,
@@ -85,17 +86,20 @@
         if known.is_some() && known != worker.as_ref().map(|worker| worker.id.clone()) {
             self.lose_worker(slot, "replaced");
         }
+        let is_complete = ends.len() < MAX_LISTED_ENDS;
         let name = self.nodes[slot].name.clone();
-        self.unreported.remove(&name);
         let node = &mut self.nodes[slot];
-        node.stale_runs.clear();
-        node.is_attached = true;
-        node.last_pong = now;
+        if is_complete {
+            self.unreported.remove(&name);
+            node.stale_runs.clear();
+            node.is_attached = true;
+            node.last_pong = now;
+        }
         if !node.in_roster {
             self.mark_roster_changed();
         }
         let detail = format!(
-            "node={name} worker={} running={} ends={}",
+            "node={name} worker={} running={} ends={} complete={is_complete}",
             worker.as_ref().map_or("none", |worker| worker.id.as_str()),
             running.len(),
             ends.len()
@@ -110,6 +114,9 @@
             self.send_acknowledgement(slot);
         }
         self.ends(now, slot, &id, ends);
+        if !is_complete {
+            return;
+        }
         self.forget_unlisted(slot, &running);
         let mut rows = Vec::new();
         for run in &running {
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -421,3 +421,85 @@
         .collect();
     assert_eq!(waits, [ms(0)]);
 }
+
+/// Returns this many ends of tasks of another job.
+fn other_ends(count: usize) -> Vec<End> {
+    let end = |number: usize| End {
+        number: number as u64,
+        task: TaskId { job: 8, index: number as u32, ..TASK },
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    (1..=count).map(end).collect()
+}
+
+/// Guards against tasks that run twice: a worker lists only some of its ends at once, and a successor
+/// that takes them for all starts the tasks of the others again.
+#[test]
+fn a_successor_starts_nothing_again_whose_end_is_not_listed_yet() {
+    let count = MAX_LISTED_ENDS as u32 + 2;
+    let spec = job(3, vec![step(count, 1, 1_000)]);
+    let mut world = World::new(2, 1_000);
+    world.submit(7, spec.clone());
+    let started = world.started.len();
+    assert_eq!(started, count as usize, "all tasks run at once");
+    // All of them end on one worker while no owner is connected.
+    let moved = std::mem::take(&mut world.workers[1].running);
+    world.workers[0].running.extend(moved);
+    world.take_over(&[(7, spec)]);
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    world.workers[0].session = u32::MAX;
+    world.end_all(EndKind::Done, |_| true);
+    world.workers[0].session = session;
+    let all = world.workers[0].ends.clone();
+    let info = world.workers[0].info.clone();
+    let report = |ends: &[End]| AgentMessage::Attach {
+        worker: Some(info.clone()),
+        running: Vec::new(),
+        ends: ends.to_vec(),
+    };
+    world.attach(1);
+    world.owner.receive(world.now, slot, session, report(&all[..MAX_LISTED_ENDS]));
+    world.advance(ms(500));
+    let again = |world: &World| world.started.len() - started;
+    assert_eq!(again(&world), 0, "started again before all ends were listed");
+    assert_eq!(world.workers[0].acknowledged, MAX_LISTED_ENDS as u64, "the worker lists no more");
+    world.owner.receive(world.now, slot, session, report(&all[MAX_LISTED_ENDS..]));
+    world.advance(ms(500));
+    assert_eq!(again(&world), 0);
+    assert!(world.logs.iter().any(|(event, _)| *event == "job_completed"));
+}
+
+/// Guards against a report that an owner takes for complete although the worker lists more ends once
+/// these are acknowledged.
+#[test]
+fn an_agent_is_attached_only_once_its_worker_has_listed_all_ends() {
+    let mut agent = AgentState::default();
+    agent.heartbeat(ms(1), life("life-1"), 1);
+    agent.receive(ms(1), OwnerMessage::Welcome { token: 100, entries: Vec::new() });
+    let ends = other_ends(MAX_LISTED_ENDS + 3);
+    let (first, rest) = ends.split_at(MAX_LISTED_ENDS);
+    let reports = |agent: &mut AgentState| -> Vec<usize> {
+        let reports = sent(agent, |m| matches!(m, AgentMessage::Attach { .. }));
+        let count = |message| match message {
+            AgentMessage::Attach { ends, .. } => ends.len(),
+            other => panic!("{other:?}"),
+        };
+        reports.into_iter().map(count).collect()
+    };
+    agent.listed(ms(2), "life-1", 100, 1_000, vec![listed_run(1)], first.to_vec());
+    assert_eq!(reports(&mut agent), [MAX_LISTED_ENDS]);
+    agent.listed(ms(60), "life-1", 100, 1_060, vec![listed_run(1)], first.to_vec());
+    assert_eq!(reports(&mut agent), [0; 0], "the same ends are not sent twice");
+    let number = MAX_LISTED_ENDS as u64;
+    agent.receive(ms(70), OwnerMessage::Seen { worker: "life-1".to_owned(), number });
+    agent.receive(ms(71), OwnerMessage::Stop { task: TASK, run: 9 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { .. }));
+    assert!(denials.is_empty(), "denied before the report was complete: {denials:?}");
+    agent.listed(ms(80), "life-1", 100, 1_080, vec![listed_run(1)], rest.to_vec());
+    assert_eq!(reports(&mut agent), [3]);
+    agent.receive(ms(81), OwnerMessage::Stop { task: TASK, run: 9 });
+    let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { .. }));
+    assert_eq!(denials.len(), 1);
+}
