--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -39,6 +39,7 @@
         Plant::Forgotten | Plant::Stuck => "LOST",
         Plant::FalseEnd => "MIXED",
         Plant::OwnEnd => "OWN END",
+        Plant::HiddenRoute => "CONFIG",
     }
 }
 
