Show up to when the owner knows its inbox

The owner believes to know all accepted jobs; how old that belief is stood in no metric. inbox_confirmed_timestamp_seconds shows it, beside age_ms in watch_failed and inbox_not_read.

--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -25,6 +25,12 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
+/// Converts a monotonic time to the wall-clock time, in seconds since 1970.
+pub(crate) fn unix_seconds_at(time: Time) -> f64 {
+    let age = runtime::now().saturating_sub(time);
+    unix_ms() as f64 / 1_000.0 - age.as_secs_f64()
+}
+
 /// The owner's state machine and the outboxes of its agents. Lock order: `owner`, then `outboxes`.
 #[derive(Debug)]
 pub(crate) struct OwnerService {
--- a/crates/hosted/src/ownership/inbox.rs
+++ b/crates/hosted/src/ownership/inbox.rs
@@ -8,7 +8,7 @@
 use peridotfold_wire::runtime;
 
 use super::{Ownership, RETRY_DELAY};
-use crate::owner_service::OwnerService;
+use crate::owner_service::{self, OwnerService};
 use crate::ports::{Item, Revision, Store};
 use crate::records::{self, InboxKey, Lock};
 use crate::subscription::Subscription;
@@ -26,6 +26,8 @@
             self.note_call(&received);
             match received {
                 Ok(update) => {
+                    let known_at = owner_service::unix_seconds_at(update.as_of);
+                    metrics::gauge!("inbox_confirmed_timestamp_seconds").set(known_at);
                     if update.source == Source::Read {
                         tracing::info!(event = "inbox_read_again", items = update.items.len());
                     }
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use futures_lite::future;
 use peridotfold_core::flow::message::{Greeting, RoutesReply};
@@ -14,6 +14,7 @@
 
 use crate::connection::{self, MessageReader};
 use crate::entry::{Entry, RETRY_DELAY};
+use crate::owner_service;
 use crate::ports::{Item, Store, StoreError};
 use crate::subscription::{Subscription, Update};
 
@@ -212,10 +213,7 @@
     /// Notes that the current routes were the newest ones at `as_of`.
     fn confirm_routes(&self, as_of: Time) {
         self.view.lock().confirm(as_of);
-        let age = runtime::now().saturating_sub(as_of);
-        // A clock before 1970 counts as 0, which shows as an age of decades.
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let confirmed = unix.saturating_sub(age).as_secs_f64();
+        let confirmed = owner_service::unix_seconds_at(as_of);
         metrics::gauge!("routes_confirmed_timestamp_seconds").set(confirmed);
     }
 }
