Log why a run was stopped and for how long it ran

An attempt now keeps the reason of its stop; run_ended shows it with the run's time and CPU.

the_log_names_the_reason_for_which_a_run_was_stopped is new with the field, so that it was not seen red on older code.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -28,7 +28,7 @@
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
 use super::place::Candidate;
 use super::progress::{Phase, Progress};
-use super::step::{Attempt, StepState};
+use super::step::{Attempt, StepState, StopReason};
 use crate::hash;
 use crate::time::Time;
 
@@ -368,13 +368,17 @@
     pub(super) fn finish_job(&mut self, number: JobNumber, phase: Phase) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.phase = phase;
+        let reason = match phase {
+            Phase::Cancelled => StopReason::Cancelled,
+            _ => StopReason::JobFailed,
+        };
         let mut stops = Vec::new();
         for (occurrence, steps) in &mut job.occurrences {
             for (index, state) in steps.iter_mut().enumerate() {
                 state.waiting.clear();
                 for (task, attempt) in &mut state.running {
-                    if !attempt.is_stopping {
-                        attempt.is_stopping = true;
+                    if !attempt.is_stopping() {
+                        attempt.stop_reason = Some(reason);
                         let id = TaskId {
                             job: number,
                             occurrence: *occurrence,
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -6,6 +6,7 @@
 use crate::flow::message::{End, EndKind, OwnerMessage};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
 use crate::flow::progress::Phase;
+use crate::flow::step::{Attempt, StopReason};
 use crate::time::Time;
 
 /// Time without starts on a node after failures of two different jobs in a row; doubles with each
@@ -47,6 +48,7 @@
         let task = end.task;
         self.save_checkpoint(task, end.run, end.checkpoint.clone());
         self.end_stale_run(slot, task, end.run);
+        let known = self.attempt(&task, end.run).cloned();
         let was_current = self.drop_run(&task, end.run).is_some();
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
             self.nodes[slot].refusals = 0;
@@ -74,11 +76,26 @@
         }
         if was_current && end.kind != EndKind::Done {
             let name = &self.nodes[slot].name;
-            let detail = format!("task={task} run={} kind={:?} node={name}", end.run, end.kind);
+            let reason = known.as_ref().and_then(|attempt| attempt.stop_reason);
+            let ran = known.map_or(Duration::ZERO, |attempt| now.saturating_sub(attempt.since));
+            let detail = format!(
+                "task={task} run={} kind={:?} node={name} reason={} ran_ms={} cpu={}",
+                end.run,
+                end.kind,
+                reason.map_or("none".to_owned(), |reason| format!("{reason:?}")),
+                ran.as_millis(),
+                step.need.cpu_milli
+            );
             self.log("run_ended", Some(task.job), detail);
         }
     }
 
+    /// Returns the run of a task with this number, if it is in progress.
+    fn attempt(&mut self, task: &TaskId, run: Run) -> Option<&Attempt> {
+        let (_, state) = self.step_mut(task)?;
+        state.running.get(&task.index).filter(|attempt| attempt.run == run)
+    }
+
     /// Notes the end of a run that the owner no longer tracked; the node may then accept starts.
     fn end_stale_run(&mut self, slot: Slot, task: TaskId, run: Run) {
         if self.nodes[slot].stale_runs.remove(&(task, run)) {
@@ -94,7 +111,7 @@
         for index in members {
             state.complete(index);
             if let Some(attempt) = state.running.get_mut(&index) {
-                attempt.is_stopping = true;
+                attempt.stop_reason = Some(StopReason::TaskDone);
                 stops.push((attempt.slot, TaskId { index, ..*task }, attempt.run));
             }
         }
@@ -182,8 +199,8 @@
         let Some((_, state)) = self.step_mut(task) else { return };
         let mut stops = Vec::new();
         for (index, attempt) in &mut state.running {
-            if !attempt.is_stopping {
-                attempt.is_stopping = true;
+            if !attempt.is_stopping() {
+                attempt.stop_reason = Some(StopReason::GangBroken);
                 stops.push((attempt.slot, TaskId { index: *index, ..*task }, attempt.run));
             }
         }
@@ -228,7 +245,7 @@
         self.log("start_rejected", Some(task.job), detail);
         self.end_stale_run(slot, task, run);
         let attempt = self.step_mut(&task).and_then(|(_, state)| state.running.get(&task.index));
-        let refused = attempt.filter(|attempt| !attempt.is_stopping).cloned();
+        let refused = attempt.filter(|attempt| !attempt.is_stopping()).cloned();
         if self.drop_run(&task, run).is_some() {
             if let Some((_, state)) = self.step_mut(&task) {
                 state.avoided_nodes.insert(task.index, slot);
@@ -267,10 +284,10 @@
     pub(super) fn stalled(&mut self, now: Time, slot: Slot, task: TaskId, run: Run) {
         let Some((_, state)) = self.step_mut(&task) else { return };
         let Some(attempt) = state.running.get_mut(&task.index) else { return };
-        if attempt.run != run || attempt.is_stopping {
+        if attempt.run != run || attempt.is_stopping() {
             return;
         }
-        attempt.is_stopping = true;
+        attempt.stop_reason = Some(StopReason::Stalled);
         state.avoided_nodes.insert(task.index, slot);
         self.nodes[slot].backoff_until = self.nodes[slot].backoff_until.max(now + STALL_BACKOFF);
         let detail = format!("task={task} run={run} node={}", self.nodes[slot].name);
--- a/crates/core/src/flow/owner/stragglers.rs
+++ b/crates/core/src/flow/owner/stragglers.rs
@@ -6,6 +6,7 @@
 use super::{Owner, Slot};
 use crate::flow::message::OwnerMessage;
 use crate::flow::model::{Run, TaskId};
+use crate::flow::step::StopReason;
 use crate::time::Time;
 
 /// Interval between two searches for stragglers.
@@ -42,7 +43,7 @@
         for (slot, task, run) in stragglers {
             let Some((_, state)) = self.step_mut(&task) else { continue };
             if let Some(attempt) = state.running.get_mut(&task.index) {
-                attempt.is_stopping = true;
+                attempt.stop_reason = Some(StopReason::Straggler);
             }
             state.avoided_nodes.insert(task.index, slot);
             let node = &self.nodes[slot];
@@ -67,7 +68,7 @@
         let is_last = state.waiting.is_empty()
             && state.running.len() as u32 <= (step.count / LAST_TASKS_DIVISOR).max(1);
         let is_movable = state.running.get(&task.index).is_some_and(|attempt| {
-            attempt.run == run && !attempt.is_stopping && now >= attempt.since + MIN_RUN_TIME
+            attempt.run == run && !attempt.is_stopping() && now >= attempt.since + MIN_RUN_TIME
         });
         step.best_effort && step.has_checkpoints && !step.gang && is_last && is_movable
     }
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -5,6 +5,7 @@
 use super::{Job, Node, Owner, RoundCause, Slot, MAX_COMMIT_KEYS};
 use crate::flow::message::{OwnerMessage, Pressure};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
+use crate::flow::step::StopReason;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -49,8 +50,8 @@
             let Some((spec, state)) = self.step_mut(&task) else { continue };
             let is_picked = selects(&spec.steps[usize::from(task.step)]);
             match state.running.get_mut(&task.index) {
-                Some(attempt) if is_picked && attempt.run == run && !attempt.is_stopping => {
-                    attempt.is_stopping = true;
+                Some(attempt) if is_picked && attempt.run == run && !attempt.is_stopping() => {
+                    attempt.stop_reason = Some(StopReason::WorkerDrains);
                     self.send(slot, OwnerMessage::Stop { task, run });
                 }
                 _ => {}
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -173,7 +173,7 @@
         let step = spec.steps[usize::from(task.step)].clone();
         match state.running.get(&task.index) {
             Some(attempt) if attempt.run == listed.run && attempt.slot == slot => {
-                return !attempt.is_stopping;
+                return !attempt.is_stopping();
             }
             Some(_) => return self.hold_for_stale_run(slot, listed),
             None if state.done.contains(task.index) => {
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -31,7 +31,7 @@
         let steps = open.flat_map(|job| job.occurrences.values().flatten());
         let (waiting, running, stopping) =
             steps.fold((0, 0, 0), |(waiting, running, stopping), state| {
-                let stops = state.running.values().filter(|attempt| attempt.is_stopping).count();
+                let stops = state.running.values().filter(|attempt| attempt.is_stopping()).count();
                 (waiting + state.waiting.len(), running + state.running.len(), stopping + stops)
             });
         format!(
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -15,8 +15,8 @@
     pub slot: Slot,
     /// When this owner ordered or adopted the run.
     pub since: Time,
-    /// Whether the owner has ordered to stop the run.
-    pub is_stopping: bool,
+    /// Why the owner has ordered to stop the run; `None` if it has not.
+    pub stop_reason: Option<StopReason>,
     /// Since when the step had been idle at the start of the run; counts on if the start is rejected,
     /// or if the run was for the relief of the step.
     idle_since: Option<Time>,
@@ -27,8 +27,32 @@
 impl Attempt {
     /// Returns a run that is ordered or adopted at `since`.
     pub fn new(run: Run, slot: Slot, since: Time) -> Self {
-        Attempt { run, slot, since, is_stopping: false, idle_since: None, is_relief: false }
+        Attempt { run, slot, since, stop_reason: None, idle_since: None, is_relief: false }
     }
+
+    /// Tells whether the owner has ordered to stop the run.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_reason.is_some()
+    }
+}
+
+/// Reason for which the owner stops a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// The job was cancelled.
+    Cancelled,
+    /// A task of the job has used up its attempts.
+    JobFailed,
+    /// The task is done by another run, or its gang is.
+    TaskDone,
+    /// Another task of the gang has ended or is lost.
+    GangBroken,
+    /// The worker drains.
+    WorkerDrains,
+    /// The run made no progress.
+    Stalled,
+    /// The last task of a step moves to a worker that throttles it less.
+    Straggler,
 }
 
 /// State of the tasks of a step. Maps and sets are keyed by the task's index, unless stated
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::message::{AgentMessage, EndKind};
-use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::progress::Phase;
 
 use crate::support::{job, ms, step, World};
@@ -235,3 +235,30 @@
     world.settle();
     assert_eq!(world.running().len(), 1);
 }
+
+/// Guards against runs that are stopped without a trace of the reason, so that work thrown away cannot
+/// be told apart by its cause.
+#[test]
+fn the_log_names_the_reason_for_which_a_run_was_stopped() {
+    let reason_after = |change: &dyn Fn(&mut World)| -> String {
+        let mut world = World::new(2, 1_000);
+        let spec = job(1, vec![Step { gang: true, ..step(2, 400, 60_000) }]);
+        world.submit(7, spec);
+        world.advance(ms(500));
+        change(&mut world);
+        world.settle();
+        let ended = world.logs.iter().rfind(|(event, _)| *event == "run_ended");
+        let (_, detail) = ended.expect("a run has ended");
+        assert!(detail.contains("cpu=400"), "{detail}");
+        detail.split("reason=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap().to_owned()
+    };
+    assert_eq!(reason_after(&|world| world.owner.cancel(7)), "Cancelled");
+    let end_first = |kind: EndKind| {
+        move |world: &mut World| {
+            let (index, task) = world.running()[0];
+            world.end(index, task, kind);
+        }
+    };
+    assert_eq!(reason_after(&end_first(EndKind::Failed)), "GangBroken");
+    assert_eq!(reason_after(&end_first(EndKind::Done)), "TaskDone");
+}
