Confirm no routes beside a configuration that cannot be decoded

Found by reading the change again: an entry that could not decode the newest configuration logged routes_unreadable, kept the older routes and took the next empty watch as proof that they are the newest. They now stay unconfirmed until a newer configuration is read, so that a missing route is answered by 503.

Beside it: Source moved to the subscription that uses it, replies of peers show in the metric too, and the owner is asked first.

routes_are_not_confirmed_beside_a_newer_configuration_that_cannot_be_decoded needs note_unreadable, so that it was not seen red on older code.

--- a/crates/core/src/flow/routes/view.rs
+++ b/crates/core/src/flow/routes/view.rs
@@ -1,6 +1,5 @@
 //! The routes that an entry has applied, and how recently they were known to be the newest ones.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,27 +20,6 @@
 /// Number of times that this interval doubles while checks fail.
 const MAX_DOUBLINGS: u32 = 2;
 
-/// Where an entry learned of its routes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
-    /// A watch of the store.
-    Watch,
-    /// A read of the store.
-    Read,
-    /// Another entry.
-    Peer,
-}
-
-impl fmt::Display for Source {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Source::Watch => "watch",
-            Source::Read => "read",
-            Source::Peer => "peer",
-        })
-    }
-}
-
 /// Routes with the stored configuration that defines them.
 #[derive(Debug, Clone)]
 pub struct StoredRoutes {
@@ -74,6 +52,8 @@
     current: Option<StoredRoutes>,
     /// When the routes were last known to be the newest ones.
     confirmed_at: Option<Time>,
+    /// Revision of the newest stored configuration that could not be decoded.
+    unreadable: Option<u64>,
     /// When the last check began.
     checked_at: Option<Time>,
     /// Number of checks in a row that did not confirm the routes.
@@ -89,6 +69,7 @@
             bound,
             current: None,
             confirmed_at: None,
+            unreadable: None,
             checked_at: None,
             failures: 0,
             was_stale: false,
@@ -104,9 +85,23 @@
         is_newer
     }
 
-    /// Notes that the current routes were the newest ones at `as_of`.
+    /// Notes that the current routes were the newest ones at `as_of`. Does nothing if a newer
+    /// configuration is stored that could not be decoded.
     pub fn confirm(&mut self, as_of: Time) {
-        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+        let revision = self.current.as_ref().map(|stored| stored.revision);
+        if self.unreadable <= revision {
+            self.confirmed_at = self.confirmed_at.max(Some(as_of));
+        }
+    }
+
+    /// Notes that the configuration stored at `revision` could not be decoded.
+    pub fn note_unreadable(&mut self, revision: u64) {
+        self.unreadable = self.unreadable.max(Some(revision));
+    }
+
+    /// Returns when the routes were last known to be the newest ones; `None` if they never were.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
     }
 
     /// Returns the current routes; `None` before the first.
--- a/crates/core/tests/flow/routes.rs
+++ b/crates/core/tests/flow/routes.rs
@@ -103,3 +103,17 @@
     view.checked(now, true);
     assert_eq!(view.check_in(now), BOUND * 7 / 10);
 }
+
+/// Guards against routes that count as the newest ones although a newer configuration is stored that
+/// this build cannot decode.
+#[test]
+fn routes_are_not_confirmed_beside_a_newer_configuration_that_cannot_be_decoded() {
+    let mut view = view(5, seconds(10.0));
+    view.note_unreadable(6);
+    view.confirm(seconds(13.0));
+    assert_eq!(view.age(seconds(13.0)), Some(seconds(3.0)));
+    assert!(is_unknown(&view, seconds(13.0), "/other/7"));
+    assert!(view.apply(stored(7)));
+    view.confirm(seconds(14.0));
+    assert_eq!(view.age(seconds(14.0)), Some(Duration::ZERO));
+}
--- a/crates/hosted/src/ownership/inbox.rs
+++ b/crates/hosted/src/ownership/inbox.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::owner::Owner;
-use peridotfold_core::flow::routes::view::Source;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 
@@ -11,7 +10,7 @@
 use crate::owner_service::{self, OwnerService};
 use crate::ports::{Item, Revision, Store};
 use crate::records::{self, InboxKey, Lock};
-use crate::subscription::Subscription;
+use crate::subscription::{Source, Subscription};
 
 /// Long-poll timeout of a watch; bounds the time for which a dead connection goes unnoticed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -7,7 +7,7 @@
 
 use futures_lite::future;
 use peridotfold_core::flow::message::{Greeting, RoutesReply};
-use peridotfold_core::flow::routes::view::{Source, StoredRoutes};
+use peridotfold_core::flow::routes::view::StoredRoutes;
 use peridotfold_core::time::Time;
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::runtime;
@@ -16,7 +16,7 @@
 use crate::entry::{Entry, RETRY_DELAY};
 use crate::owner_service;
 use crate::ports::{Item, Store, StoreError};
-use crate::subscription::{Subscription, Update};
+use crate::subscription::{Source, Subscription, Update};
 
 /// Time after which a check asks other entries, if the store has not answered. Saves asking them for
 /// nothing: the store usually answers sooner.
@@ -42,7 +42,7 @@
             match subscription.next(&self.store).await {
                 Ok(Update { items, source, as_of }) => {
                     self.set_store_up(true);
-                    if source == Source::Read {
+                    if source == Source::Read && self.routes().is_some() {
                         tracing::info!(event = "routes_read_again");
                     }
                     let stored = items.iter().filter(|item| item.key == key);
@@ -118,6 +118,9 @@
     async fn ask_peers(&self) -> bool {
         let mut peers = self.peers();
         fastrand::shuffle(&mut peers);
+        // The owner is known to live; others may be gone.
+        let owner = self.role().1;
+        peers.sort_by_key(|peer| Some(*peer) != owner);
         peers.truncate(MAX_PEERS_ASKED);
         let version = self.view.lock().version();
         let asked_at = runtime::now();
@@ -151,10 +154,12 @@
             let key = self.store.routes_key().to_owned();
             self.apply(&Item { key, value: value.clone(), revision: *revision }, Source::Peer);
         }
-        self.view.lock().hear(asked_at, runtime::now(), reply)
+        let is_recent = self.view.lock().hear(asked_at, runtime::now(), reply);
+        self.show_confirmation();
+        is_recent
     }
 
-    /// Reads the configuration from the store and applies it. Tells whether the store answered.
+    /// Reads the configuration from the store and applies it. Tells whether that confirmed the routes.
     async fn read_routes(&self) -> bool {
         let sent_at = runtime::now();
         match self.store.get(self.store.routes_key()).await {
@@ -162,7 +167,7 @@
                 self.set_store_up(true);
                 self.apply(&item, Source::Read);
                 self.confirm_routes(sent_at);
-                true
+                self.view.lock().confirmed_at().is_some_and(|at| at >= sent_at)
             }
             Ok(None) => {
                 tracing::warn!(event = "routes_not_read", error = "no configuration is stored");
@@ -206,15 +211,25 @@
                     );
                 }
             }
-            Err(error) => tracing::error!(event = "routes_unreadable", key = item.key, %error),
+            Err(error) => {
+                self.view.lock().note_unreadable(item.revision);
+                tracing::error!(event = "routes_unreadable", key = item.key, %error);
+            }
         }
     }
 
     /// Notes that the current routes were the newest ones at `as_of`.
     fn confirm_routes(&self, as_of: Time) {
         self.view.lock().confirm(as_of);
-        let confirmed = owner_service::unix_seconds_at(as_of);
-        metrics::gauge!("routes_confirmed_timestamp_seconds").set(confirmed);
+        self.show_confirmation();
+    }
+
+    /// Sets the metric of the last confirmation.
+    fn show_confirmation(&self) {
+        if let Some(at) = self.view.lock().confirmed_at() {
+            let confirmed = owner_service::unix_seconds_at(at);
+            metrics::gauge!("routes_confirmed_timestamp_seconds").set(confirmed);
+        }
     }
 }
 
--- a/crates/hosted/src/subscription.rs
+++ b/crates/hosted/src/subscription.rs
@@ -1,9 +1,9 @@
 //! Subscription to the keys of the store with a prefix: reads them, then watches for changes.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
-use peridotfold_core::flow::routes::view::Source;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 
@@ -23,6 +23,27 @@
 /// Upper bound of this delay, at which the keys are still read twice a second.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
+/// Where a process learned of an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// A watch of the store.
+    Watch,
+    /// A read of the store.
+    Read,
+    /// Another entry.
+    Peer,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Source::Watch => "watch",
+            Source::Read => "read",
+            Source::Peer => "peer",
+        })
+    }
+}
+
 /// Items that a subscription has received.
 #[derive(Debug)]
 pub(crate) struct Update {
