--- a/crates/core/tests/flow/place.rs
+++ b/crates/core/tests/flow/place.rs
@@ -6,7 +6,7 @@
 use peridotfold_core::flow::model::Step;
 use peridotfold_core::resources::Resources;
 
-use crate::support::{job, ms, step, World};
+use crate::support::{job, ms, step, World, PERMISSION};
 
 /// Guards against starting some tasks of a gang, which must run together, while there is no
 /// capacity for the others.
@@ -82,3 +82,41 @@
     let begun: Vec<_> = world.running().iter().map(|(_, task)| task.job).collect();
     assert_eq!(begun, [1, 3, 3]);
 }
+
+/// Guards against jobs that wait for the rack of their data while other racks are idle. Pattern: many
+/// jobs want the same rack.
+#[test]
+fn jobs_that_want_one_rack_start_on_others_when_it_is_full() {
+    // Three workers a rack.
+    let mut world = World::new(9, 4_000);
+    let near = Step { preferred_rack: Some("r0".to_owned()), ..step(1, 1_000, 60_000) };
+    for number in 0..36 {
+        world.submit(number, job(1, vec![near.clone()]));
+    }
+    let running = world.running();
+    assert_eq!(running.len(), 36, "some jobs wait");
+    let on_rack = running.iter().filter(|(index, _)| *index < 3).count();
+    assert_eq!(on_rack, 12, "the rack of the data is full");
+    let first: Vec<_> =
+        running.iter().filter(|(index, _)| *index < 3).map(|(_, t)| t.job).collect();
+    assert!(first.iter().all(|job| *job < 12), "the first jobs are near their data: {first:?}");
+}
+
+/// Guards against tasks of a machine that is removed for good, which wait although the machine that
+/// replaces it has reported.
+#[test]
+fn the_tasks_of_a_removed_machine_start_on_the_one_that_replaces_it() {
+    let mut world = World::new(2, 1_000);
+    world.submit(1, job(1, vec![Step { long_running: true, ..step(2, 800, 1_000) }]));
+    let (_, task) = world.running().into_iter().find(|(index, _)| *index == 1).expect("a run");
+    let removed = &mut world.workers[1];
+    let (slot, session) = (removed.slot, std::mem::replace(&mut removed.session, u32::MAX));
+    removed.running.clear();
+    world.owner.disconnect(slot, session);
+    // Another name, as the replacement has another address.
+    world.add_worker(2, 1_000);
+    world.advance(PERMISSION);
+    assert!(!world.running().contains(&(2, task)), "the removed machine may still run the task");
+    world.advance(ms(1_000));
+    assert!(world.running().contains(&(2, task)), "{:?}", world.running());
+}
