--- a/crates/core/tests/flow/routes.rs
+++ b/crates/core/tests/flow/routes.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use peridotfold_core::flow::message::RoutesReply;
-use peridotfold_core::flow::model::Queue;
 use peridotfold_core::flow::routes::view::{Lookup, RoutesView, StoredRoutes};
 use peridotfold_core::flow::routes::Routes;
 
+use crate::support::queue;
+
 const BOUND: Duration = Duration::from_secs(2);
 const HOST: &str = "a.example";
 const PREFIX: &str = "/q/";
@@ -19,16 +20,7 @@
 
 /// Returns routes of a version with one queue.
 fn stored(version: u64) -> StoredRoutes {
-    let queue = Queue {
-        name: "q".to_owned(),
-        service: "svc".to_owned(),
-        priority: 0,
-        attempts: 1,
-        stretch: 1.0,
-        slack_ms: 0,
-        advice: None,
-    };
-    let routes = Routes::new(version, [(HOST.to_owned(), PREFIX.to_owned(), queue)]);
+    let routes = Routes::new(version, [(HOST.to_owned(), PREFIX.to_owned(), queue(1))]);
     StoredRoutes { routes: Arc::new(routes), revision: version, value: Bytes::from("value") }
 }
 
@@ -52,7 +44,7 @@
     assert!(matches!(view.find(seconds(12.0), HOST, "/other/7"), Lookup::NotFound));
     assert!(is_unknown(&view, seconds(12.1), "/other/7"));
     let found = view.find(seconds(12.1), HOST, "/q/7");
-    assert!(matches!(found, Lookup::Found(queue, "7") if queue.name == "q"));
+    assert!(matches!(found, Lookup::Found(found, "7") if found == queue(1)));
     view.confirm(seconds(12.5));
     assert!(matches!(view.find(seconds(13.0), HOST, "/other/7"), Lookup::NotFound));
 }
