Let large configurations arrive over slow links

A configuration of some thousand routes takes about a second over a front's link of 10 Mbit/s.

A check now asks other entries for their versions alone, gets a newer one from one of them, and reads the store only if none has confirmed the routes within 50 ms. Calls to the store and to entries are given up when no further part of the answer arrives, not when the whole takes long.

--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -18,12 +18,12 @@
 use crate::ports::{Item, Store, StoreError};
 use crate::subscription::{Source, Subscription, Update};
 
-/// Time after which a check asks other entries, if the store has not answered. Saves asking them for
-/// nothing: the store usually answers sooner.
-const PEER_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a check reads the store, if no other entry has confirmed the routes. The store
+/// sends the whole configuration, an entry only its version.
+const READ_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of entries asked at once.
 const MAX_PEERS_ASKED: usize = 3;
-/// Timeout of a question to another entry, with the connection.
+/// Time without a part of an answer after which another entry is given up.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl<S: Store> Entry<S> {
@@ -93,15 +93,15 @@
         }
     }
 
-    /// Asks the store, and a little later other entries. Tells whether any of them confirmed the routes.
+    /// Asks other entries, and a little later the store. Tells whether any of them confirmed the routes.
     async fn confirm_by_any(self: &Arc<Self>) -> bool {
         let (sender, outcomes) = async_channel::bounded(2);
         let (entry, outcome) = (self.clone(), sender.clone());
-        let reading = runtime::spawn(async move { outcome.send(entry.read_routes().await).await });
+        let asking = runtime::spawn(async move { outcome.send(entry.ask_peers().await).await });
         let entry = self.clone();
-        let asking = runtime::spawn(async move {
-            runtime::sleep(PEER_DELAY).await;
-            sender.send(entry.ask_peers().await).await
+        let reading = runtime::spawn(async move {
+            runtime::sleep(READ_DELAY).await;
+            sender.send(entry.read_routes().await).await
         });
         let mut is_confirmed = false;
         while !is_confirmed {
@@ -113,8 +113,8 @@
         is_confirmed
     }
 
-    /// Asks some other entries at once for newer routes and applies these. Tells whether the routes
-    /// are confirmed as of a recent time.
+    /// Asks some other entries at once for their versions, gets the routes from the first one with a
+    /// newer version, and applies them. Tells whether the routes are confirmed as of a recent time.
     async fn ask_peers(&self) -> bool {
         let mut peers = self.peers();
         fastrand::shuffle(&mut peers);
@@ -122,20 +122,22 @@
         let owner = self.role().1;
         peers.sort_by_key(|peer| Some(*peer) != owner);
         peers.truncate(MAX_PEERS_ASKED);
-        let version = self.view.lock().version();
         let asked_at = runtime::now();
         let (sender, replies) = async_channel::bounded(MAX_PEERS_ASKED);
         let ask = |peer| {
             let sender = sender.clone();
-            runtime::spawn(
-                async move { sender.send((peer, query_routes(peer, version).await)).await },
-            )
+            // No version is newer, so that the answer is without a configuration.
+            let asking = query_routes(peer, u64::MAX);
+            runtime::spawn(async move { sender.send((peer, asking.await)).await })
         };
         let asking: Vec<_> = peers.into_iter().map(ask).collect();
         drop(sender);
         let mut is_confirmed = false;
         while !is_confirmed {
             match replies.recv().await {
+                Ok((peer, Ok(reply))) if reply.version > self.view.lock().version() => {
+                    is_confirmed = self.fetch_routes(peer).await;
+                }
                 Ok((_, Ok(reply))) => is_confirmed = self.hear(asked_at, &reply),
                 Ok((peer, Err(error))) => {
                     tracing::info!(event = "peer_not_asked", %peer, %error);
@@ -147,6 +149,20 @@
         is_confirmed
     }
 
+    /// Gets newer routes from the entry at `peer`. Tells whether the routes are confirmed as of a recent
+    /// time.
+    async fn fetch_routes(&self, peer: SocketAddr) -> bool {
+        let version = self.view.lock().version();
+        let asked_at = runtime::now();
+        match query_routes(peer, version).await {
+            Ok(reply) => self.hear(asked_at, &reply),
+            Err(error) => {
+                tracing::info!(event = "peer_not_asked", %peer, %error);
+                false
+            }
+        }
+    }
+
     /// Applies the routes in a peer's reply, if any. Tells whether the routes are confirmed as of a
     /// recent time.
     fn hear(&self, asked_at: Time, reply: &RoutesReply) -> bool {
@@ -235,11 +251,11 @@
 
 /// Asks the entry at `peer` for newer routes than those of `version`.
 async fn query_routes(peer: SocketAddr, version: u64) -> Result<RoutesReply, WireError> {
-    let asking = async {
+    let greet = async {
         let stream = connection::connect(peer).await?;
         connection::send_greeting(&stream, &Greeting::Routes { version }, peer).await?;
-        let mut reader = MessageReader::new(stream, peer.to_string());
-        reader.receive_one::<RoutesReply>(PEER_TIMEOUT).await
+        Ok(stream)
     };
-    runtime::timeout(PEER_TIMEOUT, &peer.to_string(), asking).await
+    let stream = runtime::timeout(PEER_TIMEOUT, &peer.to_string(), greet).await?;
+    MessageReader::new(stream, peer.to_string()).receive_one::<RoutesReply>(PEER_TIMEOUT).await
 }
--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, Limited};
@@ -108,9 +108,42 @@
             Ok(Response::from_parts(head, whole.to_bytes()))
         })
         .await;
-        if answer.as_ref().is_err_and(|error| error.step == Step::Timeout) {
-            self.close_idle(address, sent_at);
+        self.close_idle_after(&answer, address, sent_at);
+        answer
+    }
+
+    /// Sends a request and reads the whole response, for as long as parts of it go on arriving: a large
+    /// response over a slow link takes longer than any limit for a small one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`HttpClient::exchange`] does, but when the head of the response, or the next part of its
+    /// body, takes longer than `limit`.
+    pub async fn exchange_while_active(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, WireError> {
+        let peer = address.to_string();
+        let sent_at = runtime::now();
+        let answer = async {
+            let sending = self.send(address, request);
+            let (head, body) = runtime::timeout(limit, &peer, sending).await?.into_parts();
+            let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+            let mut bytes = BytesMut::new();
+            while let Some(part) =
+                runtime::timeout(limit, &peer, async { Ok(body.frame().await) }).await?
+            {
+                let part = part.map_err(|e| WireError::new(Step::Receive, peer.as_str(), e))?;
+                if let Ok(data) = part.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Ok(Response::from_parts(head, bytes.freeze()))
         }
+        .await;
+        self.close_idle_after(&answer, address, sent_at);
         answer
     }
 
@@ -145,6 +178,19 @@
         connections.pop().map(|connection| connection.sender)
     }
 
+    /// Closes the connections to `address` that were idle while an exchange that began at `sent_at` ran
+    /// into its limit.
+    fn close_idle_after<T>(
+        &self,
+        answer: &Result<T, WireError>,
+        address: SocketAddr,
+        sent_at: Duration,
+    ) {
+        if answer.as_ref().is_err_and(|error| error.step == Step::Timeout) {
+            self.close_idle(address, sent_at);
+        }
+    }
+
     /// Closes the connections to `address` that have been idle since before `time`.
     fn close_idle(&self, address: SocketAddr, time: Duration) {
         let mut idle = self.idle.lock();
