Log the runs that are lost with a worker, and their ages

A crash was logged with the number of its runs only, so that nothing told which task a worker crashed under. The agent now notes when it ordered each run and when the worker last answered, and lists all runs with their age at the exit; the owner lists the eight youngest. No decision changes.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -80,6 +80,15 @@
     pub load: u64,
 }
 
+/// A run that was lost when the worker's process exited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRun {
+    pub task: TaskId,
+    pub run: Run,
+    /// Time from the order to start the run to the exit.
+    pub age: Duration,
+}
+
 /// Description of one incarnation of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerInfo {
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -6,6 +6,7 @@
 //! lists the worker's runs.
 
 mod listing;
+mod lost;
 mod pacing;
 mod worker;
 
@@ -21,7 +22,8 @@
 use super::pace::Pacer;
 use super::sampler::Sampler;
 use crate::time::Time;
-use worker::Worker;
+pub(in crate::flow) use lost::describe_ages;
+use worker::{Exit, Worker};
 
 /// Lower bound on the rate of a worker's clock relative to the agent's.
 const CLOCK_RATE_PERCENT: u32 = 98;
@@ -116,6 +118,8 @@
     traits: TaskTraits,
     /// When the worker accepted the start, or listed the run at the beginning of the session.
     started_at: Time,
+    /// When this agent ordered the start; `None` if an earlier agent did.
+    ordered_at: Option<Time>,
     /// Whether the owner ordered a stop.
     must_stop: bool,
     /// When the last stop was sent to the worker.
@@ -229,7 +233,7 @@
     /// Handles the deregistration of a worker that exits.
     pub fn deregister(&mut self, now: Time, id: &str) {
         if self.worker.as_ref().is_some_and(|worker| worker.info.id == id) {
-            self.lose_worker("signed off");
+            self.lose_worker(Exit::SignedOff);
         }
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == id) {
             self.candidate = None;
@@ -243,10 +247,16 @@
     }
 
     /// Forgets the current worker after its process has exited, and reports the exit to the owner.
-    /// `reason` tells in the log how the exit became known.
-    fn lose_worker(&mut self, reason: &str) {
+    fn lose_worker(&mut self, exit: Exit) {
         let Some(worker) = self.worker.take() else { return };
-        let detail = format!("worker={} reason={reason} runs={}", worker.info.id, self.runs.len());
+        let runs = self.lost_runs(&worker);
+        let detail = format!(
+            "worker={} reason={} runs={} ages_ms={}",
+            worker.info.id,
+            exit.reason(),
+            self.runs.len(),
+            describe_ages(&runs, usize::MAX)
+        );
         self.log("worker_lost", detail);
         self.runs.clear();
         self.pacer = Pacer::default();
@@ -363,6 +373,7 @@
             state: RunState::Starting,
             traits: start.traits,
             started_at: now,
+            ordered_at: Some(now),
             must_stop: false,
             stop_sent: None,
             percent: 0,
@@ -420,12 +431,14 @@
 
     /// Handles the outcome of a start call to the worker.
     pub fn started(&mut self, now: Time, worker: &str, task: TaskId, run: Run, outcome: Outcome) {
-        if self.worker.as_ref().is_none_or(|known| known.info.id != worker) {
+        let Some(worker) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
             return;
-        }
+        };
         let Some(known) = self.runs.get_mut(&task).filter(|known| known.run == run) else { return };
+        worker.note_failure(now, known.started_at, &outcome);
         match outcome {
             Outcome::Done => {
+                worker.prove_alive(now);
                 known.state = RunState::Running;
                 known.started_at = now;
                 known.progress_at = now;
@@ -438,7 +451,7 @@
             }
             Outcome::Refused(reason) => self.not_started(task, run, &reason),
             Outcome::OldToken => self.not_started(task, run, "old token"),
-            Outcome::OtherLife => self.lose_worker("another life answers"),
+            Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
             Outcome::NotThere => self.not_started(task, run, "connection refused"),
             Outcome::Unclear => {
                 let Some(session) = &mut self.session else { return };
@@ -465,6 +478,7 @@
 
     /// Handles the failure of a request for a listing.
     pub fn list_failed(&mut self, now: Time, worker: &str, token: Token, outcome: &Outcome) {
+        let sent_at = self.listing.map_or(now, |(_, sent_at)| sent_at);
         self.listing = self.listing.filter(|(listing, _)| *listing != token);
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
@@ -477,12 +491,13 @@
         let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
             return;
         };
+        known.note_failure(now, sent_at, outcome);
         match outcome {
-            Outcome::OtherLife => self.lose_worker("another life answers"),
+            Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
             Outcome::NotThere => {
                 known.refusals += 1;
                 if known.refusals >= MAX_REFUSALS {
-                    self.lose_worker("connection refused");
+                    self.lose_worker(Exit::Refused);
                 }
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
@@ -513,7 +528,7 @@
         }
         match (&self.worker, self.permission) {
             (Some(worker), Some(permission)) if worker.has_stopped_all(now, permission) => {
-                self.lose_worker("silent");
+                self.lose_worker(Exit::Silent);
             }
             _ => {}
         }
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::worker::Exit;
 use super::{Action, AgentState, LocalRun, RunState, Worker, MAX_LIST_WAIT, UNACKED_DELAY};
 use crate::flow::message::{AgentMessage, End, Running, Token, MAX_LISTED_ENDS};
 use crate::flow::model::{Run, TaskId};
@@ -36,6 +37,7 @@
         known.clock = Some((clock, now));
         known.refusals = 0;
         known.unanswered_since = None;
+        known.prove_alive(now);
         if !is_attached {
             if token == session_token {
                 self.attach(now, running, ends);
@@ -75,7 +77,7 @@
         let is_candidate = self.candidate.as_ref().is_some_and(|(info, _)| info.id == id);
         match self.candidate.take() {
             Some((info, last_sequence)) if is_candidate => {
-                self.lose_worker("replaced");
+                self.lose_worker(Exit::Replaced);
                 self.worker_exited = false;
                 let worker = Worker {
                     info,
@@ -86,6 +88,8 @@
                     refusals: 0,
                     unanswered_since: None,
                     granted_until: Time::ZERO,
+                    answered_at: Time::ZERO,
+                    failed_at: None,
                 };
                 self.worker = Some(worker);
                 self.next_list = Time::ZERO;
@@ -121,6 +125,7 @@
                 state: RunState::Running,
                 traits: old.as_ref().map(|run| run.traits).unwrap_or_default(),
                 started_at: now,
+                ordered_at: old.as_ref().and_then(|run| run.ordered_at),
                 must_stop: false,
                 stop_sent: None,
                 percent: row.percent,
--- a/crates/core/src/flow/node/worker.rs
+++ b/crates/core/src/flow/node/worker.rs
@@ -1,7 +1,8 @@
-//! The worker of an agent, and how long it may be silent.
+//! The worker of an agent, how long it may be silent, and how it exits.
 
 use std::time::Duration;
 
+use super::{Outcome, MAX_LIST_WAIT};
 use crate::flow::message::{EndNumber, WorkerInfo};
 use crate::time::Time;
 
@@ -32,9 +33,67 @@
     pub(super) unanswered_since: Option<Time>,
     /// When the permission to run tasks expires that the worker was given last.
     pub(super) granted_until: Time,
+    /// When the worker last answered a listing or accepted a start.
+    pub(super) answered_at: Time,
+    /// When the worker's process may have exited: since then no call has shown that it lives. `None`
+    /// if none has failed.
+    pub(super) failed_at: Option<Time>,
+}
+
+/// How it became known that a worker's process has exited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Exit {
+    /// The worker deregistered.
+    SignedOff,
+    /// Nothing listens at the worker's address.
+    Refused,
+    /// Another incarnation answered a call to the worker.
+    OtherLife,
+    /// Another incarnation has reported and answered.
+    Replaced,
+    /// The worker has answered nothing until its permission expired. Its process may still live.
+    Silent,
+}
+
+impl Exit {
+    /// Returns the reason for the log.
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            Exit::SignedOff => "signed off",
+            Exit::Refused => "connection refused",
+            Exit::OtherLife => "another life answers",
+            Exit::Replaced => "replaced",
+            Exit::Silent => "silent",
+        }
+    }
 }
 
 impl Worker {
+    /// Notes that the worker has answered.
+    pub(super) fn prove_alive(&mut self, now: Time) {
+        self.answered_at = now;
+        self.failed_at = None;
+    }
+
+    /// Notes the failure of a call that was sent at `sent_at`. A connection that breaks does so when the
+    /// process exits; a call that runs into its timeout may have been sent to a process that was gone.
+    pub(super) fn note_failure(&mut self, now: Time, sent_at: Time, outcome: &Outcome) {
+        let is_prompt = now < sent_at + MAX_LIST_WAIT;
+        let at = match outcome {
+            Outcome::OtherLife | Outcome::NotThere => now,
+            Outcome::Unclear if is_prompt => now,
+            Outcome::Unclear => self.answered_at,
+            Outcome::Done | Outcome::Refused(_) | Outcome::OldToken => return,
+        };
+        self.failed_at.get_or_insert(at);
+    }
+
+    /// Returns the latest time at which the worker's process can have exited, if it has, as far as
+    /// calls have shown.
+    pub(super) fn exited_at(&self) -> Time {
+        self.failed_at.unwrap_or(self.answered_at)
+    }
+
     /// Tells whether the worker has not answered a listing for a long time.
     pub(super) fn is_silent(&self, now: Time) -> bool {
         self.unanswered_since.is_some_and(|since| now >= since + MAX_WORKER_SILENCE)
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -464,7 +464,7 @@
             }
             AgentMessage::Gone { worker } => {
                 if self.nodes[slot].worker.as_ref().is_some_and(|known| known.id == worker) {
-                    self.lose_worker(slot, "gone");
+                    self.lose_worker(now, slot, "gone");
                 }
             }
             AgentMessage::Checkpoints { rows } => {
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns the run of a task with this number, if it is in progress.
-    fn attempt(&mut self, task: &TaskId, run: Run) -> Option<&Attempt> {
+    pub(super) fn attempt(&mut self, task: &TaskId, run: Run) -> Option<&Attempt> {
         let (_, state) = self.step_mut(task)?;
         state.running.get(&task.index).filter(|attempt| attempt.run == run)
     }
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::{Job, Node, Owner, RoundCause, Slot, MAX_COMMIT_KEYS};
-use crate::flow::message::{OwnerMessage, Pressure};
-use crate::flow::model::{JobNumber, Run, Step, TaskId};
+use crate::flow::message::{LostRun, OwnerMessage, Pressure};
+use crate::flow::model::{JobNumber, Step};
+use crate::flow::node::describe_ages;
 use crate::flow::step::StopReason;
 use crate::resources::Resources;
 use crate::time::Time;
@@ -16,6 +17,8 @@
 const CHECKPOINT_LEAD: Duration = Duration::from_millis(500);
 /// Minimum time between two checks of the timers of all nodes.
 const TIMER_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of runs of a lost worker in one log line; the youngest come first.
+const MAX_LOGGED_RUNS: usize = 8;
 /// Assumed time until a draining worker exits, if it does not report one.
 const DEFAULT_DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -59,17 +62,31 @@
         }
     }
 
+    /// Returns the runs on a node, youngest first, with the time since they were ordered or adopted.
+    fn runs_on(&mut self, now: Time, slot: Slot) -> Vec<LostRun> {
+        let mut runs = Vec::with_capacity(self.nodes[slot].tasks.len());
+        for (task, run) in self.nodes[slot].tasks.clone() {
+            let since = self.attempt(&task, run).map_or(now, |attempt| attempt.since);
+            runs.push(LostRun { task, run, age: now.saturating_sub(since) });
+        }
+        runs.sort_by_key(|lost| lost.age);
+        runs
+    }
+
     /// Requeues all tasks of a worker that is known to have exited or to have stopped all its
     /// tasks.
-    pub(in crate::flow) fn lose_worker(&mut self, slot: Slot, reason: &str) {
-        let tasks: Vec<(TaskId, Run)> =
-            self.nodes[slot].tasks.iter().map(|(task, run)| (*task, *run)).collect();
-        let detail =
-            format!("node={} reason={reason} tasks={}", self.nodes[slot].name, tasks.len());
+    pub(in crate::flow) fn lose_worker(&mut self, now: Time, slot: Slot, reason: &str) {
+        let runs = self.runs_on(now, slot);
+        let detail = format!(
+            "node={} reason={reason} tasks={} ages_ms={}",
+            self.nodes[slot].name,
+            self.nodes[slot].tasks.len(),
+            describe_ages(&runs, MAX_LOGGED_RUNS)
+        );
         self.log("worker_lost", None, detail);
-        let is_dropped = |(task, run): &(TaskId, Run)| self.drop_run(task, *run).is_some();
-        let lost: Vec<(TaskId, Run)> = tasks.into_iter().filter(is_dropped).collect();
-        for (task, _) in lost {
+        let is_dropped = |lost: &LostRun| self.drop_run(&lost.task, lost.run).is_some();
+        let lost: Vec<LostRun> = runs.into_iter().filter(is_dropped).collect();
+        for LostRun { task, .. } in lost {
             self.stop_gang_of_lost(&task);
         }
         let node = &mut self.nodes[slot];
@@ -108,7 +125,7 @@
             let is_expired = !node.is_attached && now >= node.last_pong + permission;
             let must_move = node.drain_deadline.is_some_and(|at| now + CHECKPOINT_LEAD >= at);
             match &node.worker {
-                Some(_) if is_expired => self.lose_worker(slot, "permission ran out"),
+                Some(_) if is_expired => self.lose_worker(now, slot, "permission ran out"),
                 Some(worker) if worker.draining && must_move => {
                     self.nodes[slot].drain_deadline = Some(Time::MAX);
                     self.move_tasks(slot, |step| step.has_checkpoints || step.long_running);
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -84,7 +84,7 @@
     ) {
         let known = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
         if known.is_some() && known != worker.as_ref().map(|worker| worker.id.clone()) {
-            self.lose_worker(slot, "replaced");
+            self.lose_worker(now, slot, "replaced");
         }
         let is_complete = ends.len() < MAX_LISTED_ENDS;
         let name = self.nodes[slot].name.clone();
