Count crashes of workers against the tasks that may cause them

Cause: the owner requeued what ran on a lost worker and counted nothing, so that the task was placed again at once, run after run. Class: a loss without a trace.

The agent reports a crash with the age of each run, until the owner has made it durable. The owner keeps a ledger of crashes in one record; runs of up to 250 ms are suspected. Suspects start apart from others, and a task is given up after three crashes, four where many workers crash for no such reason. A silent, draining or cut-off worker has not crashed. A broken listing is followed by another one at once.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -19,8 +19,11 @@
 //! - *Interference* is the rise of a serving task's tail latency caused by best-effort tasks on the
 //!   same worker. The interference *weight* of a serving image and a best-effort image is the rise
 //!   of the logarithm of the tail latency if the best-effort image uses all CPU of the worker.
+//! - A *suspect* is a task under which a worker may have crashed. It starts again on a node in
+//!   *quarantine*, which takes no other starts.
 //! - The *roster* is the stored list of nodes whose agents may hold a permission.
 
+pub mod crashes;
 pub mod interference;
 pub mod message;
 pub mod model;
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -189,6 +189,9 @@
         /// target.
         baselines: Vec<(Image, u32)>,
     },
+    /// The worker process has crashed, and all its runs with it. `runs` are those whose age the agent
+    /// knows. Sent again in each session until the owner has acknowledged it.
+    Crashed { worker: String, runs: Vec<LostRun> },
 }
 
 /// Message from the owner to an agent.
@@ -230,6 +233,10 @@
         /// units of 1 / [`WEIGHT_SCALE`].
         weights: Vec<(Image, Image, u32)>,
     },
+    /// Acknowledges the report of a worker's crash: its effect is durable.
+    CrashSeen {
+        worker: String,
+    },
 }
 
 /// Request from an entry process to the owner. `query` is echoed in the reply.
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -10,11 +10,11 @@
 mod pacing;
 mod worker;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::message::{
-    AgentMessage, EndNumber, OwnerMessage, Sample, Start, TaskTraits, Token, WorkerInfo,
+    AgentMessage, EndNumber, LostRun, OwnerMessage, Sample, Start, TaskTraits, Token, WorkerInfo,
     NO_PERMISSION,
 };
 use super::model::{Run, TaskId};
@@ -168,6 +168,8 @@
     session: Option<Session>,
     /// Runs on the worker.
     runs: BTreeMap<TaskId, LocalRun>,
+    /// Workers that have crashed, with the runs lost, until the owner acknowledges the report.
+    crashes: VecDeque<(String, Vec<LostRun>)>,
     /// When the worker's permission to run tasks expires, as last granted by the owner.
     permission_until: Time,
     /// For how long the owner last granted a permission; `None` before the first.
@@ -263,8 +265,16 @@
         self.sampler = Sampler::default();
         self.worker_exited = true;
         self.listing = None;
+        let id = worker.info.id;
+        let report = match exit.is_crash() && !worker.info.draining {
+            true => {
+                self.keep_crash(id.clone(), runs.clone());
+                AgentMessage::Crashed { worker: id, runs }
+            }
+            false => AgentMessage::Gone { worker: id },
+        };
         if self.is_attached() {
-            self.actions.push(Action::Send(AgentMessage::Gone { worker: worker.info.id }));
+            self.actions.push(Action::Send(report));
         }
     }
 
@@ -326,6 +336,9 @@
                     }
                 }
             }
+            OwnerMessage::CrashSeen { worker } => {
+                self.crashes.retain(|(crashed, _)| *crashed != worker)
+            }
             OwnerMessage::Redirect { .. } => {}
         }
         self.poll(now);
@@ -491,6 +504,13 @@
         let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
             return;
         };
+        // A connection that breaks may mean that the process has exited, which the next call tells.
+        if known.failed_at.is_none()
+            && *outcome == Outcome::Unclear
+            && now < sent_at + MAX_LIST_WAIT
+        {
+            self.next_list = now;
+        }
         known.note_failure(now, sent_at, outcome);
         match outcome {
             Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
@@ -537,6 +557,7 @@
             if let Some(session) = &mut self.session {
                 session.is_attached = true;
             }
+            self.send_crashes();
             let report =
                 AgentMessage::Attach { worker: None, running: Vec::new(), ends: Vec::new() };
             self.actions.push(Action::Send(report));
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -149,6 +149,7 @@
                 info.id
             ),
         );
+        self.send_crashes();
         self.actions.push(Action::Send(AgentMessage::Attach { worker: Some(info), running, ends }));
     }
 
--- a/crates/core/src/flow/node/lost.rs
+++ b/crates/core/src/flow/node/lost.rs
@@ -4,10 +4,30 @@
 use std::time::Duration;
 
 use super::worker::Worker;
-use super::AgentState;
-use crate::flow::message::LostRun;
+use super::{Action, AgentState};
+use crate::flow::message::{AgentMessage, LostRun};
+
+/// Maximum number of crashes that an agent keeps until the owner has acknowledged them.
+const MAX_UNACKED_CRASHES: usize = 16;
 
 impl AgentState {
+    /// Keeps the report of a crash until the owner has acknowledged it.
+    pub(super) fn keep_crash(&mut self, worker: String, runs: Vec<LostRun>) {
+        if self.crashes.len() == MAX_UNACKED_CRASHES {
+            if let Some((worker, _)) = self.crashes.pop_front() {
+                self.log("crash_report_dropped", format!("worker={worker}"));
+            }
+        }
+        self.crashes.push_back((worker, runs));
+    }
+
+    /// Sends the owner the crashes that it has not acknowledged.
+    pub(super) fn send_crashes(&mut self) {
+        for (worker, runs) in self.crashes.iter().cloned() {
+            self.actions.push(Action::Send(AgentMessage::Crashed { worker, runs }));
+        }
+    }
+
     /// Returns the runs that are lost with a worker, youngest first. Runs that an earlier agent ordered
     /// are left out: their age is not known.
     pub(super) fn lost_runs(&self, worker: &Worker) -> Vec<LostRun> {
--- a/crates/core/src/flow/node/worker.rs
+++ b/crates/core/src/flow/node/worker.rs
@@ -56,6 +56,11 @@
 }
 
 impl Exit {
+    /// Tells whether the process has crashed, unless it was about to exit.
+    pub(super) fn is_crash(self) -> bool {
+        matches!(self, Exit::Refused | Exit::OtherLife | Exit::Replaced)
+    }
+
     /// Returns the reason for the log.
     pub(super) fn reason(self) -> &'static str {
         match self {
@@ -76,20 +81,19 @@
     }
 
     /// Notes the failure of a call that was sent at `sent_at`. A connection that breaks does so when the
-    /// process exits; a call that runs into its timeout may have been sent to a process that was gone.
+    /// process exits; other failures tell only that it was gone by then.
     pub(super) fn note_failure(&mut self, now: Time, sent_at: Time, outcome: &Outcome) {
         let is_prompt = now < sent_at + MAX_LIST_WAIT;
         let at = match outcome {
-            Outcome::OtherLife | Outcome::NotThere => now,
             Outcome::Unclear if is_prompt => now,
-            Outcome::Unclear => self.answered_at,
+            Outcome::Unclear | Outcome::OtherLife | Outcome::NotThere => self.answered_at,
             Outcome::Done | Outcome::Refused(_) | Outcome::OldToken => return,
         };
         self.failed_at.get_or_insert(at);
     }
 
-    /// Returns the latest time at which the worker's process can have exited, if it has, as far as
-    /// calls have shown.
+    /// Returns when the worker's process exited if its last connection broke, otherwise when it last
+    /// answered.
     pub(super) fn exited_at(&self) -> Time {
         self.failed_at.unwrap_or(self.answered_at)
     }
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -11,6 +11,7 @@
 mod reservations;
 mod rounds;
 mod stragglers;
+mod suspects;
 mod workers;
 
 pub use node::Node;
@@ -21,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::crashes::{Crash, CrashLedger};
 use super::interference::{Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
@@ -120,6 +122,8 @@
     pub expired: Vec<JobNumber>,
     /// Learned interference weights of pairs of images; `None` if they are not written this time.
     pub interference: Option<Vec<InterferenceRow>>,
+    /// Crashes of workers and the tasks suspected of them; `None` if they have not changed.
+    pub crashes: Option<Vec<Crash>>,
 }
 
 /// State of a job in memory.
@@ -153,8 +157,16 @@
     pub(super) remaining_work: u64,
 }
 
-/// Contents of the write to the store in flight: versions of job records, and nodes in the roster.
-type InFlight = (Vec<(JobNumber, u64)>, Vec<Slot>);
+/// Contents of the write to the store in flight.
+#[derive(Debug)]
+struct InFlight {
+    /// Versions of job records.
+    versions: Vec<(JobNumber, u64)>,
+    /// Nodes in the roster.
+    slots: Vec<Slot>,
+    /// Crashes to be acknowledged: node of the agent that reported, and worker.
+    crash_acks: Vec<(Slot, String)>,
+}
 
 /// State of the owner.
 #[derive(Debug)]
@@ -214,6 +226,18 @@
     pub(super) interference: Interference,
     /// When the learned interference weights are next written to the store.
     next_interference: Time,
+    /// Crashes of workers, and the tasks suspected of them.
+    pub(super) crashes: CrashLedger,
+    /// Suspects that wait to start apart, and since when.
+    pub(super) waiting_apart: BTreeMap<TaskId, Time>,
+    /// The workers that have crashed within the last seconds: when, and their services and IDs.
+    recent_crashes: Vec<(Time, String, String)>,
+    /// Whether `crashes` has to be written.
+    crashes_changed: bool,
+    /// Reported crashes to be acknowledged after the next write: node of the agent, and worker.
+    crash_acks: Vec<(Slot, String)>,
+    /// When a node in quarantine is next ready for a suspect, or a probation ends.
+    pub(super) next_probation: Option<Time>,
     /// When stragglers are next searched for.
     next_straggler_search: Time,
     /// When steps that have been without runs for long are next reported.
@@ -254,6 +278,12 @@
             last_timer_check: now,
             interference: Interference::default(),
             next_interference: now + INTERFERENCE_INTERVAL,
+            crashes: CrashLedger::default(),
+            waiting_apart: BTreeMap::new(),
+            recent_crashes: Vec::new(),
+            crashes_changed: false,
+            crash_acks: Vec::new(),
+            next_probation: None,
             next_straggler_search: now,
             next_wait_report: now,
             examined: Cell::new(0),
@@ -467,6 +497,7 @@
                     self.lose_worker(now, slot, "gone");
                 }
             }
+            AgentMessage::Crashed { worker, runs } => self.crashed(now, slot, worker, runs),
             AgentMessage::Checkpoints { rows } => {
                 for (task, run, checkpoint) in rows {
                     self.save_checkpoint(task, run, checkpoint);
@@ -519,8 +550,9 @@
         self.check_timers(now);
         self.move_stragglers(now);
         self.release_due(now, wall);
-        if self.next_relief.is_some_and(|at| now >= at) {
+        if self.next_timed_round().is_some_and(|at| now >= at) {
             self.next_relief = None;
+            self.next_probation = None;
             self.request_round(RoundCause::Timer);
         }
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
@@ -537,11 +569,16 @@
     /// Returns the time until the next call of [`Owner::poll`], if no event comes first.
     pub fn next_poll(&self, now: Time) -> Duration {
         let commit = self.commit_due().map(|at| at.saturating_sub(now));
-        let relief = self.next_relief.map(|at| at.saturating_sub(now));
-        let waits = [commit, relief, self.next_round(now), Some(MAX_POLL_DELAY)];
+        let timed = self.next_timed_round().map(|at| at.saturating_sub(now));
+        let waits = [commit, timed, self.next_round(now), Some(MAX_POLL_DELAY)];
         waits.into_iter().flatten().min().unwrap_or(MAX_POLL_DELAY)
     }
 
+    /// Returns when time alone lets a waiting task start.
+    fn next_timed_round(&self) -> Option<Time> {
+        self.next_relief.into_iter().chain(self.next_probation).min()
+    }
+
     /// Returns the first run number of this owner's epoch.
     pub(super) fn run_base(&self) -> Run {
         self.settings.epoch.saturating_sub(1) * RUNS_PER_EPOCH + 1
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Commit, Node, Owner, RoundCause, Slot, COMMIT_DELAY, INTERFERENCE_INTERVAL, MAX_COMMIT_KEYS,
+    Commit, InFlight, Node, Owner, RoundCause, Slot, COMMIT_DELAY, INTERFERENCE_INTERVAL,
+    MAX_COMMIT_KEYS,
 };
 use crate::flow::message::OwnerMessage;
 use crate::time::Time;
@@ -13,8 +14,10 @@
     /// Returns when the next write to the store is due; `None` if there is nothing to write or a
     /// write is in flight.
     pub fn commit_due(&self) -> Option<Time> {
-        let is_urgent =
-            self.is_urgent || self.roster_changed || self.dirty.len() >= MAX_COMMIT_KEYS;
+        let is_urgent = self.is_urgent
+            || self.roster_changed
+            || self.crashes_are_due()
+            || self.dirty.len() >= MAX_COMMIT_KEYS;
         match self.in_flight {
             Some(_) => None,
             None if is_urgent => Some(Time::ZERO),
@@ -42,6 +45,11 @@
             names.extend(slots.iter().map(|slot| self.nodes[*slot].name.clone()));
             commit.roster = Some(names.into_iter().collect());
         }
+        let crash_acks = std::mem::take(&mut self.crash_acks);
+        if std::mem::take(&mut self.crashes_changed) {
+            keys_left -= 1;
+            commit.crashes = Some(self.crashes.rows());
+        }
         if now >= self.next_interference {
             self.next_interference = now + INTERFERENCE_INTERVAL;
             keys_left -= 1;
@@ -69,13 +77,13 @@
         }
         self.is_urgent = !self.dirty.is_empty();
         self.dirty_since = None;
-        self.in_flight = Some((versions, slots));
+        self.in_flight = Some(InFlight { versions, slots, crash_acks });
         Some(commit)
     }
 
     /// Handles the completion of the write in flight: its contents are now durable.
     pub fn committed(&mut self) {
-        let Some((versions, slots)) = self.in_flight.take() else { return };
+        let Some(InFlight { versions, slots, crash_acks }) = self.in_flight.take() else { return };
         for (number, version) in versions {
             if let Some(job) = self.jobs.get_mut(&number) {
                 job.durable = job.durable.max(version);
@@ -91,6 +99,14 @@
         for slot in 0..self.nodes.len() {
             self.acknowledge(slot);
         }
+        for (slot, worker) in crash_acks {
+            self.send(slot, OwnerMessage::CrashSeen { worker });
+        }
+    }
+
+    /// Tells whether the ledger of crashes has to be written, or reports of crashes to be acknowledged.
+    fn crashes_are_due(&self) -> bool {
+        self.crashes_changed || !self.crash_acks.is_empty()
     }
 
     /// Schedules a write of the roster to the store.
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -52,6 +52,7 @@
         let was_current = self.drop_run(&task, end.run).is_some();
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
             self.nodes[slot].refusals = 0;
+            self.clear_suspect(&task);
         }
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
--- a/crates/core/src/flow/owner/node.rs
+++ b/crates/core/src/flow/owner/node.rs
@@ -7,6 +7,7 @@
 use crate::flow::interference::Baseline;
 use crate::flow::message::{EndNumber, Image, Pressure, WorkerInfo};
 use crate::flow::model::{JobNumber, Run, TaskId};
+use crate::flow::place::Quarantine;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -25,6 +26,8 @@
     pub(in crate::flow) early_ping: Option<Duration>,
     /// The node's worker; `None` if none is running as far as the owner knows.
     pub worker: Option<WorkerInfo>,
+    /// Service of the node's worker, or of its last one; empty before the first.
+    pub(in crate::flow) last_service: String,
     /// Resources reserved by all tasks on the node.
     pub used: Resources,
     /// Resources reserved by long-running tasks on the node.
@@ -59,6 +62,9 @@
     /// Until when no tasks are started on the node, because runs failed or stalled there, or it
     /// rejected starts.
     pub(in crate::flow) backoff_until: Time,
+    /// State of a node that takes no starts but those of tasks suspected of a crash; `None` if it takes
+    /// all.
+    pub(in crate::flow) quarantine: Option<Quarantine>,
     /// When the draining worker exits; `Time::MAX` once its tasks are being moved.
     pub(in crate::flow) drain_deadline: Option<Time>,
     /// Runs on the worker that are being stopped and are no longer tracked in the state of a step.
@@ -77,6 +83,7 @@
             last_pong: now,
             early_ping: None,
             worker: None,
+            last_service: String::new(),
             used: Resources::default(),
             long_running: Resources::default(),
             pressure: Pressure::default(),
@@ -92,6 +99,7 @@
             refused_at: None,
             tried_at: None,
             backoff_until: Time::ZERO,
+            quarantine: None,
             drain_deadline: None,
             stale_runs: BTreeSet::new(),
             in_roster: false,
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -63,7 +63,7 @@
     }
 
     /// Returns the runs on a node, youngest first, with the time since they were ordered or adopted.
-    fn runs_on(&mut self, now: Time, slot: Slot) -> Vec<LostRun> {
+    pub(super) fn runs_on(&mut self, now: Time, slot: Slot) -> Vec<LostRun> {
         let mut runs = Vec::with_capacity(self.nodes[slot].tasks.len());
         for (task, run) in self.nodes[slot].tasks.clone() {
             let since = self.attempt(&task, run).map_or(now, |attempt| attempt.since);
@@ -108,6 +108,7 @@
         node.refused_at = None;
         node.tried_at = None;
         node.backoff_until = Time::ZERO;
+        node.quarantine = None;
         self.request_round(RoundCause::Room);
         self.mark_roster_changed();
     }
@@ -133,6 +134,7 @@
                 _ => {}
             }
         }
+        self.clear_survivors();
         if now >= self.next_cleanup {
             self.next_cleanup = now + Duration::from_secs(1);
             // Steps become starved without any event, so placement runs at least once per second.
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -4,6 +4,7 @@
 mod bounded;
 mod capacity;
 mod round;
+mod suspects;
 mod waits;
 
 use std::cmp::Reverse;
@@ -17,6 +18,8 @@
 use super::ranking::Ranking;
 use super::step::StepState;
 use crate::time::Time;
+pub(super) use suspects::Quarantine;
+
 use round::{Closure, Misfit, Mode, NodesByService, Request, Round, Score, Search};
 
 /// Multiple of the time from a job's release to its completion objective up to which completing the
@@ -186,6 +189,7 @@
     pub(super) fn place(&mut self, now: Time) {
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
+        self.place_suspects(now);
         let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
         self.next_relief = candidates
             .iter()
@@ -371,7 +375,14 @@
         let base = self.run_base();
         let most = if search.mode == Mode::Ranked { usize::MAX } else { 1 };
         let state = self.state(&search.candidate);
-        let waiting: Vec<u32> = state.waiting.iter().copied().take(most).collect();
+        let starts_here = |index: &u32| {
+            !self.starts_apart(round.now, &TaskId { job, occurrence, step, index: *index })
+        };
+        let waiting: Vec<u32> =
+            state.waiting.iter().copied().filter(starts_here).take(most).collect();
+        if waiting.is_empty() {
+            return true;
+        }
         let mut ranking = self.rank_nodes(round, spec, &search);
         for index in waiting {
             let state = self.state(&search.candidate);
--- a/crates/core/src/flow/place/capacity.rs
+++ b/crates/core/src/flow/place/capacity.rs
@@ -51,6 +51,7 @@
             Some(_) if !self.in_roster => Some(Closure::OffRoster),
             Some(worker) if worker.draining => Some(Closure::Draining),
             Some(_) if !self.stale_runs.is_empty() => Some(Closure::StaleRun),
+            Some(_) if self.quarantine.is_some() => Some(Closure::Quarantine),
             Some(_) if now < self.backoff_until => Some(Closure::Backoff),
             Some(_) => None,
         }
@@ -61,6 +62,11 @@
         self.failure_streak + self.refusals
     }
 
+    /// Tells whether the node has a worker of a service.
+    pub(super) fn serves(&self, service: &str) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.service == service)
+    }
+
     /// Tells whether the node has a worker with a label.
     pub(super) fn has_label(&self, label: &String) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
--- a/crates/core/src/flow/place/round.rs
+++ b/crates/core/src/flow/place/round.rs
@@ -110,6 +110,8 @@
     Draining,
     /// A run that the owner does not track has not ended yet.
     StaleRun,
+    /// The node takes no starts but those of tasks suspected of a crash.
+    Quarantine,
     /// Runs failed or stalled there, or it rejected starts.
     Backoff,
 }
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::crashes::{Crash, CrashLedger};
 use super::interference::InterferenceRow;
 use super::message::{End, OwnerMessage, Running, WorkerInfo, MAX_LISTED_ENDS};
 use super::model::{JobNumber, JobSpec, TaskId};
@@ -54,6 +55,11 @@
         self.interference.restore(rows);
     }
 
+    /// Takes over the crashes of workers that the predecessor has recorded.
+    pub fn inherit_crashes(&mut self, crashes: Vec<Crash>) {
+        self.crashes = CrashLedger::restore(crashes);
+    }
+
     /// Finishes the takeover once all agents in the predecessor's roster have reported, or the
     /// permissions of their workers to run tasks have expired.
     pub(super) fn finish_takeover(&mut self, now: Time) {
@@ -84,7 +90,7 @@
     ) {
         let known = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
         if known.is_some() && known != worker.as_ref().map(|worker| worker.id.clone()) {
-            self.lose_worker(now, slot, "replaced");
+            self.replaced(now, slot);
         }
         let is_complete = ends.len() < MAX_LISTED_ENDS;
         let name = self.nodes[slot].name.clone();
@@ -108,6 +114,7 @@
         let Some(worker) = worker else { return };
         let id = worker.id.clone();
         let (is_draining, remaining) = (worker.draining, worker.remaining);
+        self.nodes[slot].last_service = worker.service.clone();
         self.nodes[slot].worker = Some(worker);
         // The acknowledgement of these ends was lost with an earlier session.
         if ends.iter().any(|end| end.number <= self.nodes[slot].acknowledged) {
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::message::{
-    AgentMessage, End, EndKind, OwnerMessage, Pressure, Running, Start, WorkerInfo,
+    AgentMessage, End, EndKind, LostRun, OwnerMessage, Pressure, Running, Start, WorkerInfo,
 };
 use peridotfold_core::flow::model::{JobNumber, JobSpec, Queue, Run, Step, TaskId};
 use peridotfold_core::flow::owner::{Commit, Effect, Owner, OwnerSettings, Session, Slot};
@@ -93,6 +93,8 @@
     pub logs: Vec<(&'static str, String)>,
     /// Load on the worker that agents report in their pings unless their worker has its own.
     pub pressure: Pressure,
+    /// IDs of the workers whose crashes the owner has acknowledged.
+    pub crash_acks: Vec<String>,
     /// Whether the store accepts writes.
     pub store_is_up: bool,
 }
@@ -110,6 +112,7 @@
             started: Vec::new(),
             logs: Vec::new(),
             pressure: Pressure::default(),
+            crash_acks: Vec::new(),
             store_is_up: true,
         };
         world.owner.set_valid_until(Time::MAX);
@@ -178,8 +181,10 @@
         let mut records: BTreeMap<JobNumber, Progress> = BTreeMap::new();
         let mut roster = Vec::new();
         let mut interference = Vec::new();
+        let mut crashes = Vec::new();
         for commit in &self.commits {
             interference = commit.interference.clone().unwrap_or(interference);
+            crashes = commit.crashes.clone().unwrap_or(crashes);
             for record in &commit.records {
                 records.insert(record.job, record.progress.clone());
             }
@@ -189,6 +194,7 @@
         self.owner.set_valid_until(Time::MAX);
         self.owner.set_predecessor(self.now, roster);
         self.owner.inherit_interference(&interference);
+        self.owner.inherit_crashes(crashes);
         for (number, spec) in jobs {
             let progress = records.remove(number).unwrap_or_default();
             self.owner.inherit(self.now, *number, spec.clone(), progress);
@@ -239,6 +245,7 @@
                 worker.acknowledged = number;
                 worker.ends.retain(|end| end.number > number);
             }
+            OwnerMessage::CrashSeen { worker } => self.crash_acks.push(worker),
             _ => {}
         }
     }
@@ -255,6 +262,37 @@
         self.owner.receive(self.now, worker.slot, worker.session, report);
     }
 
+    /// Crashes a worker, and reports the crash to the owner as its agent does. Another one takes its
+    /// place, whose agent has not reported yet.
+    pub fn crash(&mut self, index: usize) {
+        let report = self.crash_report(index);
+        let worker = &mut self.workers[index];
+        worker.info.id.push('+');
+        worker.running.clear();
+        worker.ends.clear();
+        worker.next_end = 1;
+        let (slot, session) = (worker.slot, worker.session);
+        self.owner.receive(self.now, slot, session, report);
+        self.settle();
+    }
+
+    /// Returns the report of a crash of a worker that happens now.
+    pub fn crash_report(&self, index: usize) -> AgentMessage {
+        let worker = &self.workers[index];
+        let started_at = |start: &Start| {
+            let is_its =
+                |row: &&(Time, usize, TaskId, Run)| (row.2, row.3) == (start.task, start.run);
+            self.started.iter().find(is_its).map_or(Time::ZERO, |row| row.0)
+        };
+        let row = |start: &Start| LostRun {
+            task: start.task,
+            run: start.run,
+            age: self.now - started_at(start),
+        };
+        let runs = worker.running.values().map(row).collect();
+        AgentMessage::Crashed { worker: worker.info.id.clone(), runs }
+    }
+
     /// Rejects all runs of a worker, as an agent does whose worker refuses their starts.
     pub fn reject_all(&mut self, index: usize, reason: &str) {
         let worker = &mut self.workers[index];
--- a/crates/core/tests/flow_world/main.rs
+++ b/crates/core/tests/flow_world/main.rs
@@ -16,7 +16,7 @@
 use peridotfold_core::time::Time;
 
 use watch::Watch;
-use world::{Harm, World, TICK};
+use world::{Flaw, Harm, World, TICK};
 
 /// Number of random schedules, each with its own seed.
 const SCHEDULES: u64 = 300;
@@ -112,7 +112,7 @@
 }
 
 /// Draws a job and whether all its runs fail. A `heavy` world has wide and long best-effort steps.
-fn job(random: &mut fastrand::Rng, lasting: &mut u32, heavy: bool) -> (JobSpec, bool) {
+fn job(random: &mut fastrand::Rng, lasting: &mut u32, heavy: bool) -> (JobSpec, Flaw) {
     let mut step = |cpu: u64, most: u64| Step {
         count: random.u32(1..=4),
         need: Resources::new(random.u64(200..=cpu), random.u64(100..=1_500), 0),
@@ -144,11 +144,13 @@
     let queue = Queue { name, service, priority, attempts, stretch, slack_ms, advice: None };
     let spec = JobSpec { queue, command: "run".to_owned(), steps, timetable: None, submitted: 0 };
     let is_poison = random.u8(0..12) == 0 && !spec.steps[0].long_running;
-    (spec, is_poison)
+    (spec, if is_poison { Flaw::Fails } else { Flaw::None })
 }
 
-/// Plays the schedule of a seed; returns the number of starts.
-fn check(seed: u64) -> u64 {
+/// Plays the schedule of a seed; returns the number of starts. Of the jobs, one in `crashing` has tasks
+/// that crash their workers; none if it is 0.
+fn check(seed: u64, crashing: u8) -> u64 {
+    let mut crash_random = fastrand::Rng::with_seed(seed ^ 0xdead);
     let mut random = fastrand::Rng::with_seed(seed ^ 0x5eed);
     let heavy = random.bool();
     let mut world = World::new(seed, MACHINES);
@@ -179,13 +181,18 @@
         if world.now >= next_job && world.now < JOBS_END {
             next_job += ms(random.u64(100..1_500));
             number += 1;
-            let (spec, is_poison) = job(&mut random, &mut lasting, heavy);
+            let (spec, flaw) = job(&mut random, &mut lasting, heavy);
+            let flaw = match crashing {
+                0 => flaw,
+                one_in if crash_random.u8(0..one_in) == 0 => Flaw::Crashes,
+                _ => flaw,
+            };
             let cancel = world.now + ms(random.u64(50..4_000) * TICK);
             if spec.steps[0].long_running || random.u8(0..8) == 0 {
                 cancels.push((cancel, number));
             }
             if schedules::step(|| format!("{next_job:?}: job {number} {:?}", spec.steps)) {
-                world.submit(number, spec, is_poison);
+                world.submit(number, spec, flaw);
             }
         }
         let now = world.now;
@@ -201,6 +208,14 @@
 /// with more tasks than they have room for.
 #[test]
 fn no_ready_step_waits_while_there_is_room() {
-    let starts = schedules::run(SCHEDULES, check);
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, 0));
+    eprintln!("{starts} starts");
+}
+
+/// Guards against tasks that crash worker after worker because nobody counts the crashes, or a takeover
+/// forgets them, and against steps that wait for ever because a worker may have crashed under them.
+#[test]
+fn a_task_that_crashes_its_workers_is_not_started_again_and_again() {
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, 10));
     eprintln!("{starts} starts");
 }
--- a/crates/core/tests/flow_world/net.rs
+++ b/crates/core/tests/flow_world/net.rs
@@ -10,11 +10,16 @@
 
 use crate::life::Fate;
 use crate::ms;
-use crate::world::{Harm, Machine, World};
+use crate::world::{Flaw, Harm, Machine, World};
 
 /// Time without an answer after which a call is unclear, beside the wait of a listing.
 const ORDER_TIMEOUT: Time = ms(1_000);
 
+/// Time from the start of a task that crashes its worker to the crash.
+const CRASH_DELAY: Time = ms(10);
+/// Number of crashes under a task after which it may be started fewer times than this.
+const CRASH_LIMIT: u32 = 3;
+
 /// What a worker lists, or how a call ended.
 type Answer = Result<(Token, u64, Vec<Running>, Vec<End>), Outcome>;
 
@@ -185,7 +190,7 @@
         let Some(job) = self.jobs.get(&task.job) else { self.fail("UNASKED", &task.to_string()) };
         let step = job.spec.steps[usize::from(task.step)].clone();
         let fails_at = match &step {
-            _ if job.is_poison => Some(100),
+            _ if job.flaw == Flaw::Fails => Some(100),
             _ if self.machines[index].has(Harm::Failing, now) => Some(30),
             step if step.long_running => self.random.bool().then(|| self.random.u64(2_000..20_000)),
             step => (self.random.u8(..) < 12).then(|| self.random.u64(0..step.estimate_ms)),
@@ -193,6 +198,7 @@
         let stalls = self.may_stall && self.random.u8(..) < 8;
         let stalls_at = stalls.then(|| self.random.u64(0..500));
         let fate = Fate { done_at: step.estimate_ms, fails_at, stalls_at };
+        let crashes = job.flaw == Flaw::Crashes && task.index == 0;
         let others: BTreeSet<TaskId> = self.live().map(|(_, task)| *task).collect();
         let Some(life) = &mut self.machines[index].life else { return Outcome::NotThere };
         let was_here = life.running.contains_key(&task);
@@ -203,7 +209,11 @@
         self.starts += 1;
         self.started.insert(task, now);
         let (used, capacity) = (life.used(), life.info.capacity);
+        let id = life.info.id.clone();
         self.note(|| format!("node-{index} runs {task} {}", start.run));
+        if crashes {
+            self.start_crashing(index, id, task);
+        }
         if others.contains(&task) || self.is_done(&task) {
             self.fail("TWICE", &format!("{task} run {} on node-{index}", start.run));
         }
@@ -213,6 +223,26 @@
         outcome
     }
 
+    /// Lets a worker crash under a task that has just started there, and checks that the task has not
+    /// been started too often.
+    fn start_crashing(&mut self, index: usize, id: String, task: TaskId) {
+        let count = self.crash_counts.entry(task).or_default();
+        count.later_starts += u32::from(count.crashes >= CRASH_LIMIT);
+        let (crashes, later) = (count.crashes, count.later_starts);
+        if later >= CRASH_LIMIT {
+            self.fail("BUDGET", &format!("{task} has {later} starts after {crashes} crashes"));
+        }
+        let (at, back) = (self.now + CRASH_DELAY, self.now + CRASH_DELAY + ms(3_000));
+        self.at(at, move |world| {
+            if world.machines[index].life.as_ref().is_some_and(|life| life.info.id == id) {
+                world.note(|| format!("node-{index} crashes under {task}"));
+                world.crash_counts.entry(task).or_default().crashes += 1;
+                world.crash(index, Some(back));
+                world.disturb(back);
+            }
+        });
+    }
+
     /// Passes the answer to a call to the agent that waits for it.
     pub fn answer(&mut self, call: u64, answer: Answer) {
         let Some((index, process, order)) = self.calls.remove(&call) else { return };
--- a/crates/core/tests/flow_world/world.rs
+++ b/crates/core/tests/flow_world/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use peridotfold_core::flow::crashes::Crash;
 use peridotfold_core::flow::message::{Token, WorkerInfo};
 use peridotfold_core::flow::model::{JobNumber, JobSpec, TaskId};
 use peridotfold_core::flow::node::{AgentState, Call, Outcome};
@@ -56,12 +57,28 @@
     }
 }
 
+/// What is wrong with a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    None,
+    /// All its runs fail.
+    Fails,
+    /// The first task of each step crashes each worker that starts it.
+    Crashes,
+}
+
+/// Crashes of workers under a task, and its starts since the third one.
+#[derive(Debug, Default)]
+pub struct CrashCount {
+    pub crashes: u32,
+    pub later_starts: u32,
+}
+
 /// A job, as the users know it.
 #[derive(Debug)]
 pub struct KnownJob {
     pub spec: JobSpec,
-    /// Whether all its runs fail.
-    pub is_poison: bool,
+    pub flaw: Flaw,
     pub is_cancelled: bool,
 }
 
@@ -80,6 +97,7 @@
     /// What the store holds: progress by job, and the roster.
     records: BTreeMap<JobNumber, Progress>,
     roster: Vec<String>,
+    crashes: Vec<Crash>,
     pub in_flight: Option<Commit>,
     pub store_away_until: Time,
     /// Calls that wait for an answer, with the process that waits.
@@ -90,6 +108,8 @@
     pub may_stall: bool,
     /// When each task was started last.
     pub started: BTreeMap<TaskId, Time>,
+    /// Crashes by the task that causes them.
+    pub crash_counts: BTreeMap<TaskId, CrashCount>,
     trace: VecDeque<String>,
     pub starts: u64,
 }
@@ -171,10 +191,10 @@
         self.disturbed_until = self.disturbed_until.max(time);
     }
 
-    pub fn submit(&mut self, number: JobNumber, spec: JobSpec, is_poison: bool) {
-        self.note(|| format!("job {number} poison={is_poison} {:?}", spec.steps));
+    pub fn submit(&mut self, number: JobNumber, spec: JobSpec, flaw: Flaw) {
+        self.note(|| format!("job {number} {flaw:?} {:?}", spec.steps));
         self.term.owner.submit(self.now, number, spec.clone());
-        self.jobs.insert(number, KnownJob { spec, is_poison, is_cancelled: false });
+        self.jobs.insert(number, KnownJob { spec, flaw, is_cancelled: false });
     }
 
     pub fn cancel(&mut self, number: JobNumber) {
@@ -292,6 +312,7 @@
         self.in_flight = None;
         self.term = Term::new(self.term.number + 1, self.now);
         self.term.owner.set_predecessor(self.now, self.roster.clone());
+        self.term.owner.inherit_crashes(self.crashes.clone());
         for (number, job) in &self.jobs {
             let progress = self.records.get(number).cloned().unwrap_or_default();
             match progress.phase.is_final() {
@@ -320,6 +341,7 @@
     pub fn apply_commit(&mut self) {
         let Some(commit) = self.in_flight.take() else { return };
         self.records.extend(commit.records.into_iter().map(|record| (record.job, record.progress)));
+        self.crashes = commit.crashes.unwrap_or(std::mem::take(&mut self.crashes));
         self.roster = commit.roster.unwrap_or(std::mem::take(&mut self.roster));
     }
 
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -10,6 +10,7 @@
 
 use futures_lite::future;
 use parking_lot::Mutex as SyncMutex;
+use peridotfold_core::flow::crashes::Crash;
 use peridotfold_core::flow::interference::InterferenceRow;
 use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Record};
 use peridotfold_core::time::Time;
@@ -166,6 +167,7 @@
         let (progress, _) = self.store.range(records::PROGRESS_PREFIX).await?;
         let roster = self.store.get(records::ROSTER).await?;
         let interference = self.store.get(records::INTERFERENCE).await?;
+        let crashes = self.store.get(records::CRASHES).await?;
         let now = runtime::now();
         let mut owner = Owner::new(OwnerSettings { epoch, ..settings }, now);
         let roster: Vec<String> = match roster.map(|item| records::decode(&item.value)) {
@@ -189,6 +191,12 @@
             Some(Err(error)) => tracing::warn!(event = "press_unreadable", %error),
             None => {}
         }
+        match crashes.map(|item| records::decode::<Vec<Crash>>(&item.value)) {
+            Some(Ok(rows)) => owner.inherit_crashes(rows),
+            // The jobs go on: the crashes that follow count anew.
+            Some(Err(error)) => tracing::error!(event = "crashes_unreadable", %error),
+            None => {}
+        }
         restore_jobs(&mut owner, now, &inbox, &progress);
         let service = Arc::new(OwnerService::new(owner, self.identity.address));
         Ok((service, as_of))
@@ -466,6 +474,9 @@
     if let Some(interference) = &commit.interference {
         write.puts.push((records::INTERFERENCE.to_owned(), encode_record(interference)?, None));
     }
+    if let Some(crashes) = &commit.crashes {
+        write.puts.push((records::CRASHES.to_owned(), encode_record(crashes)?, None));
+    }
     if let Some(roster) = &commit.roster {
         write.puts.push((records::ROSTER.to_owned(), encode_record(roster)?, None));
     }
--- a/crates/hosted/src/records.rs
+++ b/crates/hosted/src/records.rs
@@ -26,6 +26,8 @@
 pub const ROSTER: &str = "own/roster";
 /// Key of the learned interference weights between images.
 pub const INTERFERENCE: &str = "own/press";
+/// Key of the crashes of workers and the tasks suspected of them.
+pub const CRASHES: &str = "own/crashes";
 
 /// A parsed key with the inbox prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
