Pass on what a worker says of its capacity and labels while it runs

Cause: the agent keeps each heartbeat, but told the owner only that a drain begins, so that the owner placed by the capacity of the agent's first report. Class: a belief without a refresh. Labels, zone and service had the same fault.

The agent sends the new description when one of these changes; the owner places by it, and starts nothing until what runs fits.

Red before: no_worker_gets_more_than_it_has_room_for_while_its_capacity_changes: LIMIT at 10450 ms: 3617 thousandths of a core used of 3120 on node-2. The test gives a shrunk capacity 4 s: the platform's 3 s and a heartbeat.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -109,6 +109,15 @@
     pub remaining: Option<Duration>,
 }
 
+impl WorkerInfo {
+    /// Tells whether two descriptions of an incarnation differ in what placement goes by, apart from
+    /// draining.
+    pub fn is_changed(&self, other: &WorkerInfo) -> bool {
+        (self.capacity, &self.labels, &self.service, &self.zone)
+            != (other.capacity, &other.labels, &other.service, &other.zone)
+    }
+}
+
 /// Properties of a task that its agent uses to set its pace and to detect stalls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskTraits {
@@ -192,6 +201,9 @@
     /// The worker process has crashed, and all its runs with it. `runs` are those whose age the agent
     /// knows. Sent again in each session until the owner has acknowledged it.
     Crashed { worker: String, runs: Vec<LostRun> },
+    /// The worker describes itself in another way than before: its capacity, labels, service or zone has
+    /// changed.
+    Changed { worker: WorkerInfo },
 }
 
 /// Message from the owner to an agent.
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -209,8 +209,12 @@
                 }
                 worker.last_sequence = sequence;
                 let begins_drain = info.draining && !worker.info.draining;
+                let changes = info.is_changed(&worker.info);
                 let (id, remaining) = (info.id.clone(), info.remaining);
-                worker.info = info;
+                worker.info = info.clone();
+                if changes && self.is_attached() {
+                    self.actions.push(Action::Send(AgentMessage::Changed { worker: info }));
+                }
                 if begins_drain {
                     self.log("worker_drains", format!("worker={id} remaining={remaining:?}"));
                     if self.is_attached() {
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -497,6 +497,7 @@
                     self.lose_worker(now, slot, "gone");
                 }
             }
+            AgentMessage::Changed { worker } => self.changed(slot, worker),
             AgentMessage::Crashed { worker, runs } => self.crashed(now, slot, worker, runs),
             AgentMessage::Checkpoints { rows } => {
                 for (task, run, checkpoint) in rows {
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Job, Node, Owner, RoundCause, Slot, MAX_COMMIT_KEYS};
-use crate::flow::message::{LostRun, OwnerMessage, Pressure};
+use crate::flow::message::{LostRun, OwnerMessage, Pressure, WorkerInfo};
 use crate::flow::model::{JobNumber, Step};
 use crate::flow::node::describe_ages;
 use crate::flow::step::StopReason;
@@ -47,6 +47,27 @@
         }
     }
 
+    /// Handles a worker that describes itself anew. Its tasks go on, also if they exceed its capacity now:
+    /// it gets no others until they fit.
+    pub(super) fn changed(&mut self, slot: Slot, info: WorkerInfo) {
+        let node = &mut self.nodes[slot];
+        let Some(known) = node.worker.as_mut().filter(|known| known.id == info.id) else { return };
+        let (draining, remaining) = (known.draining, known.remaining);
+        let detail = format!(
+            "node={} worker={} capacity={} before={} used={} labels={}",
+            node.name,
+            info.id,
+            info.capacity,
+            known.capacity,
+            node.used,
+            info.labels.join(",")
+        );
+        node.last_service = info.service.clone();
+        *known = WorkerInfo { draining, remaining, ..info };
+        self.log("worker_changed", None, detail);
+        self.request_round(RoundCause::Room);
+    }
+
     /// Stops the selected tasks of a draining worker, so that they continue on other nodes.
     pub(super) fn move_tasks(&mut self, slot: Slot, selects: impl Fn(&Step) -> bool) {
         for (task, run) in self.nodes[slot].tasks.clone() {
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -1,5 +1,7 @@
 //! Amounts of processors, memory and accelerators.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// An amount of each resource that a VM has.
@@ -14,6 +16,12 @@
     pub accelerators: u64,
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.cpu_milli, self.memory_mib, self.accelerators)
+    }
+}
+
 impl Resources {
     /// Creates an amount from its parts, in the units of the fields.
     pub const fn new(cpu_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -503,3 +503,42 @@
     let denials = sent(&mut agent, |m| matches!(m, AgentMessage::NotStarted { .. }));
     assert_eq!(denials.len(), 1);
 }
+
+/// Guards against an owner that does not hear of a capacity that has shrunk or grown, or of other labels,
+/// since the agent connected.
+#[test]
+fn an_agent_passes_on_what_a_worker_says_of_itself() {
+    let mut agent = AgentState::default();
+    let token = 1 << 32;
+    agent.heartbeat(ms(0), life("a"), 1);
+    agent.receive(ms(0), OwnerMessage::Welcome { token, entries: Vec::new() });
+    agent.listed(ms(1), "a", token, 1_000, Vec::new(), Vec::new());
+    let is_change = |message: &AgentMessage| matches!(message, AgentMessage::Changed { .. });
+    sent(&mut agent, is_change);
+    agent.heartbeat(ms(1_000), life("a"), 2);
+    assert_eq!(sent(&mut agent, is_change), [], "nothing has changed");
+    let small = WorkerInfo { capacity: Resources::new(400, 1_000, 0), ..life("a") };
+    let labelled = WorkerInfo { labels: vec!["b".to_owned()], ..small.clone() };
+    for (sequence, info) in [(3, small), (4, labelled)] {
+        agent.heartbeat(ms(1_000 * sequence), info.clone(), sequence);
+        assert_eq!(sent(&mut agent, is_change), [AgentMessage::Changed { worker: info }]);
+    }
+    agent.heartbeat(ms(5_000), life("a"), 2);
+    assert_eq!(sent(&mut agent, is_change), [], "a delayed heartbeat");
+}
+
+/// Guards against starts on a worker whose capacity has shrunk, and against one that stays small for ever.
+#[test]
+fn a_worker_gets_what_its_changed_capacity_has_room_for() {
+    let mut world = World::new(1, 1_000);
+    world.submit(7, job(1, vec![step(3, 300, 60_000)]));
+    assert_eq!(world.running().len(), 3);
+    world.resize(0, 700);
+    world.submit(8, job(1, vec![step(2, 300, 60_000)]));
+    world.end(0, TASK, EndKind::Done);
+    world.settle();
+    assert_eq!(world.running().len(), 2, "600 of 700 are in use");
+    world.resize(0, 1_200);
+    world.settle();
+    assert_eq!(world.running().len(), 4);
+}
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -262,6 +262,15 @@
         self.owner.receive(self.now, worker.slot, worker.session, report);
     }
 
+    /// Changes the CPU of a worker, in thousandths of a core; its agent tells the owner.
+    pub fn resize(&mut self, index: usize, cpu: u64) {
+        let worker = &mut self.workers[index];
+        worker.info.capacity.cpu_milli = cpu;
+        let report = AgentMessage::Changed { worker: worker.info.clone() };
+        let (slot, session) = (worker.slot, worker.session);
+        self.owner.receive(self.now, slot, session, report);
+    }
+
     /// Crashes a worker, and reports the crash to the owner as its agent does. Another one takes its
     /// place, whose agent has not reported yet.
     pub fn crash(&mut self, index: usize) {
--- a/crates/core/tests/flow_world/life.rs
+++ b/crates/core/tests/flow_world/life.rs
@@ -81,6 +81,8 @@
     next_end: EndNumber,
     /// Highest run of each task that was stopped or has ended here.
     highest: BTreeMap<TaskId, Run>,
+    /// A larger capacity that counts until a time, after the worker's has shrunk.
+    former: Option<(Time, Resources)>,
     /// Tail latency of serving tasks, in percent of their target.
     pub tail_percent: u32,
 }
@@ -98,6 +100,7 @@
             ends: Vec::new(),
             next_end: 1,
             highest: BTreeMap::new(),
+            former: None,
             tail_percent: 50,
         }
     }
@@ -106,6 +109,19 @@
         1_000 + (now.saturating_sub(self.boot) * self.rate / 100).as_millis() as u64
     }
 
+    /// Changes the capacity. A larger one counts until `until`.
+    pub fn resize(&mut self, capacity: Resources, now: Time, until: Time) {
+        let known = std::mem::replace(&mut self.info.capacity, capacity);
+        let former = self.former.filter(|(at, _)| now < *at).map_or(known, |(_, f)| f.max(&known));
+        self.former = Some((until, former));
+    }
+
+    /// Returns the capacity that starts must respect.
+    pub fn room(&self, now: Time) -> Resources {
+        let former = self.former.filter(|(until, _)| now < *until);
+        former.map_or(self.info.capacity, |(_, former)| former.max(&self.info.capacity))
+    }
+
     /// Returns what all runs reserve, also those that are being stopped.
     pub fn used(&self) -> Resources {
         let sum = |sum: Resources, run: &LiveRun| sum.plus(&run.step.reserved());
--- a/crates/core/tests/flow_world/main.rs
+++ b/crates/core/tests/flow_world/main.rs
@@ -147,10 +147,19 @@
     (spec, if is_poison { Flaw::Fails } else { Flaw::None })
 }
 
-/// Plays the schedule of a seed; returns the number of starts. Of the jobs, one in `crashing` has tasks
-/// that crash their workers; none if it is 0.
-fn check(seed: u64, crashing: u8) -> u64 {
+/// What happens in a world beside its faults.
+#[derive(Debug, Clone, Copy, Default)]
+struct Trouble {
+    /// Of the jobs, one in so many has tasks that crash their workers; none if it is 0.
+    crashing: u8,
+    /// Whether the workers' capacities shrink and grow.
+    resizes: bool,
+}
+
+/// Plays the schedule of a seed; returns the number of starts.
+fn check(seed: u64, trouble: Trouble) -> u64 {
     let mut crash_random = fastrand::Rng::with_seed(seed ^ 0xdead);
+    let mut resize_random = fastrand::Rng::with_seed(seed ^ 0xca9);
     let mut random = fastrand::Rng::with_seed(seed ^ 0x5eed);
     let heavy = random.bool();
     let mut world = World::new(seed, MACHINES);
@@ -182,7 +191,7 @@
             next_job += ms(random.u64(100..1_500));
             number += 1;
             let (spec, flaw) = job(&mut random, &mut lasting, heavy);
-            let flaw = match crashing {
+            let flaw = match trouble.crashing {
                 0 => flaw,
                 one_in if crash_random.u8(0..one_in) == 0 => Flaw::Crashes,
                 _ => flaw,
@@ -195,6 +204,10 @@
                 world.submit(number, spec, flaw);
             }
         }
+        if trouble.resizes && world.now < FAULTS_END && resize_random.u8(0..100) == 0 {
+            let (index, percent) = (resize_random.usize(0..MACHINES), resize_random.u64(20..=100));
+            world.resize(index, percent, Resources::new(8_000, 16_000, 0));
+        }
         let now = world.now;
         cancels.iter().filter(|(at, _)| *at == now).for_each(|(_, number)| world.cancel(*number));
         if (world.now.as_millis() as u64).is_multiple_of(TICK * 10) {
@@ -208,7 +221,7 @@
 /// with more tasks than they have room for.
 #[test]
 fn no_ready_step_waits_while_there_is_room() {
-    let starts = schedules::run(SCHEDULES, |seed| check(seed, 0));
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, Trouble::default()));
     eprintln!("{starts} starts");
 }
 
@@ -216,6 +229,16 @@
 /// forgets them, and against steps that wait for ever because a worker may have crashed under them.
 #[test]
 fn a_task_that_crashes_its_workers_is_not_started_again_and_again() {
-    let starts = schedules::run(SCHEDULES, |seed| check(seed, 10));
+    let trouble = Trouble { crashing: 10, ..Trouble::default() };
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
+    eprintln!("{starts} starts");
+}
+
+/// Guards against an owner that goes on to place by the capacity that a worker had when its agent
+/// connected.
+#[test]
+fn no_worker_gets_more_than_it_has_room_for_while_its_capacity_changes() {
+    let trouble = Trouble { resizes: true, ..Trouble::default() };
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
     eprintln!("{starts} starts");
 }
--- a/crates/core/tests/flow_world/net.rs
+++ b/crates/core/tests/flow_world/net.rs
@@ -208,7 +208,7 @@
         }
         self.starts += 1;
         self.started.insert(task, now);
-        let (used, capacity) = (life.used(), life.info.capacity);
+        let (used, capacity) = (life.used(), life.room(now));
         let id = life.info.id.clone();
         self.note(|| format!("node-{index} runs {task} {}", start.run));
         if crashes {
--- a/crates/core/tests/flow_world/world.rs
+++ b/crates/core/tests/flow_world/world.rs
@@ -239,6 +239,19 @@
         }
     }
 
+    /// Changes the capacity of a worker to a part of `full`, in percent. What it was before counts for
+    /// 3 s and the interval of a heartbeat.
+    pub fn resize(&mut self, index: usize, percent: u64, full: Resources) {
+        let part = |amount: u64| amount * percent / 100;
+        let capacity = Resources::new(part(full.cpu_milli), part(full.memory_mib), 0);
+        let (now, until) = (self.now, self.now + ms(4_000));
+        if let Some(life) = &mut self.machines[index].life {
+            life.resize(capacity, now, until);
+            self.note(|| format!("node-{index} has {capacity:?}"));
+            self.disturb(now);
+        }
+    }
+
     /// Lets the worker drain; it leaves at the time `end`.
     pub fn drain(&mut self, index: usize, end: Time, back: Option<Time>) {
         let now = self.now;
