Let a suspect of several crashes wait for longer, or for an empty worker

A suspect's second crash took 10 to 50 other runs along, since its node was quiet for 0.75 s only. A suspect of several crashes now waits until its node had no starts for 2.25 s, or takes a node that is empty because its worker has just come back. Up to 256 runs of one crash are suspected instead of 32: a worker that had just come back crashed with 52 runs of one round.

Tried instead: an empty worker only, for up to 3.5 s (the test of rounds of crashes failed: a job had no run 4.5 s after the last round).

--- a/crates/core/src/flow/crashes.rs
+++ b/crates/core/src/flow/crashes.rs
@@ -17,8 +17,9 @@
 /// Number of crashes under a task after which it is given up in any case. The platform allows two starts
 /// after the third crash; one crash may go unreported, if the agent exits too.
 const MAX_CRASHES: usize = 4;
-/// Maximum number of suspects of one crash; the youngest runs are kept.
-const MAX_SUSPECTS: usize = 32;
+/// Maximum number of suspects of one crash; the youngest runs are kept. A worker that has just come back
+/// may get all its tasks in one placement round.
+const MAX_SUSPECTS: usize = 256;
 /// Maximum number of crashes in the ledger.
 const MAX_LEDGER: usize = 128;
 
--- a/crates/core/src/flow/place/suspects.rs
+++ b/crates/core/src/flow/place/suspects.rs
@@ -12,6 +12,9 @@
 /// Time without starts on a node before a suspect starts there. Short tasks end meanwhile, and the runs
 /// that are left are too old to be suspected.
 const SETTLE_TIME: Duration = Duration::from_millis(750);
+/// The same for a suspect of several crashes, which is likely to crash the node: longer tasks end too, or
+/// a node comes that is empty, since its worker has just been replaced.
+const LONG_SETTLE_TIME: Duration = Duration::from_millis(2_250);
 /// Time without other starts on a node after the start of a suspect there, in addition to twice its age
 /// at the former crash. At least the age up to which a run is suspected, and the time in which the agent
 /// reports a crash.
@@ -34,11 +37,12 @@
 }
 
 impl Node {
-    /// Tells whether a suspect may start on the node, apart from its capacity.
-    fn is_settled(&self, now: Time) -> bool {
+    /// Tells whether a suspect may start on the node, apart from its capacity, if it needs `settle` without
+    /// starts there.
+    fn is_settled(&self, now: Time, settle: Duration) -> bool {
         let quarantine = self.quarantine.as_ref();
         quarantine.is_some_and(|known| {
-            let is_calm = self.tasks.is_empty() || now >= known.since + SETTLE_TIME;
+            let is_calm = self.tasks.is_empty() || now >= known.since + settle;
             is_calm && known.probation.is_none()
         }) && self.closed_by(now) == Some(Closure::Quarantine)
     }
@@ -70,7 +74,8 @@
         }
         let next = |known: &Quarantine| match known.probation {
             Some((_, _, until)) => until,
-            None => known.since + SETTLE_TIME,
+            None if now < known.since + SETTLE_TIME => known.since + SETTLE_TIME,
+            None => known.since + LONG_SETTLE_TIME,
         };
         let due = self.nodes.iter().filter_map(|node| node.quarantine.as_ref()).map(next);
         self.next_probation = due.filter(|at| *at > now).min();
@@ -114,19 +119,27 @@
         let spec = self.jobs[&task.job].spec.clone();
         let step = &spec.steps[usize::from(task.step)];
         let service = spec.queue.service.as_str();
-        let is_ready = |slot: &Slot| self.nodes[*slot].is_settled(now);
+        let is_repeated = self.crashes.crashed_runs(&task).len() > 1;
+        let settle = if is_repeated { LONG_SETTLE_TIME } else { SETTLE_TIME };
+        let is_ready = |slot: &Slot| self.nodes[*slot].is_settled(now, settle);
         let slots = self.slots_for(&task);
         let ready = slots.iter().copied().filter(is_ready).find(|slot| self.fits(*slot, step));
         if let Some(slot) = ready {
             return self.start_suspect(now, slot, task);
         }
+        let is_empty = |slot: &Slot| {
+            self.nodes[*slot].tasks.is_empty() && self.nodes[*slot].accepts_starts(now)
+        };
+        let empty = slots.iter().copied().filter(is_empty).find(|slot| self.fits(*slot, step));
+        if let Some(slot) = empty.filter(|_| is_repeated) {
+            self.nodes[slot].quarantine = Some(Quarantine { since: now, probation: None });
+            return self.start_suspect(now, slot, task);
+        }
         // A node that suits other suspects only does not count.
         let suits = |slot: &Slot| {
             let node = &self.nodes[*slot];
             node.quarantine.as_ref().is_some_and(|known| {
-                known.probation.is_some()
-                    || now < known.since + SETTLE_TIME
-                    || self.fits(*slot, step)
+                known.probation.is_some() || now < known.since + settle || self.fits(*slot, step)
             })
         };
         let quarantined = slots.iter().filter(|slot| suits(slot)).count();
@@ -149,7 +162,7 @@
             format!("node={} runs={}", self.nodes[slot].name, self.nodes[slot].tasks.len());
         self.log("worker_quarantined", None, detail);
         self.nodes[slot].quarantine = Some(Quarantine { since: now, probation: None });
-        if self.nodes[slot].is_settled(now) && self.fits(slot, step) {
+        if self.nodes[slot].is_settled(now, settle) && self.fits(slot, step) {
             self.start_suspect(now, slot, task);
         }
     }
