Keep suspecting a task whose run fails at once

Its fourth run began on a worker that failed all that it was given; the end after 42 ms came before the crash and cleared the task. Only an end as done clears a suspect now, or a failure of a run that is older than the age up to which runs are suspected.

Red before: a_suspect_that_fails_at_once_is_not_cleared (3 crashes after the failure instead of 2).

--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{Owner, RoundCause, Slot};
+use crate::flow::crashes::MAX_SUSPECT_AGE;
 use crate::flow::message::{End, EndKind, OwnerMessage};
 use crate::flow::model::{JobNumber, Run, Step, TaskId};
 use crate::flow::progress::Phase;
@@ -52,7 +53,14 @@
         let was_current = self.drop_run(&task, end.run).is_some();
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
             self.nodes[slot].refusals = 0;
-            self.clear_suspect(&task);
+        }
+        let ran =
+            known.as_ref().map_or(Duration::ZERO, |attempt| now.saturating_sub(attempt.since));
+        match end.kind {
+            EndKind::Done => self.clear_suspect(&task),
+            // A run that fails at once may not have come to what would have crashed the worker.
+            EndKind::Failed if ran > MAX_SUSPECT_AGE => self.clear_suspect(&task),
+            _ => {}
         }
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
@@ -78,7 +86,6 @@
         if was_current && end.kind != EndKind::Done {
             let name = &self.nodes[slot].name;
             let reason = known.as_ref().and_then(|attempt| attempt.stop_reason);
-            let ran = known.map_or(Duration::ZERO, |attempt| now.saturating_sub(attempt.since));
             let detail = format!(
                 "task={task} run={} kind={:?} node={name} reason={} ran_ms={} cpu={}",
                 end.run,
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -64,6 +64,22 @@
     assert_eq!(world.running().len(), 15, "all tasks of the other jobs run");
 }
 
+/// Guards against a worker that fails all tasks at once, and so clears a task that would have crashed it.
+#[test]
+fn a_suspect_that_fails_at_once_is_not_cleared() {
+    let mut world = World::new(5, 8_000);
+    world.submit(DEADLY, job(9, vec![step(1, 500, 60_000)]));
+    assert_eq!(play(&mut world, 10).len(), 1);
+    assert_eq!(world.running().len(), 1, "a suspect starts on an empty worker at once");
+    let (index, task) = world.running()[0];
+    world.now += ms(5);
+    world.end(index, task, EndKind::Failed);
+    world.settle();
+    let later = play(&mut world, 9_000);
+    assert_eq!(later.len(), 2, "crashes after the failure");
+    assert_eq!(world.owner.phase(DEADLY), Some(Phase::Failed));
+}
+
 /// Guards against a successor that starts to count from zero.
 #[test]
 fn crashes_count_on_after_a_takeover() {
