Do not take crashes under a suspect that runs apart for a common cause

On a small fleet with idle workers a suspect crashed three of them within a second. Three crashes within a second pass for a common cause, so that none counted as one of its own, and the task was started once more than needed. A crash with a suspect on probation is explained by it and is no longer one of those that tell of other causes.

Red before: crashes_under_a_suspect_that_runs_apart_have_no_common_cause: [1, 1, 1, 1] crashes instead of three.

--- a/crates/core/src/flow/owner/suspects.rs
+++ b/crates/core/src/flow/owner/suspects.rs
@@ -66,11 +66,12 @@
         tasks.iter().for_each(|task| self.judge(task, is_frequent));
     }
 
-    /// Adds the crash of a node's worker to those of the last seconds, unless the worker was lost before.
+    /// Adds the crash of a node's worker to those of the last seconds, unless the worker was lost before or
+    /// a suspect was on probation there, which explains it.
     fn note_crash(&mut self, now: Time, slot: Slot, id: &str) {
         self.recent_crashes.retain(|(at, ..)| now < *at + FREQUENT_TIME);
         let known = self.nodes[slot].worker.as_ref().filter(|known| known.id == id);
-        if let Some(worker) = known {
+        if let Some(worker) = known.filter(|_| !self.nodes[slot].is_on_probation()) {
             self.recent_crashes.push((now, worker.service.clone(), worker.id.clone()));
         }
     }
@@ -150,7 +151,7 @@
         self.finish_job(task.job, Phase::Failed);
     }
 
-    /// Clears a task of all crashes after one of its runs has ended by itself.
+    /// Clears a task of all crashes after one of its runs has ended without one.
     pub(super) fn clear_suspect(&mut self, task: &TaskId) {
         if let Some(key) = self.suspect_key(task) {
             self.clear(&key, "ended");
--- a/crates/core/src/flow/place/suspects.rs
+++ b/crates/core/src/flow/place/suspects.rs
@@ -47,6 +47,11 @@
         }) && self.closed_by(now) == Some(Closure::Quarantine)
     }
 
+    /// Tells whether a suspect is on probation on the node.
+    pub(in crate::flow) fn is_on_probation(&self) -> bool {
+        self.quarantine.as_ref().is_some_and(|known| known.probation.is_some())
+    }
+
     /// Ends a probation that is over or whose run is not on the node any more.
     fn end_probation(&mut self, now: Time) {
         let Some(quarantine) = &mut self.quarantine else { return };
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -64,6 +64,17 @@
     assert_eq!(world.running().len(), 15, "all tasks of the other jobs run");
 }
 
+/// Guards against crashes of one task on empty workers, quickly one after the other, that pass for ones
+/// with a common cause.
+#[test]
+fn crashes_under_a_suspect_that_runs_apart_have_no_common_cause() {
+    let mut world = World::new(5, 8_000);
+    world.submit(DEADLY, job(4, vec![step(1, 500, 60_000)]));
+    let lost = play(&mut world, 3_000);
+    assert_eq!(lost, [1, 1, 1], "crashes");
+    assert_eq!(world.owner.phase(DEADLY), Some(Phase::Failed));
+}
+
 /// Guards against a worker that fails all tasks at once, and so clears a task that would have crashed it.
 #[test]
 fn a_suspect_that_fails_at_once_is_not_cleared() {
