Ignore stored crashes under steps that a job does not have

An owner that read a record of crashes with a step that its job does not have panicked in its next placement round, and so would each successor. Found while looking for messages that take a process down. The step is looked up with a check now, and the entry is dropped by the next check of suspects.

Red before: a_crash_under_tasks_that_do_not_exist_is_ignored: index out of bounds, the len is 1 but the index is 7.

--- a/crates/core/src/flow/place/suspects.rs
+++ b/crates/core/src/flow/place/suspects.rs
@@ -96,7 +96,7 @@
             };
             let state = job.occurrences.get(&task.occurrence);
             let state = state.and_then(|steps| steps.get(usize::from(task.step)));
-            !job.spec.steps[usize::from(task.step)].gang
+            job.spec.steps.get(usize::from(task.step)).is_some_and(|step| !step.gang)
                 && (is_settled || !job.is_inherited)
                 && state.is_some_and(|s| s.is_ready && s.waiting.contains(&task.index))
         };
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use peridotfold_core::flow::crashes::MAX_SUSPECT_AGE;
+use peridotfold_core::flow::crashes::{Crash, MAX_SUSPECT_AGE};
 use peridotfold_core::flow::message::{
     AgentMessage, EndKind, LostRun, OwnerMessage, Start, TaskTraits, WorkerInfo,
 };
@@ -162,6 +162,30 @@
     }
 }
 
+/// Guards against an owner that panics on a stored or reported crash with tasks that no job has.
+#[test]
+fn a_crash_under_tasks_that_do_not_exist_is_ignored() {
+    let mut world = World::new(2, 8_000);
+    world.submit(DEADLY, job(4, vec![step(1, 500, 60_000)]));
+    let strange = [
+        TaskId { step: 7, ..CULPRIT },
+        TaskId { index: 7, ..CULPRIT },
+        TaskId { occurrence: 7, ..CULPRIT },
+        TaskId { job: 7, ..CULPRIT },
+    ];
+    let suspects: Vec<LostRun> =
+        strange.iter().map(|task| LostRun { task: *task, run: 1, age: ms(1) }).collect();
+    let worker = "strange".to_owned();
+    let crash = Crash { worker, suspects: suspects.clone(), is_common: false, has_culprit: false };
+    world.owner.inherit_crashes(vec![crash]);
+    let (slot, session) = (world.workers[0].slot, world.workers[0].session);
+    let report = AgentMessage::Crashed { worker: "other".to_owned(), runs: suspects };
+    world.owner.receive(world.now, slot, session, report);
+    world.submit(2, job(4, vec![step(1, 500, 60_000)]));
+    world.advance(ms(1_000));
+    assert_eq!(world.running().len(), 2);
+}
+
 /// Guards against innocent jobs that are given up, or wait, on a day on which many workers crash.
 #[test]
 fn rounds_of_crashes_fail_no_job_and_delay_none_for_long() {
