--- a/crates/core/src/flow/crashes.rs
+++ b/crates/core/src/flow/crashes.rs
@@ -45,7 +45,7 @@
     runs: BTreeSet<Run>,
     /// Those of `runs` whose crashes have no other likely cause.
     single_runs: BTreeSet<Run>,
-    /// Age of the oldest of these runs at its crash.
+    /// Age of the oldest of `runs` at its crash.
     age: Duration,
     /// Whether the newest crash is explained by another task.
     is_explained: bool,
@@ -119,11 +119,6 @@
         self.suspicions.get(task).map_or(Duration::ZERO, |known| known.age)
     }
 
-    /// Tells whether a worker may have crashed under a task.
-    pub fn is_suspect(&self, task: &TaskId) -> bool {
-        self.suspicions.contains_key(task)
-    }
-
     /// Returns the suspected tasks, beginning with the one whose runs were youngest at the crash.
     pub fn suspects(&self) -> Vec<TaskId> {
         let mut tasks: Vec<(Duration, TaskId)> =
@@ -155,19 +150,14 @@
 
     /// Clears a task of all crashes. Returns whether it was suspected.
     pub fn clear(&mut self, task: &TaskId) -> bool {
-        self.retain(|suspect| suspect != task)
-    }
-
-    /// Clears the tasks that `keep` does not select. Returns whether any was suspected.
-    pub fn retain(&mut self, keep: impl Fn(&TaskId) -> bool) -> bool {
-        if self.suspicions.keys().all(&keep) {
-            return false;
-        }
-        for crash in &mut self.crashes {
-            crash.suspects.retain(|lost| keep(&lost.task));
+        let is_suspect = self.suspicions.contains_key(task);
+        if is_suspect {
+            for crash in &mut self.crashes {
+                crash.suspects.retain(|lost| lost.task != *task);
+            }
+            self.derive();
         }
-        self.derive();
-        true
+        is_suspect
     }
 
     /// Takes the crashes under a task as explained by it. Their other suspects need not start apart on
@@ -181,6 +171,7 @@
         self.derive();
     }
 
+    /// Recomputes what is known of each suspect from the crashes.
     fn derive(&mut self) {
         self.suspicions.clear();
         for crash in &self.crashes {
--- a/crates/core/src/flow/owner/suspects.rs
+++ b/crates/core/src/flow/owner/suspects.rs
@@ -32,7 +32,9 @@
 const MAX_LOGGED_SUSPECTS: usize = 8;
 
 impl Owner {
-    /// Handles the crash of a worker with `runs`. The agent repeats the report until it is durable.
+    /// Handles the crash of a worker with `runs`: records it against those that are young enough to have
+    /// caused it, requeues all, and gives up a task that has crashed enough workers. The agent repeats the
+    /// report until it is acknowledged.
     pub(super) fn crashed(&mut self, now: Time, slot: Slot, worker: String, runs: Vec<LostRun>) {
         let suspects: Vec<LostRun> = runs
             .into_iter()
