--- a/crates/core/src/flow/crashes.rs
+++ b/crates/core/src/flow/crashes.rs
@@ -98,12 +98,13 @@
         true
     }
 
-    /// Notes that many workers crashed at the same time as these.
-    pub fn mark_common(&mut self, workers: &[String]) {
-        for crash in self.crashes.iter_mut().filter(|c| workers.contains(&c.worker)) {
-            crash.is_common = true;
-        }
+    /// Notes that many workers crashed at the same time as these. Returns whether this was not known of
+    /// one.
+    pub fn mark_common(&mut self, workers: &[String]) -> bool {
+        let is_new = |crash: &&mut Crash| !crash.is_common && workers.contains(&crash.worker);
+        let marked = self.crashes.iter_mut().filter(is_new).map(|c| c.is_common = true).count();
         self.derive();
+        marked > 0
     }
 
     /// Tells whether a task must start apart from others: it is suspected of a crash without another
--- a/crates/core/src/flow/owner/suspects.rs
+++ b/crates/core/src/flow/owner/suspects.rs
@@ -57,10 +57,10 @@
                     self.log("worker_crashed", None, detail);
                     self.mark_crashes_changed();
                 }
-                self.mark_common(now, &service);
                 self.crash_acks.push((slot, worker.clone()));
             }
         }
+        self.mark_common(now, &service);
         if self.nodes[slot].worker.as_ref().is_some_and(|known| known.id == worker) {
             self.lose_worker(now, slot, "crashed");
         }
@@ -84,7 +84,9 @@
         let recent = self.crashed_since(now.saturating_sub(COMMON_CAUSE_TIME), service);
         if recent.len() >= (self.worker_count(service) / COMMON_CAUSE_DIVISOR).max(MIN_COMMON) {
             let recent: Vec<String> = recent.into_iter().map(str::to_owned).collect();
-            self.crashes.mark_common(&recent);
+            if self.crashes.mark_common(&recent) {
+                self.mark_crashes_changed();
+            }
         }
     }
 
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -249,6 +249,31 @@
     }
 }
 
+/// Guards against nodes that take no starts for suspects of a large crash: most of its workers have no
+/// young runs, and must count all the same.
+#[test]
+fn workers_without_suspects_count_for_a_common_cause() {
+    let mut world = World::new(8, 8_000);
+    world.submit(1, job(4, vec![step(16, 500, 60_000)]));
+    world.advance(ms(2_000));
+    world.submit(2, job(4, vec![step(1, 500, 60_000)]));
+    let (first, task) = world.running().into_iter().find(|(_, task)| task.job == 2).unwrap();
+    world.now += ms(10);
+    world.crash(first);
+    for _ in 0..2 {
+        let has_old = |index: &usize| {
+            let is_new = |row: &&(Time, usize, TaskId, u32)| row.0 == world.now && row.1 == *index;
+            let running = &world.workers[*index].running;
+            !running.is_empty() && world.started.iter().find(is_new).is_none()
+        };
+        let index = (0..8).find(has_old).expect("a worker with old runs only");
+        world.crash(index);
+    }
+    world.now += ms(20);
+    world.settle();
+    assert!(world.running().iter().any(|(_, other)| *other == task), "{task} waits");
+}
+
 /// Guards against a gang that is given up after one crash, because it crashed all its workers at once, and
 /// against one that is never given up.
 #[test]
