Do not look again at once after a broken listing

Why an earlier report costs there is not traced. A probation is 200 ms longer instead, as the report comes later.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -508,13 +508,6 @@
         let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
             return;
         };
-        // A connection that breaks may mean that the process has exited, which the next call tells.
-        if known.failed_at.is_none()
-            && *outcome == Outcome::Unclear
-            && now < sent_at + MAX_LIST_WAIT
-        {
-            self.next_list = now;
-        }
         known.note_failure(now, sent_at, outcome);
         match outcome {
             Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
--- a/crates/core/src/flow/place/suspects.rs
+++ b/crates/core/src/flow/place/suspects.rs
@@ -18,7 +18,7 @@
 /// Time without other starts on a node after the start of a suspect there, in addition to twice its age
 /// at the former crash. At least the age up to which a run is suspected, and the time in which the agent
 /// reports a crash.
-const MIN_PROBATION: Duration = Duration::from_millis(300);
+const MIN_PROBATION: Duration = Duration::from_millis(500);
 /// Time for which a suspect of a single crash waits to start apart; it then starts like others.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Number of nodes of a service, as a divisor, that may be quarantined; at least one may.
