Log evacuations, and evacuate zones in the seeded world

The owner logs each zone with its workers and runs, and when the set of zones becomes too old. While nothing is open because of evacuations, stragglers are not stopped.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -248,6 +248,10 @@
     pub(super) next_wait_report: Time,
     /// Zones in which no tasks may start.
     pub(super) evacuations: Evacuations,
+    /// Zones whose newest change has not been logged, and whether they are evacuated.
+    unlogged_zones: BTreeMap<String, bool>,
+    /// Whether the set of evacuated zones was too old when its age was last logged.
+    was_unconfirmed: bool,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -293,6 +297,8 @@
             next_straggler_search: now,
             next_wait_report: now,
             evacuations: Evacuations::default(),
+            unlogged_zones: BTreeMap::new(),
+            was_unconfirmed: false,
             examined: Cell::new(0),
         }
     }
--- a/crates/core/src/flow/owner/evacuations.rs
+++ b/crates/core/src/flow/owner/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Owner, RoundCause, Slot};
+use super::{Node, Owner, RoundCause, Slot};
 use crate::flow::evacuation::{self, Evacuations};
 use crate::time::Time;
 
@@ -31,25 +31,51 @@
         self.settings.evacuation.is_none_or(is_recent)
     }
 
+    /// Tells whether the evacuation of zones, or the age of their set, leaves no node for a stopped run.
+    pub(super) fn is_closed_by_evacuation(&self, now: Time) -> bool {
+        let is_open = |node: &Node| node.worker.is_some() && !node.is_evacuated;
+        !self.is_confirmed(now) || self.evacuations.count() > 0 && !self.nodes.iter().any(is_open)
+    }
+
     /// Closes or opens the nodes of a zone.
     fn apply_evacuation(&mut self, now: Time, zone: &str, is_evacuated: bool) {
-        let (mut workers, mut running) = (0, 0);
-        for node in &mut self.nodes {
-            let is_its = node.worker.as_ref().is_some_and(|worker| worker.zone == zone);
-            if !is_its {
-                continue;
-            }
-            workers += 1;
-            running += node.tasks.len();
+        let is_its =
+            |node: &&mut Node| node.worker.as_ref().is_some_and(|worker| worker.zone == zone);
+        for node in self.nodes.iter_mut().filter(is_its) {
             node.is_evacuated = is_evacuated;
             if !is_evacuated {
                 node.ranks_behind_until = now + RETURN_TIME;
             }
         }
-        let age_ms = self.evacuations.age(now).unwrap_or_default().as_millis();
-        let detail = format!("zone={zone} workers={workers} running={running} age_ms={age_ms}");
-        let event = if is_evacuated { "zone_evacuated" } else { "zone_returned" };
-        self.log(event, None, detail);
+        self.unlogged_zones.insert(zone.to_owned(), is_evacuated);
+    }
+
+    /// Logs zones that were evacuated or returned since the last call, and whether the set of zones has
+    /// become too old, or is no longer. During a takeover, the workers of a zone are not known yet.
+    pub(super) fn log_evacuations(&mut self, now: Time) {
+        let age = self.evacuations.age(now);
+        let is_unconfirmed = !self.is_confirmed(now);
+        if std::mem::replace(&mut self.was_unconfirmed, is_unconfirmed) != is_unconfirmed {
+            let event = if is_unconfirmed { "evacuations_stale" } else { "evacuations_fresh" };
+            let age_ms = age.map_or("none".to_owned(), |age| age.as_millis().to_string());
+            self.log(event, None, format!("age_ms={age_ms}"));
+        }
+        if self.unlogged_zones.is_empty() || self.takeover_deadline.is_some() {
+            return;
+        }
+        for (zone, is_evacuated) in std::mem::take(&mut self.unlogged_zones) {
+            let (mut workers, mut running) = (0, 0);
+            for node in &self.nodes {
+                if node.worker.as_ref().is_some_and(|worker| worker.zone == zone) {
+                    workers += 1;
+                    running += node.tasks.len();
+                }
+            }
+            let age_ms = age.unwrap_or_default().as_millis();
+            let detail = format!("zone={zone} workers={workers} running={running} age_ms={age_ms}");
+            let event = if is_evacuated { "zone_evacuated" } else { "zone_returned" };
+            self.log(event, None, detail);
+        }
     }
 
     /// Updates whether a node is in an evacuated zone, after its worker or the worker's zone has changed.
--- a/crates/core/src/flow/owner/stragglers.rs
+++ b/crates/core/src/flow/owner/stragglers.rs
@@ -31,6 +31,10 @@
             return;
         }
         self.next_straggler_search = now + SEARCH_INTERVAL;
+        // A run that is stopped now could start nowhere else.
+        if self.is_closed_by_evacuation(now) {
+            return;
+        }
         let most = 1 + self.nodes.len() / NODES_PER_MOVE;
         let throttles = |slot: &Slot| self.nodes[*slot].pressure.level < MAX_PRESSURE_LEVEL;
         let slots: Vec<Slot> = (0..self.nodes.len()).filter(throttles).collect();
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -159,6 +159,7 @@
             }
         }
         self.clear_survivors();
+        self.log_evacuations(now);
         if now >= self.next_cleanup {
             self.next_cleanup = now + Duration::from_secs(1);
             // Steps become starved without any event, so placement runs at least once per second.
--- a/crates/core/tests/flow_world/main.rs
+++ b/crates/core/tests/flow_world/main.rs
@@ -16,7 +16,7 @@
 use peridotfold_core::time::Time;
 
 use watch::Watch;
-use world::{Flaw, Harm, World, TICK};
+use world::{Flaw, Harm, World, TICK, ZONES};
 
 /// Number of random schedules, each with its own seed.
 const SCHEDULES: u64 = 300;
@@ -154,6 +154,8 @@
     crashing: u8,
     /// Whether the workers' capacities shrink and grow.
     resizes: bool,
+    /// Whether zones are evacuated and returned.
+    evacuates: bool,
 }
 
 /// Plays the schedule of a seed; returns the number of starts.
@@ -162,7 +164,11 @@
     let mut resize_random = fastrand::Rng::with_seed(seed ^ 0xca9);
     let mut random = fastrand::Rng::with_seed(seed ^ 0x5eed);
     let heavy = random.bool();
+    let mut zone_random = fastrand::Rng::with_seed(seed ^ 0x20e5);
     let mut world = World::new(seed, MACHINES);
+    if trouble.evacuates {
+        world = world.with_zones();
+    }
     let mut watch = Watch::default();
     let mut draw = |_| {
         let at = ms(random.u64(3_000..FAULTS_END.as_millis() as u64));
@@ -208,6 +214,16 @@
             let (index, percent) = (resize_random.usize(0..MACHINES), resize_random.u64(20..=100));
             world.resize(index, percent, Resources::new(8_000, 16_000, 0));
         }
+        let changes_zone = trouble.evacuates && zone_random.u16(0..200) == 0;
+        // Neither can the operator write while the store is away.
+        if changes_zone && world.now < FAULTS_END && world.now >= world.store_away_until {
+            world.change_zone(zone_random.usize(0..ZONES));
+        }
+        if trouble.evacuates && world.now == FAULTS_END + ms(5_000) {
+            let closed = |zone: &usize| world.is_evacuated(*zone);
+            let closed: Vec<usize> = (0..ZONES).filter(closed).collect();
+            closed.into_iter().for_each(|zone| world.change_zone(zone));
+        }
         let now = world.now;
         cancels.iter().filter(|(at, _)| *at == now).for_each(|(_, number)| world.cancel(*number));
         if (world.now.as_millis() as u64).is_multiple_of(TICK * 10) {
@@ -242,3 +258,12 @@
     let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
     eprintln!("{starts} starts");
 }
+
+/// Guards against starts in a zone that was evacuated longer ago than the bound, under all faults, and
+/// against steps that wait for ever although another zone has room or theirs has returned.
+#[test]
+fn no_task_starts_in_an_evacuated_zone() {
+    let trouble = Trouble { evacuates: true, ..Trouble::default() };
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
+    eprintln!("{starts} starts");
+}
--- a/crates/core/tests/flow_world/net.rs
+++ b/crates/core/tests/flow_world/net.rs
@@ -110,6 +110,9 @@
     }
 
     fn call(&mut self, index: usize, order: Call) {
+        if let Call::Start { start, .. } = &order {
+            self.check_zone(index, &start.task.to_string());
+        }
         self.count += 1;
         let call = self.count;
         let wait = match &order {
