--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -64,6 +64,7 @@
         );
         node.last_service = info.service.clone();
         *known = WorkerInfo { draining, remaining, ..info };
+        self.check_zone(slot);
         self.log("worker_changed", None, detail);
         self.request_round(RoundCause::Room);
     }
@@ -130,6 +131,8 @@
         node.tried_at = None;
         node.backoff_until = Time::ZERO;
         node.quarantine = None;
+        node.is_evacuated = false;
+        node.ranks_behind_until = Time::ZERO;
         self.request_round(RoundCause::Room);
         self.mark_roster_changed();
     }
@@ -156,6 +159,7 @@
             }
         }
         self.clear_survivors();
+        self.log_evacuations(now);
         if now >= self.next_cleanup {
             self.next_cleanup = now + Duration::from_secs(1);
             // Steps become starved without any event, so placement runs at least once per second.
