Rank slow workers behind the others, and move overdue runs from them

Placement took all workers for equally fast, so that jobs waited for the runs on a throttled or faulty one. Tasks that end go there last; overdue runs with checkpoints are moved. Equal speeds change nothing (property test with generated jobs).

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -34,6 +34,7 @@
 pub mod ranking;
 pub mod routes;
 pub mod sampler;
+pub mod speed;
 
 mod place;
 mod recovery;
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -10,6 +10,7 @@
 mod node;
 mod reservations;
 mod rounds;
+mod speed;
 mod stragglers;
 mod suspects;
 mod workers;
@@ -240,6 +241,8 @@
     pub(super) next_probation: Option<Time>,
     /// When stragglers are next searched for.
     next_straggler_search: Time,
+    /// When the speeds of nodes are next reviewed.
+    next_speed_review: Time,
     /// When steps that have been without runs for long are next reported.
     pub(super) next_wait_report: Time,
     /// Number of times that placement has examined a node for a step, since the owner began.
@@ -285,6 +288,7 @@
             crash_acks: Vec::new(),
             next_probation: None,
             next_straggler_search: now,
+            next_speed_review: now,
             next_wait_report: now,
             examined: Cell::new(0),
         }
@@ -453,6 +457,7 @@
         self.next_session += 1;
         let node = &mut self.nodes[slot];
         node.session = Some(self.next_session);
+        node.connected_at = now;
         node.is_attached = false;
         node.early_ping = None;
         (slot, self.next_session, session_token(self.settings.epoch, self.next_session))
@@ -509,6 +514,7 @@
                 if std::mem::replace(&mut self.nodes[slot].pressure, pressure) != pressure {
                     self.request_round(RoundCause::Pressure);
                 }
+                self.nodes[slot].full_pace.note(now, pressure.level);
                 self.learn_interference(slot, &samples, &baselines);
                 match (self.is_valid(now), self.nodes[slot].is_attached) {
                     (false, _) => self.send_pong(slot, sent, Duration::ZERO),
@@ -549,6 +555,7 @@
     /// called. `wall` is the wall-clock time.
     pub fn poll(&mut self, now: Time, wall: WallMs) -> bool {
         self.check_timers(now);
+        self.review_speeds(now);
         self.move_stragglers(now);
         self.release_due(now, wall);
         if self.next_timed_round().is_some_and(|at| now >= at) {
@@ -592,7 +599,9 @@
         let step = &spec.steps[usize::from(task.step)];
         let key = if step.gang { 0 } else { task.index };
         let checkpoint = state.checkpoints.get(&key).cloned().unwrap_or_default();
-        state.begin(task.index, Attempt::new(run, slot, now));
+        let mut attempt = Attempt::new(run, slot, now);
+        attempt.is_whole = checkpoint.is_empty();
+        state.begin(task.index, attempt);
         self.reserve(slot, task, run, step);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -68,6 +68,7 @@
         match end.kind {
             EndKind::Done if !step.long_running => {
                 self.nodes[slot].failure_streak = 0;
+                self.learn_speed(now, &task, step, known.as_ref());
                 self.complete(now, &task, step);
             }
             EndKind::Failed if !step.long_running && !state.done.contains(task.index) => {
--- a/crates/core/src/flow/owner/node.rs
+++ b/crates/core/src/flow/owner/node.rs
@@ -8,6 +8,7 @@
 use crate::flow::message::{EndNumber, Image, Pressure, WorkerInfo};
 use crate::flow::model::{JobNumber, Run, TaskId};
 use crate::flow::place::Quarantine;
+use crate::flow::speed::{FullPace, Speed};
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -17,6 +18,8 @@
     pub name: String,
     /// Session of the node's agent; `None` while the agent is not connected.
     pub session: Option<Session>,
+    /// When that session was opened.
+    pub(in crate::flow) connected_at: Time,
     /// Whether the agent has reported its worker's state in this session.
     pub is_attached: bool,
     /// When the worker's permission to run tasks was last renewed.
@@ -34,6 +37,10 @@
     pub long_running: Resources,
     /// Load on the worker, as its agent last reported.
     pub pressure: Pressure,
+    /// Since when the worker's best-effort tasks have run at full pace.
+    pub(in crate::flow) full_pace: FullPace,
+    /// Estimated speed of the worker.
+    pub(in crate::flow) speed: Speed,
     /// CPU requested by best-effort tasks, by image, in thousandths of a core.
     pub(in crate::flow) best_effort_cpu: BTreeMap<Image, u64>,
     /// Sum of `best_effort_cpu`.
@@ -79,6 +86,7 @@
         Node {
             name: name.to_owned(),
             session: None,
+            connected_at: now,
             is_attached: false,
             last_pong: now,
             early_ping: None,
@@ -87,6 +95,8 @@
             used: Resources::default(),
             long_running: Resources::default(),
             pressure: Pressure::default(),
+            full_pace: FullPace::default(),
+            speed: Speed::default(),
             best_effort_cpu: BTreeMap::new(),
             total_best_effort_cpu: 0,
             serving: BTreeMap::new(),
--- a/crates/core/src/flow/owner/stragglers.rs
+++ b/crates/core/src/flow/owner/stragglers.rs
@@ -1,5 +1,5 @@
 //! Moves the last tasks of a step away from workers that throttle them, because the whole step
-//! waits for them.
+//! waits for them, and overdue runs away from slow workers.
 
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 
 impl Owner {
     /// Stops best-effort tasks that are the last ones of their step and run on a worker that
-    /// throttles them. Their checkpoints are kept, and they start again on other workers, where
+    /// throttles them, and overdue runs on slow workers. Their checkpoints are kept, and they start again on other workers, where
     /// their job ranks high because little of it is left.
     pub(super) fn move_stragglers(&mut self, now: Time) {
         if now < self.next_straggler_search || !self.is_valid(now) {
@@ -34,12 +34,21 @@
         let most = 1 + self.nodes.len() / NODES_PER_MOVE;
         let throttles = |slot: &Slot| self.nodes[*slot].pressure.level < MAX_PRESSURE_LEVEL;
         let slots: Vec<Slot> = (0..self.nodes.len()).filter(throttles).collect();
-        let stragglers: Vec<(Slot, TaskId, Run)> = slots
+        let runs = |slot: Slot| self.nodes[slot].tasks.iter().map(move |(t, run)| (slot, *t, *run));
+        let slow_slots = (0..self.nodes.len()).filter(|slot| self.nodes[*slot].speed.is_slow);
+        let overdue = slow_slots
+            .flat_map(runs)
+            .filter(|(slot, task, run)| self.is_overdue(now, *slot, task, *run));
+        let mut stragglers: Vec<(Slot, TaskId, Run)> = slots
             .into_iter()
-            .flat_map(|slot| self.nodes[slot].tasks.iter().map(move |(t, run)| (slot, *t, *run)))
+            .flat_map(runs)
             .filter(|(_, task, run)| self.is_straggler(now, task, *run))
+            .chain(overdue)
             .take(most)
             .collect();
+        // A run may be found for both reasons.
+        stragglers.sort_unstable();
+        stragglers.dedup();
         for (slot, task, run) in stragglers {
             let Some((_, state)) = self.step_mut(&task) else { continue };
             if let Some(attempt) = state.running.get_mut(&task.index) {
@@ -47,8 +56,11 @@
             }
             state.avoided_nodes.insert(task.index, slot);
             let node = &self.nodes[slot];
-            let detail =
+            let mut detail =
                 format!("task={task} run={run} node={} level={}", node.name, node.pressure.level);
+            if node.speed.is_slow {
+                detail += &format!(" factor={:.1}", node.speed.factor(now));
+            }
             self.log("straggler_moved", Some(task.job), detail);
             self.send(slot, OwnerMessage::Stop { task, run });
         }
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -6,6 +6,7 @@
 use crate::flow::message::{LostRun, OwnerMessage, Pressure, WorkerInfo};
 use crate::flow::model::{JobNumber, Step};
 use crate::flow::node::describe_ages;
+use crate::flow::speed::{FullPace, Speed};
 use crate::flow::step::StopReason;
 use crate::resources::Resources;
 use crate::time::Time;
@@ -116,6 +117,8 @@
         node.used = Resources::default();
         node.long_running = Resources::default();
         node.pressure = Pressure::default();
+        node.full_pace = FullPace::default();
+        node.speed = Speed::default();
         node.best_effort_cpu.clear();
         node.total_best_effort_cpu = 0;
         node.serving.clear();
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -502,7 +502,9 @@
         let free = node.free_cpu().saturating_sub(planned_cpu);
         Ok((
             match search.mode {
-                Mode::Ranked | Mode::Relief => u32::from(node.troubles() > 0),
+                Mode::Ranked | Mode::Relief => {
+                    u32::from(node.troubles() > 0 || self.is_too_slow(slot, step))
+                }
                 Mode::Resting => node.troubles(),
             },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
--- a/crates/core/src/flow/place/round.rs
+++ b/crates/core/src/flow/place/round.rs
@@ -11,8 +11,8 @@
 use crate::time::Time;
 
 /// Sort key of the nodes that can run a task; the node with the smallest key is chosen. In order:
-/// - whether tasks have failed or been rejected there since one last finished; on a resting node, how
-///   often;
+/// - whether tasks have failed or been rejected there since one last finished, or the worker is slow
+///   and the task ends; on a resting node, how often tasks have failed;
 /// - whether the node is outside the rack that is preferred for the task;
 /// - for a serving task, the number of serving images on the node other than its own;
 /// - for a long-running task, the CPU reserved there by long-running tasks, most first;
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -5,6 +5,7 @@
 use super::model::{Run, Step};
 use super::owner::Slot;
 use super::progress::{IndexSet, StepProgress};
+use super::speed::RunTimes;
 use crate::time::Time;
 
 /// A run in progress of one task, ordered by this owner or adopted from a worker's listing.
@@ -22,12 +23,23 @@
     idle_since: Option<Time>,
     /// Whether the run was started because the step was starved.
     pub is_relief: bool,
+    /// Whether this owner has ordered the run and it does all of the task's work: it was not adopted
+    /// and did not resume from a checkpoint.
+    pub is_whole: bool,
 }
 
 impl Attempt {
     /// Returns a run that is ordered or adopted at `since`.
     pub fn new(run: Run, slot: Slot, since: Time) -> Self {
-        Attempt { run, slot, since, stop_reason: None, idle_since: None, is_relief: false }
+        Attempt {
+            run,
+            slot,
+            since,
+            stop_reason: None,
+            idle_since: None,
+            is_relief: false,
+            is_whole: false,
+        }
     }
 
     /// Tells whether the owner has ordered to stop the run.
@@ -78,6 +90,8 @@
     pub avoided_nodes: HashMap<u32, Slot>,
     /// Number of tasks of the step in progress on each node.
     pub per_worker: HashMap<Slot, u32>,
+    /// Times of the last runs that ended by themselves.
+    pub run_times: RunTimes,
     /// Whether placement has seen that all steps that this step depends on are done.
     pub is_ready: bool,
     /// Whether the last run that ended had been started because the step was starved.
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -11,6 +11,7 @@
 mod place;
 mod ranking;
 mod routes;
+mod speed;
 mod starvation;
 mod support;
 mod waits;
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -98,6 +98,7 @@
             owner.round_took(end, took);
             metrics::counter!("placement_rounds").increment(1);
             metrics::histogram!("placement_round_seconds").record(took.as_secs_f64());
+            metrics::gauge!("slow_workers").set(owner.slow_workers() as f64);
         }
         let is_round_due = owner.next_round(now).is_some();
         let effects = owner.take_effects();
@@ -240,6 +241,7 @@
     /// Ends the ownership on this entry: all connections close.
     pub(crate) fn shut_down(&self) {
         self.end.fire();
+        metrics::gauge!("slow_workers").set(0.0);
         self.outboxes.lock().clear();
     }
 
