Let the soak evacuate zones, and check that nothing starts there

The operator writes op/evacuate/ZONE once the store takes writes, and removes it after the bound. An order to start a task that reaches a worker of the zone later than the bound after the write, and is answered, breaks the rule EVACUATED. Only a soak with a bound (--evacuation-ms) draws evacuations and puts EvacuationMs into the settings; by default nothing changes. The check itself is tested by a planted fault.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,7 +16,7 @@
 
 fn small(plant: Plant, dir: PathBuf) -> Soak {
     Soak {
-        size: Size { entries: 1, workers: 1 },
+        size: Size { entries: 1, workers: 1, evacuation: None },
         length: Duration::from_secs(4),
         jobs: 0,
         faults: 0,
@@ -40,6 +40,7 @@
         Plant::FalseEnd => "MIXED",
         Plant::OwnEnd => "OWN END",
         Plant::HiddenRoute => "CONFIG",
+        Plant::InEvacuatedZone => "EVACUATED",
     }
 }
 
