--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -63,7 +63,8 @@
     WorkerDrains,
     /// The run made no progress.
     Stalled,
-    /// The last task of a step moves to a worker that throttles it less.
+    /// The last task of a step moves to a worker that throttles it less, or an overdue run leaves a
+    /// slow worker.
     Straggler,
 }
 
--- a/crates/core/tests/flow/speed.rs
+++ b/crates/core/tests/flow/speed.rs
@@ -140,13 +140,13 @@
 }
 
 /// Guards against estimates of run times that are taken for the speed of workers. Pattern: estimates
-/// that are wrong by a factor of two, either way by job, and jobs that run on some of the workers only.
+/// that are wrong by a little more than a factor of two, either way by job, and jobs that run on some of the workers only.
 #[test]
 fn wrong_estimates_do_not_look_like_slow_workers() {
     let mut fleet = Fleet::new(&[100; 6], 8_000);
     for number in 1..=20 {
         let (took, rack) = if number % 2 == 0 { (400, "r0") } else { (1_600, "r1") };
-        let step = Step { required_label: Some(rack.to_owned()), ..step(12, 1_000, 800) };
+        let step = Step { required_label: Some(rack.to_owned()), ..step(12, 1_000, 700) };
         fleet.submit(number, took, job(2, vec![step]));
         fleet.run(1_000);
     }
