--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -507,7 +507,9 @@
         Ok((
             round.now < node.ranks_behind_until,
             match search.mode {
-                Mode::Ranked | Mode::Relief => u32::from(node.troubles() > 0),
+                Mode::Ranked | Mode::Relief => {
+                    u32::from(node.troubles() > 0 || self.is_too_slow(slot, step))
+                }
                 Mode::Resting => node.troubles(),
             },
             search.rack.is_some_and(|rack| node.rack() != Some(rack)),
