Read the operator's keys again while a zone is evacuated, and test the failures of evacuations

The event of a removal may be lost for good; the zone then stayed closed. The keys are read each 10 s while a zone is evacuated.

--- a/crates/core/tests/flow/evacuation.rs
+++ b/crates/core/tests/flow/evacuation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use peridotfold_core::flow::evacuation::Evacuations;
-use peridotfold_core::flow::message::{AgentMessage, EndKind};
+use peridotfold_core::flow::message::{AgentMessage, EndKind, Pressure};
 use peridotfold_core::flow::model::Step;
 use peridotfold_core::flow::owner::{Owner, OwnerSettings};
 use peridotfold_core::time::Time;
@@ -98,7 +98,6 @@
     assert!(waits.1.contains("closed=Unconfirmed:6"), "{waits:?}");
     tell(&mut world, &[("a", 1, true), ("b", 1, true)]);
     assert_eq!(used(&world, Time::ZERO), [4, 5].into());
-    world.end_all(EndKind::Done, |_| true);
 }
 
 /// Guards against starts by an old set while the store is unavailable: its newest changes are unknown.
@@ -132,3 +131,123 @@
     known.replace(&[], 11);
     assert!(known.contains("b"), "the read is older than the change");
 }
+
+/// Guards against a zone whose cold workers get the whole load when it returns.
+#[test]
+fn a_returned_zone_ranks_behind_others_for_two_seconds() {
+    let mut world = world();
+    tell(&mut world, &[("a", 1, true)]);
+    world.submit(1, job(2, vec![step(4, 1_000, 60_000)]));
+    tell(&mut world, &[("a", 2, false)]);
+    world.submit(2, job(2, vec![step(4, 1_000, 60_000)]));
+    assert_eq!(used(&world, Time::ZERO), [2, 3, 4, 5].into());
+    world.advance(ms(1_900));
+    tell(&mut world, &[]);
+    let overflow_at = world.now;
+    world.submit(3, job(2, vec![step(10, 1_000, 60_000)]));
+    assert!(used(&world, overflow_at).contains(&0), "what fits nowhere else starts there");
+    world.advance(ms(200));
+    world.end_all(EndKind::Done, |task| task.job != 1);
+    let later = world.now + ms(1);
+    world.now = later;
+    world.submit(4, job(2, vec![step(2, 1_000, 60_000)]));
+    assert_eq!(used(&world, later), [0, 1].into(), "the emptiest nodes");
+}
+
+/// Guards against gangs, shared racks, suspects of crashes, relief and resting workers that ignore the
+/// closure, or that wait for a rack in the zone.
+#[test]
+fn no_kind_of_start_ignores_the_closure() {
+    let mut world = world();
+    tell(&mut world, &[]);
+    let shared = Step { same_rack: true, ..step(2, 1_000, 60_000) };
+    let near = Step { preferred_rack: Some("r0".to_owned()), ..step(2, 1_000, 60_000) };
+    let filling = Step { best_effort: true, ..step(2, 1_000, 60_000) };
+    let lasting = Step { long_running: true, ..step(2, 1_000, 60_000) };
+    let gang = Step { gang: true, ..step(2, 300, 60_000) };
+    world.submit(1, job(9, vec![step(1, 1_000, 60_000)]));
+    let crashed = world.running()[0].0;
+    tell(&mut world, &[("a", 1, true), ("b", 2, true)]);
+    world.advance(ms(100));
+    let closed_at = world.now;
+    // The suspect must not wait for a quarantine in the closed zones.
+    world.crash(crashed);
+    world.attach(crashed);
+    // Best-effort tasks start by relief only.
+    world.pressure = Pressure { level: 0, ..Pressure::default() };
+    for (number, step) in (2..).zip([shared, near, filling, lasting, gang]) {
+        world.submit(number, job(2, vec![step]));
+    }
+    for _ in 0..60 {
+        tell(&mut world, &[]);
+        world.advance(ms(100));
+    }
+    assert_eq!(used(&world, closed_at), [4, 5].into());
+    let jobs: BTreeSet<u64> = world.running().iter().map(|(_, task)| task.job).collect();
+    assert_eq!(jobs, (1..=6).collect(), "each has started");
+}
+
+/// Guards against a long-running task that starts again in the zone where its run has ended.
+#[test]
+fn a_long_running_task_whose_run_ends_moves_out_of_the_zone() {
+    let mut world = world();
+    tell(&mut world, &[("b", 1, true), ("c", 1, true)]);
+    world.submit(1, job(9, vec![Step { long_running: true, ..step(1, 1_000, 60_000) }]));
+    tell(&mut world, &[("a", 2, true), ("c", 2, false)]);
+    assert!(world.stopped.is_empty() && used(&world, Time::ZERO).is_subset(&[0, 1].into()));
+    let ended_at = world.now + ms(1);
+    world.now = ended_at;
+    world.end_all(EndKind::Failed, |_| true);
+    assert!(used(&world, ended_at).is_subset(&[4, 5].into()) && world.running().len() == 1);
+}
+
+/// Guards against runs that are stopped to start elsewhere while there is no elsewhere.
+#[test]
+fn stragglers_go_on_while_all_zones_are_evacuated() {
+    let mut world = world();
+    tell(&mut world, &[]);
+    let step = Step { best_effort: true, has_checkpoints: true, ..step(1, 1_000, 60_000) };
+    world.submit(1, job(2, vec![step]));
+    tell(&mut world, &[("a", 1, true), ("b", 1, true), ("c", 1, true)]);
+    world.pressure = Pressure { level: 10, ..Pressure::default() };
+    world.advance(ms(3_000));
+    assert_eq!((world.stopped.len(), world.running().len()), (0, 1));
+}
+
+/// Guards against a takeover in the middle of an evacuation, an owner that resumes after its lease, and a
+/// zone that is logged with no workers because they have not reported to the successor yet.
+#[test]
+fn a_successor_obeys_and_logs_the_zones_it_inherits() {
+    let mut world = world();
+    tell(&mut world, &[("a", 1, true), ("b", 1, true), ("unknown", 1, true)]);
+    let spec = job(2, vec![step(4, 1_000, 60_000)]);
+    world.take_over(&[(1, spec)]);
+    let known = zones(world.now, &[("a", 1, true), ("b", 1, true), ("unknown", 1, true)]);
+    world.owner = {
+        let mut owner = Owner::new(with_evacuation(2), world.now);
+        owner.set_predecessor(world.now, (0..6).map(|index| format!("node-{index}")).collect());
+        owner.know_evacuations(world.now, &known);
+        owner.inherit(world.now, 1, job(2, vec![step(4, 1_000, 60_000)]), Default::default());
+        owner
+    };
+    world.logs.clear();
+    for index in 0..6 {
+        world.connect(index);
+        world.attach(index);
+    }
+    world.advance(ms(300));
+    assert!(world.started.is_empty(), "without a valid lease");
+    world.owner.set_valid_until(Time::MAX);
+    world.advance(ms(300));
+    assert_eq!(used(&world, Time::ZERO), [4, 5].into());
+    let zone_logs: Vec<&str> =
+        world.logs.iter().filter(|row| row.0 == "zone_evacuated").map(|row| &*row.1).collect();
+    assert_eq!(zone_logs.len(), 3, "{zone_logs:?}");
+    assert!(zone_logs[0].starts_with("zone=a workers=2 running=0 age_ms="), "{zone_logs:?}");
+    assert!(zone_logs[2].starts_with("zone=unknown workers=0 "), "{zone_logs:?}");
+    world.advance(ms(4_000));
+    tell(&mut world, &[]);
+    world.advance(ms(100));
+    let ages = |event| world.logs.iter().filter(|row| row.0 == event).count();
+    assert_eq!((ages("evacuations_stale"), ages("evacuations_fresh")), (1, 1));
+}
--- a/crates/hosted/src/evacuations.rs
+++ b/crates/hosted/src/evacuations.rs
@@ -13,6 +13,9 @@
 /// Longest wait of a watch, in percent of the age beyond which the owner starts nothing. A watch that
 /// gets no answer is given up half a second after its wait, and a read follows, before that age.
 const WATCH_PERCENT: u32 = 40;
+/// Time after a read of all keys at which they are read again while a zone is evacuated: the event of its
+/// removal may be lost for good. Twice the time for which watches overlap.
+const REREAD_INTERVAL: Duration = Duration::from_secs(10);
 
 impl<S: Store> Entry<S> {
     /// Returns the prefix of the keys that this entry watches, and the longest wait of a watch.
@@ -28,12 +31,13 @@
     }
 
     /// Applies what an update tells about evacuated zones, and hands the result to the owner if it is this
-    /// entry. Returns whether the keys have to be read: a removal without a revision cannot be ordered
-    /// among other changes, and is not applied.
-    pub(crate) fn apply_evacuations(&self, update: &Update) -> bool {
+    /// entry. `read_age` is the time since the keys were last read. Returns whether they have to be read
+    /// again: a removal without a revision cannot be ordered among other changes, and is not applied.
+    pub(crate) fn apply_evacuations(&self, update: &Update, read_age: Option<Duration>) -> bool {
         if self.evacuation.is_none() {
             return false;
         }
+        let is_read_due = read_age.is_none_or(|age| age >= REREAD_INTERVAL);
         {
             let mut known = self.evacuations.lock();
             let zone_of = |key| self.store.evacuated_zone(key);
@@ -67,7 +71,8 @@
         let is_unordered = |(key, revision): &(String, u64)| {
             *revision == 0 && self.store.evacuated_zone(key).is_some()
         };
-        update.removals.iter().any(is_unordered)
+        let has_closed = self.evacuations.lock().count() > 0;
+        has_closed && is_read_due || update.removals.iter().any(is_unordered)
     }
 
     /// Hands the known evacuations to the owner if it is this entry.
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -42,7 +42,7 @@
             match subscription.next(&self.store).await {
                 Ok(update) => {
                     self.set_store_up(true);
-                    if self.apply_evacuations(&update) {
+                    if self.apply_evacuations(&update, subscription.read_age()) {
                         subscription.read_next();
                     }
                     let Update { items, source, as_of, .. } = update;
--- a/crates/hosted/src/subscription.rs
+++ b/crates/hosted/src/subscription.rs
@@ -74,6 +74,8 @@
     after: Option<Revision>,
     /// Times and revisions of answers without changes, oldest first.
     unchanged: VecDeque<(Time, Revision)>,
+    /// When all keys were last read.
+    read_at: Option<Time>,
     /// Time up to which all changes are known.
     as_of: Option<Time>,
     /// Delay before the next watch; zero unless the last one failed.
@@ -90,6 +92,7 @@
             wait,
             after,
             unchanged: VecDeque::new(),
+            read_at: as_of,
             as_of,
             backoff: Duration::ZERO,
         }
@@ -100,6 +103,11 @@
         self.as_of.map(|at| runtime::now().saturating_sub(at))
     }
 
+    /// Returns the time since all keys were last read; `None` before the first read.
+    pub(crate) fn read_age(&self) -> Option<Duration> {
+        self.read_at.map(|at| runtime::now().saturating_sub(at))
+    }
+
     /// Requests that all keys are read next.
     pub(crate) fn read_next(&mut self) {
         self.after = None;
@@ -138,6 +146,7 @@
         let sent_at = runtime::now();
         let (items, revision) = store.range(self.prefix).await?;
         self.after = Some(revision);
+        self.read_at = Some(sent_at);
         self.unchanged.clear();
         let removals = Vec::new();
         Ok(Update { items, removals, revision, source: Source::Read, as_of: sent_at })
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use peridotfold_core::flow::message::Stored;
-use peridotfold_hosted::entry::Entry;
+use peridotfold_hosted::entry::{Entry, EntrySettings};
 use peridotfold_hosted::records;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::{self, Trigger};
@@ -22,11 +22,19 @@
 
 /// Starts an entry and returns it with its stop trigger.
 pub fn start_entry(node: &str, store: &MemoryStore) -> (Arc<Entry<MemoryStore>>, Trigger) {
+    start_entry_with(store, |internal| settings(node, internal))
+}
+
+/// Starts an entry with the settings for its address and returns it with its stop trigger.
+pub fn start_entry_with(
+    store: &MemoryStore,
+    settings: impl FnOnce(SocketAddr) -> EntrySettings,
+) -> (Arc<Entry<MemoryStore>>, Trigger) {
     static POOL: Once = Once::new();
     POOL.call_once(|| runtime::start_threads(2));
     let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
     let internal = SocketAddr::from(([127, 0, 0, 1], free.port()));
-    let entry = Arc::new(Entry::new(settings(node, internal), store.clone()));
+    let entry = Arc::new(Entry::new(settings(internal), store.clone()));
     let (stop, stopping) = shutdown::channel();
     runtime::spawn(entry.clone().follow_routes()).detach();
     runtime::spawn(entry.clone().run(stopping.clone(), stopping)).detach();
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -146,6 +146,12 @@
         self.0.lock().apply(&Write { puts, ..Write::default() });
     }
 
+    /// Removes a key without conditions, as another process would.
+    pub fn remove(&self, key: &str) {
+        let removes = vec![key.to_owned()];
+        self.0.lock().apply(&Write { removes, ..Write::default() });
+    }
+
     /// Writes a configuration, as an operator would.
     pub fn put_routes(&self, version: u64) {
         self.put(ROUTES_KEY, version.to_string().into());
