Tighten two tests of evacuations

One passed without the removals of a watch, since the keys were read again in time; one let the takeover end before the first log line was due.

--- a/crates/core/tests/flow/evacuation.rs
+++ b/crates/core/tests/flow/evacuation.rs
@@ -231,6 +231,8 @@
         owner
     };
     world.logs.clear();
+    world.now += ms(100);
+    world.settle();
     for index in 0..6 {
         world.connect(index);
         world.attach(index);
--- a/crates/hosted/tests/suite/evacuation.rs
+++ b/crates/hosted/tests/suite/evacuation.rs
@@ -116,7 +116,7 @@
         assert_eq!(entry.submit(2, &spec(), TIMEOUT).await, Stored::Yes);
         assert_eq!(agent.work(Duration::from_secs(2), 2).await, 1, "the zone is evacuated");
         store.remove(&key("a"));
-        assert_eq!(agent.work(TIMEOUT, 2).await, 2, "the zone has returned");
+        assert_eq!(agent.work(BOUND, 2).await, 2, "the zone has returned");
         assert!(entry.routes().is_some(), "the configuration is read with the same watch");
         drop(stop);
     });
