Hold a worker that may have restarted under its ID until its next incarnation is listed

An order to start that was sent to one incarnation may be carried out by the next one. The agent keeps the runs of a worker whose ID names its incarnation, lists the next one under a raised token, and reports it with its runs in one Attach. The owner requeues the other runs and adopts these in one step. A report of the crash follows, and is recorded once.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -9,7 +9,8 @@
 //! - A *session* is the connection of an agent to the owner, up to its loss.
 //! - A *permission* is the time-limited grant under which a worker may run tasks. The owner renews
 //!   it, and a worker stops all its tasks when it expires.
-//! - An *incarnation* is the lifetime of one worker process, with its own worker ID.
+//! - An *incarnation* is the lifetime of one worker process. Its ID contains the time of its start where
+//!   the platform tells it, and is the raw ID of the worker elsewhere.
 //! - A *long-running* task runs until its job is cancelled. A *serving* task is a long-running task
 //!   with a target for its tail latency.
 //! - A *gang* is a step whose tasks must all run at the same time.
@@ -24,6 +25,7 @@
 //! - The *roster* is the stored list of nodes whose agents may hold a permission.
 
 pub mod crashes;
+pub mod incarnation;
 pub mod interference;
 pub mod message;
 pub mod model;
--- a/crates/core/src/flow/crashes.rs
+++ b/crates/core/src/flow/crashes.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::incarnation;
 use super::message::LostRun;
 use super::model::{Run, TaskId};
 
@@ -98,6 +99,21 @@
         true
     }
 
+    /// Removes the suspects of a recorded crash that a more exact report does not name. Only the crash of an
+    /// incarnation that its ID names may have been recorded before its agent's report. Returns whether the
+    /// ledger has changed.
+    pub fn narrow(&mut self, worker: &str, named: &[TaskId]) -> bool {
+        let is_its = |crash: &&mut Crash| crash.worker == worker && incarnation::is_named(worker);
+        let Some(crash) = self.crashes.iter_mut().find(is_its) else { return false };
+        let before = crash.suspects.len();
+        crash.suspects.retain(|lost| named.contains(&lost.task));
+        let is_changed = crash.suspects.len() < before;
+        if is_changed {
+            self.derive();
+        }
+        is_changed
+    }
+
     /// Notes that many workers crashed at the same time as these. Returns whether this was not known of
     /// one.
     pub fn mark_common(&mut self, workers: &[String]) -> bool {
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -38,6 +38,12 @@
     (u64::from(epoch) << EPOCH_SHIFT) | (u64::from(session) << SESSION_SHIFT)
 }
 
+/// Returns the next token of the same session; `None` if the session has no higher one.
+pub fn next_token(token: Token) -> Option<Token> {
+    let next = token.checked_add(1)?;
+    (next >> SESSION_SHIFT == token >> SESSION_SHIFT).then_some(next)
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -5,6 +5,7 @@
 //! higher fencing token, so that the worker refuses delayed orders of older sessions, and then
 //! lists the worker's runs.
 
+mod exit;
 mod listing;
 mod lost;
 mod pacing;
@@ -115,6 +116,8 @@
 struct LocalRun {
     run: Run,
     state: RunState,
+    /// Whether the worker has listed the run.
+    is_listed: bool,
     traits: TaskTraits,
     /// When the worker accepted the start, or listed the run at the beginning of the session.
     started_at: Time,
@@ -168,6 +171,8 @@
     session: Option<Session>,
     /// Runs on the worker.
     runs: BTreeMap<TaskId, LocalRun>,
+    /// IDs whose heartbeats were ignored and logged since the last worker was adopted.
+    ignored: Vec<String>,
     /// Workers that have crashed, with the runs lost, until the owner acknowledges the report.
     crashes: VecDeque<(String, Vec<LostRun>)>,
     /// When the worker's permission to run tasks expires, as last granted by the owner.
@@ -200,88 +205,11 @@
         self.actions.push(Action::Log(Decision { event, job: None, detail }));
     }
 
-    /// Handles a heartbeat of a worker. `sequence` increases with each heartbeat of an incarnation.
-    pub fn heartbeat(&mut self, now: Time, info: WorkerInfo, sequence: u64) {
-        match &mut self.worker {
-            Some(worker) if worker.info.id == info.id => {
-                if sequence <= worker.last_sequence {
-                    return;
-                }
-                worker.last_sequence = sequence;
-                let begins_drain = info.draining && !worker.info.draining;
-                let changes = info.is_changed(&worker.info);
-                let (id, remaining) = (info.id.clone(), info.remaining);
-                worker.info = info.clone();
-                if changes && self.is_attached() {
-                    self.actions.push(Action::Send(AgentMessage::Changed { worker: info }));
-                }
-                if begins_drain {
-                    self.log("worker_drains", format!("worker={id} remaining={remaining:?}"));
-                    if self.is_attached() {
-                        self.actions
-                            .push(Action::Send(AgentMessage::Draining { worker: id, remaining }));
-                    }
-                }
-            }
-            _ => {
-                let is_known =
-                    self.candidate.as_ref().is_some_and(|(known, _)| known.id == info.id);
-                if !is_known {
-                    self.log("worker_reported", format!("worker={}", info.id));
-                    self.next_list = now;
-                }
-                self.candidate = Some((info, sequence));
-            }
-        }
-        self.poll(now);
-    }
-
-    /// Handles the deregistration of a worker that exits.
-    pub fn deregister(&mut self, now: Time, id: &str) {
-        if self.worker.as_ref().is_some_and(|worker| worker.info.id == id) {
-            self.lose_worker(Exit::SignedOff);
-        }
-        if self.candidate.as_ref().is_some_and(|(info, _)| info.id == id) {
-            self.candidate = None;
-        }
-        self.poll(now);
-    }
-
     /// Tells whether the worker's state has been sent to the owner in this session.
     pub fn is_attached(&self) -> bool {
         self.session.as_ref().is_some_and(|session| session.is_attached)
     }
 
-    /// Forgets the current worker after its process has exited, and reports the exit to the owner.
-    fn lose_worker(&mut self, exit: Exit) {
-        let Some(worker) = self.worker.take() else { return };
-        let runs = self.lost_runs(&worker);
-        let detail = format!(
-            "worker={} reason={} runs={} ages_ms={}",
-            worker.info.id,
-            exit.reason(),
-            self.runs.len(),
-            describe_ages(&runs, usize::MAX)
-        );
-        self.log("worker_lost", detail);
-        self.runs.clear();
-        self.pacer = Pacer::default();
-        self.sampler = Sampler::default();
-        self.worker_exited = true;
-        self.listing = None;
-        let id = worker.info.id;
-        let report = match exit.is_crash() && !worker.info.draining {
-            true => {
-                self.keep_crash(id.clone(), runs.clone());
-                AgentMessage::Crashed { worker: id, runs }
-            }
-            false => AgentMessage::Gone { worker: id },
-        };
-        if self.is_attached() {
-            self.actions.push(Action::Send(report));
-        }
-    }
-
     /// Handles the loss of the connection to the owner, which ends the session.
     pub fn disconnected(&mut self) {
         self.session = None;
@@ -354,7 +282,7 @@
     fn worker_deadline(&self, until: Time) -> Option<u64> {
         let (clock, at) = self.worker.as_ref()?.clock?;
         let left = until.checked_sub(at)? * CLOCK_RATE_PERCENT / 100;
-        Some(clock + left.as_millis() as u64)
+        Some(clock.saturating_add(left.as_millis() as u64))
     }
 
     /// Converts the end of the permission to run tasks to the worker's clock, to be sent to the
@@ -363,7 +291,8 @@
     fn grant(&mut self, now: Time) -> Option<u64> {
         let until = self.permission_until;
         let deadline = self.worker_deadline(until).filter(|_| now < until)?;
-        let worker = self.worker.as_mut().filter(|worker| !worker.is_silent(now))?;
+        let can_renew = |worker: &&mut Worker| !worker.is_held() && !worker.is_silent(now);
+        let worker = self.worker.as_mut().filter(can_renew)?;
         worker.granted_until = worker.granted_until.max(until);
         Some(deadline)
     }
@@ -382,12 +311,16 @@
         if self.worker.as_ref().is_some_and(|worker| worker.info.draining) {
             return self.not_started(task, run, "worker drains");
         }
+        if self.is_restarting() {
+            return self.not_started(task, run, "worker restarts");
+        }
         let Some(deadline) = self.grant(now) else {
             return self.not_started(task, run, "no permission");
         };
         let local = LocalRun {
             run,
             state: RunState::Starting,
+            is_listed: false,
             traits: start.traits,
             started_at: now,
             ordered_at: Some(now),
@@ -433,9 +366,8 @@
     /// Sends the worker a stop call for each run that must stop, or repeats it if the run goes on.
     fn send_stops(&mut self, now: Time) {
         let Some(token) = self.session.as_ref().map(|session| session.token) else { return };
-        let Some(worker) = self.worker.as_ref().map(|worker| worker.info.id.clone()) else {
-            return;
-        };
+        let worker = self.worker.as_ref().filter(|worker| !worker.is_held());
+        let Some(worker) = worker.map(|worker| worker.info.id.clone()) else { return };
         for (task, run) in &mut self.runs {
             let is_due = run.stop_sent.is_none_or(|at| now >= at + RETRY_DELAY * 3);
             if run.must_stop && run.state == RunState::Running && is_due {
@@ -454,6 +386,8 @@
         let Some(known) = self.runs.get_mut(&task).filter(|known| known.run == run) else { return };
         worker.note_failure(now, known.started_at, &outcome);
         match outcome {
+            // Either incarnation may have answered.
+            Outcome::Done if worker.is_held() => {}
             Outcome::Done => {
                 worker.prove_alive(now);
                 known.state = RunState::Running;
@@ -468,14 +402,14 @@
             }
             Outcome::Refused(reason) => self.not_started(task, run, &reason),
             Outcome::OldToken => self.not_started(task, run, "old token"),
-            Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
+            Outcome::OtherLife => self.end_worker(now, Exit::OtherLife),
             Outcome::NotThere => self.not_started(task, run, "connection refused"),
             Outcome::Unclear => {
-                let Some(session) = &mut self.session else { return };
                 // A higher token makes the worker refuse the start if it arrives later.
-                session.token += 1;
-                known.state = RunState::Doubtful(session.token);
-                self.listing = None;
+                let Some(token) = self.raise_token() else { return };
+                if let Some(known) = self.runs.get_mut(&task) {
+                    known.state = RunState::Doubtful(token);
+                }
                 self.next_list = now;
                 self.log("start_unclear", format!("task={task} run={run}"));
             }
@@ -505,16 +439,15 @@
             }
             return self.poll(now);
         }
-        let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
-            return;
-        };
+        let is_its = |known: &&mut Worker| known.info.id == worker && !known.is_held();
+        let Some(known) = self.worker.as_mut().filter(is_its) else { return };
         known.note_failure(now, sent_at, outcome);
         match outcome {
-            Outcome::OtherLife => self.lose_worker(Exit::OtherLife),
+            Outcome::OtherLife => self.end_worker(now, Exit::OtherLife),
             Outcome::NotThere => {
                 known.refusals += 1;
                 if known.refusals >= MAX_REFUSALS {
-                    self.lose_worker(Exit::Refused);
+                    self.end_worker(now, Exit::Refused);
                 }
             }
             _ => self.log("look_failed", format!("worker={worker} outcome={outcome:?}")),
@@ -530,7 +463,7 @@
     /// Requests all side effects that are due.
     pub fn poll(&mut self, now: Time) {
         let Some(session) = &self.session else { return };
-        let (token, is_attached) = (session.token, session.is_attached);
+        let is_attached = session.is_attached;
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
             let pressure = self.pacer.pressure();
@@ -543,9 +476,10 @@
                 baselines,
             }));
         }
+        self.end_hold(now);
         match (&self.worker, self.permission) {
             (Some(worker), Some(permission)) if worker.has_stopped_all(now, permission) => {
-                self.lose_worker(Exit::Silent);
+                self.end_worker(now, Exit::Silent);
             }
             _ => {}
         }
@@ -554,7 +488,7 @@
             if let Some(session) = &mut self.session {
                 session.is_attached = true;
             }
-            self.send_crashes();
+            self.send_crashes(|_| true);
             let report =
                 AgentMessage::Attach { worker: None, running: Vec::new(), ends: Vec::new() };
             self.actions.push(Action::Send(report));
@@ -571,7 +505,8 @@
             }
         }
         self.send_stops(now);
-        if self.listing.is_none() && now >= self.next_list {
+        let token = self.session.as_ref().map(|session| session.token);
+        if let Some(token) = token.filter(|_| self.listing.is_none() && now >= self.next_list) {
             self.list(now, token);
         }
     }
@@ -580,8 +515,10 @@
     fn list(&mut self, now: Time, token: Token) {
         let (worker, acknowledged) = match (&self.candidate, &self.worker) {
             (Some((info, _)), _) => (info.id.clone(), 0),
-            (None, Some(worker)) => (worker.info.id.clone(), worker.acknowledged),
-            (None, None) => return,
+            (None, Some(worker)) if !worker.is_held() => {
+                (worker.info.id.clone(), worker.acknowledged)
+            }
+            (None, _) => return,
         };
         let is_current = self.worker.as_ref().is_some_and(|known| known.info.id == worker);
         let deadline = if is_current { self.grant(now) } else { None };
@@ -611,7 +548,8 @@
         if self.session.is_none() {
             return MAX_POLL_DELAY;
         }
-        let list = match (&self.listing, self.worker.is_some() || self.candidate.is_some()) {
+        let has_worker = self.worker.as_ref().is_some_and(|worker| !worker.is_held());
+        let list = match (&self.listing, has_worker || self.candidate.is_some()) {
             (None, true) => self.next_list.saturating_sub(now),
             _ => MAX_POLL_DELAY,
         };
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::worker::Exit;
 use super::{Action, AgentState, LocalRun, RunState, Worker, MAX_LIST_WAIT, UNACKED_DELAY};
+use crate::flow::incarnation;
 use crate::flow::message::{AgentMessage, End, Running, Token, MAX_LISTED_ENDS};
 use crate::flow::model::{Run, TaskId};
 use crate::time::Time;
@@ -31,9 +31,8 @@
         self.adopt_worker(worker);
         let Some(session) = &self.session else { return };
         let (is_attached, session_token) = (session.is_attached, session.token);
-        let Some(known) = self.worker.as_mut().filter(|known| known.info.id == worker) else {
-            return;
-        };
+        let is_its = |known: &&mut Worker| known.info.id == worker && !known.is_held();
+        let Some(known) = self.worker.as_mut().filter(is_its) else { return };
         known.clock = Some((clock, now));
         known.refusals = 0;
         known.unanswered_since = None;
@@ -72,38 +71,6 @@
         self.poll(now);
     }
 
-    /// Makes the candidate the current worker if its ID is `id`, the worker that sent the listing.
-    fn adopt_worker(&mut self, id: &str) {
-        let is_candidate = self.candidate.as_ref().is_some_and(|(info, _)| info.id == id);
-        match self.candidate.take() {
-            Some((info, last_sequence)) if is_candidate => {
-                self.lose_worker(Exit::Replaced);
-                self.worker_exited = false;
-                let worker = Worker {
-                    info,
-                    last_sequence,
-                    clock: None,
-                    acknowledged: 0,
-                    forwarded: 0,
-                    refusals: 0,
-                    unanswered_since: None,
-                    granted_until: Time::ZERO,
-                    answered_at: Time::ZERO,
-                    failed_at: None,
-                };
-                self.worker = Some(worker);
-                self.next_list = Time::ZERO;
-                if let Some(session) = &mut self.session {
-                    let is_second = session.is_attached || session.unconfirmed_since.is_some();
-                    session.unconfirmed_since = is_second.then_some(Time::MAX);
-                    session.is_attached = false;
-                    session.reported = 0;
-                }
-            }
-            other => self.candidate = other,
-        }
-    }
-
     /// Sends the runs and ends of the worker to the owner. The start of the session is complete with
     /// the first report of all ends: a worker with too many for one listing lists the others once the
     /// owner has acknowledged these.
@@ -123,6 +90,7 @@
             let run = LocalRun {
                 run: row.run,
                 state: RunState::Running,
+                is_listed: true,
                 traits: old.as_ref().map(|run| run.traits).unwrap_or_default(),
                 started_at: now,
                 ordered_at: old.as_ref().and_then(|run| run.ordered_at),
@@ -149,8 +117,11 @@
                 info.id
             ),
         );
-        self.send_crashes();
+        // The owner requeues the runs of a former incarnation when it knows which of them go on in this one.
+        let id = info.id.clone();
+        self.send_crashes(|crashed| !incarnation::is_older(crashed, &id));
         self.actions.push(Action::Send(AgentMessage::Attach { worker: Some(info), running, ends }));
+        self.send_crashes(|crashed| incarnation::is_older(crashed, &id));
     }
 
     /// Reconciles the agent's table of runs with a listing, and reports stalled runs to the owner.
@@ -168,6 +139,7 @@
         for (task, run) in &mut self.runs {
             match rows.get(task).filter(|row| row.run == run.run) {
                 Some(row) => {
+                    run.is_listed = true;
                     if let RunState::Doubtful(_) = run.state {
                         run.state = RunState::Running;
                     }
--- a/crates/core/src/flow/node/lost.rs
+++ b/crates/core/src/flow/node/lost.rs
@@ -21,9 +21,9 @@
         self.crashes.push_back((worker, runs));
     }
 
-    /// Sends the owner the crashes that it has not acknowledged.
-    pub(super) fn send_crashes(&mut self) {
-        for (worker, runs) in self.crashes.iter().cloned() {
+    /// Sends the owner the crashes of the selected workers that it has not acknowledged.
+    pub(super) fn send_crashes(&mut self, selects: impl Fn(&str) -> bool) {
+        for (worker, runs) in self.crashes.iter().filter(|(worker, _)| selects(worker)).cloned() {
             self.actions.push(Action::Send(AgentMessage::Crashed { worker, runs }));
         }
     }
--- a/crates/core/src/flow/node/worker.rs
+++ b/crates/core/src/flow/node/worker.rs
@@ -26,6 +26,10 @@
     pub(super) acknowledged: EndNumber,
     /// Sequence number of the last end of a run that was sent to the owner; 0 if none.
     pub(super) forwarded: EndNumber,
+    /// Whether the worker has deregistered without telling its incarnation, and has not reported since.
+    pub(super) is_signed_off: bool,
+    /// How and when the process exited, while a run of it may go on in the next incarnation.
+    pub(super) held: Option<(Exit, Time)>,
     /// Number of consecutive connections that the worker's address has refused.
     pub(super) refusals: u32,
     /// When the first listing was requested that the worker has not answered; `None` if it has
@@ -74,6 +78,29 @@
 }
 
 impl Worker {
+    /// Returns a worker that has answered its first listing.
+    pub(super) fn new(info: WorkerInfo, last_sequence: u64) -> Self {
+        Worker {
+            info,
+            last_sequence,
+            clock: None,
+            acknowledged: 0,
+            forwarded: 0,
+            is_signed_off: false,
+            held: None,
+            refusals: 0,
+            unanswered_since: None,
+            granted_until: Time::ZERO,
+            answered_at: Time::ZERO,
+            failed_at: None,
+        }
+    }
+
+    /// Tells whether the process has exited and a run of it may go on in the next incarnation.
+    pub(super) fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Notes that the worker has answered.
     pub(super) fn prove_alive(&mut self, now: Time) {
         self.answered_at = now;
@@ -108,6 +135,8 @@
     /// listing that was not answered.
     pub(super) fn has_stopped_all(&self, now: Time, permission: Duration) -> bool {
         let until = self.unanswered_since.map(|since| self.granted_until.max(since + permission));
-        self.is_silent(now) && until.is_some_and(|until| now >= until + PERMISSION_MARGIN)
+        !self.is_held()
+            && self.is_silent(now)
+            && until.is_some_and(|until| now >= until + PERMISSION_MARGIN)
     }
 }
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -16,6 +16,7 @@
 
 pub use node::Node;
 pub(in crate::flow) use rounds::RoundCause;
+pub(in crate::flow) use workers::is_listed;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
--- a/crates/core/src/flow/owner/suspects.rs
+++ b/crates/core/src/flow/owner/suspects.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use super::{Owner, Slot};
+use super::{is_listed, Owner, Slot};
 use crate::flow::crashes::MAX_SUSPECT_AGE;
-use crate::flow::message::{LostRun, OwnerMessage};
+use crate::flow::message::{LostRun, OwnerMessage, Running};
 use crate::flow::model::TaskId;
 use crate::flow::node::describe_ages;
 use crate::flow::progress::Phase;
@@ -60,6 +60,9 @@
                 self.crash_acks.push((slot, worker.clone()));
             }
         }
+        if self.crashes.narrow(&worker, &tasks) {
+            self.mark_crashes_changed();
+        }
         self.mark_common(now, &service);
         if self.nodes[slot].worker.as_ref().is_some_and(|known| known.id == worker) {
             self.lose_worker(now, slot, "crashed");
@@ -127,6 +130,37 @@
         }
     }
 
+    /// Handles a worker that has restarted under its ID: requeues its runs except those in `listed`, which go
+    /// on in the new incarnation `id`. If the agent reported the former one in this session, it knows how that
+    /// exited, and reports a crash after this. Otherwise it may have been restarted too, and what the owner
+    /// knows is recorded; a later report of the agent is more exact.
+    pub(in crate::flow) fn restarted(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        id: &str,
+        listed: &[Running],
+    ) {
+        let node = &self.nodes[slot];
+        let Some(former) = node.worker.clone() else { return };
+        let (heard, is_reported) = (node.last_pong, node.is_attached);
+        let mut runs = self.runs_on(heard, slot);
+        let before = runs.len();
+        runs.retain(|lost| !is_listed(listed, &lost.task, lost.run));
+        let name = &self.nodes[slot].name;
+        let detail =
+            format!("node={name} worker={id} lost={} kept={}", runs.len(), before - runs.len());
+        self.log("worker_restarted", None, detail);
+        if !former.draining {
+            self.note_crash(now, slot, &former.id);
+        }
+        self.lose_worker_but(now, slot, "restarted", listed);
+        // Without runs there is nothing to record, and no acknowledgement that the agent could take for its own.
+        if !former.draining && !is_reported && !runs.is_empty() {
+            self.crashed(now, slot, former.id, runs);
+        }
+    }
+
     /// Returns the task under which the ledger of crashes keeps a task: the first one of a gang. `None` if
     /// the task is over.
     fn suspect_key(&mut self, task: &TaskId) -> Option<TaskId> {
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{Job, Node, Owner, RoundCause, Slot, MAX_COMMIT_KEYS};
-use crate::flow::message::{LostRun, OwnerMessage, Pressure, WorkerInfo};
-use crate::flow::model::{JobNumber, Step};
+use crate::flow::message::{LostRun, OwnerMessage, Pressure, Running, WorkerInfo};
+use crate::flow::model::{JobNumber, Run, Step, TaskId};
 use crate::flow::node::describe_ages;
 use crate::flow::step::StopReason;
 use crate::resources::Resources;
@@ -97,6 +97,18 @@
     /// Requeues all tasks of a worker that is known to have exited or to have stopped all its
     /// tasks.
     pub(in crate::flow) fn lose_worker(&mut self, now: Time, slot: Slot, reason: &str) {
+        self.lose_worker_but(now, slot, reason, &[]);
+    }
+
+    /// Requeues all tasks of a worker that has exited. The runs in `kept` go on in its next incarnation: the
+    /// caller adopts them, and their gangs are not broken.
+    pub(in crate::flow) fn lose_worker_but(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        reason: &str,
+        kept: &[Running],
+    ) {
         let runs = self.runs_on(now, slot);
         let detail = format!(
             "node={} reason={reason} tasks={} ages_ms={}",
@@ -107,8 +119,10 @@
         self.log("worker_lost", None, detail);
         let is_dropped = |lost: &LostRun| self.drop_run(&lost.task, lost.run).is_some();
         let lost: Vec<LostRun> = runs.into_iter().filter(is_dropped).collect();
-        for LostRun { task, .. } in lost {
-            self.stop_gang_of_lost(&task);
+        for LostRun { task, run, .. } in lost {
+            if !is_listed(kept, &task, run) {
+                self.stop_gang_of_lost(&task);
+            }
         }
         let node = &mut self.nodes[slot];
         node.worker = None;
@@ -183,3 +197,8 @@
         }
     }
 }
+
+/// Tells whether a listing contains a run.
+pub(in crate::flow) fn is_listed(running: &[Running], task: &TaskId, run: Run) -> bool {
+    running.iter().any(|listed| listed.task == *task && listed.run == run)
+}
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use super::crashes::{Crash, CrashLedger};
+use super::incarnation;
 use super::interference::InterferenceRow;
 use super::message::{End, OwnerMessage, Running, WorkerInfo, MAX_LISTED_ENDS};
-use super::model::{JobNumber, JobSpec, TaskId};
-use super::owner::{traits, Owner, RoundCause, Slot};
+use super::model::{JobNumber, JobSpec};
+use super::owner::{is_listed, traits, Owner, RoundCause, Slot};
 use super::progress::Progress;
 use super::step::Attempt;
 use crate::time::Time;
@@ -89,8 +90,12 @@
         ends: Vec<End>,
     ) {
         let known = self.nodes[slot].worker.as_ref().map(|worker| worker.id.clone());
-        if known.is_some() && known != worker.as_ref().map(|worker| worker.id.clone()) {
-            self.replaced(now, slot);
+        match (known, worker.as_ref().map(|worker| &worker.id)) {
+            (Some(known), Some(id)) if incarnation::is_sibling(&known, id) => {
+                self.restarted(now, slot, id, &running)
+            }
+            (Some(known), id) if id != Some(&known) => self.replaced(now, slot),
+            _ => {}
         }
         let is_complete = ends.len() < MAX_LISTED_ENDS;
         let name = self.nodes[slot].name.clone();
@@ -151,12 +156,10 @@
     /// Requeues the tasks that the owner started on a node in an older session and that the worker
     /// does not list as running.
     fn forget_unlisted(&mut self, slot: Slot, running: &[Running]) {
-        let is_listed =
-            |task: &TaskId, run: u32| running.iter().any(|r| r.task == *task && r.run == run);
         let lost: Vec<_> = self.nodes[slot]
             .tasks
             .iter()
-            .filter(|(task, run)| !is_listed(task, **run))
+            .filter(|(task, run)| !is_listed(running, task, **run))
             .map(|(task, run)| (*task, *run))
             .collect();
         for (task, run) in lost {
