--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::incarnation;
 use super::message::{
     AgentMessage, EndNumber, LostRun, OwnerMessage, Sample, Start, TaskTraits, Token, WorkerInfo,
     NO_PERMISSION,
@@ -69,6 +70,17 @@
     Pace { worker: String, token: Token, task: TaskId, run: Run, percent: u32 },
 }
 
+impl Call {
+    /// Returns the ID of the worker that the call is meant for.
+    pub fn worker(&self) -> &str {
+        let (Call::List { worker, .. }
+        | Call::Start { worker, .. }
+        | Call::Stop { worker, .. }
+        | Call::Pace { worker, .. }) = self;
+        worker
+    }
+}
+
 /// Outcome of a call to the worker, except a successful listing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -521,9 +533,13 @@
             (None, _) => return,
         };
         let is_current = self.worker.as_ref().is_some_and(|known| known.info.id == worker);
-        let deadline = if is_current { self.grant(now) } else { None };
         let is_repeated =
             self.worker.as_ref().is_some_and(|worker| worker.unanswered_since.is_some());
+        // The next incarnation may get this request: it must keep ends that have the same numbers, and no
+        // permission for runs that the owner does not know there.
+        let is_sure = !is_repeated || !incarnation::is_named(&worker);
+        let acknowledged = if is_sure { acknowledged } else { 0 };
+        let deadline = if is_current && is_sure { self.grant(now) } else { None };
         if let Some(worker) = &mut self.worker {
             // A new worker takes the address of this one, so that either both answer or none.
             worker.unanswered_since.get_or_insert(now);
--- a/crates/core/tests/flow_world/main.rs
+++ b/crates/core/tests/flow_world/main.rs
@@ -154,6 +154,8 @@
     crashing: u8,
     /// Whether the workers' capacities shrink and grow.
     resizes: bool,
+    /// Whether workers restart under their IDs, most of them at once.
+    reborn: bool,
 }
 
 /// Plays the schedule of a seed; returns the number of starts.
@@ -162,7 +164,9 @@
     let mut resize_random = fastrand::Rng::with_seed(seed ^ 0xca9);
     let mut random = fastrand::Rng::with_seed(seed ^ 0x5eed);
     let heavy = random.bool();
+    let mut reborn_random = fastrand::Rng::with_seed(seed ^ 0xb0);
     let mut world = World::new(seed, MACHINES);
+    world.is_reborn = trouble.reborn;
     let mut watch = Watch::default();
     let mut draw = |_| {
         let at = ms(random.u64(3_000..FAULTS_END.as_millis() as u64));
@@ -208,6 +212,15 @@
             let (index, percent) = (resize_random.usize(0..MACHINES), resize_random.u64(20..=100));
             world.resize(index, percent, Resources::new(8_000, 16_000, 0));
         }
+        if trouble.reborn && world.now < FAULTS_END && reborn_random.u8(0..100) == 0 {
+            let (index, time) = (reborn_random.usize(0..MACHINES), reborn_random.u64(0..400));
+            let back = world.now + ms(time);
+            if schedules::step(|| format!("{:?}: node-{index} restarts", world.now)) {
+                world.note(|| format!("node-{index} restarts"));
+                world.crash(index, Some(back));
+                world.disturb(back);
+            }
+        }
         let now = world.now;
         cancels.iter().filter(|(at, _)| *at == now).for_each(|(_, number)| world.cancel(*number));
         if (world.now.as_millis() as u64).is_multiple_of(TICK * 10) {
@@ -242,3 +255,12 @@
     let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
     eprintln!("{starts} starts");
 }
+
+/// Guards against a task that runs twice because a start that was sent to a worker was carried out by its
+/// next incarnation, and against runs that are lost or ends that are ignored because that one counts anew.
+#[test]
+fn no_task_runs_twice_while_workers_restart_under_their_ids() {
+    let trouble = Trouble { reborn: true, ..Trouble::default() };
+    let starts = schedules::run(SCHEDULES, |seed| check(seed, trouble));
+    eprintln!("{starts} starts");
+}
--- a/crates/core/tests/flow_world/net.rs
+++ b/crates/core/tests/flow_world/net.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use peridotfold_core::flow::incarnation;
 use peridotfold_core::flow::message::{AgentMessage, End, OwnerMessage, Running, Token};
 use peridotfold_core::flow::model::TaskId;
 use peridotfold_core::flow::node::{Action, Call, Outcome};
@@ -20,6 +21,11 @@
 /// Number of crashes under a task after which it may be started fewer times than this.
 const CRASH_LIMIT: u32 = 3;
 
+/// Tells whether a worker takes calls to `id`: it knows its raw ID only.
+fn is_addressed(worker: &str, id: &str) -> bool {
+    incarnation::split(worker).0 == incarnation::split(id).0
+}
+
 /// What a worker lists, or how a call ended.
 type Answer = Result<(Token, u64, Vec<Running>, Vec<End>), Outcome>;
 
@@ -124,6 +130,7 @@
             (matches!(order, Call::List { .. }), has(Harm::Silent), has(Harm::Late));
         let (call, from, to) = match is_list {
             true if silent => return,
+            false if late && self.is_reborn && self.random.bool() => (0, 100, 990),
             false if late && self.random.bool() => (0, 2_000, 12_000),
             false if late => (0, 1, 10),
             _ => (call, 1, 10),
@@ -132,23 +139,31 @@
         if late && !is_list {
             self.disturb(at);
         }
-        self.at(at, move |world| world.reach(index, call, order));
+        let sent = self.now;
+        self.at(at, move |world| {
+            let life = world.machines[index].life.as_ref();
+            let is_other = life.is_some_and(|life| order.worker() != life.info.id);
+            // The process that held the order back is gone, or the agent has closed the connection.
+            if !is_other || world.now < sent + ORDER_TIMEOUT {
+                world.reach(index, call, order);
+            }
+        });
     }
 
     /// Carries a call out on the worker, if it is the life that the call is meant for.
     fn reach(&mut self, index: usize, call: u64, order: Call) {
         let (now, gone) = (self.now, self.delay(20, 400));
-        let (Call::List { worker, .. }
-        | Call::Start { worker, .. }
-        | Call::Stop { worker, .. }
-        | Call::Pace { worker, .. }) = &order;
+        let worker = order.worker();
         let machine = &mut self.machines[index];
         let refuses = machine.has(Harm::Refusing, now);
         let outcome = match (&mut machine.life, &order) {
             (None, _) => Outcome::NotThere,
-            (Some(life), _) if life.info.id != *worker => Outcome::OtherLife,
+            (Some(life), _) if !is_addressed(&life.info.id, worker) => Outcome::OtherLife,
             (Some(life), Call::List { token, acknowledged, deadline, wait, .. }) => {
+                let is_other = life.info.id != worker;
                 match life.hold(now, *token, *acknowledged, *deadline) {
+                    // The adapter sees another time of the start in the answer.
+                    Outcome::Done if is_other => Outcome::OtherLife,
                     Outcome::Done => {
                         machine.held = Some((call, *token, now + *wait));
                         return self.answer_held(index);
--- a/crates/core/tests/flow_world/world.rs
+++ b/crates/core/tests/flow_world/world.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use peridotfold_core::flow::crashes::Crash;
+use peridotfold_core::flow::incarnation;
 use peridotfold_core::flow::message::{Token, WorkerInfo};
 use peridotfold_core::flow::model::{JobNumber, JobSpec, TaskId};
 use peridotfold_core::flow::node::{AgentState, Call, Outcome};
@@ -16,6 +17,8 @@
 
 /// Step of the virtual clock, in milliseconds.
 pub const TICK: u64 = 10;
+/// Longest time for which an agent holds a worker that may have restarted.
+const RESTART_HOLD: Time = ms(11_000);
 /// Number of lines of the trace that a failure prints.
 const TRACE_LINES: usize = 60;
 
@@ -106,6 +109,8 @@
     pub disturbed_until: Time,
     /// Whether runs may stand still.
     pub may_stall: bool,
+    /// Whether the workers of a machine have one raw ID, and tell when they began.
+    pub is_reborn: bool,
     /// When each task was started last.
     pub started: BTreeMap<TaskId, Time>,
     /// Crashes by the task that causes them.
@@ -212,8 +217,12 @@
         let large = self.random.u64(1..=2);
         let machine = &mut self.machines[index];
         machine.lives += 1;
+        let id = match self.is_reborn {
+            true => incarnation::join(&format!("worker-{index}"), Some(u64::from(machine.lives))),
+            false => format!("life-{index}-{}", machine.lives),
+        };
         let info = WorkerInfo {
-            id: format!("life-{index}-{}", machine.lives),
+            id,
             service: "svc".to_owned(),
             zone: "zone".to_owned(),
             capacity: Resources::new(8_000 * large, 16_000 * large, 0),
@@ -234,8 +243,11 @@
             let at = self.delay(0, 5);
             self.at(at, move |world| world.answer(call, Err(Outcome::Unclear)));
         }
-        if let Some(back) = back {
-            self.at(back, move |world| world.boot(index));
+        match back {
+            Some(back) => self.at(back, move |world| world.boot(index)),
+            // A start without an answer is given up only after this time.
+            None if self.is_reborn => self.disturb(self.now + RESTART_HOLD),
+            None => {}
         }
     }
 
@@ -264,7 +276,9 @@
         self.at(end, move |world| {
             let life = world.machines[index].life.as_ref();
             if life.is_some_and(|life| life.info.id == id) {
-                world.agent(index, |agent, now| agent.deregister(now, &id));
+                let is_plain = world.is_reborn && world.random.bool();
+                let id = if is_plain { incarnation::split(&id).0 } else { &id };
+                world.agent(index, |agent, now| agent.deregister(now, id));
                 world.crash(index, back);
             }
         });
@@ -310,9 +324,17 @@
         }
     }
 
-    /// Delivers a delayed heartbeat of an older life.
+    /// Delivers a delayed heartbeat of an older life, or one of another writer.
     pub fn late_beat(&mut self, index: usize) {
-        if let Some((info, sequence)) = self.machines[index].past.last().cloned() {
+        if let Some((mut info, sequence)) = self.machines[index].past.last().cloned() {
+            if self.is_reborn {
+                let name = incarnation::split(&info.id).0.to_owned();
+                info.id = match self.random.u8(0..3) {
+                    0 => incarnation::join(&name, None),
+                    1 => incarnation::join(&name, Some(u64::MAX)),
+                    _ => info.id,
+                };
+            }
             self.agent(index, |agent, now| agent.heartbeat(now, info, sequence));
         }
     }
