--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -119,6 +119,7 @@
         );
         // The owner requeues the runs of a former incarnation when it knows which of them go on in this one.
         let id = info.id.clone();
+        self.keep_only_lost(&id, &running, &ends);
         self.send_crashes(|crashed| !incarnation::is_older(crashed, &id));
         self.actions.push(Action::Send(AgentMessage::Attach { worker: Some(info), running, ends }));
         self.send_crashes(|crashed| incarnation::is_older(crashed, &id));
--- a/crates/core/src/flow/node/lost.rs
+++ b/crates/core/src/flow/node/lost.rs
@@ -5,7 +5,8 @@
 
 use super::worker::Worker;
 use super::{Action, AgentState};
-use crate::flow::message::{AgentMessage, LostRun};
+use crate::flow::incarnation;
+use crate::flow::message::{AgentMessage, End, LostRun, Running};
 
 /// Maximum number of crashes that an agent keeps until the owner has acknowledged them.
 const MAX_UNACKED_CRASHES: usize = 16;
@@ -21,6 +22,17 @@
         self.crashes.push_back((worker, runs));
     }
 
+    /// Removes the runs that the worker `id` lists from the crashes of its former incarnations.
+    pub(super) fn keep_only_lost(&mut self, id: &str, running: &[Running], ends: &[End]) {
+        let is_listed = |lost: &LostRun| {
+            running.iter().any(|row| (row.task, row.run) == (lost.task, lost.run))
+                || ends.iter().any(|end| (end.task, end.run) == (lost.task, lost.run))
+        };
+        for (_, runs) in self.crashes.iter_mut().filter(|(c, _)| incarnation::is_older(c, id)) {
+            runs.retain(|lost| !is_listed(lost));
+        }
+    }
+
     /// Sends the owner the crashes of the selected workers that it has not acknowledged.
     pub(super) fn send_crashes(&mut self, selects: impl Fn(&str) -> bool) {
         for (worker, runs) in self.crashes.iter().filter(|(worker, _)| selects(worker)).cloned() {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod crashes;
+mod incarnations;
 mod interference;
 mod load;
 mod node;
