--- a/crates/core/tests/flow/incarnations.rs
+++ b/crates/core/tests/flow/incarnations.rs
@@ -3,7 +3,7 @@
 use peridotfold_core::flow::message::{
     AgentMessage, LostRun, OwnerMessage, Running, Start, TaskTraits, Token, WorkerInfo,
 };
-use peridotfold_core::flow::model::TaskId;
+use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
 use peridotfold_core::resources::Resources;
 
@@ -278,6 +278,10 @@
             }
         }
         world.attach(index);
+        world.settle();
+        if sessions == 0 {
+            assert!(suspects(&world).is_empty(), "recorded before the agent's report");
+        }
         report(&mut world, index, vec![lost.clone()]);
         world.advance(ms(100));
         report(&mut world, index, vec![lost.clone()]);
@@ -289,3 +293,22 @@
         assert_eq!(world.running().len(), 4, "case {sessions}");
     }
 }
+
+/// Guards against a gang that is stopped although its runs go on in the next incarnation.
+#[test]
+fn a_gang_that_goes_on_in_the_next_incarnation_is_not_stopped() {
+    let mut world = World::new(2, 1_000);
+    for index in 0..2 {
+        world.workers[index].info.id = format!("w-{index}#1");
+        world.connect(index);
+        world.attach(index);
+    }
+    world.submit(1, job(5, vec![Step { gang: true, ..step(2, 1_000, 60_000) }]));
+    world.settle();
+    assert_eq!(world.running().len(), 2);
+    world.workers[0].info.id = "w-0#2".to_owned();
+    world.attach(0);
+    world.advance(ms(1_000));
+    assert!(world.stopped.is_empty(), "{:?}", world.stopped);
+    assert_eq!(world.started.len(), 2);
+}
