--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod crashes;
 mod evacuation;
+mod incarnations;
 mod interference;
 mod load;
 mod node;
