Forecast when queued work gets done

The owner did not know how much work waits for a service and how fast it gets done, so neither admission nor the placement order could consider when a job would end.

It now keeps the waiting work by place in the order, updated when a job's tasks change, and learns from ends, while work waits, which part of the capacity of the open nodes gets work done. Placement itself is unchanged.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use super::crashes::{Crash, CrashLedger};
+use super::forecast::Forecast;
 use super::interference::{Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
@@ -242,6 +243,8 @@
     next_straggler_search: Time,
     /// When steps that have been without runs for long are next reported.
     pub(super) next_wait_report: Time,
+    /// Backlog, and the rate at which work gets done.
+    pub(super) forecast: Forecast,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -286,6 +289,7 @@
             next_probation: None,
             next_straggler_search: now,
             next_wait_report: now,
+            forecast: Forecast::new(now),
             examined: Cell::new(0),
         }
     }
@@ -375,6 +379,7 @@
         }
         let is_open = !job.phase.is_final();
         self.jobs.insert(number, job);
+        self.forecast.touch(number);
         if is_open {
             self.unplaced.insert(number);
             self.await_occurrence(number);
@@ -423,6 +428,7 @@
         for (slot, task, run) in stops {
             self.send(slot, OwnerMessage::Stop { task, run });
         }
+        self.forecast.touch(number);
         self.mark_dirty(number, true);
     }
 
@@ -561,6 +567,7 @@
             self.placement_due = false;
             self.place(now);
         }
+        self.update_forecast(now, runs);
         if !self.dirty.is_empty() {
             self.dirty_since.get_or_insert(now);
         }
@@ -594,6 +601,7 @@
         let checkpoint = state.checkpoints.get(&key).cloned().unwrap_or_default();
         state.begin(task.index, Attempt::new(run, slot, now));
         self.reserve(slot, task, run, step);
+        self.forecast.touch(task.job);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
         }
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -68,6 +68,9 @@
         match end.kind {
             EndKind::Done if !step.long_running => {
                 self.nodes[slot].failure_streak = 0;
+                if let Some(attempt) = known.as_ref().filter(|_| was_current) {
+                    self.learn_rate(now, &task, attempt);
+                }
                 self.complete(now, &task, step);
             }
             EndKind::Failed if !step.long_running && !state.done.contains(task.index) => {
@@ -126,6 +129,7 @@
         for (slot, other, run) in stops {
             self.send(slot, OwnerMessage::Stop { task: other, run });
         }
+        self.forecast.touch(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.remaining_work =
             job.remaining_work.saturating_sub(step.need.cpu_milli * step.estimate_ms);
--- a/crates/core/src/flow/owner/reservations.rs
+++ b/crates/core/src/flow/owner/reservations.rs
@@ -50,6 +50,7 @@
             state.waiting.insert(task.index);
             self.unplaced.insert(task.job);
         }
+        self.forecast.touch(task.job);
         self.release(attempt.slot, task, &step);
         Some(attempt.slot)
     }
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -24,10 +24,10 @@
 
 /// Multiple of the time from a job's release to its completion objective up to which completing the
 /// job late still has some value.
-const MAX_LATE_FACTOR: u32 = 3;
+pub(super) const MAX_LATE_FACTOR: u32 = 3;
 /// Time that a job is taken to need at least, in percent of its estimated remaining time, because
 /// estimates are rough.
-const MIN_TIME_LEFT_PERCENT: u64 = 60;
+pub(super) const MIN_TIME_LEFT_PERCENT: u64 = 60;
 /// Time after which a ready step without runs is starved and may start one task on any node with
 /// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
@@ -37,7 +37,7 @@
 impl Job {
     /// Returns the estimated duration of the critical path through the unfinished steps, in
     /// milliseconds. A step whose tasks are all running counts half.
-    fn chain_left_ms(&self) -> u64 {
+    pub(super) fn chain_left_ms(&self) -> u64 {
         let left = |steps: &Vec<StepState>| {
             let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
             for (state, step) in steps.iter().zip(&self.spec.steps) {
@@ -164,6 +164,7 @@
             job.objective = now + objective;
             self.await_occurrence(number);
             self.unplaced.insert(number);
+            self.forecast.touch(number);
             self.request_round(RoundCause::Job);
         }
     }
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -36,9 +36,13 @@
 impl Node {
     /// Returns the CPU that more best-effort tasks can expect to get, in thousandths of a core.
     fn spare_cpu(&self) -> u64 {
+        self.idle_cpu().saturating_sub(self.total_best_effort_cpu)
+    }
+
+    /// Returns the CPU that best-effort tasks can expect to get in total, in thousandths of a core.
+    pub(in crate::flow) fn idle_cpu(&self) -> u64 {
         let idle = self.long_running.cpu_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
-        (self.cpu_capacity() + idle)
-            .saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu)
+        (self.cpu_capacity() + idle).saturating_sub(self.used.cpu_milli)
     }
 
     /// Returns the number of serving images on the node other than `own`. Placement of serving tasks
--- a/crates/core/src/flow/place/capacity.rs
+++ b/crates/core/src/flow/place/capacity.rs
@@ -31,6 +31,17 @@
         self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu_milli)
     }
 
+    /// Tells whether the node accepts starts, or will soon because it only rests after failures.
+    pub(in crate::flow) fn is_usable(&self, now: Time) -> bool {
+        matches!(self.closed_by(now), None | Some(Closure::Backoff))
+    }
+
+    /// Returns the CPU that long-running tasks leave to tasks that reserve CPU, in thousandths of a
+    /// core.
+    pub(in crate::flow) fn batch_cpu(&self) -> u64 {
+        self.cpu_capacity().saturating_sub(self.long_running.cpu_milli)
+    }
+
     /// Tells whether `need` would fit on the node if only its long-running tasks were there.
     pub(super) fn fits_beside_long_running(&self, need: &Resources) -> bool {
         let capacity = self.worker.as_ref().map(|worker| worker.capacity);
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -197,6 +197,7 @@
         state.begin(task.index, attempt);
         self.reserve(slot, task, listed.run, &step);
         self.mark_running(task.job);
+        self.forecast.touch(task.job);
         true
     }
 
@@ -210,6 +211,7 @@
         }
         let is_open = job.occurrences.contains_key(&occurrence);
         self.unplaced.insert(number);
+        self.forecast.touch(number);
         self.await_occurrence(number);
         is_open
     }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod crashes;
+mod forecast;
 mod interference;
 mod load;
 mod node;
