Decide on the admission of jobs by the forecast

Every job that the store took was accepted, whatever the backlog, so that in a burst most large jobs ended after their results had lost their value.

`Owner::admit` refuses a job that would end later than three times its objective, after the admitted jobs that still have value and the refused ones that were promised a turn before it. It keeps a bounded table of refused jobs and, for each queue with demand, a floor of a quarter of its equal share. Nothing calls it yet.

Jobs that become late during the first 3 s, without a forecast, stay behind newer ones in the present placement order.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -25,6 +25,7 @@
 
 pub mod crashes;
 pub mod forecast;
+pub mod intake;
 pub mod interference;
 pub mod message;
 pub mod model;
--- a/crates/core/src/flow/forecast.rs
+++ b/crates/core/src/flow/forecast.rs
@@ -195,6 +195,20 @@
         self.touched.insert(number);
     }
 
+    /// Counts the work of a job that is expected to arrive, up to a time or its arrival.
+    pub(super) fn expect(
+        &mut self,
+        number: JobNumber,
+        service: &str,
+        place: Place,
+        work: [u64; 2],
+        until: Time,
+    ) {
+        let service = self.service(service);
+        let parts = work.map(|waiting| Part { waiting, ..Part::default() });
+        self.set(number, Some(Entry { service, place, parts, changes_at: Some(until) }));
+    }
+
     /// Replaces what is known of a job.
     fn set(&mut self, number: JobNumber, entry: Option<Entry>) {
         let old = match entry {
@@ -247,8 +261,9 @@
     }
 
     /// Returns when a job would end that is not in the backlog, with work `parts` by [`Room`] and a
-    /// critical path `chain`, at a place in the order and after the work `promised` by room. Returns
-    /// `None` if no capacity that the job uses is short, or the forecast is not valid.
+    /// critical path `chain`, at a place in the order and after the work `promised` by room. It is to
+    /// leave time to the jobs that are late but still have value, although placement would put it first.
+    /// Returns `None` if no capacity that the job uses is short, or the forecast is not valid.
     pub fn outlook(
         &self,
         now: Time,
@@ -261,7 +276,9 @@
         let pools = self.pools(service)?;
         let ahead = |room: Room| {
             let index = room as usize;
-            pools[index].ahead(place).saturating_add(promised[index])
+            let pool = &pools[index];
+            let admitted = pool.running / RUNNING_DIVISOR + pool.waiting.valued_up_to(place);
+            admitted.saturating_add(promised[index])
         };
         self.latest(now, pools, parts, chain, ahead)
     }
--- a/crates/core/src/flow/forecast/backlog.rs
+++ b/crates/core/src/flow/forecast/backlog.rs
@@ -58,6 +58,18 @@
         self.sums.range(..=place).map(|(_, work)| work).sum()
     }
 
+    /// Returns the work at a place and before it, with that of jobs of the same kind that will be late
+    /// but whose results still have value.
+    pub fn valued_up_to(&self, place: Place) -> u64 {
+        let late = Place { class: 1, ..place };
+        let first = Place { class: 1, priority: 0, size: 0 };
+        let late = match place.class {
+            0 => self.sums.range(first..=late).map(|(_, work)| work).sum(),
+            _ => 0,
+        };
+        self.up_to(place) + late
+    }
+
     /// Returns all work.
     pub fn total(&self) -> u64 {
         self.total
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -24,6 +24,7 @@
 
 use super::crashes::{Crash, CrashLedger};
 use super::forecast::Forecast;
+use super::intake::Intake;
 use super::interference::{Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
@@ -245,6 +246,8 @@
     pub(super) next_wait_report: Time,
     /// Backlog, and the rate at which work gets done.
     pub(super) forecast: Forecast,
+    /// Jobs that were refused because of load.
+    pub(super) intake: Intake,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -290,6 +293,7 @@
             next_straggler_search: now,
             next_wait_report: now,
             forecast: Forecast::new(now),
+            intake: Intake::default(),
             examined: Cell::new(0),
         }
     }
@@ -380,6 +384,7 @@
         let is_open = !job.phase.is_final();
         self.jobs.insert(number, job);
         self.forecast.touch(number);
+        self.note_arrival(number);
         if is_open {
             self.unplaced.insert(number);
             self.await_occurrence(number);
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod crashes;
 mod forecast;
+mod intake;
 mod interference;
 mod load;
 mod node;
