Ask the owner before a job of a contended service is stored

The decision of `Owner::admit` had no path to callers. Each pong now names the services that are short of capacity. While the store does not answer, the `Retry-After` of a job is spread over 1 to 3 s by its ID.

--- a/crates/core/src/flow/forecast.rs
+++ b/crates/core/src/flow/forecast.rs
@@ -86,6 +86,8 @@
     rate: Rate,
     /// Since when ready work has been waiting because capacity is short.
     short_since: Option<Time>,
+    /// Whether capacity has been short at any time.
+    was_short: bool,
 }
 
 impl Pool {
@@ -341,6 +343,23 @@
         self.pools(service).is_some_and(|pools| pools[room as usize].short_since.is_some())
     }
 
+    /// Returns the time in which the backlog gets done, by service and kind of capacity, for those that
+    /// have been short of capacity; zero where there is no forecast now.
+    pub fn backlogs(&self, now: Time) -> Vec<(String, Room, Duration)> {
+        let mut backlogs = Vec::new();
+        for service in &self.services {
+            for room in Room::ALL {
+                let pool = &service.pools[room as usize];
+                if pool.was_short {
+                    let work = pool.running / RUNNING_DIVISOR + pool.waiting.total();
+                    let time = self.is_known(now, pool).then(|| pool.time_for(now, work));
+                    backlogs.push((service.name.clone(), room, time.unwrap_or_default()));
+                }
+            }
+        }
+        backlogs
+    }
+
     /// Returns the pools with a valid forecast, which are short of capacity.
     pub fn shortages(&self, now: Time) -> Vec<Shortage> {
         let mut shortages = Vec::new();
--- a/crates/core/src/flow/forecast/update.rs
+++ b/crates/core/src/flow/forecast/update.rs
@@ -98,6 +98,7 @@
             match pool.is_contended() {
                 true => {
                     pool.short_since.get_or_insert(now);
+                    pool.was_short = true;
                 }
                 false => {
                     if pool.short_since.take().is_some() {
--- a/crates/core/src/flow/intake.rs
+++ b/crates/core/src/flow/intake.rs
@@ -1,6 +1,8 @@
 //! Admission of new jobs by load: refuses a job whose result would have no value any more by its
 //! forecast end, and tells its caller when to return.
 
+pub mod gate;
+
 mod floors;
 mod refused;
 
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::intake::Demand;
 use super::model::{JobNumber, Run, TaskId};
 use super::progress::Phase;
 use crate::resources::Resources;
@@ -267,6 +268,8 @@
     Ping,
     /// Answers a probe: the store answers this entry.
     StoreReached,
+    /// Asks whether a job of a service that is short of capacity is admitted.
+    Admit { query: u64, job: JobNumber, demand: Demand },
 }
 
 /// Reply from the owner to an entry process.
@@ -295,6 +298,8 @@
     Pong {
         entries: Vec<SocketAddr>,
         is_valid: bool,
+        /// Services that are short of capacity, for whose jobs the owner is to be asked.
+        short: Vec<String>,
     },
     /// Asks whether the store answers the entry, because it does not answer the owner.
     Probe,
@@ -303,6 +308,12 @@
     HandOver {
         epoch: u32,
     },
+    /// Decision on the admission of a job: the time after which a refused caller is to return; `None` if
+    /// the job is admitted.
+    Admission {
+        query: u64,
+        retry_after: Option<Duration>,
+    },
 }
 
 /// Answer to a request to store a job or a cancellation: whether its record is in the store.
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -14,11 +14,13 @@
 use peridotfold_core::flow::progress::{Phase, Progress};
 use peridotfold_core::flow::routes::view::{Lookup, RoutesView};
 use peridotfold_core::flow::routes::Routes;
+use peridotfold_core::hash;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::Shutdown;
 use smol::net::TcpListener;
 
+use crate::admission::UnclearJobs;
 use crate::directory::Directory;
 use crate::follower::Follower;
 use crate::owner_service::OwnerService;
@@ -38,6 +40,9 @@
 const RETRY_AFTER_REFUSAL: Duration = Duration::from_secs(1);
 /// `Retry-After` for callers while the store does not answer. Outages last several seconds.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(2);
+/// Number of whole seconds, from the first, over which jobs are spread during an outage; the mean is
+/// that of other requests.
+const RETRY_SPREAD_SECONDS: u64 = 3;
 
 /// Maximum time that a caller waits for a write whose answers are lost: one attempt and one retry.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -107,6 +112,8 @@
     role: Mutex<(Role, Option<SocketAddr>)>,
     /// When the last call to the store failed; `None` if a later call succeeded.
     store_failed_at: Mutex<Option<Time>>,
+    /// Jobs whose submission had no clear outcome here.
+    pub(crate) unclear: UnclearJobs,
 }
 
 impl<S: Store> Entry<S> {
@@ -123,6 +130,7 @@
             directory: Mutex::default(),
             role: Mutex::new((Role::None, None)),
             store_failed_at: Mutex::new(None),
+            unclear: UnclearJobs::default(),
         }
     }
 
@@ -169,6 +177,11 @@
         *self.role.lock() = (role, owner);
     }
 
+    /// Tells whether this entry is connected to the owner.
+    pub fn is_following(&self) -> bool {
+        matches!(self.role.lock().0, Role::Follower(_))
+    }
+
     /// Returns the addresses of the other entries that this one has heard of.
     pub(crate) fn peers(&self) -> Vec<SocketAddr> {
         let connected = match self.role().0 {
@@ -231,6 +244,18 @@
         }
     }
 
+    /// Returns the time after which the caller of a job should retry a request that was not accepted.
+    /// While the store does not answer, it is spread by job, so that callers do not return together.
+    pub fn retry_after_for(&self, job: JobNumber) -> Duration {
+        match *self.store_failed_at.lock() {
+            Some(_) => {
+                let spread = hash::hash64(&job.to_le_bytes()) % RETRY_SPREAD_SECONDS;
+                RETRY_AFTER_REFUSAL + Duration::from_secs(spread)
+            }
+            None => RETRY_AFTER_REFUSAL,
+        }
+    }
+
     /// Stores a job, through the owner if this entry cannot write to the store. Takes at most
     /// `timeout`.
     pub async fn submit(&self, job: JobNumber, spec: &JobSpec, timeout: Duration) -> Stored {
@@ -259,6 +284,9 @@
                 _ => Stored::Unclear,
             };
         }
+        if outcome == Stored::Unclear {
+            self.unclear.add(job);
+        }
         let took_ms = (runtime::now() - started_at).as_millis() as u64;
         tracing::info!(
             event = "submit",
--- a/crates/hosted/src/follower.rs
+++ b/crates/hosted/src/follower.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use futures_lite::future;
 use parking_lot::Mutex;
+use peridotfold_core::flow::intake::gate::ShortageReport;
 use peridotfold_core::flow::message::{EntryRequest, Greeting, OwnerReply};
 use peridotfold_wire::error::WireError;
 use peridotfold_wire::runtime;
@@ -35,6 +36,8 @@
     pending: Mutex<HashMap<u64, Sender<OwnerReply>>>,
     /// Number of the next request.
     next_query: AtomicU64,
+    /// The services that the owner last reported as short of capacity.
+    short: Mutex<ShortageReport>,
 }
 
 /// Reason for which a connection to a supposed owner ended.
@@ -90,6 +93,11 @@
         answer
     }
 
+    /// Tells whether the owner is to be asked for the admission of jobs of a service.
+    pub(crate) fn is_short(&self, service: &str) -> bool {
+        self.short.lock().names(runtime::now(), service)
+    }
+
     /// Passes a reply to the caller that waits for it.
     fn resolve(&self, query: u64, answer: OwnerReply) {
         if let Some(sender) = self.pending.lock().remove(&query) {
@@ -151,6 +159,7 @@
         outbox: outbox.clone(),
         pending: Mutex::new(HashMap::new()),
         next_query: AtomicU64::new(1),
+        short: Mutex::default(),
     });
     let pinging = async {
         loop {
@@ -182,7 +191,8 @@
                             OwnerReply::Redirect { owner } => {
                                 return DisconnectReason::Redirected(owner)
                             }
-                            OwnerReply::Pong { entries, is_valid } => {
+                            OwnerReply::Pong { entries, is_valid, short } => {
+                                *follower.short.lock() = ShortageReport::new(runtime::now(), short);
                                 on_pong(&follower, entries);
                                 // If no process holds the lock, this entry may claim it.
                                 if !is_valid && directory::is_replaced(store, owner, true).await {
@@ -198,6 +208,7 @@
                             }
                             OwnerReply::State { query, .. }
                             | OwnerReply::Waiting { query, .. }
+                            | OwnerReply::Admission { query, .. }
                             | OwnerReply::Stored { query, .. } => follower.resolve(query, answer),
                         }
                     }
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ports;
 pub mod records;
 
+mod admission;
 mod connection;
 mod decisions;
 mod directory;
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -255,7 +255,12 @@
 
     /// Waits until records are due to be written, or timers must be checked.
     pub(crate) async fn wait_for_commit(&self) {
-        let delay = self.read(|owner, now| owner.next_poll(now));
+        let (delay, backlogs) =
+            self.read(|owner, now| (owner.next_poll(now), owner.forecast().backlogs(now)));
+        for (service, room, time) in backlogs {
+            let labels = [("service", service), ("room", room.name().to_owned())];
+            metrics::gauge!("forecast_backlog_seconds", &labels).set(time.as_secs_f64());
+        }
         let requested = async {
             if self.commit_requests.recv().await.is_err() {
                 future::pending::<()>().await;
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -152,8 +152,13 @@
         // Handled with the connection, which knows the entry's address.
         EntryRequest::StoreReached => {}
         EntryRequest::Ping => {
-            let is_valid = service.read(|owner, now| owner.is_valid(now));
-            send(outbox, OwnerReply::Pong { entries: service.entries(), is_valid }, peer);
+            let (is_valid, short) =
+                service.read(|owner, now| (owner.is_valid(now), owner.short_services(now)));
+            send(outbox, OwnerReply::Pong { entries: service.entries(), is_valid, short }, peer);
+        }
+        EntryRequest::Admit { query, job, demand } => {
+            let retry_after = service.update(|owner, now| owner.admit(now, job, &demand));
+            send(outbox, OwnerReply::Admission { query, retry_after }, peer);
         }
         EntryRequest::State { query, job } => {
             let state = service.read(|owner, _| owner.phase(job));
--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry against an in-memory store.
 
+mod admission;
 mod entry;
 mod ownership;
 mod routes;
