--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions and of the whole path. Development only.
 
 mod colocation;
+mod hard_load;
 mod path;
 mod recovery;
 mod requests;
@@ -23,6 +24,7 @@
               shorter trial
   recovery    time until all jobs run again after losses
   scale       cost of a placement, a heartbeat and of state, by fleet size
+  hard-load   cost of an admission decision, a placement round and a queued job
   path        latency that entry and agent add to a direct call
 ";
 
@@ -33,6 +35,7 @@
         "colocation" => colocation::run(std::env::args().nth(2).as_deref()),
         "recovery" => recovery::run(),
         "scale" => scale::run(),
+        "hard-load" => hard_load::run(),
         "path" => path::run(),
         _ => {
             eprint!("{USAGE}");
