--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -26,7 +26,9 @@
 
 pub mod crashes;
 pub mod evacuation;
+pub mod forecast;
 pub mod incarnation;
+pub mod intake;
 pub mod interference;
 pub mod message;
 pub mod model;
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -27,6 +27,8 @@
 
 use super::crashes::{Crash, CrashLedger};
 use super::evacuation::Evacuations;
+use super::forecast::Forecast;
+use super::intake::Intake;
 use super::interference::{Interference, InterferenceRow};
 use super::message::{
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
@@ -256,6 +258,10 @@
     unlogged_zones: BTreeMap<String, bool>,
     /// Whether the set of evacuated zones was too old when its age was last logged.
     was_unconfirmed: bool,
+    /// Backlog, and the rate at which work gets done.
+    pub(super) forecast: Forecast,
+    /// Jobs that were refused because of load.
+    pub(super) intake: Intake,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -304,6 +310,8 @@
             evacuations: Evacuations::default(),
             unlogged_zones: BTreeMap::new(),
             was_unconfirmed: false,
+            forecast: Forecast::new(now),
+            intake: Intake::default(),
             examined: Cell::new(0),
         }
     }
@@ -393,6 +401,8 @@
         }
         let is_open = !job.phase.is_final();
         self.jobs.insert(number, job);
+        self.forecast.touch(number);
+        self.note_arrival(number);
         if is_open {
             self.unplaced.insert(number);
             self.await_occurrence(number);
@@ -441,6 +451,7 @@
         for (slot, task, run) in stops {
             self.send(slot, OwnerMessage::Stop { task, run });
         }
+        self.forecast.touch(number);
         self.mark_dirty(number, true);
     }
 
@@ -582,6 +593,7 @@
             self.placement_due = false;
             self.place(now);
         }
+        self.update_forecast(now, runs);
         if !self.dirty.is_empty() {
             self.dirty_since.get_or_insert(now);
         }
@@ -617,6 +629,7 @@
         attempt.is_whole = checkpoint.is_empty();
         state.begin(task.index, attempt);
         self.reserve(slot, task, run, step);
+        self.forecast.touch(task.job);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.phase = Phase::Running;
         }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,7 +3,9 @@
 mod beliefs;
 mod crashes;
 mod evacuation;
+mod forecast;
 mod incarnations;
+mod intake;
 mod interference;
 mod load;
 mod node;
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ports;
 pub mod records;
 
+mod admission;
 mod connection;
 mod decisions;
 mod directory;
