Let tasks wait for a near node when that ends earlier

A task away from the rack of its data takes RemoteSlowdown times as long, and took a far node at once when no near one had capacity. The owner now forecasts when the rack has capacity and compares the wait and the near run with the far run, for single tasks, gangs, steps that share a rack and restarts from a checkpoint. A wait ends a quarter after its forecast and does not begin again. Nothing is held.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -39,3 +39,5 @@
 mod recovery;
 mod status;
 mod step;
+
+pub use place::near;
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -28,6 +28,7 @@
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
+use super::place::near::NearState;
 use super::place::Candidate;
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState, StopReason};
@@ -66,7 +67,8 @@
     pub permission: Duration,
     /// How long the record of an ended job is kept.
     pub keep_ended: Duration,
-    /// Factor by which a task takes longer on another rack than on that of its data; not used.
+    /// Factor by which a task takes longer on another rack than on that of its data. At 1 or less,
+    /// tasks never wait for a near node.
     pub remote_slowdown: f64,
     /// Minimum time between two placement rounds. What happens in between is placed together.
     pub round_interval: Duration,
@@ -242,6 +244,8 @@
     next_straggler_search: Time,
     /// When steps that have been without runs for long are next reported.
     pub(super) next_wait_report: Time,
+    /// Waits of tasks for a node near their data.
+    pub(super) near: NearState,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -286,6 +290,7 @@
             next_probation: None,
             next_straggler_search: now,
             next_wait_report: now,
+            near: NearState::default(),
             examined: Cell::new(0),
         }
     }
@@ -501,7 +506,7 @@
             AgentMessage::Crashed { worker, runs } => self.crashed(now, slot, worker, runs),
             AgentMessage::Checkpoints { rows } => {
                 for (task, run, checkpoint) in rows {
-                    self.save_checkpoint(task, run, checkpoint);
+                    self.save_checkpoint(now, task, run, checkpoint);
                 }
             }
             AgentMessage::Stalled { task, run } => self.stalled(now, slot, task, run),
@@ -554,6 +559,7 @@
         if self.next_timed_round().is_some_and(|at| now >= at) {
             self.next_relief = None;
             self.next_probation = None;
+            self.near.clear_limit();
             self.request_round(RoundCause::Timer);
         }
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
@@ -577,7 +583,8 @@
 
     /// Returns when time alone lets a waiting task start.
     fn next_timed_round(&self) -> Option<Time> {
-        self.next_relief.into_iter().chain(self.next_probation).min()
+        let relief = self.next_relief.into_iter();
+        relief.chain(self.next_probation).chain(self.near.next_limit()).min()
     }
 
     /// Returns the first run number of this owner's epoch.
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -47,10 +47,13 @@
     /// Handles the end of one run: completes or requeues its task, or counts a failure.
     pub(super) fn finish_run(&mut self, now: Time, slot: Slot, end: &End) {
         let task = end.task;
-        self.save_checkpoint(task, end.run, end.checkpoint.clone());
+        self.save_checkpoint(now, task, end.run, end.checkpoint.clone());
         self.end_stale_run(slot, task, end.run);
         let known = self.attempt(&task, end.run).cloned();
         let was_current = self.drop_run(&task, end.run).is_some();
+        if let Some(attempt) = known.as_ref().filter(|_| end.kind == EndKind::Done) {
+            self.learn_run_time(now, slot, &task, now.saturating_sub(attempt.since));
+        }
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
             self.nodes[slot].refusals = 0;
         }
@@ -218,7 +221,13 @@
     }
 
     /// Keeps the checkpoint of a run in memory, unless a newer run of the task is known.
-    pub(super) fn save_checkpoint(&mut self, task: TaskId, run: Run, checkpoint: String) {
+    pub(super) fn save_checkpoint(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        run: Run,
+        checkpoint: String,
+    ) {
         if checkpoint.is_empty() {
             return;
         }
@@ -227,6 +236,7 @@
         let is_old = state.last_runs.get(&task.index).is_some_and(|last| run < *last);
         if !is_old && !state.done.contains(task.index) {
             state.checkpoints.insert(if is_gang { 0 } else { task.index }, checkpoint);
+            self.note_work_done(now, &task, run);
         }
     }
 
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -3,6 +3,7 @@
 mod best_effort;
 mod bounded;
 mod capacity;
+pub mod near;
 mod round;
 mod suspects;
 mod waits;
@@ -190,6 +191,7 @@
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
         self.place_suspects(now);
+        self.begin_near_round(&candidates);
         let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
         self.next_relief = candidates
             .iter()
@@ -213,6 +215,7 @@
         self.rank_resume = resume_at;
         self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
+        self.settle_near_waits(now);
     }
 
     /// Starts one task of each step that has been ready without runs for too long: of a best-effort
@@ -222,7 +225,9 @@
         let mut starved: Vec<(Time, Candidate)> = candidates
             .iter()
             .filter_map(|candidate| Some((self.state(candidate).idle_since?, *candidate)))
-            .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
+            .filter(|(since, candidate)| {
+                round.now >= *since + STARVATION_DELAY && !self.waits_near(candidate)
+            })
             .collect();
         starved.sort_unstable();
         let mut resume_at = self.relief_resume.take();
@@ -257,7 +262,9 @@
         if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
             return false;
         }
-        let shared_rack = self.shared_rack(round, &candidate, &spec, step);
+        let shared_rack = self
+            .shared_rack(round, &candidate, &spec, step)
+            .map(|rack| self.soonest_rack(round, &candidate, &spec, rack));
         let search = Search {
             candidate,
             step,
@@ -369,7 +376,7 @@
     }
 
     /// Starts waiting tasks of a step until one does not fit; in a mode for starved steps, one task.
-    /// Returns whether all of them were started.
+    /// Returns whether all of them were started, or wait for a near node of their own accord.
     fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
@@ -389,6 +396,12 @@
             let avoid = state.avoided_nodes.get(&index).copied();
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
+            if self.prefers_wait(round, spec, &search, index, slot) {
+                if let Ok(score) = self.score(round, &search, slot, 0) {
+                    ranking.put(score, slot);
+                }
+                continue;
+            }
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
             if search.mode == Mode::Resting {
                 self.nodes[slot].tried_at = Some(round.now);
@@ -404,7 +417,8 @@
         true
     }
 
-    /// Starts all tasks of a gang if all fit, otherwise none; returns whether they run.
+    /// Starts all tasks of a gang if all fit, otherwise none; returns whether they run, or wait for a
+    /// near rack of their own accord.
     fn place_gang(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         if !self.state(&search.candidate).running.is_empty() {
@@ -428,6 +442,13 @@
                 ranking.put(score, slot);
             }
         }
+        let is_far =
+            |slot: &&Slot| search.rack.is_some() && self.nodes[**slot].rack() != search.rack;
+        if let (Some(first), Some(slot)) = (waiting.first(), slots.iter().find(is_far).copied()) {
+            if self.prefers_wait(round, spec, &search, *first, slot) {
+                return true;
+            }
+        }
         for (index, slot) in waiting.into_iter().zip(slots) {
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
         }
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -35,7 +35,7 @@
 
 impl Node {
     /// Returns the CPU that more best-effort tasks can expect to get, in thousandths of a core.
-    fn spare_cpu(&self) -> u64 {
+    pub(super) fn spare_cpu(&self) -> u64 {
         let idle = self.long_running.cpu_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
         (self.cpu_capacity() + idle)
             .saturating_sub(self.used.cpu_milli + self.total_best_effort_cpu)
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -37,7 +37,7 @@
         format!(
             "workers={count} open={} jobs={} waiting={waiting} running={running} \
              stopping={stopping} pace={} tail={} reserved={} lasting={} filled={} rounds={} \
-             examined={} round_ms={} causes={}",
+             examined={} round_ms={} causes={}{}",
             self.open_node_count(now),
             self.open_jobs(),
             mean(|node| u64::from(node.pressure.level)),
@@ -49,6 +49,7 @@
             self.examined_nodes(),
             self.round_time.as_millis(),
             self.rounds().map(|(cause, count)| format!("{cause}:{count}")).join(","),
+            self.near.summary(),
         )
     }
 
--- a/crates/core/src/flow/step.rs
+++ b/crates/core/src/flow/step.rs
@@ -1,6 +1,7 @@
 //! State of the tasks of one step in one occurrence of a job.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use super::model::{Run, Step};
 use super::owner::Slot;
@@ -76,6 +77,11 @@
     /// For each task, the last node on which it failed, stalled or could not start. Placement
     /// prefers other nodes for the task.
     pub avoided_nodes: HashMap<u32, Slot>,
+    /// Tasks whose wait for a near node has ended without one; they do not wait again.
+    pub near_waited: BTreeSet<u32>,
+    /// Work that the newest checkpoint of each task holds, in run time near its data: the run that
+    /// wrote it, the work before this run, and all of it. Of a gang, under index 0.
+    pub work_done: HashMap<u32, (Run, Duration, Duration)>,
     /// Number of tasks of the step in progress on each node.
     pub per_worker: HashMap<Slot, u32>,
     /// Whether placement has seen that all steps that this step depends on are done.
@@ -153,6 +159,8 @@
         self.failures.remove(&index);
         self.checkpoints.remove(&index);
         self.avoided_nodes.remove(&index);
+        self.near_waited.remove(&index);
+        self.work_done.remove(&index);
     }
 
     /// Returns the part of the state that is stored and survives a takeover.
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod interference;
 mod load;
+mod near;
 mod node;
 mod overload;
 mod owner;
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -102,7 +102,12 @@
 impl World {
     /// Returns a world with `workers` connected workers of `cpu` thousandths of a core each.
     pub fn new(workers: usize, cpu: u64) -> Self {
-        let owner = Owner::new(settings(1), Time::ZERO);
+        World::with_slowdown(workers, cpu, settings(1).remote_slowdown)
+    }
+
+    /// Returns a world in which tasks take `remote_slowdown` times as long away from their data.
+    pub fn with_slowdown(workers: usize, cpu: u64, remote_slowdown: f64) -> Self {
+        let owner = Owner::new(OwnerSettings { remote_slowdown, ..settings(1) }, Time::ZERO);
         let mut world = World {
             now: ms(1),
             owner,
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -101,6 +101,7 @@
         }
         let is_round_due = owner.next_round(now).is_some();
         let effects = owner.take_effects();
+        owner.take_near_ends().iter().for_each(decisions::count_near_wait);
         let due = owner.commit_due();
         let is_commit_earlier = due.is_some_and(|at| known_due.is_none_or(|known| at < known));
         let mut outboxes = self.outboxes.lock();
