Compare four rules of waiting for a near node

peridotfold-bench near runs the owner's core with fake workers on a load with hot racks and on one without.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions and of the whole path. Development only.
 
 mod colocation;
+mod near;
 mod path;
 mod recovery;
 mod requests;
@@ -21,6 +22,7 @@
   requests    request policy beside baselines, under overload and failures
   colocation  colocation policy beside baselines, through a closing; with a number of seeds, a
               shorter trial
+  near        rules by which tasks wait for a near node
   recovery    time until all jobs run again after losses
   scale       cost of a placement, a heartbeat and of state, by fleet size
   path        latency that entry and agent add to a direct call
@@ -31,6 +33,7 @@
     let result = match name.as_str() {
         "requests" => requests::run(),
         "colocation" => colocation::run(std::env::args().nth(2).as_deref()),
+        "near" => near::run(),
         "recovery" => recovery::run(),
         "scale" => scale::run(),
         "path" => path::run(),
