Serve explanations of placements on the internal protocol

Greeting::Explain asks any entry; one that is not the owner names the owner. The owner replaces the queue of a job that is not submitted by the configured one.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -328,6 +328,10 @@
     /// An entry that asks another one for newer routes than those of `version`. The answer is one
     /// [`RoutesReply`].
     Routes { version: u64 },
+    /// An operator who asks where the tasks of a job would go now. `job` is an encoded
+    /// [`ExplainJob`](super::explain::ExplainJob). The answer is one
+    /// [`ExplainReply`](super::explain::ExplainReply).
+    Explain { job: Bytes },
 }
 
 /// What an entry knows of the newest routes.
--- a/crates/core/src/flow/routes.rs
+++ b/crates/core/src/flow/routes.rs
@@ -29,6 +29,11 @@
         Routes { version, hosts }
     }
 
+    /// Returns the queue with a name, if there is one.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.hosts.values().flatten().map(|(_, queue)| queue).find(|queue| queue.name == name)
+    }
+
     /// Returns the queue for a request to `host` and `path`, and the rest of the path after the
     /// longest matching prefix; `None` if there is no route.
     pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod explain;
 pub mod ports;
 pub mod records;
 
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::{self, MessageReader, Outbox};
 use crate::entry::{Entry, Role};
+use crate::explain;
 use crate::owner_service::OwnerService;
 use crate::ports::Store;
 
@@ -42,6 +43,11 @@
             let outbox = connection::start_writer(stream, peer.to_string());
             send(&outbox, reply, reader.peer());
         }
+        (role, Greeting::Explain { job }) => {
+            let reply = explain::answer(&entry, role, owner, &job);
+            let outbox = connection::start_writer(stream, peer.to_string());
+            send(&outbox, reply, reader.peer());
+        }
         (Role::Owner(service), Greeting::Agent { node }) => {
             serve_agent(stream, reader, &service, &node).await
         }
