--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod config;
 pub mod entry;
+pub mod explain;
 pub mod hosted;
 pub mod job;
 pub mod process;
@@ -20,6 +21,7 @@
     process::OPTIONS,
     config::OPTIONS,
     client::OPTIONS,
+    explain::OPTIONS,
 ];
 
 /// Why a command did not succeed.
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
   hosted   Run a role on the users' platform
   config   Show, check and patch the configuration
   job      Submit, list, show and cancel batch jobs
+  explain  Tell where the tasks of a job would go now, and why
   status   Show entries, upstreams and workers
   check    Check the settings of `entry` or `agent` without starting anything
 
@@ -66,6 +67,7 @@
         "hosted" => cmd::hosted::run(parser),
         "config" => cmd::config::run(parser),
         "job" => cmd::job::run(parser),
+        "explain" => cmd::explain::run(parser),
         "status" => cmd::status::run(parser),
         "check" => cmd::check::run(parser),
         _ => Err(CommandError::usage(format!("unknown command `{name}`; see --help"))),
--- a/src/options.rs
+++ b/src/options.rs
@@ -71,6 +71,11 @@
                     continue;
                 }
             };
+            // An option without a value is a switch.
+            if let Some(switch) = help.find(&flag).filter(|opt| opt.value.is_empty()) {
+                given.insert(switch.flag, "true".to_owned());
+                continue;
+            }
             match (help.find(&flag), parser.value()) {
                 (None, _) => problems.push(format!("unknown option --{flag}")),
                 (Some(_), Err(error)) => problems.push(format!("--{flag}: {error}")),
