--- a/crates/bench/src/hard_load.rs
+++ b/crates/bench/src/hard_load.rs
@@ -81,6 +81,7 @@
 
 fn measure(jobs: u64, workers: usize) -> eyre::Result<()> {
     let settings = OwnerSettings {
+        evacuation: None,
         epoch: 1,
         permission: Duration::from_secs(6),
         keep_ended: Duration::from_secs(120),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod colocation;
 mod hard_load;
+mod near;
 mod path;
 mod recovery;
 mod requests;
@@ -22,6 +23,7 @@
   requests    request policy beside baselines, under overload and failures
   colocation  colocation policy beside baselines, through a closing; with a number of seeds, a
               shorter trial
+  near        rules by which tasks wait for a near node
   recovery    time until all jobs run again after losses
   scale       cost of a placement, a heartbeat and of state, by fleet size
   hard-load   cost of an admission decision, a placement round and a queued job
@@ -33,6 +35,7 @@
     let result = match name.as_str() {
         "requests" => requests::run(),
         "colocation" => colocation::run(std::env::args().nth(2).as_deref()),
+        "near" => near::run(),
         "recovery" => recovery::run(),
         "scale" => scale::run(),
         "hard-load" => hard_load::run(),
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -26,6 +26,7 @@
 
 pub mod crashes;
 pub mod evacuation;
+pub mod explain;
 pub mod forecast;
 pub mod incarnation;
 pub mod intake;
@@ -45,3 +46,5 @@
 mod recovery;
 mod status;
 mod step;
+
+pub use place::near;
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -5,6 +5,7 @@
 //! and shows a final phase to callers, only after the job's record is durable.
 
 mod commit;
+mod dry_run;
 mod ends;
 mod evacuations;
 mod job;
@@ -27,6 +28,7 @@
 
 use super::crashes::{Crash, CrashLedger};
 use super::evacuation::Evacuations;
+use super::explain::ExplainLimit;
 use super::forecast::Forecast;
 use super::intake::Intake;
 use super::interference::{Interference, InterferenceRow};
@@ -34,6 +36,7 @@
     session_token, AgentMessage, Image, OwnerMessage, Start, TaskTraits, Token, NO_PERMISSION,
 };
 use super::model::{JobNumber, JobSpec, Run, Step, TaskId, WallMs};
+use super::place::near::NearState;
 use super::place::Candidate;
 use super::progress::{Phase, Progress};
 use super::step::{Attempt, StepState, StopReason};
@@ -72,7 +75,8 @@
     pub permission: Duration,
     /// How long the record of an ended job is kept.
     pub keep_ended: Duration,
-    /// Factor by which a task takes longer on another rack than on that of its data; not used.
+    /// Factor by which a task takes longer on another rack than on that of its data. At 1 or less,
+    /// tasks never wait for a near node.
     pub remote_slowdown: f64,
     /// Minimum time between two placement rounds. What happens in between is placed together.
     pub round_interval: Duration,
@@ -135,7 +139,7 @@
 }
 
 /// State of a job in memory.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Job {
     pub spec: Arc<JobSpec>,
     /// State of each step by occurrence, as far as the occurrences are due; a job without a
@@ -262,6 +266,9 @@
     pub(super) forecast: Forecast,
     /// Jobs that were refused because of load.
     pub(super) intake: Intake,
+    pub(super) explain_limit: ExplainLimit,
+    /// Waits of tasks for a node near their data.
+    pub(super) near: NearState,
     /// Number of times that placement has examined a node for a step, since the owner began.
     pub(super) examined: Cell<u64>,
 }
@@ -312,6 +319,8 @@
             was_unconfirmed: false,
             forecast: Forecast::new(now),
             intake: Intake::default(),
+            explain_limit: ExplainLimit::default(),
+            near: NearState::default(),
             examined: Cell::new(0),
         }
     }
@@ -531,7 +540,7 @@
             AgentMessage::Crashed { worker, runs } => self.crashed(now, slot, worker, runs),
             AgentMessage::Checkpoints { rows } => {
                 for (task, run, checkpoint) in rows {
-                    self.save_checkpoint(task, run, checkpoint);
+                    self.save_checkpoint(now, task, run, checkpoint);
                 }
             }
             AgentMessage::Stalled { task, run } => self.stalled(now, slot, task, run),
@@ -586,6 +595,7 @@
         if self.next_timed_round().is_some_and(|at| now >= at) {
             self.next_relief = None;
             self.next_probation = None;
+            self.near.clear_limit();
             self.request_round(RoundCause::Timer);
         }
         let runs = self.placement_due && now >= self.next_round && self.is_valid(now);
@@ -610,7 +620,8 @@
 
     /// Returns when time alone lets a waiting task start.
     fn next_timed_round(&self) -> Option<Time> {
-        self.next_relief.into_iter().chain(self.next_probation).min()
+        let relief = self.next_relief.into_iter();
+        relief.chain(self.next_probation).chain(self.near.next_limit()).min()
     }
 
     /// Returns the first run number of this owner's epoch.
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -3,6 +3,8 @@
 mod best_effort;
 mod bounded;
 mod capacity;
+mod explain;
+pub mod near;
 mod round;
 mod suspects;
 mod waits;
@@ -91,6 +93,12 @@
         candidates: &mut Vec<Candidate>,
     ) -> bool {
         self.note_idle_steps(now);
+        self.ready_steps(number, now, candidates)
+    }
+
+    /// Adds the steps that have waiting tasks and were last seen ready to `candidates`. Returns whether any
+    /// task of the job waits.
+    fn ready_steps(&self, number: JobNumber, now: Time, candidates: &mut Vec<Candidate>) -> bool {
         let rank = rank(self, now);
         let mut has_waiting = false;
         for (occurrence, steps) in &self.occurrences {
@@ -191,22 +199,14 @@
         let mut candidates = self.candidates(now);
         candidates.sort_unstable();
         self.place_suspects(now);
-        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        self.begin_near_round(&candidates);
         self.next_relief = candidates
             .iter()
             .filter_map(|candidate| self.state(candidate).idle_since)
             .map(|since| since + STARVATION_DELAY)
             .filter(|at| *at > now)
             .min();
-        let (open_nodes, resting_nodes) = self.usable_nodes(now);
-        let mut round = Round {
-            now,
-            open_nodes,
-            resting_nodes,
-            rejected: Vec::new(),
-            held_nodes: HashSet::new(),
-            large: smallest.unwrap_or(0) / 2,
-        };
+        let mut round = self.begin_round(now);
         let mut resume_at = self.rank_resume.take();
         bounded::visit(&candidates, &mut resume_at, |candidate| {
             self.place_step(&mut round, candidate, Mode::Ranked)
@@ -214,6 +214,21 @@
         self.rank_resume = resume_at;
         self.relieve_starved(&mut round, &candidates);
         self.report_waits(&round, &candidates);
+        self.settle_near_waits(now);
+    }
+
+    /// Returns the state of a placement round that begins now.
+    fn begin_round(&self, now: Time) -> Round {
+        let smallest = self.nodes.iter().map(Node::cpu_capacity).filter(|cpu| *cpu > 0).min();
+        let (open_nodes, resting_nodes) = self.usable_nodes(now);
+        Round {
+            now,
+            open_nodes,
+            resting_nodes,
+            rejected: Vec::new(),
+            held_nodes: HashSet::new(),
+            large: smallest.unwrap_or(0) / 2,
+        }
     }
 
     /// Starts one task of each step that has been ready without runs for too long: of a best-effort
@@ -223,7 +238,9 @@
         let mut starved: Vec<(Time, Candidate)> = candidates
             .iter()
             .filter_map(|candidate| Some((self.state(candidate).idle_since?, *candidate)))
-            .filter(|(since, _)| round.now >= *since + STARVATION_DELAY)
+            .filter(|(since, candidate)| {
+                round.now >= *since + STARVATION_DELAY && !self.waits_near(candidate)
+            })
             .collect();
         starved.sort_unstable();
         let mut resume_at = self.relief_resume.take();
@@ -258,7 +275,9 @@
         if round.rejected.iter().any(|other| request.is_at_least(other, round.large)) {
             return false;
         }
-        let shared_rack = self.shared_rack(round, &candidate, &spec, step);
+        let shared_rack = self
+            .shared_rack(round, &candidate, &spec, step)
+            .map(|rack| self.soonest_rack(round, &candidate, &spec, rack));
         let search = Search {
             candidate,
             step,
@@ -372,7 +391,7 @@
     }
 
     /// Starts waiting tasks of a step until one does not fit; in a mode for starved steps, one task.
-    /// Returns whether all of them were started.
+    /// Returns whether all of them were started, or wait for a near node of their own accord.
     fn place_tasks(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         let base = self.run_base();
@@ -392,6 +411,12 @@
             let avoid = state.avoided_nodes.get(&index).copied();
             let run = state.next_run(index, base);
             let Some(slot) = ranking.take(avoid) else { return false };
+            if self.prefers_wait(round, spec, &search, index, slot) {
+                if let Ok(score) = self.score(round, &search, slot, 0) {
+                    ranking.put(score, slot);
+                }
+                continue;
+            }
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
             if search.mode == Mode::Resting {
                 self.nodes[slot].tried_at = Some(round.now);
@@ -407,7 +432,8 @@
         true
     }
 
-    /// Starts all tasks of a gang if all fit, otherwise none; returns whether they run.
+    /// Starts all tasks of a gang if all fit, otherwise none; returns whether they run, or wait for a
+    /// near rack of their own accord.
     fn place_gang(&mut self, round: &Round, spec: &Arc<JobSpec>, search: Search<'_>) -> bool {
         let Candidate { job, occurrence, step, .. } = search.candidate;
         if !self.state(&search.candidate).running.is_empty() {
@@ -431,6 +457,13 @@
                 ranking.put(score, slot);
             }
         }
+        let is_far =
+            |slot: &&Slot| search.rack.is_some() && self.nodes[**slot].rack() != search.rack;
+        if let (Some(first), Some(slot)) = (waiting.first(), slots.iter().find(is_far).copied()) {
+            if self.prefers_wait(round, spec, &search, *first, slot) {
+                return true;
+            }
+        }
         for (index, slot) in waiting.into_iter().zip(slots) {
             self.start(round.now, slot, TaskId { job, occurrence, step, index }, run);
         }
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -35,7 +35,7 @@
 
 impl Node {
     /// Returns the CPU that more best-effort tasks can expect to get, in thousandths of a core.
-    fn spare_cpu(&self) -> u64 {
+    pub(super) fn spare_cpu(&self) -> u64 {
         self.idle_cpu().saturating_sub(self.total_best_effort_cpu)
     }
 
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,11 +3,13 @@
 mod beliefs;
 mod crashes;
 mod evacuation;
+mod explain;
 mod forecast;
 mod incarnations;
 mod intake;
 mod interference;
 mod load;
+mod near;
 mod node;
 mod overload;
 mod owner;
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod agent;
 pub mod entry;
 mod evacuations;
+pub mod explain;
 pub mod ports;
 pub mod records;
 
--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod entry;
 mod evacuation;
+mod explain;
 mod ownership;
 mod routes;
 mod sessions;
--- a/crates/hosted/tests/suite/sessions.rs
+++ b/crates/hosted/tests/suite/sessions.rs
@@ -152,7 +152,7 @@
     smol::block_on(async {
         let owner = SilentOwner::start().await;
         let entry = start("second", &owner.store);
-        let pong = OwnerReply::Pong { entries: Vec::new(), is_valid: true };
+        let pong = OwnerReply::Pong { entries: Vec::new(), is_valid: true, short: Vec::new() };
         assert!(owner.is_left(frame::encode(&pong).unwrap()).await);
         drop(entry);
     });
