--- a/crates/core/src/flow/forecast.rs
+++ b/crates/core/src/flow/forecast.rs
@@ -71,7 +71,7 @@
 }
 
 /// Work and rate of one service in one kind of capacity.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Pool {
     /// Waiting work by place.
     waiting: Backlog,
@@ -110,7 +110,7 @@
 }
 
 /// Pools of one service.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Service {
     name: String,
     pools: [Pool; 2],
@@ -148,7 +148,7 @@
 }
 
 /// Backlog and rate of all services.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Forecast {
     services: Vec<Service>,
     /// Index of each service by its name.
--- a/crates/core/src/flow/forecast/backlog.rs
+++ b/crates/core/src/flow/forecast/backlog.rs
@@ -28,7 +28,7 @@
 }
 
 /// Sums of work by place, updated with each change. Their number does not grow with that of the jobs.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Backlog {
     sums: BTreeMap<Place, u64>,
     total: u64,
--- a/crates/core/src/flow/forecast/rate.rs
+++ b/crates/core/src/flow/forecast/rate.rs
@@ -32,7 +32,7 @@
 }
 
 /// Work done by a kind of capacity while more work was waiting, against the capacity offered.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Rate {
     intervals: VecDeque<Interval>,
     last_end: Option<Time>,
--- a/crates/core/src/flow/intake.rs
+++ b/crates/core/src/flow/intake.rs
@@ -72,7 +72,7 @@
 }
 
 /// State of the admission.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Intake {
     refused: RefusedJobs,
     /// Jobs that were admitted, which may be stored already.
--- a/crates/core/src/flow/intake/floors.rs
+++ b/crates/core/src/flow/intake/floors.rs
@@ -14,7 +14,7 @@
 const MAX_CREDIT_TIME: Duration = Duration::from_secs(5);
 
 /// A queue with demand.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Share {
     /// Work that the queue may have admitted against the forecast; negative after a job that was larger
     /// than what it was due.
@@ -28,7 +28,7 @@
 type Shares = HashMap<String, Share>;
 
 /// Queues with demand, by service and kind of capacity.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Floors {
     pools: HashMap<String, [Shares; 2]>,
 }
--- a/crates/core/src/flow/intake/gate.rs
+++ b/crates/core/src/flow/intake/gate.rs
@@ -9,7 +9,7 @@
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
 /// The services that the owner last reported as short of capacity.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ShortageReport {
     received_at: Time,
     services: Vec<String>,
--- a/crates/core/src/flow/intake/refused.rs
+++ b/crates/core/src/flow/intake/refused.rs
@@ -26,7 +26,7 @@
 }
 
 /// Refused jobs by number, with the sums of their work.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RefusedJobs {
     /// Turn of each job and what is known of it.
     jobs: HashMap<JobNumber, (u64, RefusedJob)>,
@@ -104,7 +104,7 @@
 }
 
 /// A bounded set of jobs; the oldest are dropped.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RecentJobs {
     jobs: HashSet<JobNumber>,
     order: VecDeque<JobNumber>,
--- a/crates/core/src/flow/owner/dry_run.rs
+++ b/crates/core/src/flow/owner/dry_run.rs
@@ -17,6 +17,7 @@
     ) -> T {
         let nodes = self.nodes.clone();
         let near = self.near.clone();
+        let (forecast, intake) = (self.forecast.clone(), self.intake.clone());
         let job: Option<Job> = self.jobs.get(&number).cloned();
         let effects = self.effects.len();
         let (placement_due, rounds) = (self.placement_due, self.rounds);
@@ -28,6 +29,7 @@
         let result = run(self);
         self.nodes = nodes;
         self.near = near;
+        (self.forecast, self.intake) = (forecast, intake);
         self.effects.truncate(effects);
         (self.placement_due, self.rounds) = (placement_due, rounds);
         self.examined.set(examined);
