--- a/crates/core/tests/flow_world/net.rs
+++ b/crates/core/tests/flow_world/net.rs
@@ -147,7 +147,7 @@
             let life = world.machines[index].life.as_ref();
             let is_other = life.is_some_and(|life| order.worker() != life.info.id);
             // The process that held the order back is gone, or the agent has closed the connection.
-            if !is_other || world.now < sent + ORDER_TIMEOUT {
+            if !is_other || !world.is_reborn || world.now < sent + ORDER_TIMEOUT {
                 world.reach(index, call, order);
             }
         });
