Place best-effort tasks regardless of images that they hardly interfere with

Cause: a worker whose best-effort tasks were at half pace, or whose tail was near its target, took no more tasks of light pairs either, although it no longer throttles them. They waited for a calm worker, of which there are few.

Change: placement ignores the interference of light pairs, with the weight that also the pace uses. The test fails without the change: no task starts.

--- a/crates/core/src/flow/interference.rs
+++ b/crates/core/src/flow/interference.rs
@@ -14,6 +14,9 @@
 /// Interference weight of a pair of images before anything is learned. Observed weights range from
 /// 0 to 6; most are below 0.5.
 pub const INITIAL_WEIGHT: f64 = 1.0;
+/// Interference weight up to which a pair of images is light: its interference cannot be told from the
+/// changes of the serving task's own load. Learned weights lie below it or above twice its value.
+pub const LIGHT_WEIGHT: f64 = 0.75;
 /// Variance of the interference weight of a pair of images before anything is learned.
 const INITIAL_VARIANCE: f64 = 4.0;
 /// Minimum of a learned interference weight. Weights below zero are due to noise.
@@ -124,6 +127,11 @@
             .map_or(INITIAL_WEIGHT, |weight| weight.mean.max(0.0))
     }
 
+    /// Tells whether a pair of images hardly interferes.
+    pub fn is_light(&self, serving: Image, best_effort: Image) -> bool {
+        self.weight(serving, best_effort) <= LIGHT_WEIGHT
+    }
+
     /// Returns the interference weight of a pair of images in units of 1 / [`WEIGHT_SCALE`].
     pub fn scaled_weight(&self, serving: Image, best_effort: Image) -> u32 {
         (self.weight(serving, best_effort) * WEIGHT_SCALE) as u32
--- a/crates/core/src/flow/pace.rs
+++ b/crates/core/src/flow/pace.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::interference::INITIAL_WEIGHT;
+use super::interference::{INITIAL_WEIGHT, LIGHT_WEIGHT};
 use super::message::{Image, Pressure, WEIGHT_SCALE};
 use super::model::TaskId;
 use crate::time::Time;
@@ -23,9 +23,6 @@
 /// Rise of the logarithm of a tail latency that best-effort tasks may always cause, unless the
 /// target has been exceeded for longer than [`MAX_OVER_TARGET`]. It is too small to be measured.
 const MIN_BUDGET: f64 = 0.01;
-/// Corrected interference weight up to which a pair of images is light. Learned weights lie below it or
-/// above twice its value.
-const LIGHT_WEIGHT: f64 = 0.75;
 /// Rise of the logarithm of a tail latency that light pairs may cause beside a serving task that its
 /// own load keeps near its target or above it. To stop them would hardly lower the tail latency, and
 /// steps wait for the task that is stopped.
--- a/crates/core/src/flow/place/best_effort.rs
+++ b/crates/core/src/flow/place/best_effort.rs
@@ -116,14 +116,14 @@
 
     /// Returns the highest expected tail latency with all best-effort tasks of the node at full
     /// pace and `count` more tasks, in percent of its target, and the part that the new tasks
-    /// cause. Serving images on which the tasks have no significant effect are ignored.
+    /// cause. Serving images with which the tasks hardly interfere are ignored.
     fn expected_tail(&self, node: &Node, task: BestEffortTask, count: u64) -> (f64, f64) {
         let (image, cpu) = task;
         let own = node.share(cpu * count);
         let mut worst = (0.0, 0.0);
         for (serving, (_, baseline)) in &node.serving {
             let more = self.interference.rise(*serving, [(image, own)]);
-            if more <= MIN_RISE {
+            if more <= MIN_RISE || self.interference.is_light(*serving, image) {
                 continue;
             }
             let before = self.interference.rise(*serving, node.shares());
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -224,6 +224,42 @@
     assert!(world.running().iter().any(|(_, task)| task.job == 1), "{:?}", world.running());
 }
 
+/// Returns the number of tasks that start at once, of two, on a worker under pressure with a serving
+/// task with which they interfere by `weight`.
+fn starts_under_pressure(weight: f64) -> usize {
+    let mut world = World::new(1, 40_000);
+    let serving = Step { long_running: true, target_ms: 50, ..step(1, 25_000, 0) };
+    let best_effort =
+        Step { best_effort: true, image: "batch".to_owned(), ..step(2, 4_000, 60_000) };
+    world.submit(1, job(2, vec![serving]));
+    world.submit(2, job(2, vec![best_effort.clone()]));
+    let image_of = |number| {
+        let mut runs = world.workers[0].running.iter();
+        runs.find(|(task, _)| task.job == number).map(|(_, start)| start.traits.image)
+    };
+    let (serving, image) = (image_of(1).expect("serves"), image_of(2).expect("runs"));
+    for round in 0..40 {
+        let change = if round % 2 == 0 { 8_000 } else { -8_000 };
+        let rise = (weight * f64::from(change) / 40.0) as i32;
+        let samples = vec![Sample { rises: vec![(serving, rise)], changes: vec![(image, change)] }];
+        let (sent, pressure) = (world.now, Pressure { level: 30, tail_percent: 97 });
+        let baselines = vec![(serving, 80)];
+        let ping = AgentMessage::Ping { sent, pressure, samples, baselines };
+        let worker = &world.workers[0];
+        world.owner.receive(world.now, worker.slot, worker.session, ping);
+    }
+    world.submit(3, job(2, vec![best_effort]));
+    world.running().iter().filter(|(_, task)| task.job == 3).count()
+}
+
+/// Guards against jobs that wait for a calm worker although they hardly interfere with what serves
+/// there. On the matching workload most pairs of images do not, and most workers are under pressure.
+#[test]
+fn light_pairs_do_not_wait_for_a_worker_without_pressure() {
+    assert_eq!(starts_under_pressure(0.5), 2);
+    assert_eq!(starts_under_pressure(3.0), 0, "the worker would throttle them");
+}
+
 /// Returns a world of two workers with a job of four best-effort tasks on each, all but one of which
 /// are done, and the worker that throttles the last one.
 fn world_with_straggler(has_checkpoints: bool) -> (World, usize, TaskId) {
