--- a/crates/core/src/flow/pace.rs
+++ b/crates/core/src/flow/pace.rs
@@ -95,7 +95,8 @@
     gain: f64,
     /// The worker's serving tasks in the last listing, grouped by image.
     groups: Vec<Group>,
-    /// Since when a tail latency has been above its target.
+    /// Since when a tail latency has been above its target, or above it without being due to best-effort
+    /// tasks.
     over_since: Option<Time>,
     /// Since when best-effort tasks have used no CPU because of that.
     stopped_since: Option<Time>,
@@ -170,23 +171,24 @@
     }
 
     /// Decides whether all best-effort tasks have to stop: a tail latency has been above its target for
-    /// too long, and it is not known to stay there without them. `worst` is the logarithm of the
-    /// highest tail latency as a fraction of its target.
+    /// too long. If it stays there without them, they may work for as long again, since the load of the
+    /// serving tasks changes within seconds. `worst` is the logarithm of the highest tail latency as a
+    /// fraction of its target.
     fn check_target(&mut self, now: Time, worst: f64, tasks: &[BestEffortTask]) {
-        let since = match worst >= 0.0 {
-            true => self.over_since.unwrap_or(now),
-            false => {
-                (self.over_since, self.stopped_since, self.must_stop) = (None, None, false);
-                return;
-            }
+        if worst < 0.0 {
+            (self.over_since, self.stopped_since, self.must_stop) = (None, None, false);
+            return;
+        }
+        let over_since = *self.over_since.get_or_insert(now);
+        self.must_stop = now >= over_since + MAX_OVER_TARGET;
+        let is_idle = tasks.iter().all(|task| task.used < MIN_USED);
+        self.stopped_since = match self.must_stop && is_idle {
+            true => Some(self.stopped_since.unwrap_or(now)),
+            false => None,
         };
-        self.over_since = Some(since);
-        let is_overdue = now >= since + MAX_OVER_TARGET;
-        if is_overdue && tasks.iter().all(|task| task.used < MIN_USED) {
-            self.stopped_since.get_or_insert(now);
+        if self.stopped_since.is_some_and(|since| now >= since + CLEARING_TIME) {
+            (self.over_since, self.stopped_since, self.must_stop) = (Some(now), None, false);
         }
-        let is_cleared = self.stopped_since.is_some_and(|since| now >= since + CLEARING_TIME);
-        self.must_stop = is_overdue && !is_cleared;
     }
 
     /// Groups the serving tasks by image; the budgets are not set yet.
--- a/crates/core/src/flow/sampler.rs
+++ b/crates/core/src/flow/sampler.rs
@@ -12,7 +12,7 @@
 /// Minimum time between two listings that are compared. Listings report tail latencies and CPU usage
 /// of the last half second, so that closer ones, which the end of a run causes, show a task's usage
 /// disappear before its interference does.
-pub(in crate::flow) const MIN_GAP: Duration = Duration::from_millis(400);
+const MIN_GAP: Duration = Duration::from_millis(400);
 /// Maximum time between two listings of a worker's tasks that are compared. Over longer gaps the
 /// serving tasks' own load changes too.
 const MAX_GAP: Duration = Duration::from_millis(1_300);
@@ -101,7 +101,7 @@
     before.keys().chain(now.keys()).map(part).collect()
 }
 
-/// Returns the CPU usage of an image, 0 if it has none.
+/// Returns the CPU usage of an image in thousandths of a core; 0 if it has none.
 fn of(cpu_used: &BTreeMap<Image, i64>, image: &Image) -> i64 {
     cpu_used.get(image).copied().unwrap_or(0)
 }
--- a/crates/core/tests/flow/pace.rs
+++ b/crates/core/tests/flow/pace.rs
@@ -128,18 +128,19 @@
 }
 
 /// Guards against best-effort tasks that stay stopped beside a serving task that is above its target
-/// without them, such as one on a slow worker.
+/// without them, such as one on a slow worker. They stop again from time to time, since they may be what
+/// keeps it there by then.
 #[test]
 fn light_pairs_work_again_once_a_tail_is_known_to_be_high_without_them() {
     let mut pacer = Pacer::default();
     pacer.set_weight(1, 10, 300);
     let mut used = 1_000;
     let mut paces = Vec::new();
-    for at in 1..12 {
+    for at in 1..15 {
         let tasks = [best_effort(0, 10, 1_000, used)];
         paces.push(pacer.observe(ms(at * 500), CAPACITY, &[serving(1, 80)], &tasks)[0].1);
         used = 10 * u64::from(paces[paces.len() - 1]);
     }
-    let expected = [100, 100, 100, 100, 0, 0, 0, 100, 100, 100, 100];
-    assert_eq!(paces, expected, "two seconds above the target, then one without the task");
+    let expected = [100, 100, 100, 100, 0, 0, 0, 100, 100, 100, 100, 0, 0, 0];
+    assert_eq!(paces, expected, "two seconds above the target, one without the task, and so on");
 }
