--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -31,15 +31,8 @@
 /// estimates are rough.
 pub(super) const MIN_TIME_LEFT_PERCENT: u64 = 60;
 /// Time after which a ready step without runs is starved and may start one task on any node with
-/// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress
-/// while much of a service is free.
+/// capacity, even if the task would be throttled there. Callers give up on jobs that make no progress.
 const STARVATION_DELAY: Duration = Duration::from_secs(2);
-/// The same time on a service that is busy. Throttled there, a task takes CPU from the tasks that can
-/// finish, and its job is late all the same.
-const BUSY_STARVATION_DELAY: Duration = Duration::from_secs(30);
-/// Reserved CPU of a service, in percent of its capacity, from which it is busy. Callers expect
-/// progress of each job while less than half is in use.
-const BUSY_PERCENT: u64 = 60;
 /// Minimum time between two starts on a node that rests after failures.
 const RESTING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -207,12 +200,13 @@
         candidates.sort_unstable();
         self.place_suspects(now);
         self.begin_near_round(&candidates);
-        let mut round = self.begin_round(now);
         self.next_relief = candidates
             .iter()
-            .filter_map(|candidate| self.starved_at(&round, candidate))
+            .filter_map(|candidate| self.state(candidate).idle_since)
+            .map(|since| since + STARVATION_DELAY)
             .filter(|at| *at > now)
             .min();
+        let mut round = self.begin_round(now);
         let mut resume_at = self.rank_resume.take();
         bounded::visit(&candidates, &mut resume_at, |candidate| {
             self.place_step(&mut round, candidate, Mode::Ranked)
@@ -234,33 +228,6 @@
             rejected: Vec::new(),
             held_nodes: HashSet::new(),
             large: smallest.unwrap_or(0) / 2,
-            busy_services: self.busy_services(),
-        }
-    }
-
-    /// Returns the services most of whose CPU is reserved.
-    fn busy_services(&self) -> HashSet<String> {
-        let mut totals: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
-        for node in &self.nodes {
-            let Some(worker) = &node.worker else { continue };
-            let (reserved, capacity) = totals.entry(&worker.service).or_default();
-            *reserved += node.used.cpu_milli;
-            *capacity += node.cpu_capacity();
-        }
-        let is_busy = |(_, (reserved, capacity)): &(&str, (u64, u64))| {
-            reserved * 100 >= capacity * BUSY_PERCENT
-        };
-        totals.into_iter().filter(is_busy).map(|(service, _)| service.to_owned()).collect()
-    }
-
-    /// Returns when a step counts as starved; `None` if it has runs.
-    fn starved_at(&self, round: &Round, candidate: &Candidate) -> Option<Time> {
-        let since = self.state(candidate).idle_since?;
-        let spec = &self.jobs[&candidate.job].spec;
-        let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
-        match is_best_effort && round.busy_services.contains(&spec.queue.service) {
-            true => Some(since + BUSY_STARVATION_DELAY),
-            false => Some(since + STARVATION_DELAY),
         }
     }
 
@@ -270,8 +237,10 @@
     fn relieve_starved(&mut self, round: &mut Round, candidates: &[Candidate]) {
         let mut starved: Vec<(Time, Candidate)> = candidates
             .iter()
-            .filter_map(|candidate| Some((self.starved_at(round, candidate)?, *candidate)))
-            .filter(|(at, candidate)| round.now >= *at && !self.waits_near(candidate))
+            .filter_map(|candidate| Some((self.state(candidate).idle_since?, *candidate)))
+            .filter(|(since, candidate)| {
+                round.now >= *since + STARVATION_DELAY && !self.waits_near(candidate)
+            })
             .collect();
         starved.sort_unstable();
         let mut resume_at = self.relief_resume.take();
--- a/crates/core/src/flow/place/round.rs
+++ b/crates/core/src/flow/place/round.rs
@@ -49,8 +49,6 @@
     pub(super) held_nodes: HashSet<Slot>,
     /// CPU request, in thousandths of a core, above which a best-effort task is large on some node.
     pub(super) large: u64,
-    /// Services most of whose CPU is reserved.
-    pub(super) busy_services: HashSet<String>,
 }
 
 impl Round {
