--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -270,6 +270,7 @@
     def __init__(self, name, ip, record, cpu=16000, memory=64000, labels=('a', 'r1-1'), service='svc', first_beat=0.0):
         self.name, self.ip, self.record = name, ip, record
         self.cpu, self.memory, self.labels, self.service, self.first_beat = cpu, memory, list(labels), service, first_beat
+        self.rejects = False
         self.cond = threading.Condition()
         self.life = Life(name)
         self.runs = []
@@ -355,6 +356,10 @@
                 while not life.ends and self.life is life and (left := until - time.monotonic()) > 0:
                     self.cond.wait(left)
                 return (200, self.listing(life)) if self.life is life else None
+            if path == '/run-start' and self.rejects:
+                # "429 or 503 from an unhealthy minion, which has then done nothing"
+                self.record.add(self.name, f'503 to the start of {task} run {run}')
+                return 503, {}
             if path == '/run-start':
                 known = life.running.get(task)
                 if known and known['run'] == run:
