--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -401,7 +401,7 @@
                 self.hold(life, body.get('DeadlineMs'))
                 work = json.loads(body['TaskSpec'])
                 row = {'task': task, 'run': run, 'minion': self.name, 'life': life.id, 'start': self.record.now(),
-                       'end': None}
+                       'end': None, 'first': not any(r['task'] == task for r in self.runs)}
                 self.runs.append(row)
                 life.running[task] = {'run': run, 'saved': '', 'percent': 100 if work.get('lasts') else 0, 'cpu': 1000,
                                       'work': work, 'begun': time.monotonic(), 'stop': None, 'row': row}
@@ -429,6 +429,9 @@
                     ms = run['work'].get('ms')
                     if ms:
                         run['percent'] = min(99, int(passed * 100 / ms))
+                    if run['work'].get('fails_first_ms') and run['row']['first'] and passed >= run['work']['fails_first_ms']:
+                        run['work'] = dict(run['work'], ms=1, how='failed')
+                        ms = 1
                     how = ('lapsed' if lapsed else 'stopped' if run['stop'] and time.monotonic() >= run['stop']
                            else run['work'].get('how', 'done') if ms and passed >= ms else None)
                     if how:
