--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""One minion of ten goes down and up by turns, soon after it has reported; a task that lasts needs its label."""
+"""A job whose submission got no answer is cancelled; its write is carried out late by the store."""
 import json
 import sys
 import time
@@ -8,45 +8,46 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib'))
 import world as w  # noqa: E402
 
-# dvorak-epg-grown: { kind = "srv_flap", share = 0.1, gap_s = 1.4, for_s = 6.5 }: one of ten, period 1.4 s.
-GAP_S, FOR_S = 1.4, 6.5
-FIRST_REPORT_S = 0.5  # "Approximately every HeartbeatIntervalMs" (1,500 ms)
+LATE_S = 5.8  # kinds: "platform_lost ... how: late (done 1 to 6 s later)"
+CANCEL_S = w.BOUNDS['cancel_ms'] / 1000
 
 
 def case(world):
-    flapping = world.minions[4]
-    flapping.labels.append('b')
-    flapping.first_beat = FIRST_REPORT_S
-    time.sleep(3.5)  # two reports with the label
     job = w.new_job()
     body = {'TaskSpec': json.dumps({'lasts': True}),
-            'Steps': [{'Count': 1, 'Cpu': 2000, 'MemoryRequestMb': 512, 'EstimatedMs': 400, 'LongRunning': True,
-                       'Requirements': 'b'}]}
-    for _ in range(5):
-        if world.request(0, 'POST', job, body)[0] == 200:
+            'Steps': [{'Count': 1, 'Cpu': 500, 'MemoryRequestMb': 64, 'EstimatedMs': 400, 'LongRunning': True}]}
+    lost = []
+
+    def lose(txn):
+        if any(row['Key'].endswith(job) for row in txn.get('Writes') or []) and not lost_over:
+            lost.append(world.record.now())
+            world.record.add('store', f'gives no answer to a write of {[r["Key"] for r in txn["Writes"]]}')
+            return LATE_S
+        return None
+
+    lost_over = not w.TROUBLE
+    world.store.lose = lose
+    status = world.request(0, 'POST', job, body)[0]
+    world.store.lose = lambda txn: None  # the disturbance is over
+    if w.TROUBLE and status == 200:
+        raise w.CannotRun('the submission was answered with 200')
+    time.sleep(0.2)
+    cancelled, _, acknowledged = world.request(0, 'DELETE', job)
+    for _ in range(8):
+        if cancelled in (200, 410):
             break
-        time.sleep(0.5)
-    else:
-        raise w.CannotRun('the job was not accepted')
-    time.sleep(2)
-    if w.TROUBLE:
-        until = time.monotonic() + FOR_S
-        while time.monotonic() < until:
-            flapping.crash()
-            time.sleep(GAP_S / 2)
-            flapping.boot()
-            time.sleep(GAP_S / 2)
-    # Calm: the minion stays up. 6 s after its last run a task that lasts has to run again.
-    time.sleep(14)
-    state = (world.request(0, 'GET', job)[1] or {}).get('State')
-    again = (world.request(1, 'GET', job)[1] or {}).get('State')
+        time.sleep(0.3)
+        cancelled, _, acknowledged = world.request(0, 'DELETE', job)
+    if cancelled not in (200, 410):
+        raise w.CannotRun(f'the cancel was answered with {cancelled}')
+    time.sleep(10)
+    world.request(0, 'GET', job)
     runs = [row for row in world.all_runs() if row['task'].startswith(job)]
-    ends = [row['end'] and row['end'][0] for row in runs]
-    if 'failed' in (state, again) and 'failed' not in ends:
-        return f'LOST: job {job} is shown as {state} and {again}; its {len(runs)} runs ended {ends}, none as failed'
-    if not runs or runs[-1]['end']:
-        return f'LOST: job {job}, {state}, has nothing running; its runs ended {ends}'
+    late = [row for row in runs if row['start'] > acknowledged + CANCEL_S]
+    if late:
+        return (f'UNASKED: the cancel was acknowledged with {cancelled} at {acknowledged:.3f}; '
+                f'{late[0]["task"]} was started at {late[0]["start"]:.3f}, end {late[0]["end"]}')
     return None
 
 
-w.main(FOLDER, 2, 10, case)
+w.main(FOLDER, 2, 3, case)
