review: case 1 with the limits of a site whose minions keep their ids

Cause: the first form took its limits from a site whose minions get new ids, and an order that the former boot held.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -304,8 +304,8 @@
         self.rejects = False
         # Whether it starts again under the id that it had, and tells in `born` when that was (demands/LATER.md).
         self.keeps_id = keeps_id
-        # Returns after how many seconds an order that gets no answer is carried out; None for others.
-        self.leaves_unanswered = lambda path, body: None
+        # Returns for how many seconds an order is held up on its way here, without an answer; None for others.
+        self.held_up = lambda path, body: None
         self.cond = threading.Condition()
         self.life = Life(name)
         self.runs = []
@@ -320,9 +320,9 @@
                     return self.drop()
                 if expected and expected != life.id:
                     return self.reply(421, {'ClockMs': life.clock()})
-                late = minion.leaves_unanswered(self.path, body)
+                late = minion.held_up(self.path, body)
                 if late is not None:
-                    record.add(minion.name, f'gives no answer to {self.path} {body.get("Task")} run {body.get("Run")}')
+                    record.add(minion.name, f'{self.path} {body.get("Task")} run {body.get("Run")} is held up, without an answer')
                     timer = threading.Timer(late, minion.late, args=(expected, self.path, body))
                     timer.daemon = True
                     timer.start()
@@ -371,13 +371,13 @@
         self.record.add(self.name, f'crashed, id {life.id}, {len(life.running)} runs')
 
     def late(self, expected, path, body):
-        """Carries an order out late, unless the boot that is up then has another id than the intended one."""
+        """An order that was held up arrives: the boot that is up carries it out, unless its id isn't the intended one."""
         life = self.life
         if life is None or (expected and expected != life.id):
-            self.record.add(self.name, f'does not carry {path} {body.get("Task")} out')
+            self.record.add(self.name, f'{path} {body.get("Task")} arrives for another id, or at no boot')
             return
         status, answer = self.order(life, path, body)
-        self.record.add(self.name, f'carried {path} {body.get("Task")} out late: {status} {answer}')
+        self.record.add(self.name, f'{path} {body.get("Task")} arrives late: {status} {answer}')
 
     def boot(self):
         life = Life(self.name, self.former if self.keeps_id else None)
@@ -538,8 +538,9 @@
 class World:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, folder, entries, minions, **options):
+    def __init__(self, folder, entries, minions, bounds=(), **options):
         self.folder = folder
+        self.bounds = {**BOUNDS, **dict(bounds)}
         self.record = Record(folder)
         self.temp = tempfile.mkdtemp(prefix='peridotfold-review-')
         self.entries, self.agents, self.minions = [], [], []
@@ -594,7 +595,7 @@
             'DataDirectory': None, 'Discovery': 'local', 'Entry': 'virtual_ip', 'HeartbeatIntervalMs': 1500,
             'Contracts': ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'platform', 'advice', 'upkeep',
                           'sharing'],
-            'FaultTolerance': {'Machines': 2, 'Zones': 0, 'Regions': 0}, 'Bounds': BOUNDS, 'Orders': 'call',
+            'FaultTolerance': {'Machines': 2, 'Zones': 0, 'Regions': 0}, 'Bounds': self.bounds, 'Orders': 'call',
             'platform': {'Address': f'{store}:{STORE}', 'form': 'kv', 'WritesPerS': 400, 'ReadsPerS': 2000,
                          'HistoryS': 20, 'ValueBytes': 1048576, 'MinTtlMs': 1000},
             **more,
