--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -22,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, APP, STORE, INTERNAL = 8161, 8167, 8166, 8165, 8169, 7720
+LIBC = ctypes.CDLL(None)
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HOST = 'queue.example'
 # The bounds of the site dvorak-epg (SYSTEM.md).
@@ -505,7 +506,7 @@
 
 def end_with_parent():
     """Lets a process end with the script, also if that is killed (PR_SET_PDEATHSIG)."""
-    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+    LIBC.prctl(1, signal.SIGKILL)
 
 
 class Program:
