--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""One minion of eleven rejects all starts with 503 for 6.5 s; the jobs of a queue that wait for it are counted."""
+"""One minion of twelve rejects all starts with 503 for 6.5 s; the jobs of a queue that wait for it are counted."""
 import json
 import sys
 import time
@@ -51,4 +51,4 @@
     return f'{verdict} ({broken} of {checks} answers)' if broken else None
 
 
-w.main(FOLDER, 2, 11, case)
+w.main(FOLDER, 2, 12, case)
