Store the cancel of an unknown job, so that its submission cannot run late

Cause: the store may carry out a write without an answer seconds later, if its condition holds. The condition of a submission was that neither the job nor its record exists, and a cancel that found neither wrote nothing.

Change: no cancel of the job may exist either, and the cancel of an unknown job writes one, under the same condition, before the 410. A submission that comes later is answered with 200 and shown as cancelled. The owner removes such cancels after the retention time of ended jobs, with other records, and cancels a job that it reads after its cancel.

Owner::cancel takes the time now; its callers in tests changed with it.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -4,6 +4,7 @@
 //! The end of a run takes effect on scheduling at once. The owner acknowledges it to the worker,
 //! and shows a final phase to callers, only after the job's record is durable.
 
+mod cancels;
 mod commit;
 mod dry_run;
 mod ends;
@@ -132,6 +133,8 @@
     pub roster: Option<Vec<String>>,
     /// Ended jobs whose retention time is over; their records are removed.
     pub expired: Vec<JobNumber>,
+    /// Jobs that were cancelled before they were stored and never were; their cancellations are removed.
+    pub expired_cancels: Vec<JobNumber>,
     /// Learned interference weights of pairs of images; `None` if they are not written this time.
     pub interference: Option<Vec<InterferenceRow>>,
     /// Crashes of workers and the tasks suspected of them; `None` if they have not changed.
@@ -211,6 +214,10 @@
     in_flight: Option<InFlight>,
     /// Ended jobs whose records have to be removed from the store.
     expired: Vec<JobNumber>,
+    /// Stored cancellations of jobs that are not stored, and when each was last read.
+    early_cancels: BTreeMap<JobNumber, Time>,
+    /// Early cancellations that have to be removed from the store.
+    expired_cancels: Vec<JobNumber>,
     /// Whether something changed that may let waiting tasks start.
     placement_due: bool,
     /// When the next placement round may begin.
@@ -292,6 +299,8 @@
             roster_changed: false,
             in_flight: None,
             expired: Vec::new(),
+            early_cancels: BTreeMap::new(),
+            expired_cancels: Vec::new(),
             placement_due: false,
             next_round: now,
             rounds: [0; RoundCause::COUNT],
@@ -375,6 +384,9 @@
         );
         self.insert(now, number, spec, Progress::default(), false);
         self.log("job_known", Some(number), detail);
+        if self.early_cancels.remove(&number).is_some() {
+            self.cancel(now, number);
+        }
     }
 
     /// Adds a job with its stored progress. `is_inherited` tells whether the job comes from a
@@ -419,18 +431,6 @@
         }
     }
 
-    /// Handles a cancellation of a job that is in the store.
-    pub fn cancel(&mut self, number: JobNumber) {
-        let Some(job) = self.jobs.get_mut(&number) else { return };
-        job.has_cancel = true;
-        if job.phase.is_final() {
-            self.mark_dirty(number, true);
-            return;
-        }
-        self.log("job_cancelled", Some(number), String::new());
-        self.finish_job(number, Phase::Cancelled);
-    }
-
     /// Ends a job: clears its waiting tasks and stops its runs.
     pub(super) fn finish_job(&mut self, number: JobNumber, phase: Phase) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -17,7 +17,8 @@
         let is_urgent = self.is_urgent
             || self.roster_changed
             || self.crashes_are_due()
-            || self.dirty.len() >= MAX_COMMIT_KEYS;
+            || self.dirty.len() >= MAX_COMMIT_KEYS
+            || self.expired_cancels.len() >= MAX_COMMIT_KEYS;
         match self.in_flight {
             Some(_) => None,
             None if is_urgent => Some(Time::ZERO),
@@ -75,6 +76,8 @@
             commit.expired.push(number);
             keys_left -= 1;
         }
+        let cancels = self.expired_cancels.len().min(keys_left);
+        commit.expired_cancels = self.expired_cancels.drain(..cancels).collect();
         self.is_urgent = !self.dirty.is_empty();
         self.dirty_since = None;
         self.in_flight = Some(InFlight { versions, slots, crash_acks });
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -196,6 +196,7 @@
                 self.jobs.remove(&number);
                 self.expired.push(number);
             }
+            self.expire_early_cancels(now);
         }
         let since = std::mem::replace(&mut self.last_timer_check, now);
         let backoff_expired = |node: &Node| node.backoff_until > since && node.backoff_until <= now;
--- a/crates/core/tests/flow/forecast.rs
+++ b/crates/core/tests/flow/forecast.rs
@@ -126,7 +126,7 @@
     let done: usize = 150 - backlog as usize / 1_000_000;
     assert!((24..=44).contains(&done), "{backlog}");
     assert!((6_000..=8_500).contains(&rate), "{rate}");
-    world.owner.cancel(1);
+    world.owner.cancel(world.now, 1);
     world.settle();
     let (left, _) = shortage(&world, Room::Reserved).expect("a forecast");
     assert!(left < 50_000_000 && left < backlog, "{left} of {backlog}");
@@ -135,7 +135,7 @@
     world.settle();
     let (requeued, _) = shortage(&world, Room::Reserved).expect("a forecast");
     assert!(requeued >= waiting, "{requeued} after {waiting}");
-    world.owner.cancel(2);
+    world.owner.cancel(world.now, 2);
     world.settle();
     assert_eq!(shortage(&world, Room::Reserved), None);
 }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner and the agent state machines on virtual time.
 
 mod beliefs;
+mod cancels;
 mod crashes;
 mod evacuation;
 mod explain;
--- a/crates/core/tests/flow/owner.rs
+++ b/crates/core/tests/flow/owner.rs
@@ -97,7 +97,7 @@
 fn a_cancelled_job_is_stopped_and_starts_nothing() {
     let mut world = World::new(1, 2_000);
     world.submit(7, job(2, vec![step(4, 1_000, 500)]));
-    world.owner.cancel(7);
+    world.owner.cancel(world.now, 7);
     world.settle();
     assert!(world.running().is_empty());
     assert_eq!(world.owner.phase(7), Some(Phase::Cancelled));
@@ -252,7 +252,7 @@
         assert!(detail.contains("cpu=400"), "{detail}");
         detail.split("reason=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap().to_owned()
     };
-    assert_eq!(reason_after(&|world| world.owner.cancel(7)), "Cancelled");
+    assert_eq!(reason_after(&|world| world.owner.cancel(world.now, 7)), "Cancelled");
     let end_first = |kind: EndKind| {
         move |world: &mut World| {
             let (index, task) = world.running()[0];
--- a/crates/core/tests/flow_world/world.rs
+++ b/crates/core/tests/flow_world/world.rs
@@ -306,7 +306,7 @@
     pub fn cancel(&mut self, number: JobNumber) {
         if let Some(job) = self.jobs.get_mut(&number) {
             job.is_cancelled = true;
-            self.term.owner.cancel(number);
+            self.term.owner.cancel(self.now, number);
         }
     }
 
@@ -460,7 +460,7 @@
                 false => self.term.owner.inherit(self.now, *number, job.spec.clone(), progress),
             }
             if job.is_cancelled {
-                self.term.owner.cancel(*number);
+                self.term.owner.cancel(self.now, *number);
             }
         }
         for index in 0..self.machines.len() {
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::future;
 use parking_lot::Mutex;
 use peridotfold_core::flow::evacuation::Evacuations;
@@ -26,7 +25,7 @@
 use crate::follower::Follower;
 use crate::owner_service::OwnerService;
 use crate::ownership::Identity;
-use crate::ports::{Store, StoreError, Write, WriteResult};
+use crate::ports::{Store, StoreError};
 use crate::records;
 use crate::{election, sessions};
 
@@ -311,41 +310,6 @@
         outcome
     }
 
-    /// Writes a job to the store. Retries while it is unknown whether the write was applied.
-    pub(crate) async fn store_job(&self, job: JobNumber, record: Bytes) -> Stored {
-        let write = Write {
-            expect: vec![(records::job_key(job), 0), (records::progress_key(job), 0)],
-            puts: vec![(records::job_key(job), record, None)],
-            removes: Vec::new(),
-        };
-        self.write_until_known(&write).await
-    }
-
-    /// Retries an idempotent write until its outcome is known.
-    async fn write_until_known(&self, write: &Write) -> Stored {
-        let mut is_unclear = false;
-        loop {
-            match self.store.write(write).await {
-                Ok(WriteResult::Done(_) | WriteResult::Conflict(_)) => {
-                    self.set_store_up(true);
-                    return Stored::Yes;
-                }
-                Ok(WriteResult::NoLease) => return Stored::No,
-                Err(StoreError::Refused(error)) if !is_unclear => {
-                    tracing::info!(event = "store_refused", error);
-                    self.set_store_up(false);
-                    return Stored::No;
-                }
-                Err(error) => {
-                    is_unclear = true;
-                    tracing::info!(event = "store_unclear", %error);
-                    self.set_store_up(false);
-                    runtime::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
     /// Stores the cancellation of a job, through the owner if this entry cannot write to the store.
     /// Takes at most `timeout`.
     pub async fn cancel(&self, job: JobNumber, timeout: Duration) -> Stored {
@@ -370,35 +334,6 @@
         outcome
     }
 
-    /// Writes the cancellation of a job to the store, if the store has the job.
-    pub(crate) async fn store_cancel(&self, job: JobNumber) -> Stored {
-        let known = async {
-            match self.store.get(&records::job_key(job)).await? {
-                Some(item) => Ok(Some(item.revision)),
-                None => Ok(self.store.get(&records::progress_key(job)).await?.map(|_| 0)),
-            }
-        };
-        match known.await {
-            Ok(None) => Stored::Unknown,
-            // The job has ended: nothing to cancel.
-            Ok(Some(0)) => Stored::Yes,
-            Ok(Some(revision)) => {
-                let write = Write {
-                    expect: vec![(records::job_key(job), revision)],
-                    puts: vec![(records::cancel_key(job), Bytes::new(), None)],
-                    removes: Vec::new(),
-                };
-                self.write_until_known(&write).await
-            }
-            Err(error) => {
-                let error: StoreError = error;
-                tracing::info!(event = "store_refused", %error);
-                self.set_store_up(false);
-                Stored::No
-            }
-        }
-    }
-
     /// Returns the phase of a job, from the owner or else from the store.
     pub async fn state(&self, job: JobNumber) -> StateAnswer {
         let reported = match self.role().0 {
@@ -448,6 +383,7 @@
             Some(progress) if progress.phase.is_final() => StateAnswer::Known(progress.phase),
             Some(_) => StateAnswer::Known(Phase::Running),
             None if is_open => StateAnswer::Known(Phase::Queued),
+            None if self.is_cancelled_early(job).await? => StateAnswer::Known(Phase::Cancelled),
             None => StateAnswer::Unknown,
         })
     }
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -26,6 +26,7 @@
 mod directory;
 mod election;
 mod follower;
+mod job_store;
 mod owner_service;
 mod ownership;
 mod routes;
--- a/crates/hosted/src/owner_service.rs
+++ b/crates/hosted/src/owner_service.rs
@@ -99,6 +99,7 @@
             metrics::counter!("placement_rounds").increment(1);
             metrics::histogram!("placement_round_seconds").record(took.as_secs_f64());
             metrics::gauge!("slow_workers").set(owner.slow_workers() as f64);
+            metrics::gauge!("early_cancels_kept").set(owner.early_cancels() as f64);
         }
         let is_round_due = owner.next_round(now).is_some();
         let effects = owner.take_effects();
@@ -243,6 +244,7 @@
     pub(crate) fn shut_down(&self) {
         self.end.fire();
         metrics::gauge!("slow_workers").set(0.0);
+        metrics::gauge!("early_cancels_kept").set(0.0);
         self.outboxes.lock().clear();
     }
 
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -481,6 +481,7 @@
         write.puts.push((records::ROSTER.to_owned(), encode_record(roster)?, None));
     }
     write.removes.extend(commit.expired.iter().map(|job| records::progress_key(*job)));
+    write.removes.extend(commit.expired_cancels.iter().map(|job| records::cancel_key(*job)));
     Ok(())
 }
 
@@ -514,6 +515,6 @@
         owner.inherit_ended(now, job, record);
     }
     for job in cancels {
-        owner.cancel(job);
+        owner.cancel(now, job);
     }
 }
--- a/crates/hosted/src/ownership/inbox.rs
+++ b/crates/hosted/src/ownership/inbox.rs
@@ -72,7 +72,7 @@
             Ok(spec) => owner.submit(now, job, spec),
             Err(error) => tracing::error!(event = "record_unreadable", key = item.key, %error),
         },
-        Some(InboxKey::Cancel(job)) => owner.cancel(job),
+        Some(InboxKey::Cancel(job)) => owner.cancel(now, job),
         Some(InboxKey::Lock) => {}
         None => tracing::error!(event = "key_unknown", key = item.key),
     }
--- a/crates/hosted/src/records.rs
+++ b/crates/hosted/src/records.rs
@@ -47,6 +47,20 @@
     format!("{CANCEL_PREFIX}{job:016x}")
 }
 
+/// Value of an early cancellation whose job was submitted later. The value of other cancellations is
+/// empty.
+const SUBMITTED: &[u8] = b"submitted";
+
+/// Returns the value of an early cancellation whose job was submitted later.
+pub fn submitted_cancel() -> Bytes {
+    Bytes::from_static(SUBMITTED)
+}
+
+/// Tells whether the value of an early cancellation says that its job was submitted later.
+pub fn is_submitted(cancel: &[u8]) -> bool {
+    cancel == SUBMITTED
+}
+
 /// Returns the key of a job's progress record.
 pub fn progress_key(job: JobNumber) -> String {
     format!("{PROGRESS_PREFIX}{job:016x}")
--- a/crates/hosted/tests/suite/entry.rs
+++ b/crates/hosted/tests/suite/entry.rs
@@ -1,13 +1,14 @@
 //! Answers of an entry while its store changes or fails at chosen points.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use peridotfold_core::flow::message::Stored;
 use peridotfold_core::flow::progress::{Phase, Progress};
 use peridotfold_hosted::entry::{Entry, StateAnswer};
 use peridotfold_hosted::ports::{Store, Write};
 use peridotfold_hosted::records;
+use peridotfold_wire::runtime;
 
 use crate::support::{settings, spec, MemoryStore};
 
@@ -15,6 +16,8 @@
 const JOB: u64 = 7;
 /// Timeout of each submission and cancellation.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which an entry sends calls to a store again that answers.
+const BACKOFF_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Creates an entry on the given store, without starting it.
 fn entry(store: &MemoryStore) -> Entry<MemoryStore> {
@@ -22,6 +25,20 @@
     Entry::new(settings("front", internal), store.clone())
 }
 
+/// Cancels a job as soon as the entry sends calls to the store again, which it does not shortly
+/// after a failed one.
+async fn cancel(entry: &Entry<MemoryStore>, job: u64) -> Stored {
+    let started_at = Instant::now();
+    loop {
+        match entry.cancel(job, CALL_TIMEOUT).await {
+            Stored::No if started_at.elapsed() < BACKOFF_TIMEOUT => {
+                runtime::sleep(Duration::from_millis(20)).await;
+            }
+            outcome => return outcome,
+        }
+    }
+}
+
 /// Returns the write with which the owner ends the job.
 fn end() -> Write {
     let progress = Progress { phase: Phase::Completed, ..Progress::default() };
@@ -115,3 +132,85 @@
         assert!(store.get(&records::cancel_key(JOB)).await.unwrap().is_some());
     });
 }
+
+/// Guards against a job that runs after its cancel was acknowledged: its submission got no answer,
+/// and the store carries it out after the cancel. Seen as UNASKED in review case 2, also with the
+/// cancel at another entry and after the end of the first one.
+#[test]
+fn a_submission_carried_out_after_its_cancel_stores_no_job() {
+    for is_other in [false, true] {
+        let store = MemoryStore::default();
+        let first = entry(&store);
+        smol::block_on(async {
+            store.hold_writes(1_000);
+            let submitted = first.submit(JOB, &spec(), Duration::from_millis(300)).await;
+            assert_eq!(submitted, Stored::Unclear);
+            store.hold_writes(0);
+            let canceller = if is_other { entry(&store) } else { first };
+            assert_eq!(cancel(&canceller, JOB).await, Stored::Unknown);
+            store.carry_out_late_writes();
+            let job = store.peek(&records::job_key(JOB));
+            assert!(job.is_none(), "stored after its cancel, at another entry: {is_other}");
+        });
+    }
+}
+
+/// Guards against an acknowledged cancel of an unknown job that is not durable, because the answers
+/// to its write are lost.
+#[test]
+fn a_cancel_of_an_unknown_job_lasts_before_it_is_acknowledged() {
+    for is_applied in [false, true] {
+        let store = MemoryStore::default();
+        let entry = entry(&store);
+        smol::block_on(async {
+            store.lose_answers(1_000, is_applied);
+            let cancelled = entry.cancel(JOB, Duration::from_millis(300)).await;
+            assert_eq!(cancelled, Stored::Unclear, "applied: {is_applied}");
+            store.lose_answers(1, is_applied);
+            assert_eq!(cancel(&entry, JOB).await, Stored::Unknown);
+            assert!(store.peek(&records::cancel_key(JOB)).is_some());
+            store.refuse(true);
+            assert_eq!(entry.cancel(JOB + 1, CALL_TIMEOUT).await, Stored::No);
+        });
+    }
+}
+
+/// Guards against a job that runs because its submission is repeated after its cancel, and against
+/// a repeated submission whose job is then unknown.
+#[test]
+fn a_submission_repeated_after_its_cancel_stays_cancelled() {
+    let store = MemoryStore::default();
+    let entry = entry(&store);
+    smol::block_on(async {
+        assert_eq!(entry.cancel(JOB, CALL_TIMEOUT).await, Stored::Unknown);
+        assert_eq!(entry.state(JOB).await, StateAnswer::Unknown, "nobody has submitted it");
+        store.lose_answers(1, true);
+        for _ in 0..2 {
+            assert_eq!(entry.submit(JOB, &spec(), CALL_TIMEOUT).await, Stored::Yes);
+            assert_eq!(entry.state(JOB).await, StateAnswer::Known(Phase::Cancelled));
+            assert!(store.peek(&records::job_key(JOB)).is_none(), "the job would run");
+        }
+        assert_eq!(entry.cancel(JOB, CALL_TIMEOUT).await, Stored::Yes, "the job is known by now");
+    });
+}
+
+/// Guards against a cancel that is answered as unknown, or lost, for a job that is stored while the
+/// cancel looks for it.
+#[test]
+fn a_cancel_finds_a_job_that_is_stored_meanwhile() {
+    for reads in 0..3 {
+        let store = MemoryStore::default();
+        let entry = entry(&store);
+        let record = records::encode(&spec()).expect("a record");
+        let submission =
+            Write { puts: vec![(records::job_key(JOB), record, None)], ..Write::default() };
+        smol::block_on(async {
+            store.write_after_reads(reads, submission.clone());
+            let cancelled = entry.cancel(JOB, CALL_TIMEOUT).await;
+            let is_stored = store.peek(&records::job_key(JOB)).is_some();
+            // After the last read, the submission would come after the cancel.
+            assert_eq!(cancelled == Stored::Yes, is_stored, "stored after {reads} reads");
+            assert!(store.peek(&records::cancel_key(JOB)).is_some());
+        });
+    }
+}
--- a/crates/hosted/tests/suite/ownership.rs
+++ b/crates/hosted/tests/suite/ownership.rs
@@ -225,3 +225,33 @@
         drop(stop);
     });
 }
+
+/// Guards against cancellations of unknown jobs that stay in the store for good.
+#[test]
+fn the_owner_removes_a_cancel_of_an_unknown_job_from_the_store() {
+    smol::block_on(async {
+        let store = MemoryStore::default();
+        let retention = Duration::from_secs(1);
+        let (entry, stop) = start_entry_with(&store, |internal| {
+            let mut settings = settings("first", internal);
+            settings.owner.keep_ended = retention;
+            settings
+        });
+        assert!(wait_for_owner(&store, "first").await);
+        assert_eq!(entry.cancel(7, Duration::from_secs(1)).await, Stored::Unknown);
+        let started_at = Instant::now();
+        let mut job = 100;
+        // The removal shares a write with the records of other jobs.
+        while store.peek(&records::cancel_key(7)).is_some()
+            && started_at.elapsed() < TAKEOVER_TIMEOUT
+        {
+            entry.submit(job, &spec(), Duration::from_secs(1)).await;
+            entry.cancel(job, Duration::from_secs(1)).await;
+            job += 1;
+            runtime::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(store.peek(&records::cancel_key(7)), None);
+        assert!(started_at.elapsed() >= retention, "removed too early");
+        drop(stop);
+    });
+}
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -48,6 +48,10 @@
     lost_applied: bool,
     /// A write to apply after a number of reads.
     delayed_write: Option<(u32, Write)>,
+    /// Number of coming writes that get no answer and wait in `late_writes`.
+    held_writes: u32,
+    /// Writes without an answer that have not been carried out yet.
+    late_writes: Vec<Write>,
     /// Delay of the answers of writes.
     delay: Duration,
     /// All changes, with their revisions.
@@ -120,6 +124,20 @@
         table.lost_applied = is_applied;
     }
 
+    /// Leaves the next `count` writes without an answer, until [`MemoryStore::carry_out_late_writes`].
+    pub fn hold_writes(&self, count: u32) {
+        self.0.lock().held_writes = count;
+    }
+
+    /// Carries out the writes that were held, if their conditions still hold.
+    pub fn carry_out_late_writes(&self) {
+        let mut table = self.0.lock();
+        table.held_writes = 0;
+        for write in std::mem::take(&mut table.late_writes) {
+            table.apply(&write);
+        }
+    }
+
     /// Delays the answers of writes, which are applied at once.
     pub fn delay_answers(&self, delay: Duration) {
         self.0.lock().delay = delay;
@@ -257,6 +275,11 @@
             let mut table = self.0.lock();
             table.writes += 1;
             self.check()?;
+            if table.held_writes > 0 {
+                table.held_writes -= 1;
+                table.late_writes.push(write.clone());
+                return Err(StoreError::Unclear("no answer yet".to_owned()));
+            }
             if table.lost_answers > 0 {
                 table.lost_answers -= 1;
                 if table.lost_applied {
