Let a restarted agent of the seeded world open its own connection only

The trace shows the model at fault: an agent was restarted after it had noticed the loss of its connection and before it opened another one. The connection of the former process was opened for the new one beside its own, and the loss of the first was noticed on the second, so that the owner sent orders to an agent that received none. A real agent opens one connection after the other (keep_connected in crates/hosted/src/agent.rs).

The former process no longer connects. No check, bound or fault of the world has changed.

--- a/crates/core/tests/flow_world/world.rs
+++ b/crates/core/tests/flow_world/world.rs
@@ -405,14 +405,19 @@
         self.at_owner(at, move |world| world.term.owner.disconnect(slot, session));
     }
 
-    /// Lets an agent notice later that its connection has ended.
+    /// Lets an agent notice later that its connection has ended, and open another one after that. An
+    /// agent that is restarted meanwhile opens its own.
     fn lose_owner(&mut self, index: usize) {
         let (at, process) = (self.delay(0, 2_300), self.machines[index].process);
         self.at(at, move |world| {
             if world.machines[index].process == process {
                 world.agent(index, |agent, _| agent.disconnected());
                 let at = world.delay(50, 700);
-                world.at(at, move |world| world.connect(index));
+                world.at(at, move |world| {
+                    if world.machines[index].process == process {
+                        world.connect(index);
+                    }
+                });
             }
         });
     }
