Count a job as begun once a worker has begun a task of it

Cause: the owner changed the phase when it ordered a start. A worker may reject the order, and an order may be lost.

Change: the phase follows what workers have begun. Agents report it beside their pings, so that it takes no write of its own; the first report of a session and each end tell the same. An end that is not durable is shown as the phase before, and a durable one for good. The store's answer to a GET goes by the phase in the record.

The agent's message is new, and its tests could not run before.

--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -211,6 +211,9 @@
     /// The worker describes itself in another way than before: its capacity, labels, service or zone has
     /// changed.
     Changed { worker: WorkerInfo },
+    /// Runs in progress that the worker has begun since the last such message. Runs that have ended
+    /// meanwhile are left out, as their ends tell the same.
+    Started { rows: Vec<(TaskId, Run)> },
 }
 
 /// Message from the owner to an agent.
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -151,6 +151,8 @@
     pace: u32,
     /// Whether the owner has been told that the run makes no progress.
     stall_reported: bool,
+    /// Whether the owner has been told that the worker has begun the run.
+    start_reported: bool,
 }
 
 /// The agent's session with the owner.
@@ -344,6 +346,7 @@
             checkpoint_sent: true,
             pace: 100,
             stall_reported: false,
+            start_reported: false,
         };
         self.runs.insert(task, local);
         for (serving, weight) in &start.weights {
@@ -478,6 +481,7 @@
         let is_attached = session.is_attached;
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
+            self.report_starts();
             let pressure = self.pacer.pressure();
             let samples = std::mem::take(&mut self.samples);
             let baselines = self.pacer.baselines();
@@ -523,6 +527,23 @@
         }
     }
 
+    /// Tells the owner which runs the worker has begun since the last report. Sent with a ping, so that
+    /// it takes no write to the connection of its own.
+    fn report_starts(&mut self) {
+        if !self.is_attached() {
+            return;
+        }
+        let is_due = |run: &LocalRun| run.state == RunState::Running && !run.start_reported;
+        let mut rows = Vec::new();
+        for (task, run) in self.runs.iter_mut().filter(|(_, run)| is_due(run)) {
+            run.start_reported = true;
+            rows.push((*task, run.run));
+        }
+        if !rows.is_empty() {
+            self.actions.push(Action::Send(AgentMessage::Started { rows }));
+        }
+    }
+
     /// Requests a listing from the candidate or the current worker.
     fn list(&mut self, now: Time, token: Token) {
         let (worker, acknowledged) = match (&self.candidate, &self.worker) {
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -102,6 +102,7 @@
                 checkpoint_sent: true,
                 pace: old.map_or(u32::MAX, |run| run.pace),
                 stall_reported: false,
+                start_reported: true,
             };
             runs.insert(row.task, run);
         }
--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -153,6 +153,10 @@
     /// When the job was submitted or taken over, or its newest occurrence became due.
     pub(super) released_at: Time,
     pub(super) phase: Phase,
+    /// Whether a worker has begun a task of the job, as far as this owner or its record knows.
+    pub(super) has_begun: bool,
+    /// Whether the record of the job's end is durable, so that callers may be told of it.
+    pub(super) has_durable_end: bool,
     /// Whether the store holds a cancellation of the job.
     pub(super) has_cancel: bool,
     /// Whether the job comes from a predecessor, so that its tasks may already run on a worker
@@ -410,6 +414,8 @@
             next_occurrence: 0,
             released_at: now,
             phase: progress.phase,
+            has_begun: progress.phase != Phase::Queued,
+            has_durable_end: progress.phase.is_final(),
             has_cancel: false,
             is_inherited,
             version: 0,
@@ -544,6 +550,9 @@
                 }
             }
             AgentMessage::Stalled { task, run } => self.stalled(now, slot, task, run),
+            AgentMessage::Started { rows } => {
+                rows.iter().for_each(|(task, run)| self.begun(task, *run));
+            }
             AgentMessage::Ping { sent, pressure, samples, baselines } => {
                 if std::mem::replace(&mut self.nodes[slot].pressure, pressure) != pressure {
                     self.request_round(RoundCause::Pressure);
@@ -641,9 +650,6 @@
         state.begin(task.index, attempt);
         self.reserve(slot, task, run, step);
         self.forecast.touch(task.job);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.phase = Phase::Running;
-        }
         let weights = self.step_weights(slot, step);
         let start = Start {
             task,
--- a/crates/core/src/flow/owner/commit.rs
+++ b/crates/core/src/flow/owner/commit.rs
@@ -92,6 +92,7 @@
                 job.durable = job.durable.max(version);
                 if job.phase.is_final() && job.version == version {
                     job.has_cancel = false;
+                    job.has_durable_end = true;
                 }
             }
         }
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -44,6 +44,23 @@
         self.acknowledge(slot);
     }
 
+    /// Handles the report that a worker has begun a run of a task.
+    pub(super) fn begun(&mut self, task: &TaskId, run: Run) {
+        if self.attempt(task, run).is_some() {
+            self.mark_running(task.job);
+        }
+    }
+
+    /// Marks a queued job as running, because a worker has begun a task of it. The order to start a task
+    /// does not tell that: the worker may reject it, or never get it.
+    pub(in crate::flow) fn mark_running(&mut self, number: JobNumber) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        job.has_begun = true;
+        if job.phase == Phase::Queued {
+            job.phase = Phase::Running;
+        }
+    }
+
     /// Handles the end of one run: completes or requeues its task, or counts a failure.
     pub(super) fn finish_run(&mut self, now: Time, slot: Slot, end: &End) {
         let task = end.task;
@@ -65,6 +82,9 @@
             EndKind::Failed if ran > MAX_SUSPECT_AGE => self.clear_suspect(&task),
             _ => {}
         }
+        if self.step_mut(&task).is_some() {
+            self.mark_running(task.job);
+        }
         let Some((spec, state)) = self.step_mut(&task) else { return };
         let spec = spec.clone();
         let step = &spec.steps[usize::from(task.step)];
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -16,7 +16,7 @@
 
 use super::model::{JobNumber, JobSpec, Step, TaskId, WallMs};
 use super::owner::{image_number, Job, Node, Owner, RoundCause, Slot};
-use super::progress::{Phase, Progress};
+use super::progress::Progress;
 use super::ranking::Ranking;
 use super::step::StepState;
 use crate::time::Time;
@@ -593,12 +593,3 @@
         released_at: job.released_at,
     }
 }
-
-impl Owner {
-    /// Marks a queued job as running.
-    pub(super) fn mark_running(&mut self, number: JobNumber) {
-        if let Some(job) = self.jobs.get_mut(&number).filter(|job| job.phase == Phase::Queued) {
-            job.phase = Phase::Running;
-        }
-    }
-}
--- a/crates/core/src/flow/progress.rs
+++ b/crates/core/src/flow/progress.rs
@@ -9,10 +9,10 @@
 /// Lifecycle phase of a job.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
-    /// No task has started yet.
+    /// No worker has begun a task yet, as far as is known.
     #[default]
     Queued,
-    /// At least one task has started.
+    /// A worker has begun a task.
     Running,
     /// All tasks of all occurrences are done.
     Completed,
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -184,7 +184,9 @@
         let step = spec.steps[usize::from(task.step)].clone();
         match state.running.get(&task.index) {
             Some(attempt) if attempt.run == listed.run && attempt.slot == slot => {
-                return !attempt.is_stopping();
+                let may_continue = !attempt.is_stopping();
+                self.mark_running(task.job);
+                return may_continue;
             }
             Some(_) => return self.hold_for_stale_run(slot, listed),
             None if state.done.contains(task.index) => {
--- a/crates/core/src/flow/status.rs
+++ b/crates/core/src/flow/status.rs
@@ -6,15 +6,17 @@
 use crate::time::Time;
 
 impl Owner {
-    /// Returns the phase of a job. A final phase is shown only once it is durable.
+    /// Returns the phase of a job. A final phase is shown only once it is durable; until then, the job
+    /// is shown as it was before.
     pub fn phase(&self, number: JobNumber) -> Option<Phase> {
         self.jobs.get(&number).map(|job| match job.phase {
-            phase if phase.is_final() && job.durable < job.version => Phase::Running,
-            phase => phase,
+            phase if !phase.is_final() || job.has_durable_end => phase,
+            _ if job.has_begun => Phase::Running,
+            _ => Phase::Queued,
         })
     }
 
-    /// Returns the number of jobs of a queue of which no task has started yet.
+    /// Returns the number of jobs of a queue of which no worker has begun a task, as far as is known.
     pub fn waiting(&self, queue: &str) -> u64 {
         let waits = |job: &&Job| job.phase == Phase::Queued && job.spec.queue.name == queue;
         self.jobs.values().filter(waits).count() as u64
--- a/crates/core/tests/flow/incarnations.rs
+++ b/crates/core/tests/flow/incarnations.rs
@@ -58,7 +58,11 @@
     let (mut reports, mut listing) = (Vec::new(), None);
     for action in agent.take_actions() {
         match action {
-            Action::Send(AgentMessage::Ping { .. } | AgentMessage::Checkpoints { .. }) => {}
+            Action::Send(
+                AgentMessage::Ping { .. }
+                | AgentMessage::Checkpoints { .. }
+                | AgentMessage::Started { .. },
+            ) => {}
             Action::Send(report) => reports.push(report),
             Action::Call(Call::List { worker, token, .. }) => listing = Some((worker, token)),
             _ => {}
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner and the agent state machines on virtual time.
 
+mod begun;
 mod beliefs;
 mod cancels;
 mod crashes;
--- a/crates/core/tests/flow/node.rs
+++ b/crates/core/tests/flow/node.rs
@@ -109,6 +109,38 @@
     );
 }
 
+/// Guards against a job that counts as begun because of an order, and against one that never does: the
+/// owner is told once that a worker has begun a run, after the answer to the order or else a listing.
+#[test]
+fn a_start_is_reported_once_the_worker_has_confirmed_it() {
+    let reports = |node: &mut AgentState, at: u64| -> Vec<AgentMessage> {
+        node.poll(ms(at));
+        let is_report = |action: Action| match action {
+            Action::Send(message @ AgentMessage::Started { .. }) => Some(message),
+            _ => None,
+        };
+        node.take_actions().into_iter().filter_map(is_report).collect()
+    };
+    let report = vec![AgentMessage::Started { rows: vec![(TASK, 1)] }];
+    let mut node = attached(100);
+    node.receive(ms(5), start(1));
+    assert_eq!(reports(&mut node, 1_100), vec![], "the order is not answered");
+    let mut answered = attached(100);
+    answered.receive(ms(5), start(1));
+    answered.started(ms(10), "life-1", TASK, 1, Outcome::Done);
+    assert_eq!(reports(&mut answered, 1_100), report);
+    assert_eq!(reports(&mut answered, 2_200), vec![], "the owner knows");
+    let mut rejected = attached(100);
+    rejected.receive(ms(5), start(1));
+    rejected.started(ms(10), "life-1", TASK, 1, Outcome::Refused("status 503".to_owned()));
+    assert_eq!(reports(&mut rejected, 1_100), vec![]);
+    node.started(ms(1_105), "life-1", TASK, 1, Outcome::Unclear);
+    assert_eq!(reports(&mut node, 2_200), vec![], "the answer is lost");
+    let listed = Running { task: TASK, run: 1, checkpoint: String::new(), percent: 0, load: 0 };
+    node.listed(ms(2_300), "life-1", 101, 3_000, vec![listed], Vec::new());
+    assert_eq!(reports(&mut node, 3_300), report);
+}
+
 /// Guards against ends that are reported to the owner twice or not at all.
 #[test]
 fn ends_are_passed_on_once_and_acknowledged_after_the_owner() {
--- a/crates/core/tests/flow/support.rs
+++ b/crates/core/tests/flow/support.rs
@@ -98,6 +98,10 @@
     pub crash_acks: Vec<String>,
     /// Whether the store accepts writes.
     pub store_is_up: bool,
+    /// Whether agents tell the owner which runs their workers have begun.
+    pub reports_starts: bool,
+    /// Runs whose starts agents have not reported: index of the worker, task and run.
+    unreported: Vec<(usize, TaskId, Run)>,
 }
 
 impl World {
@@ -120,6 +124,8 @@
             pressure: Pressure::default(),
             crash_acks: Vec::new(),
             store_is_up: true,
+            reports_starts: true,
+            unreported: Vec::new(),
         };
         world.owner.set_valid_until(Time::MAX);
         for index in 0..workers {
@@ -227,6 +233,19 @@
                     Effect::Send { session, message, .. } => self.deliver(session, message),
                 }
             }
+            self.report_starts();
+        }
+    }
+
+    /// Tells the owner of the runs that have begun since the last report, as agents do with their pings.
+    fn report_starts(&mut self) {
+        for (index, task, run) in std::mem::take(&mut self.unreported) {
+            let worker = &self.workers[index];
+            let is_running = worker.running.get(&task).is_some_and(|start| start.run == run);
+            if self.reports_starts && is_running {
+                let report = AgentMessage::Started { rows: vec![(task, run)] };
+                self.owner.receive(self.now, worker.slot, worker.session, report);
+            }
         }
     }
 
@@ -238,6 +257,7 @@
         match message {
             OwnerMessage::Start(start) => {
                 self.started.push((self.now, index, start.task, start.run));
+                self.unreported.push((index, start.task, start.run));
                 self.workers[index].running.insert(start.task, *start);
             }
             OwnerMessage::Stop { task, run } => {
--- a/crates/core/tests/flow_world/watch.rs
+++ b/crates/core/tests/flow_world/watch.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use peridotfold_core::flow::model::{JobNumber, Step, TaskId};
+use peridotfold_core::flow::progress::Phase;
 use peridotfold_core::resources::Resources;
 use peridotfold_core::time::Time;
 
@@ -21,6 +22,10 @@
 /// Time from the end of a long-running task's run to the next.
 const MAX_AWAY: Time = ms(6_000);
 
+/// Time after the start of a run from which its job may not count as waiting: the platform lets the
+/// count be 2 s old.
+const MAX_UNSEEN: Time = ms(2_000);
+
 /// What has been without a run, and since when.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -71,6 +76,25 @@
             }
         }
         (self.steps, self.tasks) = (steps, tasks);
+        check_begun(world, is_calm);
+    }
+}
+
+/// Checks that a job is shown as running only once a worker has begun a task of it, and if it
+/// `is_calm` soon after that.
+fn check_begun(world: &World, is_calm: bool) {
+    let begun: BTreeSet<JobNumber> = world.started.keys().map(|task| task.job).collect();
+    for number in world.jobs.keys().filter(|number| !begun.contains(number)) {
+        if world.term.owner.phase(*number) == Some(Phase::Running) {
+            world
+                .fail("MIXED", &format!("job {number} runs, but no worker has begun a task of it"));
+        }
+    }
+    for (_, task) in world.live().filter(|(_, task)| is_calm && !world.is_over(task.job)) {
+        let is_old = world.now >= world.started[task] + MAX_UNSEEN;
+        if is_old && world.term.owner.phase(task.job) == Some(Phase::Queued) {
+            world.fail("MIXED", &format!("{task} runs, but its job counts as waiting"));
+        }
     }
 }
 
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -380,8 +380,7 @@
         let stored = self.store.get(&records::progress_key(job)).await?;
         let progress = stored.map(|item| records::decode::<Progress>(&item.value)).transpose();
         Ok(match progress.map_err(StoreError::Refused)? {
-            Some(progress) if progress.phase.is_final() => StateAnswer::Known(progress.phase),
-            Some(_) => StateAnswer::Known(Phase::Running),
+            Some(progress) => StateAnswer::Known(progress.phase),
             None if is_open => StateAnswer::Known(Phase::Queued),
             None if self.is_cancelled_early(job).await? => StateAnswer::Known(Phase::Cancelled),
             None => StateAnswer::Unknown,
