Bound what a stored record makes its reader allocate

Cause: the decoder of records allocated what a length field said before it looked at the content.

Change: both decoders allocate 4 MiB at most. A job that is read from the store is checked like a submission, and its progress record against it.

Red before: a_record_that_claims_a_huge_text_is_rejected, arbitrary_records_never_end_the_process (bolero), records_of_other_writers_stop_no_owner (crates/hosted) and values_that_claim_huge_content_are_reported_with_their_key (crates/store) each ended the test process, "memory allocation of bytes failed", signal 6. They pass now.

--- a/crates/core/src/flow/progress.rs
+++ b/crates/core/src/flow/progress.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::Run;
+use super::model::{JobSpec, Run};
 
 /// Lifecycle phase of a job.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,3 +91,23 @@
     /// Owner's epoch and wall-clock time at the end of the job; no code sets or reads the field.
     pub ended_at: u64,
 }
+
+impl Progress {
+    /// Checks that the record is one of a job: it has only steps of the job, and no occurrence is
+    /// missing before its last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the first fault.
+    pub fn check(&self, spec: &JobSpec) -> Result<(), String> {
+        let occurrences: BTreeSet<u32> = self.steps.keys().map(|(number, _)| *number).collect();
+        let last = occurrences.last().copied();
+        if last.is_some_and(|last| last as usize >= occurrences.len()) {
+            return Err(format!("occurrence {last:?}, but {} in all", occurrences.len()));
+        }
+        match self.steps.keys().find(|(_, step)| usize::from(*step) >= spec.steps.len()) {
+            Some((_, step)) => Err(format!("step {step} does not exist")),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -14,6 +14,7 @@
 //! Both processes reach the platform through the traits in [`ports`].
 
 pub mod agent;
+pub mod causes;
 pub mod entry;
 mod evacuations;
 pub mod explain;
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -13,10 +13,12 @@
 use peridotfold_core::flow::crashes::Crash;
 use peridotfold_core::flow::interference::InterferenceRow;
 use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Record};
+use peridotfold_core::flow::progress::Progress;
 use peridotfold_core::time::Time;
 use peridotfold_wire::runtime;
 use smol::lock::Mutex;
 
+use crate::causes::CauseLog;
 use crate::directory;
 use crate::follower;
 use crate::owner_service::OwnerService;
@@ -84,6 +86,8 @@
     valid_until: Time,
     /// Since when no call to the store has been answered; `None` if the last one was.
     unanswered_since: SyncMutex<Option<Time>>,
+    /// Causes for which records were skipped.
+    unreadable: CauseLog,
 }
 
 /// Returns the time until which the owner relies on a lease that was requested at `sent_at`.
@@ -150,6 +154,7 @@
                     lease: SyncMutex::new(lease),
                     valid_until: validity_end(sent_at, ttl),
                     unanswered_since: SyncMutex::new(None),
+                    unreadable: CauseLog::default(),
                 }))
             }
             WriteResult::Conflict(_) | WriteResult::NoLease => Ok(None),
@@ -197,7 +202,7 @@
             Some(Err(error)) => tracing::error!(event = "crashes_unreadable", %error),
             None => {}
         }
-        restore_jobs(&mut owner, now, &inbox, &progress);
+        self.restore_jobs(&mut owner, now, &inbox, &progress);
         let service = Arc::new(OwnerService::new(owner, self.identity.address));
         Ok((service, as_of))
     }
@@ -437,6 +442,55 @@
         service.update(|owner, _| owner.committed());
         true
     }
+
+    /// Restores the jobs of the previous owner from the inbox and the progress records. Skips what
+    /// cannot be read.
+    fn restore_jobs(&self, owner: &mut Owner, now: Time, inbox: &[Item], progress: &[Item]) {
+        let mut records = std::collections::BTreeMap::new();
+        for item in progress {
+            match (records::progress_job(&item.key), records::decode::<Progress>(&item.value)) {
+                (Some(job), Ok(record)) => {
+                    records.insert(job, record);
+                }
+                (_, Err(error)) => self.skip(&item.key, &error),
+                (None, _) => self.skip(&item.key, "unknown key"),
+            }
+        }
+        let mut cancels = Vec::new();
+        for item in inbox {
+            match records::inbox_key(&item.key) {
+                Some(InboxKey::Job(job)) => match records::decode_job(&item.value) {
+                    Ok(spec) => {
+                        let record = records.remove(&job).unwrap_or_default();
+                        match record.check(&spec) {
+                            Ok(()) => owner.inherit(now, job, spec, record),
+                            Err(error) => {
+                                self.skip(&records::progress_key(job), &error);
+                                owner.inherit(now, job, spec, Progress::default());
+                            }
+                        }
+                    }
+                    Err(error) => self.skip(&item.key, &error),
+                },
+                Some(InboxKey::Cancel(job)) => cancels.push(job),
+                Some(InboxKey::Lock) => {}
+                None => self.skip(&item.key, "unknown key"),
+            }
+        }
+        for (job, record) in records {
+            owner.inherit_ended(now, job, record);
+        }
+        for job in cancels {
+            owner.cancel(now, job);
+        }
+    }
+
+    /// Notes that a record is skipped, because its key is unknown or its value cannot be read.
+    fn skip(&self, key: &str, error: &str) {
+        if self.unreadable.is_new("record", &format!("{key}: {error}")) {
+            tracing::error!(event = "record_unreadable", key, error);
+        }
+    }
 }
 
 /// Returns the write that sets the lock and the fence, conditional on their revisions.
@@ -484,37 +538,3 @@
     write.removes.extend(commit.expired_cancels.iter().map(|job| records::cancel_key(*job)));
     Ok(())
 }
-
-/// Restores the jobs of the previous owner from the inbox and the progress records.
-fn restore_jobs(owner: &mut Owner, now: Time, inbox: &[Item], progress: &[Item]) {
-    let mut records = std::collections::BTreeMap::new();
-    for item in progress {
-        match (records::progress_job(&item.key), records::decode(&item.value)) {
-            (Some(job), Ok(record)) => {
-                records.insert(job, record);
-            }
-            (_, Err(error)) => tracing::error!(event = "record_unreadable", key = item.key, %error),
-            (None, _) => tracing::error!(event = "key_unknown", key = item.key),
-        }
-    }
-    let mut cancels = Vec::new();
-    for item in inbox {
-        match records::inbox_key(&item.key) {
-            Some(InboxKey::Job(job)) => match records::decode(&item.value) {
-                Ok(spec) => owner.inherit(now, job, spec, records.remove(&job).unwrap_or_default()),
-                Err(error) => {
-                    tracing::error!(event = "record_unreadable", key = item.key, %error);
-                }
-            },
-            Some(InboxKey::Cancel(job)) => cancels.push(job),
-            Some(InboxKey::Lock) => {}
-            None => tracing::error!(event = "key_unknown", key = item.key),
-        }
-    }
-    for (job, record) in records {
-        owner.inherit_ended(now, job, record);
-    }
-    for job in cancels {
-        owner.cancel(now, job);
-    }
-}
--- a/crates/hosted/src/ownership/inbox.rs
+++ b/crates/hosted/src/ownership/inbox.rs
@@ -35,7 +35,7 @@
                     }
                     if !update.items.is_empty() {
                         service.update(|owner, now| {
-                            update.items.iter().for_each(|item| apply(owner, now, item));
+                            update.items.iter().for_each(|item| self.apply(owner, now, item));
                         });
                     }
                 }
@@ -63,17 +63,17 @@
             _ => false,
         }
     }
-}
 
-/// Passes a job or cancellation from the inbox to the owner.
-fn apply(owner: &mut Owner, now: Time, item: &Item) {
-    match records::inbox_key(&item.key) {
-        Some(InboxKey::Job(job)) => match records::decode(&item.value) {
-            Ok(spec) => owner.submit(now, job, spec),
-            Err(error) => tracing::error!(event = "record_unreadable", key = item.key, %error),
-        },
-        Some(InboxKey::Cancel(job)) => owner.cancel(now, job),
-        Some(InboxKey::Lock) => {}
-        None => tracing::error!(event = "key_unknown", key = item.key),
+    /// Passes a job or cancellation from the inbox to the owner. Skips what cannot be read.
+    fn apply(&self, owner: &mut Owner, now: Time, item: &Item) {
+        match records::inbox_key(&item.key) {
+            Some(InboxKey::Job(job)) => match records::decode_job(&item.value) {
+                Ok(spec) => owner.submit(now, job, spec),
+                Err(error) => self.skip(&item.key, &error),
+            },
+            Some(InboxKey::Cancel(job)) => owner.cancel(now, job),
+            Some(InboxKey::Lock) => {}
+            None => self.skip(&item.key, "unknown key"),
+        }
     }
 }
--- a/crates/hosted/src/records.rs
+++ b/crates/hosted/src/records.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use peridotfold_core::flow::model::JobNumber;
+use peridotfold_core::flow::model::{JobNumber, JobSpec};
 
 /// Prefix of the keys that the owner watches: accepted jobs, cancellations and the lock.
 pub const INBOX_PREFIX: &str = "in/";
@@ -104,6 +104,10 @@
     pub sequence: u64,
 }
 
+/// Maximum memory that a decoder allocates for one record. Values in the platform's store have at most
+/// 1 MiB; the rest is for what a record takes in memory.
+const MAX_RECORD_BYTES: usize = 4 * 1024 * 1024;
+
 /// Encodes a record.
 ///
 /// # Errors
@@ -115,16 +119,28 @@
         .map_err(|error| error.to_string())
 }
 
-/// Decodes a record.
+/// Decodes a record. Its types have no recursion, so that the bytes cannot make the decoder nest deeper.
 ///
 /// # Errors
 ///
-/// Fails if the bytes are not one complete record of this type.
+/// Fails if the bytes are not one complete record of this type, or claim more than 4 MiB of content.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
-    let (value, used) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-        .map_err(|error| error.to_string())?;
+    let config = bincode::config::standard().with_limit::<MAX_RECORD_BYTES>();
+    let (value, used) =
+        bincode::serde::decode_from_slice(bytes, config).map_err(|error| error.to_string())?;
     match used == bytes.len() {
         true => Ok(value),
         false => Err(format!("{} trailing bytes", bytes.len() - used)),
     }
 }
+
+/// Decodes an accepted job.
+///
+/// # Errors
+///
+/// Fails if the bytes are not one complete job, or the job is invalid.
+pub fn decode_job(bytes: &[u8]) -> Result<JobSpec, String> {
+    let spec: JobSpec = decode(bytes)?;
+    spec.check()?;
+    Ok(spec)
+}
--- a/crates/hosted/tests/suite/main.rs
+++ b/crates/hosted/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod explain;
 mod ownership;
+mod records;
 mod routes;
 mod sessions;
 mod support;
--- a/crates/store/src/journal/format.rs
+++ b/crates/store/src/journal/format.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::journal::JournalError;
+use crate::MAX_VALUE_BYTES;
 
 /// Version of the format, the first byte of each value.
 const FORMAT_VERSION: u8 = 1;
@@ -99,6 +100,10 @@
     Ok(buffer.into_inner().freeze())
 }
 
+/// Maximum memory that the decoder allocates for one value. A value has at most 1 MiB; the rest is for
+/// what it takes in memory.
+const MAX_DECODED_BYTES: usize = 4 * MAX_VALUE_BYTES;
+
 /// Decodes a value of the current format version; trailing bytes are an error.
 pub(crate) fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, JournalError> {
     let corrupt = |detail: String| JournalError::Corrupt { key: key.into(), detail };
@@ -107,7 +112,8 @@
         Some((format, _)) => return Err(corrupt(format!("unknown format version {format}"))),
         None => return Err(corrupt("empty value".into())),
     };
-    let (decoded, length) = bincode::serde::decode_from_slice(content, bincode::config::standard())
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (decoded, length) = bincode::serde::decode_from_slice(content, config)
         .map_err(|error| corrupt(error.to_string()))?;
     match length == content.len() {
         true => Ok(decoded),
--- a/crates/store/tests/suite/journal.rs
+++ b/crates/store/tests/suite/journal.rs
@@ -294,6 +294,28 @@
     });
 }
 
+/// Guards against a value whose length field makes the process ask for more memory than there is, which
+/// ends it. The field stands behind different numbers of small ones, as it may be that of any part of the
+/// value.
+#[test]
+fn values_that_claim_huge_content_are_reported_with_their_key() {
+    run(async {
+        for bits in 1u8..=127 {
+            let mut value = vec![1];
+            let count = bits.ilog2();
+            value.extend((0..count).map(|position| bits >> position & 1));
+            value.push(253);
+            value.extend((1u64 << 62).to_le_bytes());
+            let (_stand_in, store) = start().await;
+            peridotfold_store::Store::put(&store, "j/log", 0, value.into()).await.unwrap();
+            match Log::open(store, "j", 1).await {
+                Err(JournalError::Corrupt { key, .. }) => assert_eq!(key, "j/log"),
+                other => panic!("{bits:b}: {other:?}"),
+            }
+        }
+    });
+}
+
 #[test]
 fn malformed_values_are_reported_with_their_key() {
     run(async {
