--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -453,7 +453,7 @@
                     records.insert(job, record);
                 }
                 (_, Err(error)) => self.skip(&item.key, &error),
-                (None, _) => self.skip(&item.key, "unknown key"),
+                (None, _) => self.skip_key(&item.key),
             }
         }
         let mut cancels = Vec::new();
@@ -474,7 +474,7 @@
                 },
                 Some(InboxKey::Cancel(job)) => cancels.push(job),
                 Some(InboxKey::Lock) => {}
-                None => self.skip(&item.key, "unknown key"),
+                None => self.skip_key(&item.key),
             }
         }
         for (job, record) in records {
@@ -485,7 +485,14 @@
         }
     }
 
-    /// Notes that a record is skipped, because its key is unknown or its value cannot be read.
+    /// Notes that a record is skipped because its key is unknown.
+    fn skip_key(&self, key: &str) {
+        if self.unreadable.is_new("key", key) {
+            tracing::error!(event = "key_unknown", key);
+        }
+    }
+
+    /// Notes that a record is skipped because its value cannot be read.
     fn skip(&self, key: &str, error: &str) {
         if self.unreadable.is_new("record", &format!("{key}: {error}")) {
             tracing::error!(event = "record_unreadable", key, error);
--- a/crates/hosted/src/ownership/inbox.rs
+++ b/crates/hosted/src/ownership/inbox.rs
@@ -73,7 +73,7 @@
             },
             Some(InboxKey::Cancel(job)) => owner.cancel(now, job),
             Some(InboxKey::Lock) => {}
-            None => self.skip(&item.key, "unknown key"),
+            None => self.skip_key(&item.key),
         }
     }
 }
