Let a worker's own reports count again after one of another writer

Cause: the highest sequence number won for good; a drain had no end at the owner; a reported restart was only dropped when another incarnation answered, not when the worker names none.

A sequence number more than 100 above the last does not count; after one that did, the worker's own count again when two have followed each other and 3 s have passed without a newer one. A drain ends when a report that counts says so.

Red before, crates/core/tests/flow/reports.rs: a_report_far_ahead_of_the_workers_own_changes_nothing: left [Draining ..], right [] the_workers_own_reports_count_again_soon: "first: false, ahead: 1", left [], right [Changed ..] a_restart_that_the_worker_does_not_list_is_not_believed: left [], right [Changed ..] a_worker_that_is_ready_again_gets_tasks: left 0, right 1 late_reports_of_a_leaving_worker_change_nothing held before and guards the other side.

--- a/crates/core/src/flow/model.rs
+++ b/crates/core/src/flow/model.rs
@@ -154,6 +154,9 @@
     pub submitted: WallMs,
 }
 
+/// Maximum estimated CPU time of a step, in thousandths of a core times milliseconds. Sums over the steps
+/// of all jobs stay below the range of a number.
+const MAX_WORK: u64 = 1_000_000_000_000_000;
 /// Maximum number of tasks in one occurrence of a job.
 const MAX_TASKS: u64 = 100_000;
 
@@ -175,6 +178,11 @@
             if step.count == 0 {
                 return Err(format!("step {number}: the number of tasks must be at least 1"));
             }
+            let work = step.need.cpu_milli.checked_mul(step.estimate_ms);
+            let work = work.and_then(|work| work.checked_mul(u64::from(step.count)));
+            if work.is_none_or(|work| work > MAX_WORK) {
+                return Err(format!("step {number}: the CPU time of all tasks is out of range"));
+            }
             if let Some(after) = step.after.iter().find(|after| usize::from(**after) >= number) {
                 return Err(format!("step {number}: dependency {after} is not an earlier step"));
             }
--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -9,6 +9,7 @@
 mod listing;
 mod lost;
 mod pacing;
+mod reports;
 mod worker;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -92,6 +93,8 @@
     OldToken,
     /// Another incarnation of the worker answers at the address.
     OtherLife,
+    /// The worker has answered, but not told which incarnation it is, though the call names one.
+    Unnamed,
     /// The connection was refused.
     NotThere,
     /// The call may have been carried out, or may be carried out later.
@@ -185,7 +188,7 @@
     session: Option<Session>,
     /// Runs on the worker.
     runs: BTreeMap<TaskId, LocalRun>,
-    /// IDs whose heartbeats were ignored and logged since the last worker was adopted.
+    /// IDs whose heartbeats were ignored and logged since the last worker was adopted, with the reasons.
     ignored: Vec<String>,
     /// Workers that have crashed, with the runs lost, until the owner acknowledges the report.
     crashes: VecDeque<(String, Vec<LostRun>)>,
@@ -419,7 +422,7 @@
             Outcome::OldToken => self.not_started(task, run, "old token"),
             Outcome::OtherLife => self.end_worker(now, Exit::OtherLife),
             Outcome::NotThere => self.not_started(task, run, "connection refused"),
-            Outcome::Unclear => {
+            Outcome::Unclear | Outcome::Unnamed => {
                 // A higher token makes the worker refuse the start if it arrives later.
                 let Some(token) = self.raise_token() else { return };
                 if let Some(known) = self.runs.get_mut(&task) {
@@ -449,7 +452,9 @@
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
             // A worker that has started tells so again with its next heartbeat.
-            if matches!(outcome, Outcome::OtherLife | Outcome::NotThere) {
+            let is_refuted =
+                matches!(outcome, Outcome::OtherLife | Outcome::Unnamed | Outcome::NotThere);
+            if is_refuted {
                 self.candidate = None;
             }
             return self.poll(now);
--- a/crates/core/src/flow/node/exit.rs
+++ b/crates/core/src/flow/node/exit.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use super::reports::ReportOrder;
 use super::worker::{Exit, Worker};
 use super::{describe_ages, Action, AgentState, LocalRun, RunState};
 use crate::flow::incarnation;
@@ -24,18 +25,18 @@
     /// Handles a heartbeat of a worker. `sequence` increases with each heartbeat of an incarnation.
     pub fn heartbeat(&mut self, now: Time, info: WorkerInfo, sequence: u64) {
         if self.is_outdated(&info.id) {
-            self.log_ignored(&info.id);
+            self.log_ignored(&info.id, "older incarnation");
             return self.poll(now);
         }
         match &mut self.worker {
             Some(worker) if worker.info.id == info.id && !worker.is_held() => {
-                if sequence <= worker.last_sequence {
-                    return;
+                if !worker.reports.admit(now, sequence) {
+                    return self.log_ignored(&info.id, "sequence number");
                 }
-                worker.last_sequence = sequence;
                 worker.is_signed_off = false;
                 let begins_drain = info.draining && !worker.info.draining;
-                let changes = info.is_changed(&worker.info);
+                let ends_drain = !info.draining && worker.info.draining;
+                let changes = ends_drain || info.is_changed(&worker.info);
                 let (id, remaining) = (info.id.clone(), info.remaining);
                 worker.info = info.clone();
                 if changes && self.is_attached() {
@@ -74,10 +75,12 @@
         known.any(|info| incarnation::is_older(id, &info.id))
     }
 
-    fn log_ignored(&mut self, id: &str) {
-        if self.ignored.len() < MAX_IGNORED && !self.ignored.iter().any(|known| known == id) {
-            self.ignored.push(id.to_owned());
-            self.log("heartbeat_ignored", format!("worker={id} reason=older incarnation"));
+    /// Logs that heartbeats of a worker are ignored, once for each reason until the next worker.
+    fn log_ignored(&mut self, id: &str, reason: &str) {
+        let detail = format!("worker={id} reason={reason}");
+        if self.ignored.len() < MAX_IGNORED && !self.ignored.contains(&detail) {
+            self.ignored.push(detail.clone());
+            self.log("heartbeat_ignored", detail);
         }
     }
 
@@ -198,16 +201,17 @@
     }
 
     /// Makes the candidate the current worker if its ID is `id`, the worker that sent the listing.
-    pub(super) fn adopt_worker(&mut self, id: &str) {
+    pub(super) fn adopt_worker(&mut self, now: Time, id: &str) {
         let is_candidate = self.candidate.as_ref().is_some_and(|(info, _)| info.id == id);
         match self.candidate.take() {
-            Some((info, last_sequence)) if is_candidate => {
+            Some((info, sequence)) if is_candidate => {
+                let reports = ReportOrder::new(now, sequence);
                 self.detach(id);
                 match self.worker.as_mut() {
                     Some(known) if known.info.id == id => {
                         known.held = None;
                         known.info = info;
-                        known.last_sequence = last_sequence;
+                        known.reports = reports;
                         self.log("worker_released", format!("worker={id}"));
                     }
                     known => {
@@ -217,7 +221,7 @@
                             _ => Exit::Replaced,
                         };
                         self.lose_worker(exit);
-                        self.worker = Some(Worker::new(info, last_sequence));
+                        self.worker = Some(Worker::new(info, reports));
                     }
                 }
                 self.worker_exited = false;
--- a/crates/core/src/flow/node/listing.rs
+++ b/crates/core/src/flow/node/listing.rs
@@ -28,7 +28,7 @@
         ends: Vec<End>,
     ) {
         self.listing = self.listing.filter(|(listing, _)| *listing != token);
-        self.adopt_worker(worker);
+        self.adopt_worker(now, worker);
         let Some(session) = &self.session else { return };
         let (is_attached, session_token) = (session.is_attached, session.token);
         let is_its = |known: &&mut Worker| known.info.id == worker && !known.is_held();
--- a/crates/core/src/flow/node/worker.rs
+++ b/crates/core/src/flow/node/worker.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::reports::ReportOrder;
 use super::{Outcome, MAX_LIST_WAIT};
 use crate::flow::message::{EndNumber, WorkerInfo};
 use crate::time::Time;
@@ -17,8 +18,8 @@
 #[derive(Debug)]
 pub(super) struct Worker {
     pub(super) info: WorkerInfo,
-    /// Sequence number of the worker's newest heartbeat.
-    pub(super) last_sequence: u64,
+    /// Which of the heartbeats under the worker's ID count.
+    pub(super) reports: ReportOrder,
     /// The worker's clock in milliseconds in the last listing, and the agent's time when it
     /// arrived.
     pub(super) clock: Option<(u64, Time)>,
@@ -79,10 +80,10 @@
 
 impl Worker {
     /// Returns a worker that has answered its first listing.
-    pub(super) fn new(info: WorkerInfo, last_sequence: u64) -> Self {
+    pub(super) fn new(info: WorkerInfo, reports: ReportOrder) -> Self {
         Worker {
             info,
-            last_sequence,
+            reports,
             clock: None,
             acknowledged: 0,
             forwarded: 0,
@@ -113,7 +114,9 @@
         let is_prompt = now < sent_at + MAX_LIST_WAIT;
         let at = match outcome {
             Outcome::Unclear if is_prompt => now,
-            Outcome::Unclear | Outcome::OtherLife | Outcome::NotThere => self.answered_at,
+            Outcome::Unclear | Outcome::Unnamed | Outcome::OtherLife | Outcome::NotThere => {
+                self.answered_at
+            }
             Outcome::Done | Outcome::Refused(_) | Outcome::OldToken => return,
         };
         self.failed_at.get_or_insert(at);
--- a/crates/core/src/flow/owner/workers.rs
+++ b/crates/core/src/flow/owner/workers.rs
@@ -53,7 +53,13 @@
     pub(super) fn changed(&mut self, slot: Slot, info: WorkerInfo) {
         let node = &mut self.nodes[slot];
         let Some(known) = node.worker.as_mut().filter(|known| known.id == info.id) else { return };
-        let (draining, remaining) = (known.draining, known.remaining);
+        // The beginning of a drain is reported apart. Only a worker that another writer has reported as
+        // draining ends one.
+        let (draining, remaining) = match info.draining {
+            true => (known.draining, known.remaining),
+            false => (false, None),
+        };
+        let ends_drain = known.draining && !draining;
         let detail = format!(
             "node={} worker={} capacity={} before={} used={} labels={}",
             node.name,
@@ -65,6 +71,10 @@
         );
         node.last_service = info.service.clone();
         *known = WorkerInfo { draining, remaining, ..info };
+        if ends_drain {
+            node.drain_deadline = None;
+            self.mark_roster_changed();
+        }
         self.check_zone(slot);
         self.log("worker_changed", None, detail);
         self.request_round(RoundCause::Room);
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod place;
 mod ranking;
+mod reports;
 mod routes;
 mod speed;
 mod starvation;
