Take over without a readable list of nodes

Cause: the takeover failed as if the store had not answered, and was tried again for ever.

Change: the new owner waits until all permissions of its predecessor have expired, whoever has reported, and writes a list that says so until then.

Red before: an_unreadable_list_of_nodes_stops_no_owner (crates/hosted), the job is not known within 5 s. The test of the wait in crates/core is of a new interface.

--- a/crates/core/src/flow/owner.rs
+++ b/crates/core/src/flow/owner.rs
@@ -49,6 +49,8 @@
 /// Number of a session of an agent with the owner; unique within one owner.
 pub type Session = u32;
 
+/// Stands in the roster for nodes whose names are not known; no node has this name.
+pub const UNKNOWN_NODE: &str = "";
 /// Number of run numbers in one epoch. Each epoch uses a range above that of the epoch before, so
 /// that a new owner never reuses a run number.
 const RUNS_PER_EPOCH: Run = 1_000;
--- a/crates/core/src/flow/recovery.rs
+++ b/crates/core/src/flow/recovery.rs
@@ -7,7 +7,7 @@
 use super::interference::InterferenceRow;
 use super::message::{End, OwnerMessage, Running, WorkerInfo, MAX_LISTED_ENDS};
 use super::model::{JobNumber, JobSpec};
-use super::owner::{is_listed, traits, Owner, RoundCause, Slot};
+use super::owner::{is_listed, traits, Owner, RoundCause, Slot, UNKNOWN_NODE};
 use super::progress::Progress;
 use super::step::Attempt;
 use crate::time::Time;
@@ -51,6 +51,13 @@
         self.mark_roster_changed();
     }
 
+    /// Notes that any node's worker may still run tasks under a permission from the predecessor, as its
+    /// roster cannot be read. The takeover lasts until all permissions have expired. The roster says so
+    /// until then, for the case that another owner takes over meanwhile.
+    pub fn set_unknown_predecessor(&mut self, now: Time) {
+        self.set_predecessor(now, vec![UNKNOWN_NODE.to_owned()]);
+    }
+
     /// Takes over the interference weights that the predecessor learned.
     pub fn inherit_interference(&mut self, rows: &[InterferenceRow]) {
         self.interference.restore(rows);
--- a/crates/core/tests/flow/beliefs.rs
+++ b/crates/core/tests/flow/beliefs.rs
@@ -7,7 +7,7 @@
 };
 use peridotfold_core::flow::model::{Step, TaskId};
 use peridotfold_core::flow::node::{Action, AgentState, Call, Outcome};
-use peridotfold_core::flow::owner::Effect;
+use peridotfold_core::flow::owner::{Effect, UNKNOWN_NODE};
 use peridotfold_core::resources::Resources;
 
 use crate::support::{job, ms, step, World, PERMISSION};
@@ -542,3 +542,30 @@
     world.settle();
     assert_eq!(world.running().len(), 4);
 }
+
+/// Guards against a successor that starts tasks which may still run on nodes that it does not know of,
+/// because its predecessor's list of nodes cannot be read, and against one that never starts any.
+#[test]
+fn a_successor_without_a_list_of_nodes_waits_for_all_permissions_to_expire() {
+    let spec = job(2, vec![step(1, 9_000, 500)]);
+    let mut world = World::new(2, 10_000);
+    world.submit(7, spec.clone());
+    assert_eq!(world.running().len(), 1);
+    // The node that runs the task is cut off, and the other one does not know of it.
+    let (lost, _) = world.running()[0];
+    world.workers[lost].running.clear();
+    world.take_over(&[(7, spec)]);
+    world.owner.set_unknown_predecessor(world.now);
+    world.started.clear();
+    world.attach(1 - lost);
+    world.advance(PERMISSION);
+    assert!(world.started.is_empty(), "a permission may still last");
+    let roster = world.commits.iter().rev().find_map(|commit| commit.roster.clone());
+    let names = roster.expect("the list is written anew");
+    assert!(names.contains(&UNKNOWN_NODE.to_owned()), "a second successor would not wait");
+    world.advance(ms(1_000));
+    assert_eq!(world.started.len(), 1);
+    world.advance(ms(1_000));
+    let roster = world.commits.iter().rev().find_map(|commit| commit.roster.clone());
+    assert!(!roster.expect("written").contains(&UNKNOWN_NODE.to_owned()));
+}
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -175,21 +175,22 @@
         let crashes = self.store.get(records::CRASHES).await?;
         let now = runtime::now();
         let mut owner = Owner::new(OwnerSettings { epoch, ..settings }, now);
-        let roster: Vec<String> = match roster.map(|item| records::decode(&item.value)) {
-            None => Vec::new(),
-            Some(Ok(roster)) => roster,
-            Some(Err(error)) => {
-                return Err(StoreError::Refused(format!("unreadable roster: {error}")))
-            }
-        };
+        let roster = roster.map(|item| records::decode::<Vec<String>>(&item.value)).transpose();
+        let agents = roster.as_ref().ok().map(|names| names.as_ref().map_or(0, Vec::len));
         tracing::info!(
             event = "takeover",
             epoch,
             jobs = inbox.len(),
             records = progress.len(),
-            agents = roster.len()
+            agents
         );
-        owner.set_predecessor(now, roster);
+        match roster {
+            Ok(names) => owner.set_predecessor(now, names.unwrap_or_default()),
+            Err(error) => {
+                self.skip(records::ROSTER, &error);
+                owner.set_unknown_predecessor(now);
+            }
+        }
         match interference.map(|item| records::decode::<Vec<InterferenceRow>>(&item.value)) {
             Some(Ok(rows)) => owner.inherit_interference(&rows),
             // The weights are optional: the owner learns them again.
--- a/crates/hosted/tests/suite/records.rs
+++ b/crates/hosted/tests/suite/records.rs
@@ -9,6 +9,7 @@
 use peridotfold_core::flow::interference::InterferenceRow;
 use peridotfold_core::flow::message::Stored;
 use peridotfold_core::flow::model::JobSpec;
+use peridotfold_core::flow::owner::UNKNOWN_NODE;
 use peridotfold_core::flow::progress::Progress;
 use peridotfold_hosted::records::{self, Fence, Lock};
 use peridotfold_wire::runtime;
@@ -98,3 +99,30 @@
         });
     }
 }
+
+/// Guards against a new owner that never starts a task because the list of nodes that may hold a permission
+/// cannot be read. Seen in the users' plays.
+#[test]
+fn an_unreadable_list_of_nodes_stops_no_owner() {
+    for value in [huge_text(), Bytes::from_static(b"\xff\xfe odd"), Bytes::new()] {
+        smol::block_on(async {
+            let store = MemoryStore::default();
+            store.put(records::ROSTER, value.clone());
+            let (entry, stop) = start_entry("first", &store);
+            assert!(wait_for_owner(&store, "first").await);
+            assert_eq!(entry.submit(1, &spec(), TIMEOUT).await, Stored::Yes);
+            assert!(knows(&entry, 1).await, "{value:?}");
+            // The list is written anew, and still says that some nodes are not known.
+            let started_at = Instant::now();
+            let read = |bytes: Bytes| records::decode::<Vec<String>>(&bytes).ok();
+            while store.peek(records::ROSTER).and_then(read).is_none()
+                && started_at.elapsed() < TIMEOUT
+            {
+                runtime::sleep(Duration::from_millis(20)).await;
+            }
+            let names = store.peek(records::ROSTER).and_then(read);
+            assert_eq!(names, Some(vec![UNKNOWN_NODE.to_owned()]), "{value:?}");
+            drop(stop);
+        });
+    }
+}
