Try the only worker that suits a starved step, also while it rests

Cause: the worker rested after failures of jobs that can never be done. A starved step may use a resting worker where most workers of the service rest; the others, which lack the label, were open.

Change: most workers that suit the step have to rest. Steps without a label are placed as before.

With it, from reading the change again: CauseLog::is_new counts too and is called note; the check of a progress record has a function of its own.

--- a/crates/core/src/flow/node.rs
+++ b/crates/core/src/flow/node.rs
@@ -452,9 +452,9 @@
         self.next_list = now + RETRY_DELAY;
         if self.candidate.as_ref().is_some_and(|(info, _)| info.id == worker) {
             // A worker that has started tells so again with its next heartbeat.
-            let is_refuted =
+            let is_other =
                 matches!(outcome, Outcome::OtherLife | Outcome::Unnamed | Outcome::NotThere);
-            if is_refuted {
+            if is_other {
                 self.candidate = None;
             }
             return self.poll(now);
--- a/crates/core/src/flow/owner/ends.rs
+++ b/crates/core/src/flow/owner/ends.rs
@@ -82,6 +82,7 @@
             EndKind::Failed if ran > MAX_SUSPECT_AGE => self.clear_suspect(&task),
             _ => {}
         }
+        // A run that has ended has begun.
         if self.step_mut(&task).is_some() {
             self.mark_running(task.job);
         }
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -233,7 +233,7 @@
 
     /// Starts one task of each step that has been ready without runs for too long: of a best-effort
     /// step even where the task interferes or would be throttled, and of any step on a resting worker
-    /// if most workers of the service rest. The steps that have waited longest come first.
+    /// if most workers that suit the step rest. The steps that have waited longest come first.
     fn relieve_starved(&mut self, round: &mut Round, candidates: &[Candidate]) {
         let mut starved: Vec<(Time, Candidate)> = candidates
             .iter()
@@ -246,8 +246,9 @@
         let mut resume_at = self.relief_resume.take();
         bounded::visit(&starved, &mut resume_at, |(_, candidate)| {
             let spec = &self.jobs[&candidate.job].spec;
-            let is_best_effort = spec.steps[usize::from(candidate.step)].best_effort;
-            let may_rest = round.resting_nodes.contains_key(&spec.queue.service);
+            let step = &spec.steps[usize::from(candidate.step)];
+            let is_best_effort = step.best_effort;
+            let may_rest = self.mostly_rests(round, spec, step);
             let has_searched = is_best_effort && self.place_step(round, candidate, Mode::Relief);
             let is_idle = self.state(&candidate).idle_since.is_some();
             let has_tried = may_rest && is_idle && self.place_step(round, candidate, Mode::Resting);
@@ -305,8 +306,15 @@
         true
     }
 
-    /// Returns the nodes that accept starts, and the nodes that rest after failures where most nodes
-    /// of a service do: then the jobs are more likely at fault than the workers.
+    /// Tells whether most nodes that suit a step rest after failures: then the jobs are more likely at
+    /// fault than the workers, or the step has no other worker to wait for.
+    fn mostly_rests(&self, round: &Round, spec: &JobSpec, step: &Step) -> bool {
+        let count = |nodes| self.suitable(nodes, spec, step).count();
+        round.resting_nodes.contains_key(&spec.queue.service)
+            && count(&round.resting_nodes) > count(&round.open_nodes)
+    }
+
+    /// Returns the nodes that accept starts, and the nodes that rest after failures.
     fn usable_nodes(&self, now: Time) -> (NodesByService, NodesByService) {
         let (mut open, mut resting) = (NodesByService::new(), NodesByService::new());
         let is_confirmed = self.is_confirmed(now);
@@ -324,7 +332,6 @@
                 }
             }
         }
-        resting.retain(|service, slots| slots.len() > open.get(service).map_or(0, Vec::len));
         (open, resting)
     }
 
--- a/crates/core/src/flow/place/round.rs
+++ b/crates/core/src/flow/place/round.rs
@@ -41,7 +41,7 @@
     pub(super) now: Time,
     /// Nodes that accept starts, by the service of their workers.
     pub(super) open_nodes: NodesByService,
-    /// Nodes that rest after failures, of the services of which they are the majority.
+    /// Nodes that rest after failures, by the service of their workers.
     pub(super) resting_nodes: NodesByService,
     /// Requests that found no node.
     pub(super) rejected: Vec<Request>,
--- a/crates/core/tests/flow/starvation.rs
+++ b/crates/core/tests/flow/starvation.rs
@@ -88,6 +88,33 @@
     assert_eq!(runs_of(&world, 100), 1);
 }
 
+/// Guards against a task that waits for the only worker with its label, which rests after failures of jobs
+/// that can never be done, while the other workers are open. Seen as LOST in review case 4, where a
+/// long-running task waited for 12.5 s.
+#[test]
+fn a_starved_step_starts_on_the_only_worker_with_its_label_though_it_rests() {
+    for long_running in [false, true] {
+        let mut world = World::new(3, 8_000);
+        world.workers[2].info.labels.push("only".to_owned());
+        world.resize(2, 8_000);
+        world.settle();
+        let labelled = Step { required_label: Some("only".to_owned()), ..step(1, 1_000, 1_000) };
+        for number in 1..=5 {
+            world.submit(number, job(1, vec![labelled.clone()]));
+        }
+        for number in 1..=5 {
+            world.end_all(EndKind::Failed, |task| task.job == number);
+            world.advance(ms(50));
+        }
+        let is_rest = |(event, _): &(&str, String)| *event == "worker_rests";
+        assert!(world.logs.iter().any(is_rest), "the worker does not rest");
+        world.submit(100, job(2, vec![Step { long_running, ..labelled }]));
+        assert_eq!(runs_of(&world, 100), 0, "the worker rests");
+        world.advance(MAX_WAIT);
+        assert_eq!(runs_of(&world, 100), 1, "long-running: {long_running}");
+    }
+}
+
 /// Guards against a job that never begins because each successor counts its wait anew, when owners
 /// are lost at short intervals.
 #[test]
--- a/crates/hosted/src/causes.rs
+++ b/crates/hosted/src/causes.rs
@@ -17,7 +17,7 @@
 impl CauseLog {
     /// Counts a message or record of a kind that could not be read. Returns whether the cause is to be
     /// logged: it was not logged before, and not too many others were.
-    pub fn is_new(&self, kind: &'static str, cause: &str) -> bool {
+    pub fn note(&self, kind: &'static str, cause: &str) -> bool {
         metrics::counter!("unreadable", "kind" => kind).increment(1);
         let cause = cause.chars().take(MAX_CAUSE_CHARS).collect();
         let mut known = self.0.lock();
--- a/crates/hosted/src/ownership.rs
+++ b/crates/hosted/src/ownership.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex as SyncMutex;
 use peridotfold_core::flow::crashes::Crash;
 use peridotfold_core::flow::interference::InterferenceRow;
+use peridotfold_core::flow::model::{JobNumber, JobSpec};
 use peridotfold_core::flow::owner::{Commit, Owner, OwnerSettings, Record};
 use peridotfold_core::flow::progress::Progress;
 use peridotfold_core::time::Time;
@@ -462,14 +463,8 @@
             match records::inbox_key(&item.key) {
                 Some(InboxKey::Job(job)) => match records::decode_job(&item.value) {
                     Ok(spec) => {
-                        let record = records.remove(&job).unwrap_or_default();
-                        match record.check(&spec) {
-                            Ok(()) => owner.inherit(now, job, spec, record),
-                            Err(error) => {
-                                self.skip(&records::progress_key(job), &error);
-                                owner.inherit(now, job, spec, Progress::default());
-                            }
-                        }
+                        let record = self.checked(job, &spec, records.remove(&job));
+                        owner.inherit(now, job, spec, record);
                     }
                     Err(error) => self.skip(&item.key, &error),
                 },
@@ -486,16 +481,28 @@
         }
     }
 
+    /// Returns the progress record of a job, or an empty one if there is none that fits the job.
+    fn checked(&self, job: JobNumber, spec: &JobSpec, record: Option<Progress>) -> Progress {
+        let record = record.unwrap_or_default();
+        match record.check(spec) {
+            Ok(()) => record,
+            Err(error) => {
+                self.skip(&records::progress_key(job), &error);
+                Progress::default()
+            }
+        }
+    }
+
     /// Notes that a record is skipped because its key is unknown.
     fn skip_key(&self, key: &str) {
-        if self.unreadable.is_new("key", key) {
+        if self.unreadable.note("key", key) {
             tracing::error!(event = "key_unknown", key);
         }
     }
 
     /// Notes that a record is skipped because its value cannot be read.
     fn skip(&self, key: &str, error: &str) {
-        if self.unreadable.is_new("record", &format!("{key}: {error}")) {
+        if self.unreadable.note("record", &format!("{key}: {error}")) {
             tracing::error!(event = "record_unreadable", key, error);
         }
     }
