Copy request bodies instead of keeping their parts

What callers saw: an entry with 260 MB was ended by 300 chunked bodies of 240,000 chunks of one byte, which took over 4 MB a client for a body of 240 KB.

Cause: a body was collected as a list of its parts. Each part has a handle and keeps the read buffer that it lies in.

Change: bodies of submissions, reports and operators' requests are copied into one contiguous buffer as they arrive.

A part as received is dropped once copied, so a body takes its size and the growth of one buffer whatever its parts are.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -58,10 +58,11 @@
         }
     };
     let (parts, incoming) = request.into_parts();
-    let body = match read_body(incoming).await {
-        Ok(body) => body,
+    let whole = match read_body(incoming).await {
+        Ok(whole) => whole,
         Err(response) => return *response,
     };
+    let body = whole.bytes();
     let path = parts.uri.path().to_owned();
     let job = path.strip_prefix("/v1/jobs/").unwrap_or_default();
     let chosen = parameter(parts.uri.query(), "cell").map(str::to_owned);
@@ -74,7 +75,7 @@
         body: body.clone(),
     };
     match (&parts.method, job.is_empty()) {
-        (&Method::POST, true) => match submission_cell(&document, &body) {
+        (&Method::POST, true) => match submission_cell(&document, body) {
             Ok(cell) => respond(perform(context, forward(cell)).await),
             Err(response) => *response,
         },
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use peridotfold_store::{ConfigRepository, Store, SubmitError};
 use peridotfold_wire::body::Body;
+use peridotfold_wire::request_body::RequestBody;
 use peridotfold_wire::runtime;
 use serde_json::json;
 
@@ -88,12 +88,11 @@
 ///
 /// # Errors
 ///
-/// Returns the response that rejects a body that is too large or incomplete.
-pub async fn read_body(incoming: Incoming) -> Result<Bytes, Box<Response<Body>>> {
-    match Limited::new(incoming, MAX_BODY_BYTES).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) => Err(Box::new(reply::error(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()))),
-    }
+/// Returns the response that rejects a body that is too large or incomplete. Nothing of the request was
+/// carried out.
+pub async fn read_body(incoming: Incoming) -> Result<RequestBody, Box<Response<Body>>> {
+    let read = RequestBody::read(incoming, MAX_BODY_BYTES).await;
+    read.map_err(|error| Box::new(reply::error(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())))
 }
 
 /// Returns the value of the query parameter `name`, without percent-decoding.
@@ -168,7 +167,7 @@
         Err(response) => return *response,
     };
     let Some(repository) = repository(context) else { return store_down() };
-    match repository.submit(base, body, &author).await {
+    match repository.submit(base, body.bytes().clone(), &author).await {
         Ok(version) => {
             config::install_current(context, &repository);
             tracing::info!(event = "config_accepted", version, author);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod peer;
+pub mod request_body;
 pub mod runtime;
 pub mod server;
 pub mod shutdown;
