Refuse a body that is announced over the limit, and give up one that stalls

What callers saw: a client that announced a body of 1 GB and sent nothing of it got no answer and kept its connection for as long as it liked; so did one that stopped within a body.

Cause: the length was compared with the limit only as bytes arrived, and reading a body had no time limit.

Change: an announced length over the limit is answered with 413 before anything of the body is read. Such responses close the connection, and none of these requests has run. An incomplete or malformed body gets 400 instead of 413.

--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -1,13 +1,15 @@
 //! HTTP interface for operators: the configuration and the status of the entry.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{HeaderValue, CONNECTION};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peridotfold_store::{ConfigRepository, Store, SubmitError};
 use peridotfold_wire::body::Body;
-use peridotfold_wire::request_body::RequestBody;
+use peridotfold_wire::request_body::{BodyError, RequestBody};
 use peridotfold_wire::runtime;
 use serde_json::json;
 
@@ -17,6 +19,8 @@
 
 /// Largest body of a configuration patch or job operation.
 pub const MAX_BODY_BYTES: usize = 512 * 1024;
+/// Time limit for the arrival of a body. Far above what the largest takes on a slow link.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Request header with the author of a configuration patch.
 const AUTHOR: &str = "peridotfold-author";
 /// Response header with the version of the configuration in the body.
@@ -88,11 +92,20 @@
 ///
 /// # Errors
 ///
-/// Returns the response that rejects a body that is too large or incomplete. Nothing of the request was
+/// Returns the response that rejects a body that is too large, too slow or incomplete. Nothing of the request was
 /// carried out.
 pub async fn read_body(incoming: Incoming) -> Result<RequestBody, Box<Response<Body>>> {
-    let read = RequestBody::read(incoming, MAX_BODY_BYTES).await;
-    read.map_err(|error| Box::new(reply::error(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())))
+    let read = RequestBody::read(incoming, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    read.map_err(|error| {
+        let status = match error {
+            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
+        };
+        let mut response = reply::error(status, error.to_string());
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        Box::new(response)
+    })
 }
 
 /// Returns the value of the query parameter `name`, without percent-decoding.
--- a/crates/wire/src/request_body.rs
+++ b/crates/wire/src/request_body.rs
@@ -1,12 +1,16 @@
-//! Reading of whole request bodies within a limit of size.
+//! Reading of whole request bodies within limits of size and time.
 
 use std::fmt;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_lite::future;
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 
-/// Memory taken for a body before it arrives, in bytes.
+use crate::runtime;
+
+/// Memory taken for a body of unknown length before it arrives, in bytes.
 const FIRST_BYTES: usize = 1024;
 
 /// A whole request body.
@@ -20,6 +24,8 @@
 pub enum BodyError {
     /// It is larger than the limit, in bytes.
     TooLarge(usize),
+    /// It did not arrive within the time limit.
+    TooSlow(Duration),
     /// The connection has ended within the body, or the body is malformed.
     Incomplete(String),
 }
@@ -28,6 +34,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             BodyError::TooLarge(limit) => write!(f, "the body is larger than {limit} bytes"),
+            BodyError::TooSlow(limit) => write!(f, "the body did not arrive within {limit:?}"),
             BodyError::Incomplete(detail) => write!(f, "the body is incomplete: {detail}"),
         }
     }
@@ -41,26 +48,43 @@
         &self.bytes
     }
 
-    /// Reads the body of a request, which may have at most `limit` bytes.
+    /// Reads the body of a request, which may have at most `limit` bytes and take `time` to arrive.
     ///
     /// # Errors
     ///
-    /// Fails when the limit is exceeded or the body is incomplete.
-    pub async fn read<B>(mut body: B, limit: usize) -> Result<Self, BodyError>
+    /// Fails at once if the announced length exceeds `limit`, without reading any of it; otherwise when the limit
+    /// or the time is exceeded, or the body is incomplete.
+    pub async fn read<B>(body: B, limit: usize, time: Duration) -> Result<Self, BodyError>
     where
         B: HttpBody<Data = Bytes> + Unpin,
         B::Error: fmt::Display,
     {
-        // One contiguous copy: the parts as received would each keep the whole read buffer that they are in.
-        let mut bytes = BytesMut::with_capacity(FIRST_BYTES.min(limit));
-        while let Some(part) = body.frame().await {
-            let part = part.map_err(|error| BodyError::Incomplete(error.to_string()))?;
-            let Ok(part) = part.into_data() else { continue };
-            if bytes.len() + part.len() > limit {
-                return Err(BodyError::TooLarge(limit));
-            }
-            bytes.extend_from_slice(&part);
+        future::or(read_within(body, limit), async {
+            runtime::sleep(time).await;
+            Err(BodyError::TooSlow(time))
+        })
+        .await
+    }
+}
+
+/// Reads a body into memory of its own.
+async fn read_within<B>(mut body: B, limit: usize) -> Result<RequestBody, BodyError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: fmt::Display,
+{
+    let announced = body.size_hint().lower();
+    let announced = usize::try_from(announced).ok().filter(|size| *size <= limit);
+    let announced = announced.ok_or(BodyError::TooLarge(limit))?;
+    // One contiguous copy: the parts as received would each keep the whole read buffer that they are in.
+    let mut bytes = BytesMut::with_capacity(announced.max(FIRST_BYTES.min(limit)));
+    while let Some(part) = body.frame().await {
+        let part = part.map_err(|error| BodyError::Incomplete(error.to_string()))?;
+        let Ok(part) = part.into_data() else { continue };
+        if bytes.len() + part.len() > limit {
+            return Err(BodyError::TooLarge(limit));
         }
-        Ok(RequestBody { bytes: bytes.freeze() })
+        bytes.extend_from_slice(&part);
     }
+    Ok(RequestBody { bytes: bytes.freeze() })
 }
--- a/crates/wire/tests/request_body.rs
+++ b/crates/wire/tests/request_body.rs
@@ -3,12 +3,16 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use peridotfold_wire::request_body::{BodyError, RequestBody};
 
-/// A body that arrives in parts, and then ends or fails.
+/// Time limit that no complete body of these tests meets.
+const ARRIVAL: Duration = Duration::from_secs(60);
+
+/// A body that arrives in parts, and then ends, fails or stalls.
 #[derive(Debug)]
 struct Parts {
     parts: VecDeque<Vec<u8>>,
@@ -21,6 +25,7 @@
 enum End {
     Whole,
     Error,
+    Stall,
 }
 
 impl Parts {
@@ -45,6 +50,7 @@
             }
             (None, End::Whole) => Poll::Ready(None),
             (None, End::Error) => Poll::Ready(Some(Err("the connection has ended"))),
+            (None, End::Stall) => Poll::Pending,
         }
     }
 
@@ -53,8 +59,8 @@
     }
 }
 
-fn read(body: Parts, limit: usize) -> Result<Bytes, BodyError> {
-    let read = smol::block_on(RequestBody::read(body, limit));
+fn read(body: Parts, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
+    let read = smol::block_on(RequestBody::read(body, limit, time));
     read.map(|body| body.bytes().clone())
 }
 
@@ -69,7 +75,7 @@
         let limit = usize::from(limit);
         let mut body = Parts::new(&parts, end);
         body.length = announces.then_some(content.len() as u64);
-        let read = read(body, limit);
+        let read = read(body, limit, ARRIVAL);
         match (content.len() > limit, fails) {
             (true, _) => assert_eq!(read, Err(BodyError::TooLarge(limit))),
             (false, true) => assert!(matches!(read, Err(BodyError::Incomplete(_))), "{read:?}"),
@@ -77,3 +83,19 @@
         }
     });
 }
+
+/// Guards against an announced length over the limit that is refused only once the body has arrived.
+#[test]
+fn an_announced_length_over_the_limit_is_not_read() {
+    let mut body = Parts::new(&[], End::Stall);
+    body.length = Some(11);
+    assert_eq!(read(body, 10, ARRIVAL), Err(BodyError::TooLarge(10)));
+}
+
+/// Guards against a body without an end that is held for good.
+#[test]
+fn a_body_that_stalls_is_given_up() {
+    let body = Parts::new(&[vec![b'x'; 4]], End::Stall);
+    let time = Duration::from_millis(20);
+    assert_eq!(read(body, 10, time), Err(BodyError::TooSlow(time)));
+}
