Accept a connection without looking at all others

Cause: on each accept, the server removed the ended tasks from the list of all its connections, so that a crowd of thousands made every accept look at thousands.

Change: ended tasks are removed when their list has doubled since the last removal, so that an accept costs the same on average whatever the number of connections.

Result: the tests of the HTTP server pass. The cost itself was not measured.

--- a/crates/wire/src/accept.rs
+++ b/crates/wire/src/accept.rs
@@ -17,6 +17,28 @@
 /// round trips between data centres.
 const HANDSHAKE_GRACE: Duration = Duration::from_millis(50);
 
+/// Number of tasks of connections from which on ended ones are removed.
+const MIN_REMOVAL: usize = 64;
+
+/// Tasks of the connections of a server.
+#[derive(Debug, Default)]
+struct Tasks {
+    tasks: Vec<smol::Task<()>>,
+    /// Number of tasks at which ended ones are removed next. Doubled each time, so that the cost of an accept
+    /// does not grow with the number of connections.
+    removal_at: usize,
+}
+
+impl Tasks {
+    fn add(&mut self, task: smol::Task<()>) {
+        if self.tasks.len() >= self.removal_at {
+            self.tasks.retain(|task| !task.is_finished());
+            self.removal_at = (self.tasks.len() * 2).max(MIN_REMOVAL);
+        }
+        self.tasks.push(task);
+    }
+}
+
 /// Runs `serve` for each connection until the shutdown signal, and returns once all connections have
 /// ended.
 pub(crate) async fn run<F: Future<Output = ()> + Send + 'static>(
@@ -24,7 +46,7 @@
     shutdown: Shutdown,
     serve: impl Fn(TcpStream, SocketAddr) -> F,
 ) {
-    let mut connections = Vec::new();
+    let mut connections = Tasks::default();
     accept_until(&listener, shutdown.wait(), &serve, &mut connections).await;
     // The kernel resets connections that it establishes between the last accept and the close of the
     // listener. Their callers could not tell whether a request that they sent was executed.
@@ -33,7 +55,7 @@
     }
     accept_until(&listener, runtime::sleep(HANDSHAKE_GRACE), &serve, &mut connections).await;
     drop(listener);
-    for task in connections {
+    for task in connections.tasks {
         task.await;
     }
 }
@@ -43,7 +65,7 @@
     listener: &TcpListener,
     end: impl Future<Output = ()>,
     serve: &impl Fn(TcpStream, SocketAddr) -> F,
-    connections: &mut Vec<smol::Task<()>>,
+    connections: &mut Tasks,
 ) {
     let mut end = std::pin::pin!(end);
     loop {
@@ -58,8 +80,7 @@
                 runtime::sleep(ACCEPT_BACKOFF).await;
             }
             Some(Ok((stream, peer))) => {
-                connections.retain(|task| !task.is_finished());
-                connections.push(runtime::spawn(serve(stream, peer)));
+                connections.add(runtime::spawn(serve(stream, peer)));
             }
         }
     }
