Add a limiter of what the clients of a server hold

A server may now have limits on its connections, on the requests that are being answered, and on the memory held for clients.

What counts: a connection by itself (2 KB while it has sent nothing, which needs no HTTP state yet; 24 KB afterwards), the read buffer that a head or body has filled, and the memory of a body from the announcement until the request is answered. While something is short, connections end for others in the order of their use to callers: for connections, those that never had a request answered and make no progress first, then others without progress, by time; for memory, those without progress, the largest first, then bodies larger than the one that needs room. Bodies of one size are left to finish, and requests that are being answered are never ended. Bodies over 16 KiB leave a quarter of the memory and of the requests to smaller ones. A refused request gets 503 with a time to return, and has not run. A connection that closes before it has read the whole request discards what its client still sends for a second, so that the kernel does not reset it and the client reads the response.

Refusals have a metric by cause, and a log line a cause and 5 s with a count.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -58,7 +58,7 @@
         }
     };
     let (parts, incoming) = request.into_parts();
-    let whole = match read_body(incoming).await {
+    let whole = match read_body(&parts.extensions, incoming).await {
         Ok(whole) => whole,
         Err(response) => return *response,
     };
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{HeaderValue, CONNECTION};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use http::{Extensions, HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peridotfold_store::{ConfigRepository, Store, SubmitError};
 use peridotfold_wire::body::Body;
@@ -21,6 +21,8 @@
 pub const MAX_BODY_BYTES: usize = 512 * 1024;
 /// Time limit for the arrival of a body. Far above what the largest takes on a slow link.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// `Retry-After` of a request that the entry has no room for, in seconds.
+const CROWD_RETRY_AFTER: &str = "2";
 /// Request header with the author of a configuration patch.
 const AUTHOR: &str = "peridotfold-author";
 /// Response header with the version of the configuration in the body.
@@ -92,18 +94,25 @@
 ///
 /// # Errors
 ///
-/// Returns the response that rejects a body that is too large, too slow or incomplete. Nothing of the request was
-/// carried out.
-pub async fn read_body(incoming: Incoming) -> Result<RequestBody, Box<Response<Body>>> {
-    let read = RequestBody::read(incoming, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+/// Returns the response that rejects a body that is too large, too slow or incomplete, or that the entry has no
+/// room for. Nothing of the request was carried out.
+pub async fn read_body(
+    extensions: &Extensions,
+    incoming: Incoming,
+) -> Result<RequestBody, Box<Response<Body>>> {
+    let read = RequestBody::read(extensions, incoming, MAX_BODY_BYTES, BODY_TIMEOUT).await;
     read.map_err(|error| {
         let status = match error {
             BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
             BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
+            BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         };
         let mut response = reply::error(status, error.to_string());
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        if error == BodyError::NoRoom {
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(CROWD_RETRY_AFTER));
+        }
         Box::new(response)
     })
 }
@@ -175,7 +184,8 @@
     };
     let author = request.headers().get(AUTHOR).and_then(|value| value.to_str().ok());
     let author = author.unwrap_or("operator").to_owned();
-    let body = match read_body(request.into_body()).await {
+    let (head, incoming) = request.into_parts();
+    let body = match read_body(&head.extensions, incoming).await {
         Ok(body) => body,
         Err(response) => return *response,
     };
--- a/crates/wire/src/accept.rs
+++ b/crates/wire/src/accept.rs
@@ -8,6 +8,7 @@
 use smol::net::{TcpListener, TcpStream};
 use socket2::{SockFilter, SockRef};
 
+use crate::limits::{Limiter, Slot};
 use crate::runtime;
 use crate::shutdown::Shutdown;
 
@@ -39,21 +40,23 @@
     }
 }
 
-/// Runs `serve` for each connection until the shutdown signal, and returns once all connections have
-/// ended.
+/// Runs `serve` for each connection that `limiter` admits until the shutdown signal, and returns once all
+/// connections have ended.
 pub(crate) async fn run<F: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
+    limiter: &Limiter,
     shutdown: Shutdown,
-    serve: impl Fn(TcpStream, SocketAddr) -> F,
+    serve: impl Fn(TcpStream, SocketAddr, Slot) -> F,
 ) {
     let mut connections = Tasks::default();
-    accept_until(&listener, shutdown.wait(), &serve, &mut connections).await;
+    accept_until(&listener, limiter, shutdown.wait(), &serve, &mut connections).await;
     // The kernel resets connections that it establishes between the last accept and the close of the
     // listener. Their callers could not tell whether a request that they sent was executed.
     if let Err(error) = reject_handshakes(&listener) {
         tracing::warn!(event = "handshakes_not_rejected", %error);
     }
-    accept_until(&listener, runtime::sleep(HANDSHAKE_GRACE), &serve, &mut connections).await;
+    let grace = runtime::sleep(HANDSHAKE_GRACE);
+    accept_until(&listener, limiter, grace, &serve, &mut connections).await;
     drop(listener);
     for task in connections.tasks {
         task.await;
@@ -63,13 +66,20 @@
 /// Accepts and serves connections until `end` completes. Adds their tasks to `connections`.
 async fn accept_until<F: Future<Output = ()> + Send + 'static>(
     listener: &TcpListener,
+    limiter: &Limiter,
     end: impl Future<Output = ()>,
-    serve: &impl Fn(TcpStream, SocketAddr) -> F,
+    serve: &impl Fn(TcpStream, SocketAddr, Slot) -> F,
     connections: &mut Tasks,
 ) {
     let mut end = std::pin::pin!(end);
     loop {
-        let accepted = future::or(async { Some(listener.accept().await) }, async {
+        let accepting = async {
+            match listener.accept().await {
+                Ok((stream, peer)) => Some(Ok((stream, peer, limiter.admit().await))),
+                Err(error) => Some(Err(error)),
+            }
+        };
+        let accepted = future::or(accepting, async {
             end.as_mut().await;
             None
         });
@@ -79,8 +89,8 @@
                 tracing::warn!(event = "accept_failed", %error);
                 runtime::sleep(ACCEPT_BACKOFF).await;
             }
-            Some(Ok((stream, peer))) => {
-                connections.add(runtime::spawn(serve(stream, peer)));
+            Some(Ok((stream, peer, slot))) => {
+                connections.add(runtime::spawn(serve(stream, peer, slot)));
             }
         }
     }
--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -2,21 +2,28 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream as StdStream};
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_lite::future;
 use http::header::{HeaderValue, CONNECTION};
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
+use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::SockRef;
 
 use crate::accept;
-use crate::body::Body;
+use crate::body::{Body, BodyTruncated};
+use crate::limits::{Limiter, Limits, Slot};
+use crate::metered::Metered;
 use crate::runtime;
 use crate::shutdown::Shutdown;
 
@@ -28,6 +35,9 @@
 /// response tells its caller that the connection will close. A request sent on a connection that is
 /// being closed would have an unknown outcome.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Size of the kernel's receive buffer of a connection whose server has limits, in bytes. The kernel's own
+/// choice grows to megabytes for a client that sends what nothing reads.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Handles the requests of an [`HttpServer`].
 pub trait HttpService: Send + Sync + 'static {
@@ -61,38 +71,125 @@
 
     /// Serves requests until the shutdown signal, then completes the requests in progress.
     pub async fn serve<S: HttpService>(self, service: Arc<S>, shutdown: Shutdown) {
+        self.serve_within(Limiter::unlimited(), service, shutdown).await;
+    }
+
+    /// Serves requests as [`HttpServer::serve`] does, from clients that may hold what `limiter` allows.
+    pub async fn serve_within<S: HttpService>(
+        self,
+        limiter: Limiter,
+        service: Arc<S>,
+        shutdown: Shutdown,
+    ) {
+        if limiter.limits() != Limits::NONE {
+            // Connections inherit the size from their listener.
+            let sized = SockRef::from(&self.listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+            if let Err(error) = sized {
+                tracing::warn!(event = "receive_buffer_not_set", address = %self.address, %error);
+            }
+        }
         let stopping = shutdown.clone();
-        accept::run(self.listener, shutdown, move |stream, peer| {
-            connection(stream, peer, service.clone(), stopping.clone())
+        accept::run(self.listener, &limiter, shutdown, move |stream, peer, slot| {
+            connection(stream, peer, slot, service.clone(), stopping.clone())
         })
         .await;
     }
 }
 
-/// Serves one connection until it ends or the shutdown closes it.
+/// Serves one connection until it ends, the shutdown closes it, or its limiter ends it for others.
 async fn connection<S: HttpService>(
     stream: TcpStream,
     peer: SocketAddr,
+    slot: Slot,
+    service: Arc<S>,
+    shutdown: Shutdown,
+) {
+    let serving = async {
+        if is_started(&stream, &shutdown).await && slot.start().await.is_ok() {
+            exchange(stream, peer, slot.clone(), service, shutdown).await;
+        }
+    };
+    future::or(slot.closed(), serving).await;
+}
+
+/// Body of a response. Its request counts as being answered until the last part was taken to be sent.
+#[derive(Debug)]
+struct ResponseBody {
+    body: Body,
+    slot: Slot,
+}
+
+impl hyper::body::Body for ResponseBody {
+    type Data = Bytes;
+    type Error = BodyTruncated;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyTruncated>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        self.slot.note_response();
+    }
+}
+
+/// Waits for the first bytes of the client. Returns `false` if none arrive in time or before the shutdown. Until
+/// then the connection needs no buffers.
+async fn is_started(stream: &TcpStream, shutdown: &Shutdown) -> bool {
+    let socket: Arc<Async<StdStream>> = stream.clone().into();
+    let readable = async { socket.readable().await.is_ok() };
+    let late = async {
+        runtime::sleep(HEAD_TIMEOUT).await;
+        false
+    };
+    let stopped = async {
+        shutdown.wait().await;
+        runtime::sleep(IDLE_GRACE).await;
+        false
+    };
+    future::or(readable, future::or(late, stopped)).await
+}
+
+/// Answers the requests of a connection.
+async fn exchange<S: HttpService>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    slot: Slot,
     service: Arc<S>,
     shutdown: Shutdown,
 ) {
     let _ = stream.set_nodelay(true);
     let stopping = shutdown.clone();
-    let answer = service_fn(move |request| {
-        let (service, stopping) = (service.clone(), stopping.clone());
+    let caller = slot.clone();
+    let answer = service_fn(move |mut request: Request<Incoming>| {
+        let (service, stopping, slot) = (service.clone(), stopping.clone(), caller.clone());
         async move {
+            slot.note_request(!request.body().is_end_stream());
+            request.extensions_mut().insert(slot.clone());
             let mut response = service.call(request).await;
-            if stopping.is_set() {
+            if stopping.is_set() || slot.is_refused() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| ResponseBody { body, slot }))
         }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(FuturesIo::new(stream), answer);
+        .serve_connection(FuturesIo::new(Metered::new(stream, slot.clone())), answer);
     let mut connection = std::pin::pin!(connection);
     let ended = future::or(async { Some(connection.as_mut().await) }, async {
         shutdown.wait().await;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod frame;
 pub mod http_client;
 pub mod http_server;
+pub mod limits;
+mod metered;
 pub mod peer;
 pub mod request_body;
 pub mod runtime;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -15,6 +15,7 @@
 
 use crate::accept;
 use crate::error::{Step, WireError};
+use crate::limits::{Limiter, Slot};
 use crate::peer::{FrameReceiver, FrameSender};
 use crate::runtime;
 use crate::shutdown::Shutdown;
@@ -117,8 +118,8 @@
     /// Serves streams until the shutdown signal, then completes the streams in progress.
     pub async fn serve<H: Handler>(self, handler: Arc<H>, shutdown: Shutdown) {
         let stopping = shutdown.clone();
-        accept::run(self.listener, shutdown, move |stream, peer| {
-            connection(stream, peer, handler.clone(), stopping.clone())
+        accept::run(self.listener, &Limiter::unlimited(), shutdown, move |stream, peer, slot| {
+            connection(stream, peer, slot, handler.clone(), stopping.clone())
         })
         .await;
     }
@@ -128,6 +129,7 @@
 async fn connection<H: Handler>(
     stream: TcpStream,
     peer: SocketAddr,
+    _slot: Slot,
     handler: Arc<H>,
     shutdown: Shutdown,
 ) {
--- a/crates/wire/tests/request_body.rs
+++ b/crates/wire/tests/request_body.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Extensions;
 use http_body::{Body, Frame, SizeHint};
 use peridotfold_wire::request_body::{BodyError, RequestBody};
 
@@ -60,7 +61,7 @@
 }
 
 fn read(body: Parts, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
-    let read = smol::block_on(RequestBody::read(body, limit, time));
+    let read = smol::block_on(RequestBody::read(&Extensions::new(), body, limit, time));
     read.map(|body| body.bytes().clone())
 }
 
