Limit the callers' connections of an entry

What callers saw: beside a crowd of more connections than the entry has descriptors, an ordinary job got no answer in five tries, and the entry could open no connection to the store either.

Cause: the accept loop had no limit below the one of the process.

Change: a limit for callers, derived from Limits.FileDescriptors: half of what remains after the 200 that the platform reserves for files and what the listeners, the store, readiness checks and metrics need; and no more than let a quarter of Limits.MemoryMb hold what the kernel receives for them (32 KiB a connection).

--- a/src/cmd/hosted.rs
+++ b/src/cmd/hosted.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 
+use peridotfold_platform::limits::Overrides;
 use peridotfold_platform::run;
 use peridotfold_platform::settings::Settings;
 use peridotfold_wire::runtime;
@@ -23,6 +24,12 @@
         help: "Port for metrics on the machine's address",
         default: Some("9464"),
     },
+    Opt {
+        flag: "caller-connections",
+        value: "N",
+        help: "Most connections of callers, in place of a number derived from the settings",
+        default: None,
+    },
     Opt {
         flag: "log",
         value: "FILTER",
@@ -49,14 +56,17 @@
     let role = values.argument("role: entry, agent or check");
     let path = values.text("settings");
     let port = values.number("metrics-port");
+    let overrides =
+        Overrides { connections: values.optional_number("caller-connections").map(saturate) };
     let log = values.log_filter("log");
     if port > u64::from(u16::MAX) {
         values.problem("--metrics-port: not a port");
     }
     values.finish()?;
     let settings = Settings::read(&path).map_err(CommandError::Usage)?;
+    let limits = settings.limits(overrides).map_err(CommandError::Usage)?;
     match role.as_str() {
-        "entry" => start(&log, &path, settings.clone(), run::entry(settings, port as u16)),
+        "entry" => start(&log, &path, settings.clone(), run::entry(settings, limits, port as u16)),
         "agent" => start(&log, &path, settings.clone(), run::agent(settings, port as u16)),
         "check" => {
             println!("settings of {} are valid", settings.node);
@@ -66,6 +76,11 @@
     }
 }
 
+/// Converts a number; one that does not fit is over every limit.
+fn saturate(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
 /// Threads beside the main one: a machine of this platform has a fraction of one core.
 const THREADS: usize = 1;
 
--- a/src/options.rs
+++ b/src/options.rs
@@ -166,6 +166,12 @@
         self.parsed(flag, &value, "a whole number", str::parse).unwrap_or_default()
     }
 
+    /// Returns a whole number, if it is given.
+    pub fn optional_number(&mut self, flag: &'static str) -> Option<u64> {
+        let value = self.raw(flag).unwrap_or_default();
+        self.parsed(flag, &value, "a whole number", str::parse)
+    }
+
     /// Returns a duration such as `500ms` or `10min`.
     pub fn duration(&mut self, flag: &'static str) -> Duration {
         let value = self.text(flag);
