Limit the memory that an entry holds for callers

What callers saw: an entry with 260 MB was ended for its memory by 1,500 bodies of legal size that stopped just short of their end, whole, in pieces or in chunks, and by clients that sent several whole requests and read no response.

Cause: a body was limited by itself, all bodies together were not.

--- a/src/cmd/hosted.rs
+++ b/src/cmd/hosted.rs
@@ -30,6 +30,12 @@
         help: "Most connections of callers, in place of a number derived from the settings",
         default: None,
     },
+    Opt {
+        flag: "caller-memory-mb",
+        value: "MB",
+        help: "Most memory held for callers, in units of 10^6 bytes, in place of a part of the settings'",
+        default: None,
+    },
     Opt {
         flag: "log",
         value: "FILTER",
@@ -56,8 +62,12 @@
     let role = values.argument("role: entry, agent or check");
     let path = values.text("settings");
     let port = values.number("metrics-port");
-    let overrides =
-        Overrides { connections: values.optional_number("caller-connections").map(saturate) };
+    let overrides = Overrides {
+        connections: values.optional_number("caller-connections").map(saturate),
+        memory: values
+            .optional_number("caller-memory-mb")
+            .map(|megabytes| saturate(megabytes).saturating_mul(1_000_000)),
+    };
     let log = values.log_filter("log");
     if port > u64::from(u16::MAX) {
         values.problem("--metrics-port: not a port");
