Log rejected bodies by cause and interval, not by client

What operators saw: a line body_rejected for each client of a crowd, 407 lines for 400 clients.

Change: body_rejected has the listener, the cause (too_large, too_slow, incomplete) and the count since the last such line, at most one line a cause and 5 s. The line no longer names the job: nothing of it was read.

Evidence: tests/crowds.rs refused_clients_have_no_log_line_each, 407 lines before, below its bound of 100 now.

--- a/crates/wire/src/limits/causes.rs
+++ b/crates/wire/src/limits/causes.rs
@@ -49,6 +49,16 @@
             Cause::Evicted => "evicted",
         }
     }
+
+    /// Event of the log lines of the cause.
+    fn event(self) -> &'static str {
+        match self {
+            Cause::TooLarge | Cause::TooSlow | Cause::Incomplete => "body_rejected",
+            Cause::Memory | Cause::Requests | Cause::Connections | Cause::Evicted => {
+                "clients_refused"
+            }
+        }
+    }
 }
 
 /// Counts of one cause.
@@ -88,7 +98,7 @@
             })
         };
         if let Some(count) = due {
-            tracing::info!(event = "clients_refused", listener, cause = name, count);
+            tracing::info!(event = cause.event(), listener, cause = name, count);
         }
     }
 }
