Limit the connections at an entry's other listeners

What callers saw: a crowd at the listener for readiness checks, for metrics, or at the internal port took the descriptors that callers, agents and the store need.

--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -16,6 +16,7 @@
 use peridotfold_core::flow::routes::Routes;
 use peridotfold_core::hash;
 use peridotfold_core::time::Time;
+use peridotfold_wire::limits::{Limiter, Limits};
 use peridotfold_wire::runtime;
 use peridotfold_wire::shutdown::Shutdown;
 use smol::net::TcpListener;
@@ -54,6 +55,8 @@
     pub node: String,
     /// Address for agents and other entries.
     pub internal: SocketAddr,
+    /// Maximum number of connections of agents and other entries.
+    pub max_connections: usize,
     /// CPU share of the process, in cores.
     pub cores: f64,
     /// Time within which a stored configuration must be in force.
@@ -120,6 +123,8 @@
     store_failed_at: Mutex<Option<Time>>,
     /// Jobs whose submission had no clear outcome here.
     pub(crate) unclear: UnclearJobs,
+    /// Limits the connections of agents and other entries.
+    limiter: Limiter,
 }
 
 impl<S: Store> Entry<S> {
@@ -139,9 +144,18 @@
             role: Mutex::new((Role::None, None)),
             store_failed_at: Mutex::new(None),
             unclear: UnclearJobs::default(),
+            limiter: Limiter::new(
+                "internal",
+                Limits { connections: settings.max_connections, ..Limits::NONE },
+            ),
         }
     }
 
+    /// Returns the limiter of the connections of agents and other entries.
+    pub fn limiter(&self) -> &Limiter {
+        &self.limiter
+    }
+
     /// Serves agents and other entries, and takes part in the election of the owner until the shutdown.
     /// After `retiring` is set, this entry is no longer the owner. The routes are followed apart from
     /// that, by [`Entry::follow_routes`].
@@ -160,7 +174,9 @@
             loop {
                 match listener.accept().await {
                     Ok((stream, peer)) => {
-                        runtime::spawn(sessions::serve(stream, peer, self.clone())).detach();
+                        let slot = self.limiter.admit().await;
+                        let session = sessions::serve(stream, peer, slot, self.clone());
+                        runtime::spawn(session).detach();
                     }
                     Err(error) => {
                         tracing::warn!(event = "accept_failed", %error);
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -8,6 +8,7 @@
 use peridotfold_core::flow::message::{
     AgentMessage, EntryRequest, Greeting, OwnerMessage, OwnerReply, Stored,
 };
+use peridotfold_wire::limits::Slot;
 use peridotfold_wire::runtime;
 use smol::net::TcpStream;
 
@@ -23,8 +24,24 @@
 /// Maximum time to wait for the greeting, the first message on a connection.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Serves one connection. Redirects the client if this entry is not the owner.
-pub(crate) async fn serve<S: Store>(stream: TcpStream, peer: SocketAddr, entry: Arc<Entry<S>>) {
+/// Serves one connection. Redirects the client if this entry is not the owner. A connection that has sent no
+/// greeting is closed when there are too many.
+pub(crate) async fn serve<S: Store>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    slot: Slot,
+    entry: Arc<Entry<S>>,
+) {
+    future::or(slot.closed(), serve_client(stream, peer, &slot, entry)).await;
+}
+
+/// Reads the greeting and serves the client according to it.
+async fn serve_client<S: Store>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    slot: &Slot,
+    entry: Arc<Entry<S>>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::warn!(event = "nodelay_not_set", %peer, %error);
     }
@@ -36,6 +53,7 @@
             return;
         }
     };
+    slot.keep();
     let (role, owner) = entry.role();
     match (role, greeting) {
         (_, Greeting::Routes { version }) => {
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -329,6 +329,7 @@
     EntrySettings {
         node: node.to_owned(),
         internal,
+        max_connections: 4_096,
         cores: 1.0,
         config_bound: CONFIG_BOUND,
         evacuation: None,
