Limit what clients hold of an agent

What workers saw: an agent had no limit at the listener for its worker's reports nor for metrics, so that other clients could end it for its memory or descriptors.

--- a/src/cmd/hosted.rs
+++ b/src/cmd/hosted.rs
@@ -77,7 +77,7 @@
     let limits = settings.limits(overrides).map_err(CommandError::Usage)?;
     match role.as_str() {
         "entry" => start(&log, &path, settings.clone(), run::entry(settings, limits, port as u16)),
-        "agent" => start(&log, &path, settings.clone(), run::agent(settings, port as u16)),
+        "agent" => start(&log, &path, settings.clone(), run::agent(settings, limits, port as u16)),
         "check" => {
             println!("settings of {} are valid", settings.node);
             Ok(())
