End a shutdown beside clients that never finish their requests

What operators saw: an entry with such clients did not stop after SIGTERM and was killed at the end of the grace period, although all its requests were answered.

Cause: after the listener closes, the server waits for every connection, also for one whose request head or body never ends.

Change: 1.5 s after the listener has closed, a body that has not arrived is refused (503, not run), and a connection that waits for its client is closed; a refused client that stays gets one more second. Requests that are being answered and responses that make progress are waited for as before (10 s without progress count as none: the kernel takes more of a response only after a part of it was received).

--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -35,6 +35,9 @@
 /// response tells its caller that the connection will close. A request sent on a connection that is
 /// being closed would have an unknown outcome.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Time after [`IDLE_GRACE`] for requests in progress to arrive and for responses to be read. What the client has
+/// not finished then is refused, and closed after the same time again.
+const UNFINISHED_GRACE: Duration = Duration::from_millis(1_000);
 /// Size of the kernel's receive buffer of a connection whose server has limits, in bytes. The kernel's own
 /// choice grows to megabytes for a client that sends what nothing reads.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
@@ -200,7 +203,13 @@
         Some(result) => result,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            let ending = async {
+                loop {
+                    runtime::sleep(UNFINISHED_GRACE).await;
+                    slot.end_unfinished();
+                }
+            };
+            future::or(connection, ending).await
         }
     };
     if let Err(error) = result {
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -38,6 +38,9 @@
 pub const SMALL_BODY_BYTES: usize = 16 * 1024;
 /// Time without a received or sent byte after which a connection makes no progress.
 const STALL_TIME: Duration = Duration::from_secs(1);
+/// The same while a response is sent: the kernel's buffer takes more of it only after a part was received, which
+/// is seconds later on a slow link.
+const SEND_STALL_TIME: Duration = Duration::from_secs(10);
 /// Time for which requests of a size are not checked again after no connection could be closed for one of that
 /// size. Without it, each refusal would look at all connections.
 const SHORTAGE_TIME: Duration = Duration::from_millis(50);
@@ -298,7 +301,7 @@
                 .iter()
                 .filter(|(id, _)| by.is_none_or(|slot| slot.0.id != **id))
                 .map(|(_, connection)| connection);
-            victims::choose(others, need, now, STALL_TIME)
+            victims::choose(others, need, now)
         };
         for connection in &chosen {
             connection.evict(need.eviction(connection.phase()));
@@ -349,6 +352,15 @@
         }
     }
 
+    /// Tells whether no byte was received or sent for so long that the client is taken to make no progress.
+    pub(crate) fn is_stalled(&self, now: Duration) -> bool {
+        let time = match self.phase() {
+            Phase::Blocked | Phase::Sending => SEND_STALL_TIME,
+            _ => STALL_TIME,
+        };
+        now >= Duration::from_millis(self.progress_ms.load(Ordering::Relaxed)) + time
+    }
+
     fn set_phase(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::Relaxed);
     }
@@ -479,6 +491,20 @@
         self.0.is_unread.load(Ordering::Relaxed) != 0
     }
 
+    /// Ends what the client has not finished: refuses a body that is being received, and closes a connection
+    /// that waits for its client. Requests that are being answered are left alone.
+    pub(crate) fn end_unfinished(&self) {
+        let connection = &self.0.connection;
+        match connection.phase() {
+            Phase::Answering | Phase::Upload => {}
+            Phase::Blocked | Phase::Sending if !connection.is_stalled(runtime::now()) => {}
+            Phase::Body if connection.eviction() == Eviction::None => {
+                connection.evict(Eviction::Refuse);
+            }
+            _ => connection.evict(Eviction::Close),
+        }
+    }
+
     /// Counts the request as being answered.
     ///
     /// # Errors
--- a/crates/wire/src/limits/victims.rs
+++ b/crates/wire/src/limits/victims.rs
@@ -44,14 +44,9 @@
 
 /// Rank of a connection among those that may be ended, the lowest first; `None` if it may not. Connections whose
 /// requests are being answered are never ended.
-fn rank(
-    connection: &Connection,
-    need: Need,
-    now: Duration,
-    stall: Duration,
-) -> Option<(u8, Reverse<usize>, u64)> {
+fn rank(connection: &Connection, need: Need, now: Duration) -> Option<(u8, Reverse<usize>, u64)> {
     let progress_ms = connection.progress_ms.load(Ordering::Relaxed);
-    let is_stalled = now >= Duration::from_millis(progress_ms) + stall;
+    let is_stalled = connection.is_stalled(now);
     let memory = connection.memory.load(Ordering::Relaxed);
     let phase = connection.phase();
     let is_new = connection.answered.load(Ordering::Relaxed) == 0;
@@ -84,7 +79,6 @@
     connections: impl Iterator<Item = &'a Arc<Connection>>,
     need: Need,
     now: Duration,
-    stall: Duration,
 ) -> (Vec<Arc<Connection>>, bool) {
     let mut expected = 0;
     let mut candidates = Vec::new();
@@ -94,9 +88,7 @@
                 expected += need.share(connection);
             }
             // A refused request holds little more than its connection, which may still be closed.
-            _ => {
-                candidates.extend(rank(connection, need, now, stall).map(|rank| (rank, connection)))
-            }
+            _ => candidates.extend(rank(connection, need, now).map(|rank| (rank, connection))),
         }
     }
     candidates.sort_unstable_by_key(|(rank, _)| *rank);
