Copy responses instead of keeping their parts

Cause: HttpClient::exchange collected a response as a list of its parts, so that a store or worker which answers in chunks of one byte made a process take tens of times the size of the response.

Change: the parts are copied into one buffer, as exchange_while_active did before. The limit of 4 MiB for a response stays.

--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -101,11 +101,10 @@
         let sent_at = runtime::now();
         let answer = runtime::timeout(limit, &peer, async {
             let (head, body) = self.send(address, request).await?.into_parts();
-            let whole = Limited::new(body, MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|error| WireError::new(Step::Receive, peer.as_str(), error))?;
-            Ok(Response::from_parts(head, whole.to_bytes()))
+            let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+            let mut bytes = BytesMut::new();
+            while append(&mut bytes, body.frame().await, &peer)? {}
+            Ok(Response::from_parts(head, bytes.freeze()))
         })
         .await;
         self.close_idle_after(&answer, address, sent_at);
@@ -132,12 +131,10 @@
             let (head, body) = runtime::timeout(limit, &peer, sending).await?.into_parts();
             let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
             let mut bytes = BytesMut::new();
-            while let Some(part) =
-                runtime::timeout(limit, &peer, async { Ok(body.frame().await) }).await?
-            {
-                let part = part.map_err(|e| WireError::new(Step::Receive, peer.as_str(), e))?;
-                if let Ok(data) = part.into_data() {
-                    bytes.extend_from_slice(&data);
+            loop {
+                let part = runtime::timeout(limit, &peer, async { Ok(body.frame().await) }).await?;
+                if !append(&mut bytes, part, &peer)? {
+                    break;
                 }
             }
             Ok(Response::from_parts(head, bytes.freeze()))
@@ -213,6 +210,21 @@
     }
 }
 
+/// Appends a part of a response body; returns `false` at the end. The copy does not keep the read buffer that
+/// the part is in: a body in small parts would otherwise take many times its size.
+fn append<E: std::fmt::Display>(
+    bytes: &mut BytesMut,
+    part: Option<Result<Frame<Bytes>, E>>,
+    peer: &str,
+) -> Result<bool, WireError> {
+    let Some(part) = part else { return Ok(false) };
+    let part = part.map_err(|error| WireError::new(Step::Receive, peer, error))?;
+    if let Ok(data) = part.into_data() {
+        bytes.extend_from_slice(&data);
+    }
+    Ok(true)
+}
+
 /// Opens a connection. All errors have the step [`Step::Connect`].
 async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, WireError> {
     let peer = address.to_string();
