Limit what clients hold of the processes that flags configure

What callers saw: an entry that is configured by flags held operators' patches and jobs of any number of clients, and kept the parts of up to 256 KiB of each upload for a retry; an agent's pages had no limit on connections.

Cause: as for the hosted roles, limits for one body and none for all; kept parts hold the read buffers that they lie in.

What is kept for a retry is one copy that counts as held; without free memory the upload goes on and is not retried. An upload that waits for its caller may be closed for others, one that waits for the agent may not.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,6 +22,7 @@
 use eyre::WrapErr;
 use futures_lite::future;
 use peridotfold_wire::http_server::HttpServer;
+use peridotfold_wire::limits::{Limiter, Limits};
 use peridotfold_wire::runtime;
 use peridotfold_wire::server::MessageServer;
 use peridotfold_wire::shutdown::{self, Shutdown, Trigger};
@@ -46,6 +47,9 @@
 /// Interval between checks whether the requests have ended and the entries have acknowledged.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Limits of the pages for health, metrics and status, which only the platform and operators read.
+const PAGE_LIMITS: Limits = Limits { connections: 64, requests: 64, memory: 8 * 1024 * 1024 };
+
 /// Runs an agent until SIGTERM, then drains it.
 ///
 /// # Errors
@@ -109,7 +113,11 @@
         let announcer = Arc::new(Announcer::new(shared.clone()));
         let tasks = vec![
             runtime::spawn(messages.serve(handler, stopped.clone())),
-            runtime::spawn(pages.serve(status, stopped.clone())),
+            runtime::spawn(pages.serve_within(
+                Limiter::new("pages", PAGE_LIMITS),
+                status,
+                stopped.clone(),
+            )),
             runtime::spawn(announcer.clone().run(stopped.clone())),
             runtime::spawn(run_batch(batch.clone(), shared.clone(), stopped)),
         ];
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -8,6 +8,7 @@
 use peridotfold_store::Store;
 use peridotfold_wire::body::Body;
 use peridotfold_wire::http_server::HttpService;
+use peridotfold_wire::limits::Limiter;
 
 use crate::context::Context;
 use crate::proxy::call::PREFIX;
@@ -18,6 +19,8 @@
     pub context: Arc<Context<S>>,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
+    /// Limits what callers hold; its gauges are among the metrics.
+    pub limiter: Limiter,
 }
 
 impl<S: Store> HttpService for HttpHandler<S> {
@@ -51,6 +54,7 @@
         for (service, live) in upstreams {
             metrics::gauge!("upstreams_live", "service" => service).set(live.len() as f64);
         }
+        self.limiter.publish();
         metrics::gauge!("store_silence_seconds").set(self.context.store_silence().as_secs_f64());
         reply::with_content_type(StatusCode::OK, "text/plain; version=0.0.4", self.metrics.render())
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use peridotfold_store::{HttpStore, Store};
 use peridotfold_wire::http_server::HttpServer;
+use peridotfold_wire::limits::Limiter;
 use peridotfold_wire::runtime;
 use peridotfold_wire::server::MessageServer;
 use peridotfold_wire::shutdown::{self, Shutdown};
@@ -110,8 +111,13 @@
     let (stop_requests, requests_end) = shutdown::channel();
     let (stop_cells, cells_end) = shutdown::channel();
     let (stop_rest, rest_end) = shutdown::channel();
-    let service = HttpHandler { context: context.clone(), metrics: metrics_handle() };
-    let http_task = runtime::spawn(http.serve(Arc::new(service), requests_end));
+    let limiter = Limiter::new("callers", context.settings.limits);
+    let service = HttpHandler {
+        context: context.clone(),
+        metrics: metrics_handle(),
+        limiter: limiter.clone(),
+    };
+    let http_task = runtime::spawn(http.serve_within(limiter, Arc::new(service), requests_end));
     let cells_task = runtime::spawn(own_cells(context.clone(), cells_end));
     let handler = Arc::new(InternalHandler { context: context.clone() });
     let internal_task = runtime::spawn(internal.serve(handler, rest_end.clone()));
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -75,7 +75,8 @@
             return;
         }
     };
-    let upload = Arc::new(Mutex::new(Upload::new(incoming)));
+    let slot = parts.extensions.get().cloned();
+    let upload = Arc::new(Mutex::new(Upload::new(incoming, slot)));
     let (outcome, in_flight) = match &call.key {
         Some(key) => keyed::run(&context, &call, key, &upload, &caller_gone).await,
         None => unkeyed::run(&context, &call, &upload, &caller_gone).await,
--- a/crates/entry/src/proxy/upload.rs
+++ b/crates/entry/src/proxy/upload.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use peridotfold_core::message::request::BodyFrame;
 use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::limits::{Lease, Slot};
 use peridotfold_wire::peer::FrameSender;
 use smol::lock::Mutex;
 
@@ -19,13 +20,21 @@
 /// Peer name of the caller in errors.
 const CALLER: &str = "caller";
 
-/// A request body. Its received parts are kept for a retry, up to [`MAX_REPLAY_BYTES`].
+/// Memory that is taken at a time for the content that is kept, in bytes.
+const REPLAY_STEP_BYTES: usize = 16 * 1024;
+
+/// A request body. What was received is kept for a retry, up to [`MAX_REPLAY_BYTES`] and while memory is free.
 #[derive(Debug)]
 pub struct Upload {
     /// Body as received from the caller.
     incoming: Incoming,
-    /// Parts received so far, to be sent again by a retry. Empty once the body exceeds the limit.
-    replay_parts: Vec<Bytes>,
+    /// Connection of the caller.
+    slot: Option<Slot>,
+    /// Content received so far, to be sent again by a retry. Empty once it is not kept. A copy, because a part
+    /// as received keeps the whole read buffer that it is in.
+    replay: BytesMut,
+    /// Memory of `replay`.
+    lease: Option<Lease>,
     /// Bytes of the body received so far.
     size: usize,
     /// A retry can send the body from its start.
@@ -39,9 +48,10 @@
 
 impl Upload {
     /// Wraps the body of a request.
-    pub fn new(incoming: Incoming) -> Self {
+    pub fn new(incoming: Incoming, slot: Option<Slot>) -> Self {
         let ended = incoming.is_end_stream();
-        Upload { incoming, replay_parts: Vec::new(), size: 0, replayable: true, ended }
+        let replay = BytesMut::new();
+        Upload { incoming, slot, replay, lease: None, size: 0, replayable: true, ended }
     }
 
     /// Tells whether the body has no bytes.
@@ -73,15 +83,17 @@
 
     /// Sends the kept parts, then the rest of the body as the caller sends it.
     async fn send_frames(&mut self, sender: &mut FrameSender) -> Result<(), WireError> {
-        for part in self.replay_parts.clone() {
-            send_part(sender, part).await?;
-        }
+        send_part(sender, Bytes::copy_from_slice(&self.replay)).await?;
         while !self.ended {
+            if let Some(slot) = &self.slot {
+                slot.note_upload(self.size);
+            }
             match self.incoming.frame().await {
-                None => self.ended = true,
+                None => self.note_end(),
                 Some(Err(error)) => return Err(WireError::new(Step::Receive, CALLER, error)),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(part) => {
+                        self.note_received();
                         self.keep_for_replay(&part);
                         send_part(sender, part).await?;
                     }
@@ -94,17 +106,52 @@
         sender.finish()
     }
 
-    /// Keeps a part for a retry, or drops all parts when the body exceeds the limit.
+    /// Notes that the whole body was received.
+    fn note_end(&mut self) {
+        self.ended = true;
+        if let Some(slot) = &self.slot {
+            slot.set_unread(false);
+        }
+        self.note_received();
+    }
+
+    /// Notes that the caller has sent what was asked of it. While the agent does not take more, the connection is
+    /// not to be closed for others.
+    fn note_received(&self) {
+        if let Some(slot) = &self.slot {
+            slot.keep();
+        }
+    }
+
+    /// Keeps a part for a retry. Drops all that was kept when the body exceeds the limit or no memory is free.
     fn keep_for_replay(&mut self, part: &Bytes) {
         self.size += part.len();
-        match self.size <= MAX_REPLAY_BYTES {
-            true => self.replay_parts.push(part.clone()),
+        self.replayable &= self.size <= MAX_REPLAY_BYTES && self.reserve();
+        match self.replayable {
+            true => self.replay.extend_from_slice(part),
             false => {
-                self.replayable = false;
-                self.replay_parts = Vec::new();
+                self.replay = BytesMut::new();
+                self.lease = None;
             }
         }
     }
+
+    /// Makes room for the content received so far. Returns `false` if no memory is free.
+    fn reserve(&mut self) -> bool {
+        if self.size <= self.replay.capacity() {
+            return true;
+        }
+        let capacity = self.size.next_multiple_of(REPLAY_STEP_BYTES);
+        let lease = self.slot.as_ref().map(|slot| slot.try_lease(capacity, self.size));
+        if matches!(lease, Some(None)) {
+            return false;
+        }
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.replay);
+        self.replay = grown;
+        self.lease = lease.flatten();
+        true
+    }
 }
 
 /// Sends a part of the body in frames of at most [`MAX_FRAME_BYTES`].
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use peridotfold_core::id::{DataCentreId, EntryId};
+use peridotfold_wire::limits::Limits;
 
 /// Addresses, identity, credential and time limits of an entry.
 #[derive(Debug, Clone)]
@@ -27,4 +28,6 @@
     pub outage_hold: Duration,
     /// Time without heartbeats after which an entry counts as dead.
     pub dead_after: Duration,
+    /// Limits on what callers and operators may hold.
+    pub limits: Limits,
 }
--- a/crates/entry/tests/cells.rs
+++ b/crates/entry/tests/cells.rs
@@ -60,6 +60,7 @@
         store: store.address(),
         peers: Vec::new(),
         operator_digest: String::new(),
+        limits: peridotfold_wire::limits::Limits::NONE,
         outage_hold: Duration::from_secs(600),
         dead_after: Duration::from_secs(6),
     };
--- a/crates/entry/tests/support/common.rs
+++ b/crates/entry/tests/support/common.rs
@@ -80,6 +80,7 @@
             store,
             peers,
             operator_digest: OPERATOR_DIGEST.into(),
+            limits: peridotfold_wire::limits::Limits::NONE,
             outage_hold: Duration::from_secs(600),
             dead_after: Duration::from_secs(6),
         };
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,11 +1,17 @@
 //! `peridotfold entry`.
 
 use peridotfold_entry::settings::Settings;
+use peridotfold_wire::limits::Limits;
 
 use super::process::{self, Process};
 use super::CommandError;
 use crate::options::{Help, Opt, Values};
 
+const MAX_CONNECTIONS: u64 = 1_000_000;
+/// The largest body needs a part of the memory.
+const MIN_MEMORY_MB: u64 = 4;
+const MAX_MEMORY_MB: u64 = 1_000_000;
+
 pub const OPTIONS: &[Opt] = &[
     Opt {
         flag: "id",
@@ -62,6 +68,18 @@
         help: "Time without heartbeats after which another entry is dead",
         default: Some("6s"),
     },
+    Opt {
+        flag: "caller-connections",
+        value: "N",
+        help: "Most connections of callers and operators",
+        default: Some("4096"),
+    },
+    Opt {
+        flag: "caller-memory-mb",
+        value: "MB",
+        help: "Most memory held for callers and operators, in units of 10^6 bytes",
+        default: Some("256"),
+    },
     Opt { flag: "threads", value: "N", help: "Threads of the pool", default: Some("2") },
 ];
 
@@ -79,6 +97,15 @@
 /// Returns every problem at once. `Ok(None)` means that help was printed.
 pub fn parse(parser: lexopt::Parser) -> Result<Option<(Settings, Process)>, CommandError> {
     let Some(mut values) = Values::read(parser, &HELP) else { return Ok(None) };
+    let connections = values.number("caller-connections");
+    if !(1..=MAX_CONNECTIONS).contains(&connections) {
+        values.problem(format!("--caller-connections: not between 1 and {MAX_CONNECTIONS}"));
+    }
+    let memory_mb = values.number("caller-memory-mb");
+    if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&memory_mb) {
+        let range = format!("between {MIN_MEMORY_MB} and {MAX_MEMORY_MB}");
+        values.problem(format!("--caller-memory-mb: not {range}"));
+    }
     let settings = Settings {
         id: values.name("id"),
         data_centre: values.name("data-centre"),
@@ -90,6 +117,11 @@
         operator_digest: values.digest("operator-digest"),
         outage_hold: values.duration("outage-hold"),
         dead_after: values.duration("dead-after"),
+        limits: Limits {
+            connections: connections as usize,
+            requests: usize::MAX,
+            memory: memory_mb as usize * 1_000_000,
+        },
     };
     let process = Process::new(&mut values);
     values.finish()?;
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -171,20 +171,7 @@
     /// Reads the peak memory of the process and the number of its open descriptors; `None` once it has
     /// ended.
     pub fn usage(&self) -> Option<Usage> {
-        let id = self.process.id()?;
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kib: u64 = peak.trim().strip_suffix(" kB")?.parse().ok()?;
-        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
-        Some(Usage { memory_bytes: kib * 1024, descriptors })
-    }
-
-    /// Reads the processor time that the process has used, in ticks of the kernel.
-    fn processor_time(&self) -> Option<u64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id()?)).ok()?;
-        // The fields after the name, which ends with a parenthesis: user and system time are the 12th and 13th.
-        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
-        Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+        usage_of(self.process.id()?)
     }
 
     /// Plays a crowd and checks the bounds of the machine: the process lives, stays within its memory and
@@ -202,29 +189,28 @@
     /// Waits until the clients have sent what they send, and sends an ordinary request beside
     /// them. Returns the peak usage and the status of the request.
     pub async fn observe(&self, crowd: &Crowd) -> (Usage, Option<StatusCode>) {
-        let mut peak = Usage::default();
-        let deadline = runtime::now() + CROWD_TIME;
-        while !crowd.is_sent() && runtime::now() < deadline {
-            peak = self.peak(peak);
-            runtime::sleep(POLL_INTERVAL).await;
-        }
-        // What was sent may still be in the kernel.
-        let mut before = None;
-        while before != self.processor_time() && runtime::now() < deadline {
-            before = self.processor_time();
-            runtime::sleep(IDLE_INTERVAL).await;
-            peak = self.peak(peak);
-        }
+        let arriving = async {
+            while !crowd.is_sent() {
+                runtime::sleep(POLL_INTERVAL).await;
+            }
+            if let Some(id) = self.process.id() {
+                until_idle(id).await;
+            }
+        };
+        let requesting = async {
+            within(CROWD_TIME, arriving).await;
+            self.request().await
+        };
+        let peak = Mutex::new(Usage::default());
         let sampling = async {
-            let mut peak = peak;
             loop {
-                peak = self.peak(peak);
-                *crowd.peak.lock() = peak;
+                let before = *peak.lock();
+                *peak.lock() = self.peak(before);
                 runtime::sleep(POLL_INTERVAL).await;
             }
         };
-        let status = future::or(self.request(), sampling).await;
-        let peak = *crowd.peak.lock();
+        let status = future::or(requesting, sampling).await;
+        let peak = *peak.lock();
         (self.peak(peak), status)
     }
 
@@ -254,6 +240,32 @@
     }
 }
 
+/// Reads the processor time that a process has used, in ticks of the kernel.
+fn processor_time(id: u32) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The fields after the name, which ends with a parenthesis: user and system time are the 12th and 13th.
+    let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+}
+
+/// Waits until a process has read what it was sent, which may still be in the kernel when its clients are done.
+pub async fn until_idle(id: u32) {
+    let mut before = None;
+    while before != processor_time(id) {
+        before = processor_time(id);
+        runtime::sleep(IDLE_INTERVAL).await;
+    }
+}
+
+/// Reads the peak memory and the number of open descriptors of a process; `None` if there is no such process.
+pub fn usage_of(id: u32) -> Option<Usage> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kib: u64 = peak.trim().strip_suffix(" kB")?.parse().ok()?;
+    let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
+    Some(Usage { memory_bytes: kib * 1024, descriptors })
+}
+
 /// Returns the larger memory and the larger number of descriptors.
 pub fn larger(one: Usage, other: Usage) -> Usage {
     Usage {
@@ -327,7 +339,6 @@
 pub struct Crowd {
     clients: Vec<smol::Task<()>>,
     sent: Arc<Mutex<usize>>,
-    peak: Mutex<Usage>,
 }
 
 impl Crowd {
@@ -337,7 +348,7 @@
         let clients = (0..count)
             .map(|index| runtime::spawn(client(address, send(index), sent.clone())))
             .collect();
-        Crowd { clients, sent, peak: Mutex::new(Usage::default()) }
+        Crowd { clients, sent }
     }
 
     /// Tells whether all clients have sent what they send, or were refused.
