Count requests without a body among those that are answered at once

Cause: only requests whose body was read counted, but a question for a state and a cancel may call the store as well. Callers and their calls together could take the descriptors that the limits set aside for agents and other entries.

Change: a request without a body counts as soon as its head was received; over the limit it gets 503 with Retry-After 1 and has not run.

Evidence: requests_without_a_body_over_the_limit_are_refused_at_once, four times 200 before, two of four refused now.

--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use futures_lite::future;
-use http::header::{HeaderValue, CONNECTION};
-use http::{Request, Response};
+use http::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use http::{Request, Response, StatusCode};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,7 +22,7 @@
 
 use crate::accept;
 use crate::body::{Body, BodyTruncated};
-use crate::limits::{Limiter, Limits, Slot};
+use crate::limits::{Limiter, Limits, Shortage, Slot};
 use crate::metered::Metered;
 use crate::runtime;
 use crate::shutdown::Shutdown;
@@ -38,6 +38,8 @@
 /// Time after [`IDLE_GRACE`] for requests in progress to arrive and for responses to be read. What the client has
 /// not finished then is refused, and closed after the same time again.
 const UNFINISHED_GRACE: Duration = Duration::from_millis(1_000);
+/// `Retry-After` of a request that is refused because too many are being answered, in seconds.
+const RETRY_SECONDS: &str = "1";
 /// Size of the kernel's receive buffer of a connection whose server has limits, in bytes. The kernel's own
 /// choice grows to megabytes for a client that sends what nothing reads.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
@@ -115,6 +117,14 @@
     future::or(slot.closed(), serving).await;
 }
 
+/// Returns the response to a request that was not carried out because too many are being answered.
+fn unavailable() -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
+    response
+}
+
 /// Body of a response. Its request counts as being answered until the last part was taken to be sent.
 #[derive(Debug)]
 struct ResponseBody {
@@ -179,9 +189,15 @@
     let answer = service_fn(move |mut request: Request<Incoming>| {
         let (service, stopping, slot) = (service.clone(), stopping.clone(), caller.clone());
         async move {
-            slot.note_request(!request.body().is_end_stream());
+            let has_body = !request.body().is_end_stream();
+            slot.note_request(has_body);
             request.extensions_mut().insert(slot.clone());
-            let mut response = service.call(request).await;
+            // A request with a body counts once the body was received.
+            let answering = if has_body { Ok(None) } else { slot.begin(0).map(Some) };
+            let mut response = match answering {
+                Ok(_answering) => service.call(request).await,
+                Err(Shortage) => unavailable(),
+            };
             if stopping.is_set() || slot.is_refused() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/wire/src/request_body.rs
+++ b/crates/wire/src/request_body.rs
@@ -113,7 +113,7 @@
     let announced = usize::try_from(announced).ok().filter(|size| *size <= limit);
     let announced = announced.ok_or(BodyError::TooLarge(limit))?;
     if body.is_end_stream() {
-        return finish(BytesMut::new(), None, slot);
+        return Ok(RequestBody { bytes: Bytes::new(), _lease: None, _answering: None });
     }
     let first = if announced > 0 { announced } else { FIRST_BYTES.min(limit) };
     let mut lease = grow(None, slot, first, first).await?;
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peridotfold_wire::body::Body;
 use peridotfold_wire::http_server::{HttpServer, HttpService};
@@ -25,12 +25,17 @@
 /// Longer than the time after which a connection makes no progress.
 const STALL: Duration = Duration::from_millis(1_300);
 
-/// Answers each request with the length of its body; the path `/slow` takes a second.
+/// Answers each request with the length of its body; the path `/slow` takes a second. A GET request takes a second
+/// too, and its body is not read.
 struct Lengths;
 
 impl HttpService for Lengths {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
+        if head.method == Method::GET {
+            runtime::sleep(Duration::from_secs(1)).await;
+            return Response::new(Body::empty());
+        }
         let read = RequestBody::read(&head.extensions, body, MAX_BODY_BYTES, TIMEOUT).await;
         if head.uri.path() == "/slow" {
             runtime::sleep(Duration::from_secs(1)).await;
@@ -234,3 +239,16 @@
     statuses.sort_unstable();
     assert_eq!(statuses, [200, 200, 503, 503]);
 }
+
+/// Guards against requests without a body that the limit does not count: each may call the store too.
+#[test]
+fn requests_without_a_body_over_the_limit_are_refused_at_once() {
+    let server = Server::start(Limits { requests: 2, ..ROOM_FOR_ONE });
+    let mut clients: Vec<Client> = (0..4).map(|_| server.connect()).collect();
+    for client in &mut clients {
+        client.send(b"GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    }
+    let mut statuses: Vec<u16> = clients.iter_mut().map(Client::status).collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 503, 503]);
+}
