Count what has arrived of a greeting as memory

What operators would see: 150 clients that send the first part of a large frame to the internal port take 169 MB of an entry that has 64, for as long as they go on within 2 s each.

Cause: the buffer of a connection grows with its first frame, up to 1 MiB, and connections were limited in number only.

--- a/crates/hosted/src/connection.rs
+++ b/crates/hosted/src/connection.rs
@@ -11,6 +11,7 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use peridotfold_core::flow::message::Greeting;
 use peridotfold_wire::error::{Step, WireError};
+use peridotfold_wire::limits::{Lease, Slot};
 use peridotfold_wire::{frame, runtime};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -164,6 +165,32 @@
         }
     }
 
+    /// Returns the first message, as [`MessageReader::receive_one`] does. Until it is complete, what has arrived
+    /// counts as memory of `slot`; fails if no more is free.
+    pub(crate) async fn receive_first<T: DeserializeOwned>(
+        &mut self,
+        timeout: Duration,
+        slot: &Slot,
+    ) -> Result<T, WireError> {
+        let mut leases: Vec<Lease> = Vec::new();
+        loop {
+            if let Some(message) = self.decode()? {
+                return Ok(message);
+            }
+            self.read_more(timeout).await?;
+            let size = self.buffer.len();
+            slot.note_upload(size);
+            let held: usize = leases.iter().map(Lease::bytes).sum();
+            let grown = self.buffer.capacity().saturating_sub(held);
+            if grown > 0 {
+                let lease = slot.lease(grown, size).await;
+                leases.push(lease.map_err(|_| {
+                    WireError::new(Step::Receive, self.peer.as_str(), "no memory is free")
+                })?);
+            }
+        }
+    }
+
     /// Returns all messages received so far, at least one. Fails if no bytes arrive within
     /// `timeout`.
     pub(crate) async fn receive<T: DeserializeOwned>(
--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -55,8 +55,9 @@
     pub node: String,
     /// Address for agents and other entries.
     pub internal: SocketAddr,
-    /// Maximum number of connections of agents and other entries.
-    pub max_connections: usize,
+    /// Limits on the connections of agents and other entries, and on the memory of those that have sent no
+    /// greeting.
+    pub limits: Limits,
     /// CPU share of the process, in cores.
     pub cores: f64,
     /// Time within which a stored configuration must be in force.
@@ -144,10 +145,7 @@
             role: Mutex::new((Role::None, None)),
             store_failed_at: Mutex::new(None),
             unclear: UnclearJobs::default(),
-            limiter: Limiter::new(
-                "internal",
-                Limits { connections: settings.max_connections, ..Limits::NONE },
-            ),
+            limiter: Limiter::new("internal", settings.limits),
         }
     }
 
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -46,7 +46,7 @@
         tracing::warn!(event = "nodelay_not_set", %peer, %error);
     }
     let mut reader = MessageReader::new(stream.clone(), peer.to_string());
-    let greeting = match reader.receive_one::<Greeting>(GREETING_TIMEOUT).await {
+    let greeting = match reader.receive_first::<Greeting>(GREETING_TIMEOUT, slot).await {
         Ok(greeting) => greeting,
         Err(error) => {
             tracing::info!(event = "connection_refused", %peer, %error);
--- a/crates/hosted/tests/suite/support.rs
+++ b/crates/hosted/tests/suite/support.rs
@@ -329,7 +329,7 @@
     EntrySettings {
         node: node.to_owned(),
         internal,
-        max_connections: 4_096,
+        limits: peridotfold_wire::limits::Limits::NONE,
         cores: 1.0,
         config_bound: CONFIG_BOUND,
         evacuation: None,
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -199,7 +199,7 @@
 
 /// The limits leave no room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Shortage;
+pub struct Shortage;
 
 impl Limiter {
     /// Creates the limiter of a server; `name` is used in metrics and log lines.
@@ -464,8 +464,9 @@
         self.0.connection.set_phase(Phase::Body);
     }
 
-    /// Notes that the body of the request is being received and passed on; `size` bytes so far.
+    /// Notes that a body is being received and passed on, or a message in parts; `size` bytes so far.
     pub fn note_upload(&self, size: usize) {
+        self.0.connection.progress();
         self.0.connection.body_size.store(size, Ordering::Relaxed);
         self.0.connection.set_phase(Phase::Upload);
     }
@@ -532,7 +533,7 @@
     /// # Errors
     ///
     /// Fails if the memory is used up by requests that are no larger or are being answered.
-    pub(crate) async fn lease(&self, bytes: usize, size: usize) -> Result<Lease, Shortage> {
+    pub async fn lease(&self, bytes: usize, size: usize) -> Result<Lease, Shortage> {
         let limiter = &self.0.limiter;
         let ceiling = ceiling(limiter.0.limits.memory, size);
         loop {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -254,6 +254,23 @@
     });
 }
 
+/// Guards against greetings at the internal port that announce large frames and stop just short of their end.
+#[test]
+fn large_greetings_that_stop_short() {
+    runtime::run(THREADS, async {
+        let entry = Node::entry(SMALL_MEMORY).await;
+        let frame = [&1_000_000_u32.to_le_bytes()[..], &[0; 999_000]].concat();
+        let frame = bytes::Bytes::from(frame);
+        let send = |_| Sending::Parts(vec![frame.clone()]);
+        let crowd = Crowd::start(entry.internal, 150, send);
+        let (peak, beside) = entry.observe(&crowd).await;
+        drop(crowd);
+        entry.check_bounds(entry.peak(peak));
+        entry.check_served(beside, "an ordinary request beside the crowd");
+        entry.check_served(entry.request().await, "an ordinary request after the crowd");
+    });
+}
+
 /// Guards against crowds at the listener for the reports of an agent's worker.
 #[test]
 fn an_agent_withstands_a_crowd() {
