Derive the default limit of connections from the descriptors of the process

Cause: an entry that flags configure had a limit of 4,096 connections by default, which is above the usual 1,024 descriptors of a process, so that the limit of the process came first.

Change: half of the descriptors that the process may open, at most 4,096. Values out of range are named with the other settings.

The default itself has no test with a crowd: it depends on the limit under which the test runs.

--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -8,6 +8,8 @@
 use crate::options::{Help, Opt, Values};
 
 const MAX_CONNECTIONS: u64 = 1_000_000;
+/// More connections than this take more than the default memory allows.
+const MAX_DEFAULT_CONNECTIONS: u64 = 4_096;
 /// The largest body needs a part of the memory.
 const MIN_MEMORY_MB: u64 = 4;
 const MAX_MEMORY_MB: u64 = 1_000_000;
@@ -71,8 +73,8 @@
     Opt {
         flag: "caller-connections",
         value: "N",
-        help: "Most connections of callers and operators",
-        default: Some("4096"),
+        help: "Most connections of callers and operators; by default half of the process's descriptors, at most 4096",
+        default: None,
     },
     Opt {
         flag: "caller-memory-mb",
@@ -90,6 +92,13 @@
     options: &[OPTIONS, process::OPTIONS],
 };
 
+/// Returns half of the descriptors that the process may open: the rest is for the store, agents, other entries and
+/// files.
+fn default_connections() -> u64 {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    (limit.unwrap_or(u64::MAX) / 2).clamp(1, MAX_DEFAULT_CONNECTIONS)
+}
+
 /// Reads and checks all settings.
 ///
 /// # Errors
@@ -97,7 +106,8 @@
 /// Returns every problem at once. `Ok(None)` means that help was printed.
 pub fn parse(parser: lexopt::Parser) -> Result<Option<(Settings, Process)>, CommandError> {
     let Some(mut values) = Values::read(parser, &HELP) else { return Ok(None) };
-    let connections = values.number("caller-connections");
+    let connections =
+        values.optional_number("caller-connections").unwrap_or_else(default_connections);
     if !(1..=MAX_CONNECTIONS).contains(&connections) {
         values.problem(format!("--caller-connections: not between 1 and {MAX_CONNECTIONS}"));
     }
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -114,6 +114,16 @@
             &[][..],
             vec!["--outage-hold", "--peers"],
         ),
+        (
+            with(&["entry"], &ENTRY, &["--caller-connections", "0", "--caller-memory-mb", "3"]),
+            &[],
+            vec!["--caller-connections", "--caller-memory-mb"],
+        ),
+        (
+            with(&["check", "entry"], &ENTRY, &["--caller-connections", "many"]),
+            &[],
+            vec!["--caller-connections"],
+        ),
         (with(&["agent"], &AGENT, &["--drain-grace", "-1s"]), &[], vec!["--drain-grace"]),
         (vec![], &[], vec!["no command"]),
         (vec!["serve"], &[], vec!["serve"]),
