Close large heads in progress for small requests

What callers saw: while heads that are still arriving hold all the memory, the connection of a small request was closed without an answer. They make progress for a second after their last byte.

Cause: requests in progress were compared by the size of their body, which a head does not have.

Change: a head counts with the memory that it takes beyond that of each connection.

Evidence: a_small_request_is_served_beside_heads_in_progress (wire), closed without an answer before, 200 now. A new crowd of heads that go on byte by byte (tests/crowds.rs heads_that_go_on_byte_by_byte) passes without this change as well: a head that grows over the limit is closed itself.

--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -361,6 +361,15 @@
         now >= Duration::from_millis(self.progress_ms.load(Ordering::Relaxed)) + time
     }
 
+    /// Returns the size of the request that is being received: of its body, or of what its head takes beyond the
+    /// memory that each connection has.
+    fn request_size(&self) -> usize {
+        match self.phase() {
+            Phase::Body | Phase::Upload => self.body_size.load(Ordering::Relaxed),
+            _ => self.memory.load(Ordering::Relaxed).saturating_sub(STARTED_BYTES),
+        }
+    }
+
     fn set_phase(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::Relaxed);
     }
--- a/crates/wire/src/limits/victims.rs
+++ b/crates/wire/src/limits/victims.rs
@@ -62,8 +62,8 @@
             (false, false) => 4,
         },
         Need::Memory { .. } if is_stalled => 1,
-        // A large body before a small one. Those of one size are left to finish.
-        Need::Memory { size, .. } if connection.body_size.load(Ordering::Relaxed) > size => 2,
+        // A large request before a small one. Those of one size are left to finish.
+        Need::Memory { size, .. } if connection.request_size() > size => 2,
         Need::Memory { .. } => return None,
     };
     let weight = match need {
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -113,6 +113,13 @@
     }
 }
 
+/// Returns the statuses of the next response to each client, sorted.
+fn sorted_statuses(clients: &mut [Client]) -> Vec<u16> {
+    let mut statuses: Vec<u16> = clients.iter_mut().map(Client::status).collect();
+    statuses.sort_unstable();
+    statuses
+}
+
 fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let begun = Instant::now();
     while !condition() {
@@ -212,6 +219,22 @@
     assert_eq!(used.status(), 200, "a connection that was of use stays open");
 }
 
+/// Guards against heads in progress that leave no memory to a small request.
+#[test]
+fn a_small_request_is_served_beside_heads_in_progress() {
+    /// With its read buffer, such a head takes a fifth of the memory.
+    const HEAD_BYTES: usize = 20 * 1024;
+    let server = Server::start(ROOM_FOR_ONE);
+    let mut heads: Vec<Client> = (0..5).map(|_| server.connect()).collect();
+    let mut head = b"POST / HTTP/1.1\r\nX: ".to_vec();
+    head.resize(HEAD_BYTES, b'x');
+    for client in &mut heads {
+        client.0.write_all(&head).expect("the connection is open");
+    }
+    wait_until("the memory is used", || server.limiter.memory() == ROOM_FOR_ONE.memory);
+    assert_eq!(server.small_request(), 200);
+}
+
 /// Guards against a connection that is closed for others while its request is being answered.
 #[test]
 fn a_request_that_is_being_answered_keeps_its_connection() {
@@ -235,9 +258,7 @@
         client.send_head("/slow", 5);
         client.send(b"small");
     }
-    let mut statuses: Vec<u16> = clients.iter_mut().map(Client::status).collect();
-    statuses.sort_unstable();
-    assert_eq!(statuses, [200, 200, 503, 503]);
+    assert_eq!(sorted_statuses(&mut clients), [200, 200, 503, 503]);
 }
 
 /// Guards against requests without a body that the limit does not count: each may call the store too.
@@ -248,9 +269,7 @@
     for client in &mut clients {
         client.send(b"GET / HTTP/1.1\r\nHost: test\r\n\r\n");
     }
-    let mut statuses: Vec<u16> = clients.iter_mut().map(Client::status).collect();
-    statuses.sort_unstable();
-    assert_eq!(statuses, [200, 200, 503, 503]);
+    assert_eq!(sorted_statuses(&mut clients), [200, 200, 503, 503]);
 }
 
 /// Guards against memory that is counted twice, lost, or taken over the limit, in any order of what connections do.
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -70,6 +70,12 @@
     withstands(SMALL_MEMORY, 850, |_| Sending::endless_head(LARGE_HEAD));
 }
 
+/// Guards against heads that go on byte by byte, so that they always make progress, and leave no memory to others.
+#[test]
+fn heads_that_go_on_byte_by_byte() {
+    withstands(SMALL_MEMORY, 850, |_| Sending::dripping_head(LARGE_HEAD));
+}
+
 /// Guards against callers' connections that take the descriptors which the entry needs itself.
 #[test]
 fn connections_that_send_nothing() {
