Count a connection as idle once its response was sent

What callers saw: beside clients that had one request answered and kept their connections open, the connection of a new caller was closed while its request arrived.

Cause: a connection counted as sending its response until the next request, and such a connection makes progress for 10 s after its last byte. So those that were idle came last in the choice.

Change: the connection is idle once the response was handed to the kernel.

Evidence: an_idle_connection_is_closed_before_one_whose_request_arrives (wire), closed without an answer before, 200 now.

--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -487,6 +487,13 @@
         self.0.connection.set_phase(Phase::Sending);
     }
 
+    /// Notes that all that was to be sent has been handed to the kernel.
+    pub(crate) fn note_flushed(&self) {
+        if self.phase() == Phase::Sending {
+            self.0.connection.set_phase(Phase::Idle);
+        }
+    }
+
     /// Notes that the connection only discards what the client still sends.
     pub(crate) fn note_closing(&self) {
         self.0.connection.set_phase(Phase::Closing);
--- a/crates/wire/src/metered.rs
+++ b/crates/wire/src/metered.rs
@@ -82,7 +82,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        let flushed = Pin::new(&mut this.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            this.slot.note_flushed();
+        }
+        flushed
     }
 
     fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -235,6 +235,24 @@
     assert_eq!(server.small_request(), 200);
 }
 
+/// Guards against connections between two requests that keep their place before one whose request arrives.
+#[test]
+fn an_idle_connection_is_closed_before_one_whose_request_arrives() {
+    let server = Server::start(Limits { connections: 4, ..ROOM_FOR_ONE });
+    let mut idle: Vec<Client> = (0..3).map(|_| server.connect()).collect();
+    for client in &mut idle {
+        client.send_head("/", 5);
+        client.send(b"small");
+        assert_eq!(client.status(), 200);
+    }
+    std::thread::sleep(STALL);
+    let mut arriving = server.connect();
+    arriving.send(b"POST / HTTP/1.1\r\nHost: test\r\n");
+    assert_eq!(server.small_request(), 200);
+    arriving.send(b"Content-Length: 5\r\n\r\nsmall");
+    assert_eq!(arriving.status(), 200);
+}
+
 /// Guards against a connection that is closed for others while its request is being answered.
 #[test]
 fn a_request_that_is_being_answered_keeps_its_connection() {
