Keep a connection whose request arrives while it is being chosen

Cause: a connection is chosen and closed by two tasks. Its request may arrive in between, and would be dropped while it is being answered, although the choice leaves such connections alone.

Change: the task of the connection looks again before it closes. If the request is being answered, it goes on, and who waits for the connection chooses again.

Result: found by reading, not by a run; no test shows it, since it needs two threads at the same moment. The tests of the choice pass.

--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -8,7 +8,7 @@
 mod victims;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
@@ -162,7 +162,7 @@
     /// Bytes received since the end of the last request.
     received: AtomicUsize,
     /// The client may still send bytes of a body that nothing reads.
-    is_unread: AtomicU8,
+    is_unread: AtomicBool,
 }
 
 /// Memory that is held for a request until this is dropped.
@@ -280,7 +280,7 @@
             connection,
             base: AtomicUsize::new(0),
             received: AtomicUsize::new(0),
-            is_unread: AtomicU8::new(0),
+            is_unread: AtomicBool::new(false),
         }));
         slot.raise_base(SILENT_BYTES);
         Some(slot)
@@ -395,7 +395,7 @@
     }
 
     /// Registers the waker of the connection's task and returns how the connection is to be ended.
-    pub(crate) fn poll_eviction(&self, waker: &Waker) -> Eviction {
+    fn poll_eviction(&self, waker: &Waker) -> Eviction {
         let connection = &self.0.connection;
         let mut registered = connection.waker.lock();
         match &mut *registered {
@@ -403,7 +403,15 @@
             none => *none = Some(waker.clone()),
         }
         drop(registered);
-        connection.eviction()
+        match (connection.eviction(), connection.phase()) {
+            // The request has arrived since the choice. Those who wait for the connection choose again.
+            (Eviction::Close, Phase::Answering) => {
+                connection.eviction.store(Eviction::None as u8, Ordering::Relaxed);
+                self.0.limiter.0.released.notify(usize::MAX);
+                Eviction::None
+            }
+            (eviction, _) => eviction,
+        }
     }
 
     pub(crate) fn is_refused(&self) -> bool {
@@ -501,11 +509,11 @@
 
     /// Notes whether the client may still send bytes of a body that nothing reads.
     pub fn set_unread(&self, is_unread: bool) {
-        self.0.is_unread.store(u8::from(is_unread), Ordering::Relaxed);
+        self.0.is_unread.store(is_unread, Ordering::Relaxed);
     }
 
     pub(crate) fn is_unread(&self) -> bool {
-        self.0.is_unread.load(Ordering::Relaxed) != 0
+        self.0.is_unread.load(Ordering::Relaxed)
     }
 
     /// Ends what the client has not finished: refuses a body that is being received, and closes a connection
