--- a/crates/hosted/src/entry.rs
+++ b/crates/hosted/src/entry.rs
@@ -22,6 +22,7 @@
 use smol::net::TcpListener;
 
 use crate::admission::UnclearJobs;
+use crate::causes::LineLimit;
 use crate::directory::Directory;
 use crate::follower::Follower;
 use crate::owner_service::OwnerService;
@@ -126,6 +127,8 @@
     pub(crate) unclear: UnclearJobs,
     /// Limits the connections of agents and other entries.
     limiter: Limiter,
+    /// Bounds the lines on connections without a greeting.
+    pub(crate) refused: LineLimit,
 }
 
 impl<S: Store> Entry<S> {
@@ -146,6 +149,7 @@
             store_failed_at: Mutex::new(None),
             unclear: UnclearJobs::default(),
             limiter: Limiter::new("internal", settings.limits),
+            refused: LineLimit::default(),
         }
     }
 
--- a/crates/hosted/src/sessions.rs
+++ b/crates/hosted/src/sessions.rs
@@ -49,7 +49,9 @@
     let greeting = match reader.receive_first::<Greeting>(GREETING_TIMEOUT, slot).await {
         Ok(greeting) => greeting,
         Err(error) => {
-            tracing::info!(event = "connection_refused", %peer, %error);
+            if let Some(dropped) = entry.refused.admit() {
+                tracing::info!(event = "connection_refused", %peer, %error, dropped);
+            }
             return;
         }
     };
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -5,6 +5,7 @@
 #[path = "support/crowd.rs"]
 mod crowd;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crowd::{post, response_to, slowly, within, Machine, Node, Role};
@@ -192,30 +193,46 @@
     });
 }
 
-/// Guards against a log that grows with the number of refused clients.
-#[test]
-fn refused_clients_have_no_log_line_each() {
+/// Plays a crowd and checks that the log has a line for each cause and interval, and the usual ones.
+fn logs_few_lines(address: impl Fn(&Node) -> SocketAddr, send: impl Fn(usize) -> Sending) {
     runtime::run(THREADS, async {
         let entry = Node::entry(SMALL).await;
         let before = entry.log().len();
-        let crowd = Crowd::start(entry.clients, 400, |index| match index % 2 {
-            0 => Sending::chunked(12, 60_000),
-            _ => Sending::unfinished(LARGE, LARGE),
-        });
+        let crowd = Crowd::start(address(&entry), 400, send);
         entry.observe(&crowd).await;
         drop(crowd);
         entry.request().await;
         let lines = entry.log();
-        // A line for each cause and second, and the usual ones.
-        assert!(
-            lines.len() - before < 100,
-            "{} lines: {:#?}",
-            lines.len() - before,
-            &lines[before..]
-        );
+        let count = lines.len() - before;
+        assert!(count < 100, "{count} lines: {:#?}", &lines[before..]);
     });
 }
 
+/// Guards against a log that grows with the number of refused clients.
+#[test]
+fn refused_clients_have_no_log_line_each() {
+    let send = |index: usize| match index.is_multiple_of(2) {
+        true => Sending::chunked(12, 60_000),
+        false => Sending::unfinished(LARGE, LARGE),
+    };
+    logs_few_lines(|entry| entry.clients, send);
+}
+
+/// Guards against a log that grows with the number of whole requests that are no jobs.
+#[test]
+fn malformed_jobs_have_no_log_line_each() {
+    let request = [&head("Content-Length: 6")[..], &b"no job"[..]].concat();
+    let request = bytes::Bytes::from(request);
+    logs_few_lines(|entry| entry.clients, |_| Sending::Parts(vec![request.clone()]));
+}
+
+/// Guards against a log that grows with the number of clients of the internal port that send no greeting.
+#[test]
+fn clients_without_a_greeting_have_no_log_line_each() {
+    let garbage = bytes::Bytes::from_static(&[0xff; 64]);
+    logs_few_lines(|entry| entry.internal, |_| Sending::Parts(vec![garbage.clone()]));
+}
+
 /// Guards against limits whose use and refusals no metric shows.
 #[test]
 fn the_metrics_show_what_clients_hold_and_what_was_refused() {
