--- a/crates/wire/src/limits/causes.rs
+++ b/crates/wire/src/limits/causes.rs
@@ -9,7 +9,7 @@
 
 /// Why a request was refused or a connection was closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
+pub(crate) enum Cause {
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not arrive within its time limit.
@@ -38,7 +38,7 @@
 
 impl Cause {
     /// Name of the cause in metrics and log lines.
-    pub fn name(self) -> &'static str {
+    fn name(self) -> &'static str {
         match self {
             Cause::TooLarge => "too_large",
             Cause::TooSlow => "too_slow",
--- a/crates/wire/src/limits/victims.rs
+++ b/crates/wire/src/limits/victims.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Connection, Eviction, Phase};
+use super::connection::{Connection, Eviction, Phase};
 
 /// What is short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/wire/src/request_body.rs
+++ b/crates/wire/src/request_body.rs
@@ -1,12 +1,15 @@
 //! Reading of whole request bodies within limits of size, time and memory.
 
 use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use http::Extensions;
-use http_body::Body as HttpBody;
+use http_body::{Body as HttpBody, Frame};
 use http_body_util::BodyExt;
 
 use crate::limits::{Answering, Cause, Lease, Slot};
@@ -142,26 +145,20 @@
 }
 
 /// Returns the next frame of a body; an error once the request is to be refused.
-async fn next<B>(
-    body: &mut B,
-    slot: Option<&Slot>,
-) -> Option<Result<http_body::Frame<Bytes>, BodyError>>
+async fn next<B>(body: &mut B, slot: Option<&Slot>) -> Option<Result<Frame<Bytes>, BodyError>>
 where
     B: HttpBody<Data = Bytes> + Unpin,
     B::Error: fmt::Display,
 {
     let mut frame = body.frame();
-    let frame = future::poll_fn(|context| {
-        use std::future::Future;
-        match slot.is_some_and(Slot::is_refused) {
-            true => std::task::Poll::Ready(Some(Err(BodyError::NoRoom))),
-            false => std::pin::Pin::new(&mut frame).poll(context).map(|frame| {
-                let incomplete = |error: B::Error| BodyError::Incomplete(error.to_string());
-                frame.map(|frame| frame.map_err(incomplete))
-            }),
-        }
+    let arrived = future::poll_fn(|context| match slot.is_some_and(Slot::is_refused) {
+        true => Poll::Ready(Some(Err(BodyError::NoRoom))),
+        false => Pin::new(&mut frame).poll(context).map(|frame| {
+            let incomplete = |error: B::Error| BodyError::Incomplete(error.to_string());
+            frame.map(|frame| frame.map_err(incomplete))
+        }),
     });
-    frame.await
+    arrived.await
 }
 
 /// Takes `bytes` of memory in addition to `lease`, for a body of `size` bytes.
