--- a/crates/wire/src/request_body.rs
+++ b/crates/wire/src/request_body.rs
@@ -42,7 +42,7 @@
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            BodyError::TooLarge(limit) => write!(f, "the body is larger than {limit} bytes"),
+            BodyError::TooLarge(limit) => write!(f, "the body is over the limit of {limit} bytes"),
             BodyError::TooSlow(limit) => write!(f, "the body did not arrive within {limit:?}"),
             BodyError::NoRoom => f.write_str("the server has no room for the request now"),
             BodyError::Incomplete(detail) => write!(f, "the body is incomplete: {detail}"),
